Serve a request and run a batch job end to end as separate processes

The first whole path: entries, stand-ins for platform, workers and endpoints, a load tool with an open loop, and a demo with three faults (an entry killed, a worker killed, an outage of the store).

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+# Both targets need Go alone; they fetch the declared modules.
+.PHONY: demo test check generate soak
+
+# The main job: a small deployment that survives three faults.
+demo:
+	./scripts/demo.sh
+
+# All tests, as CI runs them.
+test:
+	go test -count=1 ./...
+
+# Formatter and linters.
+check:
+	@test -z "$$(gofmt -l .)" || { gofmt -l .; echo "not formatted"; exit 1; }
+	go vet ./...
+	go tool staticcheck ./...
+
+# Rewrites the generated pages of docs.
+generate:
+	go test ./io/commandline ./core/event ./core/status -run Golden -update
--- /dev/null
+++ b/core/event/worker.go
@@ -0,0 +1,31 @@
+package event
+
+import "github.com/hashicorp/go-hclog"
+
+// Events of batch work, 3000 to 3999.
+var (
+	JobAccepted = Event{3001, "job-accepted", hclog.Info,
+		[]string{"job", "cell"}, "A submitted job is durable.", "None."}
+	TaskPlaced = Event{3002, "task-placed", hclog.Info,
+		[]string{"job", "attempt", "worker", "cell"},
+		"An attempt was journaled and will be started on a worker.", "None."}
+	TaskFinished = Event{3003, "task-finished", hclog.Info,
+		[]string{"job", "attempt", "worker", "cell"},
+		"The current attempt finished and its result is durable.", "None."}
+	TaskInterrupted = Event{3004, "task-interrupted", hclog.Warn,
+		[]string{"job", "attempt", "worker", "cell", "reason"},
+		"An attempt ended without a result; the job is queued again.",
+		"If it repeats for one worker, drain that worker."}
+	WorkerAdded = Event{3005, "worker-added", hclog.Info,
+		[]string{"worker", "cell", "address"},
+		"A worker announced itself to the owner of its cell.", "None."}
+	WorkerLost = Event{3006, "worker-lost", hclog.Warn,
+		[]string{"worker", "cell"},
+		"A worker's lease has certainly ended without an answer.",
+		"Check whether its VM failed."}
+	JobCancelled = Event{3007, "job-cancelled", hclog.Info,
+		[]string{"job", "cell"}, "A cancellation is durable.", "None."}
+)
+
+var workerEvents = []Event{JobAccepted, TaskPlaced, TaskFinished,
+	TaskInterrupted, WorkerAdded, WorkerLost, JobCancelled}
--- /dev/null
+++ b/core/status/codes.go
@@ -0,0 +1,74 @@
+package status
+
+import "net/http"
+
+// Sentinels of malformed input at any interface.
+var (
+	ErrInternal        = &Error{"internal", http.StatusInternalServerError}
+	ErrMalformedJSON   = &Error{"malformed-json", http.StatusBadRequest}
+	ErrUnknownField    = &Error{"unknown-field", http.StatusBadRequest}
+	ErrBodyTooLarge    = &Error{"body-too-large", http.StatusRequestEntityTooLarge}
+	ErrHeaderTooLarge  = &Error{"header-too-large", http.StatusRequestHeaderFieldsTooLarge}
+	ErrWrongUnit       = &Error{"wrong-unit", http.StatusBadRequest}
+	ErrOutOfRange      = &Error{"out-of-range", http.StatusBadRequest}
+	ErrMissingField    = &Error{"missing-field", http.StatusBadRequest}
+	ErrBadName         = &Error{"bad-name", http.StatusBadRequest}
+	ErrDuplicateID     = &Error{"duplicate-id", http.StatusConflict}
+	ErrUnknownRef      = &Error{"unknown-reference", http.StatusBadRequest}
+	ErrNotFound        = &Error{"not-found", http.StatusNotFound}
+	ErrBadSetting      = &Error{"bad-setting", http.StatusBadRequest}
+	ErrUnreachable     = &Error{"unreachable", http.StatusServiceUnavailable}
+	ErrMethodNotServed = &Error{"method-not-allowed", http.StatusMethodNotAllowed}
+)
+
+// Sentinels of the request path. See docs/INTERFACES.md for their outcome.
+var (
+	ErrUnknownService   = &Error{"unknown-service", http.StatusNotFound}
+	ErrNoEndpoint       = &Error{"no-endpoint", http.StatusServiceUnavailable}
+	ErrQueueFull        = &Error{"queue-full", http.StatusServiceUnavailable}
+	ErrDeadlineExceeded = &Error{"deadline-exceeded", http.StatusGatewayTimeout}
+	ErrEndpointRefused  = &Error{"endpoint-refused", http.StatusServiceUnavailable}
+	ErrEndpointFailed   = &Error{"endpoint-failed", http.StatusBadGateway}
+	ErrForeignAnswer    = &Error{"foreign-answer", http.StatusBadGateway}
+	ErrCallerCancelled  = &Error{"caller-cancelled", 499}
+	ErrStopping         = &Error{"stopping", http.StatusServiceUnavailable}
+)
+
+// Sentinels of the platform's key-value service.
+var (
+	ErrStoreUnavailable = &Error{"store-unavailable", http.StatusServiceUnavailable}
+	ErrStoreConflict    = &Error{"store-conflict", http.StatusConflict}
+	ErrLeaseExpired     = &Error{"lease-expired", http.StatusConflict}
+)
+
+// Sentinels of batch work and of the operators' interface.
+var (
+	ErrNoOwner         = &Error{"no-cell-owner", http.StatusServiceUnavailable}
+	ErrNotOwner        = &Error{"not-cell-owner", http.StatusServiceUnavailable}
+	ErrStaleEpoch      = &Error{"stale-epoch", http.StatusConflict}
+	ErrStaleEcho       = &Error{"stale-echo", http.StatusConflict}
+	ErrJobConflict     = &Error{"job-conflict", http.StatusConflict}
+	ErrUnknownJob      = &Error{"unknown-job", http.StatusNotFound}
+	ErrImpossibleJob   = &Error{"impossible-job", http.StatusUnprocessableEntity}
+	ErrWorkerFull      = &Error{"worker-full", http.StatusConflict}
+	ErrConfigConflict  = &Error{"config-conflict", http.StatusConflict}
+	ErrConfigInvalid   = &Error{"config-invalid", http.StatusUnprocessableEntity}
+	ErrNoConfiguration = &Error{"no-configuration", http.StatusServiceUnavailable}
+	ErrUnauthorized    = &Error{"unauthorized", http.StatusUnauthorized}
+)
+
+// All returns every sentinel, in the order of docs/INTERFACES.md.
+func All() []*Error {
+	return []*Error{
+		ErrInternal, ErrMalformedJSON, ErrUnknownField, ErrBodyTooLarge,
+		ErrHeaderTooLarge, ErrWrongUnit, ErrOutOfRange, ErrMissingField,
+		ErrBadName, ErrDuplicateID, ErrUnknownRef, ErrNotFound,
+		ErrBadSetting, ErrUnreachable, ErrMethodNotServed, ErrUnknownService, ErrNoEndpoint,
+		ErrQueueFull, ErrDeadlineExceeded, ErrEndpointRefused,
+		ErrEndpointFailed, ErrForeignAnswer, ErrCallerCancelled, ErrStopping,
+		ErrStoreUnavailable, ErrStoreConflict, ErrLeaseExpired, ErrNoOwner,
+		ErrNotOwner, ErrStaleEpoch, ErrStaleEcho, ErrJobConflict,
+		ErrUnknownJob, ErrImpossibleJob, ErrWorkerFull, ErrConfigConflict,
+		ErrConfigInvalid, ErrNoConfiguration, ErrUnauthorized,
+	}
+}
--- /dev/null
+++ b/core/wire/wire.go
@@ -0,0 +1,121 @@
+// Package wire holds the JSON conventions shared by every interface of
+// rosemarygap: kebab-case fields, durations as strings with a unit, strict
+// decoding with a size limit, and one error body. It owns no state.
+package wire
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"strings"
+	"time"
+
+	"rosemarygap/core/status"
+
+	"github.com/pkg/errors"
+)
+
+// MaxControlBody is the largest accepted control message, in bytes.
+const MaxControlBody = 1 << 20
+
+// Duration is a time.Duration written in JSON as a string with a unit, such
+// as "250ms".
+type Duration time.Duration
+
+// Std returns d as a time.Duration.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// MarshalJSON writes d with its unit.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
+
+// UnmarshalJSON reads a string with a unit; a bare number is refused with
+// status.ErrWrongUnit because its unit would be a guess.
+func (d *Duration) UnmarshalJSON(b []byte) error {
+	var s string
+	if err := json.Unmarshal(b, &s); err != nil {
+		return status.At(status.ErrWrongUnit, "duration", string(b))
+	}
+	v, err := time.ParseDuration(s)
+	if err != nil {
+		return status.At(status.ErrWrongUnit, "duration", s)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Decode reads exactly one JSON value of at most limit bytes into v. Unknown
+// fields, trailing data and oversized bodies are refused with coded errors.
+func Decode(r io.Reader, limit int64, v any) error {
+	b, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err != nil {
+		return errors.WithMessage(status.ErrMalformedJSON, err.Error())
+	}
+	if int64(len(b)) > limit {
+		return status.ErrBodyTooLarge
+	}
+	return Unmarshal(b, v)
+}
+
+// Unmarshal is Decode for bytes already in memory.
+func Unmarshal(b []byte, v any) error {
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return decodeError(err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return status.At(status.ErrMalformedJSON, "body", "trailing-data")
+	}
+	return nil
+}
+
+func decodeError(err error) error {
+	var coded *status.Error
+	if errors.As(err, &coded) {
+		return err
+	}
+	if f, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
+		return status.At(status.ErrUnknownField, strings.Trim(f, `"`), "")
+	}
+	var typ *json.UnmarshalTypeError
+	if errors.As(err, &typ) {
+		return status.At(status.ErrMalformedJSON, typ.Field, typ.Value)
+	}
+	return errors.WithMessage(status.ErrMalformedJSON, err.Error())
+}
+
+// ErrorBody is the JSON body of every refused message.
+type ErrorBody struct {
+	Code       status.Code `json:"code"`
+	Path       string      `json:"path,omitempty"`
+	Value      string      `json:"value,omitempty"`
+	RetryAfter Duration    `json:"retry-after,omitempty"`
+}
+
+// BodyOf describes err as an ErrorBody.
+func BodyOf(err error) ErrorBody {
+	path, value := status.DetailOf(err)
+	return ErrorBody{
+		Code:       status.CodeOf(err),
+		Path:       path,
+		Value:      value,
+		RetryAfter: Duration(status.RetryAfterOf(err)),
+	}
+}
+
+// Err turns a received body back into an error that errors.Is recognises.
+func (b ErrorBody) Err() error {
+	err := status.FromCode(b.Code)
+	if err == nil {
+		err = status.ErrInternal
+	}
+	if b.Path != "" {
+		err = status.At(err, b.Path, b.Value)
+	}
+	if b.RetryAfter > 0 {
+		err = status.RetryIn(err, b.RetryAfter.Std())
+	}
+	return err
+}
--- /dev/null
+++ b/io/caller/announce.go
@@ -0,0 +1,40 @@
+package caller
+
+import (
+	"net/http"
+
+	coreendpoint "rosemarygap/core/endpoint"
+	"rosemarygap/core/peer"
+	"rosemarygap/core/status"
+	"rosemarygap/io/httpjson"
+
+	"github.com/labstack/echo/v4"
+)
+
+func (s *Server) announceEndpoint(c echo.Context) error {
+	var a coreendpoint.Announcement
+	if err := httpjson.Decode(c, &a); err != nil {
+		return httpjson.Fail(c, err)
+	}
+	if err := a.Check(); err != nil {
+		return httpjson.Fail(c, err)
+	}
+	if err := s.control.AnnounceEndpoint(c.Request().Context(), a); err != nil {
+		return httpjson.Fail(c, err)
+	}
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (s *Server) announceWorker(c echo.Context) error {
+	var n peer.WorkerNotice
+	if err := httpjson.Decode(c, &n); err != nil {
+		return httpjson.Fail(c, err)
+	}
+	if n.ID == "" || !n.Address.IsValid() {
+		return httpjson.Fail(c, status.At(status.ErrMissingField, "id", n.ID))
+	}
+	if err := s.control.AnnounceWorker(c.Request().Context(), n); err != nil {
+		return httpjson.Fail(c, err)
+	}
+	return c.NoContent(http.StatusNoContent)
+}
--- /dev/null
+++ b/io/commandline/jobs.go
@@ -0,0 +1,76 @@
+package commandline
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"text/tabwriter"
+
+	"rosemarygap/core/status"
+	"rosemarygap/core/wire"
+	"rosemarygap/core/worker"
+
+	"github.com/pkg/errors"
+)
+
+// SubmitCommand submits a job.
+type SubmitCommand struct {
+	Target
+	File string `arg:"positional,required" help:"path of the job as JSON"`
+}
+
+// Run prints the job when it is durable.
+func (c *SubmitCommand) Run(w io.Writer) error {
+	f, err := os.Open(c.File)
+	if err != nil {
+		return status.At(status.ErrNotFound, "file", c.File)
+	}
+	defer f.Close()
+	var j worker.Job
+	if err := wire.Decode(f, wire.MaxControlBody, &j); err != nil {
+		return err
+	}
+	if err := j.Check(); err != nil {
+		return err
+	}
+	if err := c.call(http.MethodPost, "/api/jobs", j, &j); err != nil {
+		return err
+	}
+	return printJSON(w, j)
+}
+
+// CancelCommand cancels a job.
+type CancelCommand struct {
+	Target
+	ID string `arg:"positional,required" help:"id of the job"`
+}
+
+// Run returns when the cancellation is durable.
+func (c *CancelCommand) Run(io.Writer) error {
+	return c.call(http.MethodDelete, "/api/jobs/"+url.PathEscape(c.ID), nil, nil)
+}
+
+// JobsCommand lists jobs.
+type JobsCommand struct {
+	Target
+	JSON bool `arg:"--json" help:"print JSON instead of a table"`
+}
+
+// Run prints all jobs.
+func (c *JobsCommand) Run(w io.Writer) error {
+	var rows []worker.JobRow
+	if err := c.get("/api/jobs", &rows); err != nil {
+		return err
+	}
+	if c.JSON {
+		return printJSON(w, rows)
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "JOB\tTEAM\tCLASS\tSTATE\tATTEMPT\tWORKER\tREASON")
+	for _, j := range rows {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%s\t%s\n", j.ID, j.Team, j.Class, j.State, j.Attempt, j.Worker, j.Reason)
+	}
+	return errors.Wrap(t.Flush(), "write output")
+}
--- /dev/null
+++ b/io/endpoint/dialer.go
@@ -0,0 +1,5 @@
+package endpoint
+
+import "net"
+
+var dialer = &net.Dialer{Timeout: dialTimeout}
--- /dev/null
+++ b/io/entry/admin.go
@@ -0,0 +1,56 @@
+package entry
+
+import (
+	"net/http"
+	"net/netip"
+
+	"rosemarygap/core/status"
+	"rosemarygap/io/httpjson"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/labstack/echo/v4"
+)
+
+type listenerSpec struct {
+	address netip.AddrPort
+	handler http.Handler
+}
+
+// bindAll binds every address before any of them serves.
+func bindAll(specs []listenerSpec) ([]*httpjson.Listener, error) {
+	var bound []*httpjson.Listener
+	for _, s := range specs {
+		l, err := httpjson.Listen(s.address, s.handler)
+		if err != nil {
+			return nil, err
+		}
+		bound = append(bound, l)
+	}
+	return bound, nil
+}
+
+// newAdminHandler serves metrics, liveness and readiness.
+func newAdminHandler(c *control) http.Handler {
+	e := httpjson.NewServer()
+	e.GET("/metrics", func(x echo.Context) error {
+		metrics.WritePrometheus(x.Response(), true)
+		return nil
+	})
+	e.GET("/live", func(x echo.Context) error { return x.JSON(http.StatusOK, c.Status()) })
+	e.GET("/ready", func(x echo.Context) error {
+		st := c.Status()
+		if !st.Ready {
+			return x.JSON(http.StatusServiceUnavailable, st)
+		}
+		return x.JSON(http.StatusOK, st)
+	})
+	return e
+}
+
+// reasonOf returns the code of err, or "" if there is none.
+func reasonOf(err error) status.Code {
+	if err == nil {
+		return ""
+	}
+	return status.CodeOf(err)
+}
--- /dev/null
+++ b/io/entry/options.go
@@ -0,0 +1,75 @@
+// Package entry assembles the process on an entry VM: its listeners, its
+// clients, and the control goroutine that owns all control state.
+//
+// Invariant: only the control goroutine changes tables; all others send it
+// messages or read the published snapshot. Every goroutine that the control
+// goroutine starts ends by sending one result, which it waits for.
+package entry
+
+import (
+	"net/netip"
+	"time"
+
+	"rosemarygap/core/operator"
+	"rosemarygap/core/status"
+)
+
+// Options are the settings of an entry. docs/SETTINGS.md is generated from
+// the tags.
+type Options struct {
+	ID             string           `arg:"--id,required,env:ROSEMARYGAP_ID" help:"name of this entry, unique among entries"`
+	Zone           string           `arg:"--zone,required,env:ROSEMARYGAP_ZONE" help:"availability zone of this VM"`
+	CallerListen   netip.AddrPort   `arg:"--caller-listen,required,env:ROSEMARYGAP_CALLER_LISTEN" help:"address for callers and announcements, IP:PORT"`
+	PeerListen     netip.AddrPort   `arg:"--peer-listen,required,env:ROSEMARYGAP_PEER_LISTEN" help:"address for other entries, IP:PORT"`
+	OperatorListen netip.AddrPort   `arg:"--operator-listen,required,env:ROSEMARYGAP_OPERATOR_LISTEN" help:"address for operators, IP:PORT"`
+	AdminListen    netip.AddrPort   `arg:"--admin-listen,required,env:ROSEMARYGAP_ADMIN_LISTEN" help:"address for metrics, liveness and readiness, IP:PORT"`
+	Platform       netip.AddrPort   `arg:"--platform,required,env:ROSEMARYGAP_PLATFORM" help:"address of the platform's key-value service, IP:PORT"`
+	Peers          []netip.AddrPort `arg:"--peer,env:ROSEMARYGAP_PEERS" help:"peer addresses to ask while the key-value service is down"`
+	LeaseTTL       time.Duration    `arg:"--lease-ttl,env:ROSEMARYGAP_LEASE_TTL" default:"5s" help:"time after which this entry's registration lapses; 1s to 30s"`
+	StopDelay      time.Duration    `arg:"--stop-delay,env:ROSEMARYGAP_STOP_DELAY" default:"2s" help:"time for the balancer to notice a planned stop; 0s to 60s"`
+	StopLimit      time.Duration    `arg:"--stop-limit,env:ROSEMARYGAP_STOP_LIMIT" default:"60s" help:"longest wait for requests in progress at a planned stop; 1s to 10m"`
+	LogLevel       string           `arg:"--log-level,env:ROSEMARYGAP_LOG_LEVEL" default:"info" help:"least level of log lines: trace, debug, info, warn or error"`
+	OperatorToken  string           `arg:"--operator-token,env:ROSEMARYGAP_OPERATOR_TOKEN" help:"token for changes by operators; may be empty only on loopback"`
+}
+
+// Bounds of the settings.
+const (
+	minLeaseTTL  = time.Second
+	maxLeaseTTL  = 30 * time.Second
+	maxStopDelay = time.Minute
+	minStopLimit = time.Second
+	maxStopLimit = 10 * time.Minute
+)
+
+// Check returns the first setting at fault, with the flag and the value.
+func (o *Options) Check() error {
+	switch {
+	case !operator.ValidName(o.ID):
+		return setting("--id", o.ID)
+	case !operator.ValidName(o.Zone):
+		return setting("--zone", o.Zone)
+	case o.LeaseTTL < minLeaseTTL || o.LeaseTTL > maxLeaseTTL:
+		return setting("--lease-ttl", o.LeaseTTL.String())
+	case o.StopDelay < 0 || o.StopDelay > maxStopDelay:
+		return setting("--stop-delay", o.StopDelay.String())
+	case o.StopLimit < minStopLimit || o.StopLimit > maxStopLimit:
+		return setting("--stop-limit", o.StopLimit.String())
+	case !validLevel(o.LogLevel):
+		return setting("--log-level", o.LogLevel)
+	case o.OperatorToken == "" && !o.OperatorListen.Addr().IsLoopback():
+		return setting("--operator-token", "")
+	}
+	return nil
+}
+
+func setting(flag, value string) error {
+	return status.At(status.ErrBadSetting, flag, value)
+}
+
+func validLevel(s string) bool {
+	switch s {
+	case "trace", "debug", "info", "warn", "error":
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/io/httpjson/listener.go
@@ -0,0 +1,58 @@
+package httpjson
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Bounds of a server's connections.
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 60 * time.Second
+	maxHeaderBytes    = 32 << 10
+)
+
+// Listener is a bound server that has not begun to serve.
+type Listener struct {
+	net    net.Listener
+	server *http.Server
+}
+
+// Listen binds address a for handler h.
+func Listen(a netip.AddrPort, h http.Handler) (*Listener, error) {
+	l, err := net.Listen("tcp", a.String())
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	s := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	return &Listener{net: l, server: s}, nil
+}
+
+// Address returns the bound address.
+func (l *Listener) Address() netip.AddrPort {
+	return l.net.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Serve serves until Stop.
+func (l *Listener) Serve() error {
+	err := l.server.Serve(l.net)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve")
+}
+
+// Stop ends the server after the requests in progress, or when ctx ends.
+func (l *Listener) Stop(ctx context.Context) error {
+	return errors.Wrap(l.server.Shutdown(ctx), "stop")
+}
--- /dev/null
+++ b/io/operator/status.go
@@ -0,0 +1,41 @@
+package operator
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+
+	"rosemarygap/core/entry"
+	"rosemarygap/core/peer"
+	"rosemarygap/core/status"
+
+	"github.com/labstack/echo/v4"
+)
+
+// status describes every registered entry.
+func (s *Server) status(c echo.Context) error {
+	self := s.control.Status()
+	members := s.control.Snapshot().Members
+	answers := make(chan entry.Status, len(members))
+	for _, m := range members {
+		go func(ctx context.Context) { answers <- s.statusOf(ctx, m, self) }(c.Request().Context())
+	}
+	all := make([]entry.Status, 0, len(members))
+	for range members {
+		all = append(all, <-answers)
+	}
+	slices.SortFunc(all, func(a, b entry.Status) int { return strings.Compare(a.ID, b.ID) })
+	return c.JSON(http.StatusOK, all)
+}
+
+func (s *Server) statusOf(ctx context.Context, m peer.Member, self entry.Status) entry.Status {
+	if m.ID == self.ID {
+		return self
+	}
+	st, err := s.peers.Status(ctx, m.Address)
+	if err != nil {
+		return entry.Status{ID: m.ID, Zone: m.Zone, Code: string(status.CodeOf(err))}
+	}
+	return st
+}
--- /dev/null
+++ b/io/peer/client.go
@@ -0,0 +1,77 @@
+// Package peer carries messages between entries.
+//
+// Invariant: a message between entries may be lost, doubled or late; each one
+// is idempotent for its receiver. The package owns no state.
+package peer
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+
+	"rosemarygap/core/entry"
+	"rosemarygap/core/peer"
+	"rosemarygap/core/worker"
+	"rosemarygap/io/httpjson"
+)
+
+// Time limits of calls to another entry.
+const (
+	exchangeTimeout = time.Second
+	// jobTimeout leaves the owner time for a slow write to the store.
+	jobTimeout = 10 * time.Second
+)
+
+// Client calls other entries.
+type Client struct {
+	exchanges *httpjson.Client
+	jobs      *httpjson.Client
+}
+
+// NewClient returns a client.
+func NewClient() *Client {
+	return &Client{
+		exchanges: httpjson.NewClient(exchangeTimeout),
+		jobs:      httpjson.NewClient(jobTimeout),
+	}
+}
+
+// Close ends idle connections.
+func (c *Client) Close() {
+	c.exchanges.Close()
+	c.jobs.Close()
+}
+
+// Exchange sends what this entry knows and returns what the other one knows.
+func (c *Client) Exchange(ctx context.Context, to netip.AddrPort, x peer.Exchange) (peer.Exchange, error) {
+	var out peer.Exchange
+	err := c.exchanges.Call(ctx, http.MethodPost, to, "/peer/exchange", x, &out)
+	return out, err
+}
+
+// Status asks another entry for its status.
+func (c *Client) Status(ctx context.Context, to netip.AddrPort) (entry.Status, error) {
+	var out entry.Status
+	err := c.exchanges.Call(ctx, http.MethodGet, to, "/peer/status", nil, &out)
+	return out, err
+}
+
+// Submit hands a job to the owner of its cell.
+func (c *Client) Submit(ctx context.Context, to netip.AddrPort, j worker.Job) error {
+	return c.jobs.Call(ctx, http.MethodPost, to, "/peer/jobs", j, nil)
+}
+
+// Cancel asks the owner of a job's cell to cancel it.
+func (c *Client) Cancel(ctx context.Context, to netip.AddrPort, id string) error {
+	return c.jobs.Call(ctx, http.MethodDelete, to, "/peer/jobs/"+url.PathEscape(id), nil, nil)
+}
+
+// Jobs returns the jobs of one cell from its owner.
+func (c *Client) Jobs(ctx context.Context, to netip.AddrPort, cell int) ([]worker.JobRow, error) {
+	var out []worker.JobRow
+	err := c.jobs.Call(ctx, http.MethodGet, to, "/peer/jobs?cell="+strconv.Itoa(cell), nil, &out)
+	return out, err
+}
--- /dev/null
+++ b/io/peer/server.go
@@ -0,0 +1,90 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"rosemarygap/core/entry"
+	"rosemarygap/core/peer"
+	"rosemarygap/core/status"
+	"rosemarygap/core/worker"
+	"rosemarygap/io/httpjson"
+
+	"github.com/labstack/echo/v4"
+)
+
+// Control is what the handlers need of the control goroutine.
+type Control interface {
+	// Exchange takes in what another entry knows and returns the own.
+	Exchange(ctx context.Context, x peer.Exchange) (peer.Exchange, error)
+	// Status describes this entry.
+	Status() entry.Status
+	// SubmitHere proposes a job to a cell that this entry owns and returns
+	// when it is durable.
+	SubmitHere(ctx context.Context, j worker.Job) error
+	// CancelHere proposes a cancellation and returns when it is durable.
+	CancelHere(ctx context.Context, id string) error
+	// JobsHere lists the jobs of a cell that this entry owns.
+	JobsHere(ctx context.Context, cell int) ([]worker.JobRow, error)
+}
+
+type server struct{ control Control }
+
+// NewHandler returns the interface between entries.
+func NewHandler(ctl Control) http.Handler {
+	s := &server{control: ctl}
+	e := httpjson.NewServer()
+	e.POST("/peer/exchange", s.exchange)
+	e.GET("/peer/status", s.status)
+	e.POST("/peer/jobs", s.submit)
+	e.GET("/peer/jobs", s.jobs)
+	e.DELETE("/peer/jobs/:id", s.cancel)
+	return e
+}
+
+func (s *server) exchange(c echo.Context) error {
+	var x peer.Exchange
+	if err := httpjson.Decode(c, &x); err != nil {
+		return httpjson.Fail(c, err)
+	}
+	out, err := s.control.Exchange(c.Request().Context(), x)
+	if err != nil {
+		return httpjson.Fail(c, err)
+	}
+	return c.JSON(http.StatusOK, out)
+}
+
+func (s *server) status(c echo.Context) error {
+	return c.JSON(http.StatusOK, s.control.Status())
+}
+
+func (s *server) submit(c echo.Context) error {
+	var j worker.Job
+	if err := httpjson.Decode(c, &j); err != nil {
+		return httpjson.Fail(c, err)
+	}
+	if err := s.control.SubmitHere(c.Request().Context(), j); err != nil {
+		return httpjson.Fail(c, err)
+	}
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (s *server) cancel(c echo.Context) error {
+	if err := s.control.CancelHere(c.Request().Context(), c.Param("id")); err != nil {
+		return httpjson.Fail(c, err)
+	}
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (s *server) jobs(c echo.Context) error {
+	cell, err := strconv.Atoi(c.QueryParam("cell"))
+	if err != nil {
+		return httpjson.Fail(c, status.At(status.ErrOutOfRange, "cell", c.QueryParam("cell")))
+	}
+	rows, err := s.control.JobsHere(c.Request().Context(), cell)
+	if err != nil {
+		return httpjson.Fail(c, err)
+	}
+	return c.JSON(http.StatusOK, rows)
+}
--- /dev/null
+++ b/io/process/process.go
@@ -0,0 +1,77 @@
+// Package process holds what every program of rosemarygap does with its own
+// life: stop signals, groups of actors, and logs.
+package process
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"rosemarygap/io/httpjson"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+)
+
+// NewLogger returns a JSON logger that writes to w from the given level on.
+func NewLogger(name, level string, w io.Writer) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{
+		Name:       name,
+		Level:      hclog.LevelFromString(level),
+		Output:     w,
+		JSONFormat: true,
+		TimeFormat: time.RFC3339Nano,
+	})
+}
+
+// AddActor adds f to g; f returns when its context ends.
+func AddActor(g *run.Group, f func(ctx context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.Add(func() error { return f(ctx) }, func(error) { cancel() })
+}
+
+// AddSignals adds an actor to g that ends at SIGTERM or SIGINT.
+func AddSignals(g *run.Group) {
+	AddActor(g, func(ctx context.Context) error {
+		c := make(chan os.Signal, 1)
+		signal.Notify(c, syscall.SIGTERM, os.Interrupt)
+		defer signal.Stop(c)
+		select {
+		case <-c:
+		case <-ctx.Done():
+		}
+		return nil
+	})
+}
+
+// AddListener adds a server to g that gets limit to finish its requests.
+func AddListener(g *run.Group, l *httpjson.Listener, limit time.Duration) {
+	stopped := make(chan error, 1)
+	g.Add(func() error {
+		if err := l.Serve(); err != nil {
+			return err
+		}
+		return <-stopped
+	}, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		defer cancel()
+		stopped <- l.Stop(ctx)
+	})
+}
+
+// Exit codes of every program.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitUsage    = 2
+	ExitRefused  = 3
+	ExitConflict = 4
+	ExitTryLater = 5
+)
+
+// ErrUsage marks an error of the command line.
+var ErrUsage = errors.New("usage")
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,68 @@
+#!/usr/bin/env bash
+# Starts a small deployment of Kettle Valley on loopback, lets three faults
+# happen (an entry killed, a worker killed, an outage of the platform's
+# store), and stops exactly the processes that it started.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+go build -o bin/ ./cmd/... || exit 1
+run=demo-run
+rm -rf "$run" && mkdir -p "$run"
+base=${DEMO_PORT:-21000}
+zones=(kelowna vernon penticton)
+pids=()
+
+start() { # NAME COMMAND...
+  local name=$1
+  shift
+  "$@" >"$run/$name.log" 2>&1 &
+  pids+=($!)
+  eval "pid_${name//-/_}=$!"
+}
+
+stop_all() {
+  for p in "${pids[@]}"; do kill -TERM "$p" 2>/dev/null; done
+  for p in "${pids[@]}"; do wait "$p" 2>/dev/null; done
+} 2>/dev/null
+trap stop_all EXIT
+
+platform=127.0.0.1:$((base))
+start platform bin/rosemarygap-standin platform --listen $platform
+entries=() operators=() endpoints=() workers=()
+for i in 0 1 2; do
+  entries+=(127.0.0.1:$((base + 10 + i)))
+  operators+=(127.0.0.1:$((base + 20 + i)))
+done
+for i in 0 1 2; do
+  start entry-$i bin/rosemarygap entry --id entry-$i --zone ${zones[$i]} \
+    --caller-listen ${entries[$i]} --operator-listen ${operators[$i]} \
+    --peer-listen 127.0.0.1:$((base + 30 + i)) --admin-listen 127.0.0.1:$((base + 40 + i)) \
+    --platform $platform --stop-delay 500ms
+done
+for i in 0 1 2 3 4 5; do
+  a=127.0.0.1:$((base + 50 + i))
+  endpoints+=($a)
+  start endpoint-$i bin/rosemarygap-standin endpoint --listen $a --id endpoint-$i \
+    --service catalogue --zone ${zones[$((i % 3))]} --seed $((i + 1)) --entry "${entries[@]}"
+  a=127.0.0.1:$((base + 70 + i))
+  [ $i -eq 3 ] || workers+=($a)
+  start worker-$i bin/rosemarygap-standin worker --listen $a --id worker-$i \
+    --zone ${zones[$((i % 3))]} --rack rack-$((i / 3)) --entry "${entries[@]}"
+done
+
+faults() {
+  sleep 6
+  kill -KILL $pid_worker_3
+  sleep 4
+  kill -KILL $pid_entry_0
+  sleep 4
+  bin/rosemarygap-standin fault --at $platform '{"down":true}' 
+  sleep 5
+  bin/rosemarygap-standin fault --at $platform '{"down":false}' 
+}
+faults >"$run/faults.log" 2>&1 &
+pids+=($!)
+
+bin/rosemarygap-demo --entry "${entries[@]}" --operator "${operators[@]}" \
+  --endpoint "${endpoints[@]}" --worker "${workers[@]}" \
+  --config examples/kettle-valley.json | tee "$run/line.json"
+exit "${PIPESTATUS[0]}"
