--- a/Makefile
+++ b/Makefile
@@ -17,4 +17,4 @@
 
 # Rewrites the generated pages of docs.
 generate:
-	go test ./io/commandline ./core/event ./core/status -run Golden -update
+	go test ./io/commandline ./core/event ./core/operator -run Golden -update
--- /dev/null
+++ b/core/operator/check_test.go
@@ -0,0 +1,45 @@
+package operator
+
+import (
+	"encoding/json"
+	"os"
+	"strings"
+	"testing"
+
+	"rosemarygap/core/wire"
+	"rosemarygap/io/golden"
+
+	"github.com/matryer/is"
+)
+
+func example(t *testing.T) *Document {
+	t.Helper()
+	b, err := os.ReadFile("../../examples/kettle-valley.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var d Document
+	if err := wire.Unmarshal(b, &d); err != nil {
+		t.Fatal(err)
+	}
+	return &d
+}
+
+func TestExampleHasNoFaults(t *testing.T) {
+	is := is.New(t)
+	is.Equal(len(Check(example(t))), 0)
+}
+
+// TestGoldenFaults keeps the whole answer to a document with many faults.
+func TestGoldenFaults(t *testing.T) {
+	is := is.New(t)
+	d := example(t)
+	d.Format = "other"
+	d.Cells = 0
+	d.Services = append(d.Services, d.Services[0], Service{Name: strings.ToUpper("bad")})
+	d.Rules = append(d.Rules, Rule{Name: "r", Class: "none", AvoidService: "none"})
+	d.Timings.Tick = 0
+	b, err := json.MarshalIndent(Check(d), "", "  ")
+	is.NoErr(err)
+	golden.Check(t, "testdata/faults.json", append(b, '\n'))
+}
--- /dev/null
+++ b/io/commandline/standin_test.go
@@ -0,0 +1,18 @@
+package commandline
+
+import (
+	"os/exec"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// The program must not contain any of the stand-ins.
+func TestProgramLinksNoStandin(t *testing.T) {
+	is := is.New(t)
+	out, err := exec.Command("go", "list", "-deps", "rosemarygap/cmd/rosemarygap").Output()
+	is.NoErr(err)
+	is.True(strings.Contains(string(out), "rosemarygap/io/entry"))
+	is.True(!strings.Contains(string(out), "rosemarygap/io/standin"))
+}
--- a/io/entry/cells.go
+++ b/io/entry/cells.go
@@ -125,6 +125,7 @@
 	rs := run.planned
 	run.planned = nil
 	run.cell.Committed(rs, now)
+	c.logLost(run, rs)
 	for _, r := range rs {
 		c.logRecord(run, r)
 		id := r.ID
@@ -138,6 +139,17 @@
 	}
 }
 
+// logLost logs each worker whose lease ended under tasks, once for a batch.
+func (c *control) logLost(run *cellRun, rs []worker.Record) {
+	logged := make(map[string]bool)
+	for _, r := range rs {
+		if r.Reason == worker.ReasonLeaseLapsed && !logged[r.Worker] {
+			logged[r.Worker] = true
+			event.WorkerLost.Emit(c.log, event.Worker(r.Worker), event.Cell(run.id))
+		}
+	}
+}
+
 func (c *control) logRecord(run *cellRun, r worker.Record) {
 	switch r.Kind {
 	case worker.KindSubmitted:
--- /dev/null
+++ b/io/golden/golden.go
@@ -0,0 +1,30 @@
+// Package golden compares the output of tests and generated pages with files
+// that are committed beside them.
+package golden
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+var update = flag.Bool("update", false, "rewrite golden files")
+
+// Check fails t if the file at path does not hold got. With -update it
+// rewrites the file instead.
+func Check(t *testing.T, path string, got []byte) {
+	t.Helper()
+	if *update {
+		if err := os.WriteFile(path, got, 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(want) != string(got) {
+		t.Errorf("%s is not up to date; run make generate\ngot:\n%s", path, got)
+	}
+}
