Measure what control costs by the size of the fleet; refuse oversized headers with a code

Cause: nothing showed what an entry spends as the fleet grows, and a header over the limit got the HTTP library's plain text. Interfaces now count their bytes, a stand-in pretends to be many workers and endpoints, and make capacity gives the figures at four sizes.

Before, 'oversized header' was not JSON.

--- a/Makefile
+++ b/Makefile
@@ -18,3 +18,14 @@
 # Rewrites the generated pages of docs.
 generate:
 	go test ./io/commandline ./core/event ./core/operator -run Golden -update
+
+# What an entry spends on control at several sizes of the fleet.
+.PHONY: capacity
+capacity:
+	go test ./io/standin/deployment -run '^$$' -bench Capacity -benchtime 1x -timeout 20m
+
+# Fuzzes the decoders for a while each; make test runs their seeds.
+.PHONY: fuzz
+fuzz:
+	go test ./core/worker -run '^$$' -fuzz FuzzJob -fuzztime 20s
+	go test ./core/operator -run '^$$' -fuzz FuzzDocument -fuzztime 20s
--- a/io/entry/admin.go
+++ b/io/entry/admin.go
@@ -12,6 +12,7 @@
 )
 
 type listenerSpec struct {
+	name    string
 	address netip.AddrPort
 	handler http.Handler
 }
@@ -24,6 +25,7 @@
 		if err != nil {
 			return nil, err
 		}
+		l.SetMeter(httpjson.NewMeter(s.name))
 		bound = append(bound, l)
 	}
 	return bound, nil
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -79,10 +79,10 @@
 	callers := iocaller.NewServer(e.control, e.client, e.log)
 	operators := operator.NewServer(e.control, e.store, e.log, e.opts.OperatorToken)
 	listeners := []listenerSpec{
-		{e.opts.CallerListen, callers.Handler()},
-		{e.opts.OperatorListen, operators.Handler()},
-		{e.opts.PeerListen, iopeer.NewHandler(e.control)},
-		{e.opts.AdminListen, newAdminHandler(e.control)},
+		{"caller", e.opts.CallerListen, callers.Handler()},
+		{"operator", e.opts.OperatorListen, operators.Handler()},
+		{"peer", e.opts.PeerListen, iopeer.NewHandler(e.control)},
+		{"admin", e.opts.AdminListen, newAdminHandler(e.control)},
 	}
 	bound, err := bindAll(listeners)
 	if err != nil {
--- a/io/httpjson/httpjson.go
+++ b/io/httpjson/httpjson.go
@@ -30,6 +30,7 @@
 type Client struct {
 	http  *http.Client
 	token string
+	meter *Meter
 }
 
 // Option changes how a Client behaves.
@@ -38,6 +39,9 @@
 // WithToken sends a bearer token with each message, unless it is empty.
 func WithToken(token string) Option { return func(c *Client) { c.token = token } }
 
+// WithMeter counts the bytes of the client's connections.
+func WithMeter(m *Meter) Option { return func(c *Client) { c.meter = m } }
+
 // NewClient returns a client whose calls last at most timeout.
 func NewClient(timeout time.Duration, opts ...Option) *Client {
 	t := &http.Transport{
@@ -49,6 +53,9 @@
 	for _, o := range opts {
 		o(c)
 	}
+	if c.meter != nil {
+		t.DialContext = c.meter.dial
+	}
 	return c
 }
 
@@ -134,9 +141,30 @@
 	e.HideBanner = true
 	e.HidePort = true
 	e.HTTPErrorHandler = handleError
+	e.Use(limitHeaders)
 	return e
 }
 
+// maxHeaders is the largest accepted sum of a message's headers, in bytes.
+const maxHeaders = 32 << 10
+
+// limitHeaders refuses oversized headers with a code. The server's own limit
+// lies higher, because its refusal carries none.
+func limitHeaders(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		size := 0
+		for name, values := range c.Request().Header {
+			for _, v := range values {
+				size += len(name) + len(v)
+			}
+		}
+		if size > maxHeaders {
+			return status.ErrHeaderTooLarge
+		}
+		return next(c)
+	}
+}
+
 func handleError(err error, c echo.Context) {
 	if c.Response().Committed {
 		return
@@ -145,6 +173,8 @@
 	if errors.As(err, &he) {
 		err = codedHTTPError(he.Code)
 	}
+	// The rest of a refused body is not read, so the connection ends.
+	c.Response().Header().Set("Connection", "close")
 	_ = Fail(c, err)
 }
 
--- a/io/httpjson/listener.go
+++ b/io/httpjson/listener.go
@@ -14,7 +14,7 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 60 * time.Second
-	maxHeaderBytes    = 32 << 10
+	maxHeaderBytes    = 256 << 10
 )
 
 // Listener is a bound server that has not begun to serve.
@@ -38,6 +38,9 @@
 	return &Listener{net: l, server: s}, nil
 }
 
+// SetMeter counts the bytes of the connections that are accepted later.
+func (l *Listener) SetMeter(m *Meter) { l.net = meteredListener{l.net, m} }
+
 // Address returns the bound address.
 func (l *Listener) Address() netip.AddrPort {
 	return l.net.Addr().(*net.TCPAddr).AddrPort()
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -33,9 +33,10 @@
 
 // NewClient returns a client.
 func NewClient() *Client {
+	m := httpjson.WithMeter(httpjson.NewMeter("peer"))
 	return &Client{
-		exchanges: httpjson.NewClient(exchangeTimeout),
-		jobs:      httpjson.NewClient(jobTimeout),
+		exchanges: httpjson.NewClient(exchangeTimeout, m),
+		jobs:      httpjson.NewClient(jobTimeout, m),
 	}
 }
 
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -51,10 +51,11 @@
 
 // NewClient returns a client of the service at address a.
 func NewClient(a netip.AddrPort) *Client {
+	m := httpjson.WithMeter(httpjson.NewMeter("platform"))
 	return &Client{
 		address: a,
-		calls:   httpjson.NewClient(callTimeout),
-		watches: httpjson.NewClient(watchTimeout),
+		calls:   httpjson.NewClient(callTimeout, m),
+		watches: httpjson.NewClient(watchTimeout, m),
 	}
 }
 
--- a/io/standin/commandline/commandline.go
+++ b/io/standin/commandline/commandline.go
@@ -128,6 +128,7 @@
 	Platform *Platform `arg:"subcommand:platform" help:"the key-value service"`
 	Worker   *Worker   `arg:"subcommand:worker" help:"a worker VM"`
 	Endpoint *Endpoint `arg:"subcommand:endpoint" help:"an endpoint of a service"`
+	Herd     *Herd     `arg:"subcommand:herd" help:"many workers and endpoints in one process"`
 	Fault    *Fault    `arg:"subcommand:fault" help:"set the faults of a running stand-in"`
 }
 
@@ -148,6 +149,8 @@
 		err = p.Worker.Run()
 	case p.Endpoint != nil:
 		err = p.Endpoint.Run()
+	case p.Herd != nil:
+		err = p.Herd.Run()
 	case p.Fault != nil:
 		err = p.Fault.Run()
 	default:
--- a/io/worker/client.go
+++ b/io/worker/client.go
@@ -20,7 +20,9 @@
 }
 
 // NewClient returns a client.
-func NewClient() *Client { return &Client{http: httpjson.NewClient(callTimeout)} }
+func NewClient() *Client {
+	return &Client{http: httpjson.NewClient(callTimeout, httpjson.WithMeter(httpjson.NewMeter("worker")))}
+}
 
 // Close ends idle connections.
 func (c *Client) Close() { c.http.Close() }
