Check documents against a published schema and report all faults at once

Cause: the decoder stopped at the first malformed field, let a duplicate key win in silence and matched field names without regard to case. A document is now scanned (duplicate keys, integer forms), checked against schema.json, and what remains of it is checked for its meaning, so that one answer names every fault with code, path and value.

Ruled out: the schema library's own decoder, which passes over duplicate keys and hands numbers such as 1e999999999 to exact arithmetic.

Tests compare the schema with the Go types (fields, types, required, bounds on both sides), and replace values by wrong types at random places.

--- a/core/operator/check.go
+++ b/core/operator/check.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"regexp"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"rosemarygap/core/status"
@@ -23,8 +25,12 @@
 	MaxDeadline = 10 * time.Minute
 	MaxQueue    = 100_000
 	MaxBody     = 64 << 20
+	MaxQuota    = 1 << 40
 )
 
+// minTicksPerGrant leaves room for two lost renewals within a lease.
+const minTicksPerGrant = 3
+
 var nameForm = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
 
 // ValidName reports whether s is a kebab-case name of at most 63 characters.
@@ -74,14 +80,33 @@
 		c.add(status.ErrOutOfRange, "format", d.Format)
 	}
 	c.number("cells", int64(d.Cells), 1, MaxCells)
+	if d.Capacity != nil {
+		c.quota("capacity.", *d.Capacity)
+	}
 	c.services(d)
 	c.teams(d)
 	c.classes(d)
 	c.rules(d)
+	c.zones(d)
 	c.timings(&d.Timings)
+	c.names("draining-workers", d.Draining)
 	return c.faults
 }
 
+// names checks a list of distinct names.
+func (c *checker) names(path string, names []string) {
+	seen := map[string]bool{}
+	for i, s := range names {
+		c.name(element(path, i), s, seen)
+	}
+}
+
+func (c *checker) quota(path string, q Quota) {
+	c.number(path+"processors-milli", int64(q.Processors), 0, MaxQuota)
+	c.number(path+"memory-mib", q.Memory, 0, MaxQuota)
+	c.number(path+"accelerators", int64(q.Accelerators), 0, MaxQuota)
+}
+
 func (c *checker) services(d *Document) {
 	seen := map[string]bool{}
 	for i, s := range d.Services {
@@ -89,6 +114,9 @@
 		c.name(p+"name", s.Name, seen)
 		c.period(p+"latency-target", s.LatencyTarget, time.Millisecond, MaxDeadline)
 		c.period(p+"deadline", s.Deadline, time.Millisecond, MaxDeadline)
+		if s.Deadline > 0 && s.LatencyTarget > s.Deadline {
+			c.add(status.ErrContradiction, p+"latency-target", s.LatencyTarget.Std().String())
+		}
 		c.number(p+"queue-limit", int64(s.QueueLimit), 1, MaxQueue)
 		c.number(p+"max-body-bytes", s.MaxBody, 1, MaxBody)
 	}
@@ -99,9 +127,23 @@
 	for i, t := range d.Teams {
 		p := fmt.Sprintf("teams[%d].", i)
 		c.name(p+"name", t.Name, seen)
-		c.number(p+"quota.processors-milli", int64(t.Quota.Processors), 0, 1<<40)
-		c.number(p+"quota.memory-mib", t.Quota.Memory, 0, 1<<40)
-		c.number(p+"quota.accelerators", int64(t.Quota.Accelerators), 0, 1<<40)
+		c.quota(p+"quota.", t.Quota)
+		if d.Capacity != nil {
+			c.within(p+"quota.", t.Quota, *d.Capacity)
+		}
+	}
+}
+
+// within checks that a quota is no larger than the capacity.
+func (c *checker) within(path string, q, capacity Quota) {
+	c.above(path+"processors-milli", int64(q.Processors), int64(capacity.Processors))
+	c.above(path+"memory-mib", q.Memory, capacity.Memory)
+	c.above(path+"accelerators", int64(q.Accelerators), int64(capacity.Accelerators))
+}
+
+func (c *checker) above(path string, v, capacity int64) {
+	if v > capacity {
+		c.add(status.ErrAboveCapacity, path, strconv.FormatInt(v, 10))
 	}
 }
 
@@ -123,12 +165,39 @@
 		if r.AvoidService != "" && d.Service(r.AvoidService) == nil {
 			c.add(status.ErrUnknownRef, p+"avoid-service", r.AvoidService)
 		}
+		if r.AvoidService == "" && len(r.Zones) == 0 {
+			c.add(status.ErrMissingField, p+"avoid-service", "")
+		}
+		c.names(p+"zones", r.Zones)
+	}
+}
+
+// zones finds rules of one class that together leave it no availability zone.
+func (c *checker) zones(d *Document) {
+	left := map[string][]string{}
+	for i, r := range d.Rules {
+		if len(r.Zones) == 0 {
+			continue
+		}
+		old, ok := left[r.Class]
+		if !ok {
+			left[r.Class] = r.Zones
+			continue
+		}
+		both := slices.DeleteFunc(slices.Clone(old), func(z string) bool { return !slices.Contains(r.Zones, z) })
+		if len(both) == 0 && len(old) > 0 {
+			c.add(status.ErrContradiction, fmt.Sprintf("placement-rules[%d].zones", i), strings.Join(r.Zones, ","))
+		}
+		left[r.Class] = both
 	}
 }
 
 func (c *checker) timings(t *Timings) {
 	c.period("timings.tick", t.Tick, MinTick, MaxTick)
 	c.period("timings.lease-grant", t.LeaseGrant, MinGrant, MaxGrant)
+	if t.LeaseGrant < t.Tick*minTicksPerGrant {
+		c.add(status.ErrContradiction, "timings.lease-grant", t.LeaseGrant.Std().String())
+	}
 	c.period("timings.outage-hold", t.OutageHold, t.LeaseGrant.Std(), MaxHold)
 	c.period("timings.announcement-ttl", t.AnnouncementTTL, MinTTL, MaxTTL)
 }
--- a/core/operator/document.go
+++ b/core/operator/document.go
@@ -15,8 +15,10 @@
 
 // Document is the operators' whole configuration.
 type Document struct {
-	Format   string    `json:"format"`
-	Cells    int       `json:"cells"`
+	Format string `json:"format"`
+	Cells  int    `json:"cells"`
+	// Capacity, if given, is what all workers offer together.
+	Capacity *Quota    `json:"capacity,omitempty"`
 	Services []Service `json:"services"`
 	Teams    []Team    `json:"teams"`
 	Classes  []Class   `json:"batch-classes"`
@@ -80,6 +82,8 @@
 	Revision int64    `json:"revision"`
 	ChangeID string   `json:"change-id"`
 	Document Document `json:"document"`
+	// Recent are the latest changes, this one included, newest first.
+	Recent []Change `json:"recent-changes,omitempty"`
 }
 
 // Service returns the service called name, or nil.
--- /dev/null
+++ b/core/operator/edit.go
@@ -0,0 +1,108 @@
+package operator
+
+import (
+	"encoding/json"
+	"strconv"
+
+	"rosemarygap/core/status"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+)
+
+// maxRecent is how many changes an accepted configuration remembers. At a
+// thousand changes a day it covers more than an hour, far longer than any
+// client goes on asking for the fate of its change.
+const maxRecent = 64
+
+// MaxAccepted is the largest stored configuration, in bytes. The platform's
+// store holds values up to a megabyte.
+const MaxAccepted = 960 << 10
+
+// Change is what an accepted configuration remembers of one change.
+type Change struct {
+	ID       string `json:"id"`
+	Revision int64  `json:"revision"`
+	// Digest tells a repeated change from another one with the same id.
+	Digest string `json:"digest"`
+}
+
+// Edit is a change that an operator asks for.
+type Edit struct {
+	// Revision is the one that the document was edited from.
+	Revision int64    `json:"revision"`
+	ChangeID string   `json:"change-id"`
+	Document Document `json:"document"`
+}
+
+// Verdict says what an edit comes to.
+type Verdict int
+
+// Verdicts on an edit.
+const (
+	// Write means that the edit may be written as the next revision.
+	Write Verdict = iota
+	// Done means that the edit took effect before.
+	Done
+	// Conflict means that another change took effect since Edit.Revision.
+	Conflict
+	// Reused means that another change took effect under the same id.
+	Reused
+)
+
+// Decide returns what an edit comes to when now is the newest configuration.
+// With Write and Done it also returns the edit as accepted. The history in
+// now keeps the answer right after later changes, so that a repeated edit is
+// never written twice and never called a conflict.
+func Decide(now *Accepted, e *Edit) (Verdict, *Accepted, error) {
+	digest, err := digestOf(&e.Document)
+	if err != nil {
+		return Conflict, nil, err
+	}
+	for _, c := range now.Recent {
+		if c.ID != e.ChangeID {
+			continue
+		}
+		if c.Digest != digest {
+			return Reused, nil, nil
+		}
+		return Done, &Accepted{Revision: c.Revision, ChangeID: c.ID, Document: e.Document}, nil
+	}
+	if now.Revision != e.Revision {
+		return Conflict, nil, nil
+	}
+	next := &Accepted{Revision: now.Revision + 1, ChangeID: e.ChangeID, Document: e.Document}
+	next.Recent = append(next.Recent, Change{e.ChangeID, next.Revision, digest})
+	next.Recent = append(next.Recent, now.Recent[:min(len(now.Recent), maxRecent-1)]...)
+	return Write, next, nil
+}
+
+func digestOf(d *Document) (string, error) {
+	b, err := json.Marshal(d)
+	if err != nil {
+		return "", errors.Wrap(err, "encode document")
+	}
+	return strconv.FormatUint(xxhash.Sum64(b), 16), nil
+}
+
+// Newest returns the accepted configuration with the higher revision; either
+// may be nil. It is the only rule by which a process changes what is in
+// force, so that no process returns to a lower revision.
+func Newest(a, b *Accepted) *Accepted {
+	if a == nil || (b != nil && b.Revision > a.Revision) {
+		return b
+	}
+	return a
+}
+
+// Usable returns nil if a may be put in force: what the store or another
+// entry holds is checked as what an operator sends.
+func Usable(a *Accepted) error {
+	if a.Revision < 1 {
+		return status.At(status.ErrOutOfRange, "revision", strconv.FormatInt(a.Revision, 10))
+	}
+	if faults := Check(&a.Document); len(faults) > 0 {
+		return status.At(status.ErrConfigInvalid, faults[0].Path, faults[0].Value)
+	}
+	return nil
+}
--- /dev/null
+++ b/core/operator/parse.go
@@ -0,0 +1,92 @@
+package operator
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"rosemarygap/core/status"
+	"rosemarygap/core/wire"
+)
+
+// Parse reads a document and returns all its faults at once: those of its
+// shape, and those of the meaning of what remains. A document without faults
+// may take effect.
+func Parse(b []byte) (*Document, []Fault) {
+	if len(b) > wire.MaxControlBody {
+		return nil, []Fault{{status.ErrBodyTooLarge.Code(), "document", ""}}
+	}
+	tree, faults, ok := scan(b)
+	if !ok {
+		return nil, faults
+	}
+	faults = append(faults, unshadowed(faults, checkShape(tree))...)
+	d, err := decodeRest(tree, faults)
+	if err != nil {
+		path, value := status.DetailOf(err)
+		return nil, append(faults, Fault{status.CodeOf(err), path, value})
+	}
+	faults = append(faults, unshadowed(faults, Check(d))...)
+	slices.SortStableFunc(faults, compareFaults)
+	return d, faults
+}
+
+func compareFaults(a, b Fault) int {
+	return cmp.Or(strings.Compare(a.Path, b.Path), strings.Compare(string(a.Code), string(b.Code)))
+}
+
+// unshadowed returns those of more that say nothing about a value that faults
+// name already.
+func unshadowed(faults, more []Fault) []Fault {
+	return slices.DeleteFunc(more, func(m Fault) bool {
+		return slices.ContainsFunc(faults, func(f Fault) bool { return covers(f.Path, m.Path) })
+	})
+}
+
+// covers reports whether path is outer or lies within it.
+func covers(outer, path string) bool {
+	rest, ok := strings.CutPrefix(path, outer)
+	return ok && (outer == "" || rest == "" || rest[0] == '.' || rest[0] == '[')
+}
+
+// decodeRest decodes tree without the values that faults name.
+func decodeRest(tree any, faults []Fault) (*Document, error) {
+	bad := make(map[string]bool, len(faults))
+	for _, f := range faults {
+		bad[f.Path] = true
+	}
+	var d Document
+	if bad[""] {
+		return &d, nil
+	}
+	b, err := json.Marshal(prune(tree, "", bad))
+	if err != nil {
+		return nil, err
+	}
+	return &d, wire.Unmarshal(b, &d)
+}
+
+// prune returns tree without the values at bad paths. An element of an array
+// becomes null, so that the others keep their place.
+func prune(tree any, path string, bad map[string]bool) any {
+	switch v := tree.(type) {
+	case object:
+		out := make(object, len(v))
+		for k, m := range v {
+			if at := member(path, clip(k)); !bad[at] {
+				out[k] = prune(m, at, bad)
+			}
+		}
+		return out
+	case list:
+		out := make(list, len(v))
+		for i, m := range v {
+			if at := element(path, i); !bad[at] {
+				out[i] = prune(m, at, bad)
+			}
+		}
+		return out
+	}
+	return tree
+}
--- /dev/null
+++ b/core/operator/schema_test.go
@@ -0,0 +1,232 @@
+package operator
+
+import (
+	"encoding/json"
+	"maps"
+	"os"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"rosemarygap/core/status"
+	"rosemarygap/core/wire"
+	"rosemarygap/io/golden"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// TestGoldenParse keeps all faults of a document that is wrong in many ways.
+func TestGoldenParse(t *testing.T) {
+	is := is.New(t)
+	in, err := os.ReadFile("testdata/bad.json")
+	is.NoErr(err)
+	_, faults := Parse(in)
+	b, err := json.MarshalIndent(faults, "", "  ")
+	is.NoErr(err)
+	golden.Check(t, "testdata/bad-faults.json", append(b, '\n'))
+}
+
+func schemaTree(t *testing.T) object {
+	tree, faults, ok := scan(Schema())
+	if !ok || len(faults) > 0 {
+		t.Fatalf("schema: %v", faults)
+	}
+	return tree.(object)
+}
+
+// resolve follows a reference within the schema.
+func resolve(root, s object) object {
+	ref, ok := s["$ref"].(string)
+	if !ok {
+		return s
+	}
+	return root["$defs"].(object)[strings.TrimPrefix(ref, "#/$defs/")].(object)
+}
+
+// TestSchemaMatchesTypes compares the schema with the Go types: the same
+// fields, the same JSON types, and required just where a field is always
+// written.
+func TestSchemaMatchesTypes(t *testing.T) {
+	root := schemaTree(t)
+	matchStruct(t, root, root, reflect.TypeFor[Document](), "document")
+}
+
+func matchStruct(t *testing.T, root, s object, typ reflect.Type, at string) {
+	properties := s["properties"].(object)
+	fields, required := map[string]bool{}, map[string]bool{}
+	for i := range typ.NumField() {
+		name, opts, _ := strings.Cut(typ.Field(i).Tag.Get("json"), ",")
+		fields[name] = true
+		required[name] = opts != "omitempty"
+		if p, ok := properties[name].(object); ok {
+			matchType(t, root, p, typ.Field(i).Type, at+"."+name)
+		}
+	}
+	if !reflect.DeepEqual(slices.Sorted(maps.Keys(properties)), slices.Sorted(maps.Keys(fields))) {
+		t.Errorf("%s: schema has %v, type has %v", at, properties, fields)
+	}
+	for _, r := range s["required"].(list) {
+		if !required[r.(string)] {
+			t.Errorf("%s.%s: required by the schema, optional in the type", at, r)
+		}
+		delete(required, r.(string))
+	}
+	for name, must := range required {
+		if must {
+			t.Errorf("%s.%s: optional in the schema, required in the type", at, name)
+		}
+	}
+}
+
+func matchType(t *testing.T, root, p object, typ reflect.Type, at string) {
+	if typ.Kind() == reflect.Pointer {
+		typ = typ.Elem()
+	}
+	s := resolve(root, p)
+	if s["const"] != nil {
+		return
+	}
+	want := map[reflect.Kind]string{reflect.Int: "integer", reflect.Int64: "integer", reflect.Bool: "boolean",
+		reflect.String: "string", reflect.Struct: "object", reflect.Slice: "array"}[typ.Kind()]
+	if typ == reflect.TypeFor[wire.Duration]() {
+		want = "string"
+	}
+	got := s["type"]
+	if l, ok := got.(list); ok {
+		got = l[0]
+	}
+	if got != want {
+		t.Errorf("%s: schema says %v, type says %s", at, got, want)
+		return
+	}
+	switch want {
+	case "object":
+		matchStruct(t, root, s, typ, at)
+	case "array":
+		matchType(t, root, s["items"].(object), typ.Elem(), at+"[]")
+	}
+}
+
+// full is a document in which every field is present.
+func full(t *testing.T) *Document {
+	d := example(t)
+	d.Capacity = &Quota{Processors: MaxQuota, Memory: MaxQuota, Accelerators: MaxQuota}
+	d.Rules = []Rule{{"apart", "entry-proof", "catalogue", []string{"kelowna"}}}
+	d.Draining = []string{"worker-1"}
+	return d
+}
+
+// leaf is one value within a document's tree.
+type leaf struct {
+	path   string
+	schema object
+	set    func(v any)
+}
+
+// leavesOf returns the values in tree that hold no others.
+func leavesOf(root, s object, tree any, path string, set func(any)) []leaf {
+	s = resolve(root, s)
+	var out []leaf
+	switch v := tree.(type) {
+	case object:
+		for _, k := range slices.Sorted(maps.Keys(v)) {
+			p := s["properties"].(object)[k].(object)
+			out = append(out, leavesOf(root, p, v[k], member(path, k), func(n any) { v[k] = n })...)
+		}
+	case list:
+		for i, e := range v {
+			out = append(out, leavesOf(root, s["items"].(object), e, element(path, i), func(n any) { v[i] = n })...)
+		}
+	default:
+		out = append(out, leaf{path, s, set})
+	}
+	return out
+}
+
+func faultAt(faults []Fault, path string) *Fault {
+	for i := range faults {
+		if faults[i].Path == path {
+			return &faults[i]
+		}
+	}
+	return nil
+}
+
+// TestSchemaBoundsMatchCheck compares each bound of the schema with the
+// typed check, one step on either side.
+func TestSchemaBoundsMatchCheck(t *testing.T) {
+	root, bounds := schemaTree(t), 0
+	for i := range leavesOf(root, root, treeOf(full(t)), "", nil) {
+		for bound, step := range map[string]int64{"minimum": -1, "maximum": 1} {
+			tree := treeOf(full(t))
+			l := leavesOf(root, root, tree, "", nil)[i]
+			n, ok := l.schema[bound].(json.Number)
+			if !ok {
+				continue
+			}
+			bounds++
+			at, _ := n.Int64()
+			for _, c := range []struct {
+				value int64
+				fault bool
+			}{{at, false}, {at + step, true}} {
+				l.set(c.value)
+				var d Document
+				b, _ := json.Marshal(tree)
+				if err := wire.Unmarshal(b, &d); err != nil {
+					t.Fatal(err)
+				}
+				f := faultAt(Check(&d), l.path)
+				if c.fault != (f != nil && f.Code == status.ErrOutOfRange.Code()) {
+					t.Errorf("%s=%d: schema and check differ: %+v", l.path, c.value, f)
+				}
+				_, faults := Parse(b)
+				f = faultAt(faults, l.path)
+				if c.fault != (f != nil && f.Code == status.ErrOutOfRange.Code()) {
+					t.Errorf("%s=%d: Parse says %+v", l.path, c.value, faults)
+				}
+			}
+		}
+	}
+	is.New(t).True(bounds >= 10)
+}
+
+// A value of a wrong type is always reported at its own path, whatever else
+// is wrong elsewhere.
+func TestEveryWrongTypeIsReported(t *testing.T) {
+	root := schemaTree(t)
+	text, err := json.Marshal(full(t))
+	is.New(t).NoErr(err)
+	rapid.Check(t, func(t *rapid.T) {
+		tree, _, _ := scan(text)
+		leaves := leavesOf(root, root, tree, "", nil)
+		chosen := rapid.SliceOfNDistinct(rapid.IntRange(0, len(leaves)-1), 1, 5, rapid.ID[int]).Draw(t, "leaves")
+		for _, i := range chosen {
+			leaves[i].set(rapid.SampledFrom([]any{object{}, list{1}, 1.5}).Draw(t, "value"))
+		}
+		b, _ := json.Marshal(tree)
+		_, faults := Parse(b)
+		for _, i := range chosen {
+			if faultAt(faults, leaves[i].path) == nil {
+				t.Fatalf("no fault at %s: %+v", leaves[i].path, faults)
+			}
+		}
+	})
+}
+
+func TestExamplesHaveNoFaults(t *testing.T) {
+	is := is.New(t)
+	files, err := os.ReadDir("../../examples")
+	is.NoErr(err)
+	for _, f := range files {
+		if !strings.HasSuffix(f.Name(), ".json") || strings.HasPrefix(f.Name(), "job") {
+			continue
+		}
+		b, err := os.ReadFile("../../examples/" + f.Name())
+		is.NoErr(err)
+		_, faults := Parse(b)
+		is.Equal(faults, nil) // faults of an example
+	}
+}
--- a/core/status/codes.go
+++ b/core/status/codes.go
@@ -19,6 +19,8 @@
 	ErrBadSetting      = &Error{"bad-setting", http.StatusBadRequest}
 	ErrUnreachable     = &Error{"unreachable", http.StatusServiceUnavailable}
 	ErrMethodNotServed = &Error{"method-not-allowed", http.StatusMethodNotAllowed}
+	ErrWrongType       = &Error{"wrong-type", http.StatusBadRequest}
+	ErrDuplicateKey    = &Error{"duplicate-key", http.StatusBadRequest}
 )
 
 // Sentinels of the request path. See docs/INTERFACES.md for their outcome.
@@ -55,6 +57,10 @@
 	ErrConfigInvalid   = &Error{"config-invalid", http.StatusUnprocessableEntity}
 	ErrNoConfiguration = &Error{"no-configuration", http.StatusServiceUnavailable}
 	ErrUnauthorized    = &Error{"unauthorized", http.StatusUnauthorized}
+	ErrContradiction   = &Error{"contradiction", http.StatusUnprocessableEntity}
+	ErrAboveCapacity   = &Error{"above-capacity", http.StatusUnprocessableEntity}
+	ErrChangeIDReused  = &Error{"change-id-reused", http.StatusConflict}
+	ErrCrossOrigin     = &Error{"cross-origin", http.StatusForbidden}
 )
 
 // All returns every sentinel, in the order of docs/INTERFACES.md.
@@ -70,5 +76,7 @@
 		ErrNotOwner, ErrStaleEpoch, ErrStaleEcho, ErrJobConflict,
 		ErrUnknownJob, ErrImpossibleJob, ErrWorkerFull, ErrConfigConflict,
 		ErrConfigInvalid, ErrNoConfiguration, ErrUnauthorized,
+		ErrWrongType, ErrDuplicateKey, ErrContradiction, ErrAboveCapacity,
+		ErrChangeIDReused, ErrCrossOrigin,
 	}
 }
