Answer a repeated edit truly after later revisions took effect

Cause: applyEdit compared a change id with the newest revision alone. A change whose answer was lost and that another operator's change followed was called a conflict when it was sent again, although it had taken effect.

The accepting entry puts the revision in force at once instead of waiting for the watch, entries check what the store holds before they adopt it (event 5003), and a store that lost the key is mended by the next edit above the revision in force, so that no process goes back.

--- a/core/event/operator.go
+++ b/core/event/operator.go
@@ -9,6 +9,10 @@
 	ConfigRefused = Event{5002, "config-refused", hclog.Warn,
 		[]string{"reason"}, "An operator's document was refused.",
 		"The answer lists each fault with its code, path and value."}
+	ConfigUnusable = Event{5003, "config-unusable", hclog.Error,
+		[]string{"revision", "reason"},
+		"A stored configuration fails the checks of this version and was not put in force.",
+		"Apply a document that this version accepts, or install the version that wrote it."}
 )
 
-var operatorEvents = []Event{ConfigAccepted, ConfigRefused}
+var operatorEvents = []Event{ConfigAccepted, ConfigRefused, ConfigUnusable}
--- a/io/entry/config.go
+++ b/io/entry/config.go
@@ -1,10 +1,13 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
+	"time"
 
 	"rosemarygap/core/event"
 	"rosemarygap/core/operator"
+	"rosemarygap/core/status"
 	"rosemarygap/core/worker"
 	"rosemarygap/io/platform"
 )
@@ -17,9 +20,38 @@
 	c.adoptConfig(&a)
 }
 
+// configAccepted is a configuration that an operator's edit just became.
+type configAccepted struct {
+	a    *operator.Accepted
+	done chan<- struct{}
+}
+
+func (m configAccepted) handle(c *control, now time.Time) {
+	c.adoptConfig(m.a)
+	c.publishIfDirty(now)
+	close(m.done)
+}
+
+// Adopt puts a configuration in force here, if its revision is higher. The
+// watch brings it as well; this way is not delayed by a slow store.
+func (c *control) Adopt(ctx context.Context, a *operator.Accepted) {
+	done := make(chan struct{})
+	if c.send(ctx, configAccepted{a, done}) != nil {
+		return
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
 // adoptConfig puts a configuration in force if its revision is higher.
 func (c *control) adoptConfig(a *operator.Accepted) {
-	if c.config != nil && a.Revision <= c.config.Revision {
+	if operator.Newest(c.config, a) == c.config {
+		return
+	}
+	if err := operator.Usable(a); err != nil {
+		event.ConfigUnusable.Emit(c.log, event.Revision(a.Revision), event.Reason(status.CodeOf(err)))
 		return
 	}
 	c.config = a
--- a/io/operator/config.go
+++ b/io/operator/config.go
@@ -7,27 +7,38 @@
 
 	"rosemarygap/core/event"
 	core "rosemarygap/core/operator"
-	coreplatform "rosemarygap/core/platform"
 	"rosemarygap/core/status"
 	"rosemarygap/core/wire"
 	"rosemarygap/io/httpjson"
-	"rosemarygap/io/platform"
 
 	"github.com/labstack/echo/v4"
-	"github.com/pkg/errors"
 )
 
+// maxChangeID bounds a change id, in bytes.
+const maxChangeID = 128
+
 // Refusal is the answer to a document that did not take effect.
 type Refusal struct {
 	wire.ErrorBody
-	Faults  []core.Fault   `json:"faults,omitempty"`
+	Faults []core.Fault `json:"faults,omitempty"`
+	// Edited is the revision that a conflicting document was edited from.
+	Edited  int64          `json:"edited-revision,omitempty"`
 	Current *core.Accepted `json:"current,omitempty"`
+	// Differences are the fields in which the document differs from Current.
+	Differences []core.Difference `json:"differences,omitempty"`
+}
+
+// editMessage is an Edit whose document is not checked yet.
+type editMessage struct {
+	Revision int64           `json:"revision"`
+	ChangeID string          `json:"change-id"`
+	Document json.RawMessage `json:"document"`
 }
 
 func (s *Server) getConfig(c echo.Context) error {
 	a := s.control.Snapshot().Config
 	if a == nil {
-		return httpjson.Fail(c, status.ErrNoConfiguration)
+		return httpjson.Fail(c, status.RetryIn(status.ErrNoConfiguration, editRetry))
 	}
 	return c.JSON(http.StatusOK, a)
 }
@@ -35,85 +46,59 @@
 // putConfig takes an edit: the revision it is based on, a change id and the
 // whole new document.
 func (s *Server) putConfig(c echo.Context) error {
-	var edit core.Accepted
-	if err := httpjson.Decode(c, &edit); err != nil {
-		return s.refuse(c, err, nil, nil)
-	}
-	if edit.ChangeID == "" {
-		return s.refuse(c, status.At(status.ErrMissingField, "change-id", ""), nil, nil)
-	}
-	if faults := core.Check(&edit.Document); len(faults) > 0 {
-		return s.refuse(c, status.ErrConfigInvalid, faults, nil)
-	}
-	ctx := c.Request().Context()
-	accepted, current, err := applyEdit(ctx, s.store, edit)
-	if err != nil {
-		return s.refuse(c, err, nil, current)
+	var m editMessage
+	if err := httpjson.Decode(c, &m); err != nil {
+		event.ConfigRefused.Emit(s.log, event.Reason(status.CodeOf(err)))
+		return httpjson.Fail(c, err)
+	}
+	accepted, refusal := s.change(c.Request().Context(), m)
+	if refusal != nil {
+		if d := refusal.RetryAfter.Std(); d > 0 {
+			httpjson.SetRetryAfter(c.Response().Header(), d)
+		}
+		return c.JSON(status.HTTPStatusOf(refusal.Err()), refusal)
 	}
-	event.ConfigAccepted.Emit(s.log, event.Revision(accepted.Revision))
 	return c.JSON(http.StatusOK, accepted)
 }
 
-func (s *Server) refuse(c echo.Context, err error, faults []core.Fault, current *core.Accepted) error {
-	event.ConfigRefused.Emit(s.log, event.Reason(status.CodeOf(err)))
-	body := Refusal{wire.BodyOf(err), faults, current}
-	return c.JSON(status.HTTPStatusOf(err), body)
-}
-
-// applyEdit writes an edit with compare-and-swap. On a conflict it returns
-// what is in force.
-func applyEdit(ctx context.Context, s platform.Store, edit core.Accepted) (done, current *core.Accepted, err error) {
-	rev, now, err := readConfig(ctx, s)
+// change is the one way by which a configuration takes effect: the forms, the
+// command line and drains all end here. Just one of its results is not nil.
+func (s *Server) change(ctx context.Context, m editMessage) (*core.Accepted, *Refusal) {
+	if m.ChangeID == "" {
+		return nil, s.refusal(status.At(status.ErrMissingField, "change-id", ""))
+	}
+	if len(m.ChangeID) > maxChangeID {
+		return nil, s.refusal(status.At(status.ErrOutOfRange, "change-id", m.ChangeID[:maxChangeID]))
+	}
+	d, faults := core.Parse(m.Document)
+	if len(faults) > 0 {
+		r := s.refusal(status.ErrConfigInvalid)
+		r.Faults = faults
+		return nil, r
+	}
+	e := &core.Edit{Revision: m.Revision, ChangeID: m.ChangeID, Document: *d}
+	done, current, err := applyEdit(ctx, s.store, s.control.Snapshot().Config, e)
 	if err != nil {
-		return nil, nil, err
-	}
-	if now.ChangeID == edit.ChangeID {
-		return now, nil, nil
+		return nil, s.conflict(err, e, current)
 	}
-	if now.Revision != edit.Revision {
-		return nil, now, status.ErrConfigConflict
+	event.ConfigAccepted.Emit(s.log, event.Revision(done.Revision))
+	if len(done.Recent) > 0 {
+		s.control.Adopt(ctx, done)
 	}
-	edit.Revision++
-	v, err := json.Marshal(edit)
-	if err != nil {
-		return nil, nil, errors.Wrap(err, "encode configuration")
-	}
-	_, err = s.Put(ctx, platform.Write{Key: coreplatform.ConfigKey, Value: v, Expect: rev})
-	if err == nil {
-		return &edit, nil, nil
-	}
-	return settleEdit(ctx, s, edit, err)
+	return done, nil
 }
 
-// settleEdit finds out by the change id whether a write whose answer is
-// missing or conflicting took effect.
-func settleEdit(ctx context.Context, s platform.Store, edit core.Accepted, cause error) (done, current *core.Accepted, err error) {
-	_, now, err := readConfig(ctx, s)
-	if err != nil {
-		return nil, nil, cause
-	}
-	if now.ChangeID == edit.ChangeID {
-		return now, nil, nil
-	}
-	if errors.Is(cause, status.ErrStoreConflict) {
-		return nil, now, status.ErrConfigConflict
-	}
-	return nil, nil, cause
+func (s *Server) refusal(err error) *Refusal {
+	event.ConfigRefused.Emit(s.log, event.Reason(status.CodeOf(err)))
+	return &Refusal{ErrorBody: wire.BodyOf(err)}
 }
 
-// readConfig returns the configuration in the store and its store revision;
-// an empty one at revision 0 if there is none.
-func readConfig(ctx context.Context, s platform.Store) (int64, *core.Accepted, error) {
-	var a core.Accepted
-	e, err := s.Get(ctx, coreplatform.ConfigKey)
-	if errors.Is(err, status.ErrNotFound) {
-		return 0, &a, nil
-	}
-	if err != nil {
-		return 0, nil, err
-	}
-	if err := json.Unmarshal(e.Value, &a); err != nil {
-		return 0, nil, errors.Wrap(err, "decode configuration")
-	}
-	return e.Revision, &a, nil
+// conflict describes a refusal with both revisions and the differences.
+func (s *Server) conflict(err error, e *core.Edit, current *core.Accepted) *Refusal {
+	r := s.refusal(err)
+	if current != nil {
+		r.Edited, r.Current = e.Revision, current
+		r.Differences = core.Diff(&current.Document, &e.Document)
+	}
+	return r
 }
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -13,6 +13,7 @@
 	"strings"
 
 	"rosemarygap/core/entry"
+	"rosemarygap/core/operator"
 	"rosemarygap/core/status"
 	"rosemarygap/core/worker"
 	"rosemarygap/io/httpjson"
@@ -29,6 +30,8 @@
 	Snapshot() *entry.Snapshot
 	// Status describes this entry.
 	Status() entry.Status
+	// Adopt puts a configuration in force here, if its revision is higher.
+	Adopt(ctx context.Context, a *operator.Accepted)
 	// Submit makes a job durable.
 	Submit(ctx context.Context, j worker.Job) error
 	// Cancel makes a cancellation durable.
