Serve a console of forms and the events, and follow long work from the command line

The console is rendered from the Go types and the schema's descriptions, so a new field of the document appears without further code. Every form, the drain call and the command line end in Server.change. What was typed is kept as text through each answer. Recent events are kept in memory by area, so that traffic does not push out placement decisions.

--- a/core/entry/snapshot.go
+++ b/core/entry/snapshot.go
@@ -7,6 +7,7 @@
 
 import (
 	"rosemarygap/core/endpoint"
+	"rosemarygap/core/latency"
 	"rosemarygap/core/operator"
 	"rosemarygap/core/peer"
 	"rosemarygap/core/platform"
@@ -59,6 +60,8 @@
 	Revision int64  `json:"config-revision"`
 	Cells    []int  `json:"cells"`
 	Ready    bool   `json:"ready"`
+	// Services is the latency that callers of this entry saw.
+	Services []latency.Service `json:"services,omitempty"`
 	// Code is set instead of the other values if the entry did not answer.
 	Code string `json:"code,omitempty"`
 }
--- /dev/null
+++ b/core/latency/latency_test.go
@@ -0,0 +1,30 @@
+package latency
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// The history is bounded, skips no window, and tells answers from refusals.
+func TestHistoryIsBoundedAndWithoutGaps(t *testing.T) {
+	is := is.New(t)
+	r, start := NewRecorder(), time.Unix(1_000_000, 0)
+	now := start
+	for i := range 200 {
+		now = start.Add(time.Duration(i) * 4 * time.Second)
+		r.Observe("booking", 20*time.Millisecond, i%2 == 0, now)
+	}
+	points := r.Services(now)[0].Points
+	is.Equal(len(points), Windows)
+	for i := 1; i < len(points); i++ {
+		is.Equal(points[i].Began.Sub(points[i-1].Began), Window)
+		is.True(points[i].Answered+points[i].Refused >= 1)
+	}
+	p := points[10]
+	is.True(p.P99.Std() >= 19*time.Millisecond && p.P99.Std() <= 21*time.Millisecond)
+	later := r.Services(now.Add(time.Hour))[0].Points
+	is.Equal(len(later), Windows)
+	is.Equal(later[Windows-1].Answered+later[0].Answered, int64(0)) // an hour of silence
+}
--- a/core/operator/edit.go
+++ b/core/operator/edit.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strconv"
 
 	"rosemarygap/core/status"
@@ -77,6 +78,11 @@
 	return Write, next, nil
 }
 
+// Includes reports whether the change with this id is among the latest ones.
+func (a *Accepted) Includes(changeID string) bool {
+	return slices.ContainsFunc(a.Recent, func(c Change) bool { return c.ID == changeID })
+}
+
 func digestOf(d *Document) (string, error) {
 	b, err := json.Marshal(d)
 	if err != nil {
--- a/core/status/codes.go
+++ b/core/status/codes.go
@@ -60,6 +60,7 @@
 	ErrContradiction   = &Error{"contradiction", http.StatusUnprocessableEntity}
 	ErrAboveCapacity   = &Error{"above-capacity", http.StatusUnprocessableEntity}
 	ErrChangeIDReused  = &Error{"change-id-reused", http.StatusConflict}
+	ErrJobNotFinished  = &Error{"job-not-finished", http.StatusConflict}
 	ErrCrossOrigin     = &Error{"cross-origin", http.StatusForbidden}
 )
 
@@ -77,6 +78,6 @@
 		ErrUnknownJob, ErrImpossibleJob, ErrWorkerFull, ErrConfigConflict,
 		ErrConfigInvalid, ErrNoConfiguration, ErrUnauthorized,
 		ErrWrongType, ErrDuplicateKey, ErrContradiction, ErrAboveCapacity,
-		ErrChangeIDReused, ErrCrossOrigin,
+		ErrChangeIDReused, ErrCrossOrigin, ErrJobNotFinished,
 	}
 }
--- a/io/commandline/client.go
+++ b/io/commandline/client.go
@@ -2,21 +2,24 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
+	"io"
 	"net/http"
-	"net/netip"
+	"os"
 	"time"
 
+	"rosemarygap/core/status"
 	"rosemarygap/io/httpjson"
-)
 
-// callTimeout bounds one call to an entry.
-const callTimeout = 15 * time.Second
+	"github.com/pkg/errors"
+)
 
-// Target is the entry that an operator's subcommand talks to.
-type Target struct {
-	Entry netip.AddrPort `arg:"--entry,required,env:ROSEMARYGAP_ENTRY" help:"operator address of any entry, IP:PORT"`
-	Token string         `arg:"--token,env:ROSEMARYGAP_OPERATOR_TOKEN" help:"operator token of the entry"`
-}
+// Time limits and periods of calls to an entry.
+const (
+	callTimeout = 15 * time.Second
+	pollEvery   = 500 * time.Millisecond
+)
 
 // call sends one message to the entry.
 func (t *Target) call(method, path string, in, out any) error {
@@ -30,3 +33,48 @@
 func (t *Target) get(path string, out any) error {
 	return t.call(http.MethodGet, path, nil, out)
 }
+
+// printRefusal writes the whole body of a refusal, such as the faults of a
+// document or the differences of a conflict.
+func printRefusal(w io.Writer, err error) {
+	var r *httpjson.Refusal
+	if errors.As(err, &r) {
+		_ = printJSON(w, json.RawMessage(r.Body))
+	}
+}
+
+func printJSON(w io.Writer, v any) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return errors.Wrap(e.Encode(v), "write output")
+}
+
+// progress writes one line on the standard error.
+func progress(format string, args ...any) {
+	fmt.Fprintf(os.Stderr, "progress "+format+"\n", args...)
+}
+
+// await polls until done says so, and writes a line whenever the progress
+// changes. Errors that pass with time are progress as well.
+func (w *Waiting) await(poll func() (done bool, text string, err error)) error {
+	end := time.Now().Add(w.Limit)
+	for last := ""; ; time.Sleep(pollEvery) {
+		done, text, err := poll()
+		if err != nil && exitCode(err) != exitCode(status.ErrUnreachable) {
+			return err
+		}
+		if err != nil {
+			done, text = false, "code="+string(status.CodeOf(err))
+		}
+		if text != last {
+			progress("%s", text)
+			last = text
+		}
+		if done {
+			return nil
+		}
+		if time.Now().After(end) {
+			return status.RetryIn(status.At(status.ErrDeadlineExceeded, "--wait-limit", w.Limit.String()), pollEvery)
+		}
+	}
+}
--- a/io/commandline/commandline.go
+++ b/io/commandline/commandline.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"reflect"
 
 	"rosemarygap/core/status"
 	"rosemarygap/io/process"
@@ -14,16 +15,21 @@
 	"github.com/pkg/errors"
 )
 
+// programName is the program's name in its help.
+const programName = "rosemarygap"
+
 // Program is the command line of rosemarygap.
 type Program struct {
 	Entry  *EntryCommand  `arg:"subcommand:entry" help:"serve callers and schedule batch work on an entry VM"`
 	Check  *CheckCommand  `arg:"subcommand:check" help:"check a configuration document offline"`
+	Schema *SchemaCommand `arg:"subcommand:schema" help:"print the JSON Schema of configuration documents"`
 	Apply  *ApplyCommand  `arg:"subcommand:apply" help:"make a configuration document take effect"`
 	Show   *ShowCommand   `arg:"subcommand:show" help:"show the configuration and the revision in force at each entry"`
 	Submit *SubmitCommand `arg:"subcommand:submit" help:"submit a batch job"`
 	Cancel *CancelCommand `arg:"subcommand:cancel" help:"cancel a batch job"`
 	Jobs   *JobsCommand   `arg:"subcommand:jobs" help:"list batch jobs"`
 	Drain  *DrainCommand  `arg:"subcommand:drain" help:"keep further batch work off a worker"`
+	Events *EventsCommand `arg:"subcommand:events" help:"show recent events of one entry"`
 }
 
 // Description is shown by --help.
@@ -33,54 +39,73 @@
 
 // Epilogue is shown at the end of --help.
 func (Program) Epilogue() string {
-	return "Exit codes: 0 done, 1 failed, 2 usage or setting, 3 refused, 4 conflict, 5 try again later."
+	return `Exit codes:
+  0  done
+  1  failed, with the code internal
+  2  usage, or a setting out of its range
+  3  refused: another try gives the same answer
+  4  conflict: another change took effect first
+  5  try again later: the outcome is open or the system is not ready
+
+An error is one line on the standard error: its code, the path and value at fault, and when to try again.`
 }
 
-// command is one subcommand.
-type command interface {
+// Command is one subcommand.
+type Command interface {
+	// Check returns the first setting at fault, with the flag and the value.
+	Check() error
+	// Run writes the result to w and progress to the standard error.
 	Run(w io.Writer) error
 }
 
 // selected returns the subcommand that was given, or nil.
-func (p *Program) selected() command {
-	switch {
-	case p.Entry != nil:
-		return p.Entry
-	case p.Check != nil:
-		return p.Check
-	case p.Apply != nil:
-		return p.Apply
-	case p.Show != nil:
-		return p.Show
-	case p.Submit != nil:
-		return p.Submit
-	case p.Cancel != nil:
-		return p.Cancel
-	case p.Jobs != nil:
-		return p.Jobs
-	case p.Drain != nil:
-		return p.Drain
+func (p *Program) selected() Command {
+	v := reflect.ValueOf(p).Elem()
+	for i := range v.NumField() {
+		if c, ok := v.Field(i).Interface().(Command); ok && !v.Field(i).IsNil() {
+			return c
+		}
 	}
 	return nil
 }
 
 // Main runs the subcommand that the arguments name and returns an exit code.
-func Main() int {
+func Main() int { return Run(os.Args[1:], os.Stdout, os.Stderr) }
+
+// Run runs the subcommand that args name and returns an exit code.
+func Run(args []string, out, errs io.Writer) int {
 	var p Program
-	parser := arg.MustParse(&p)
-	c := p.selected()
-	if c == nil {
-		parser.WriteHelp(os.Stderr)
-		return process.ExitUsage
+	parser, err := arg.NewParser(arg.Config{Program: programName}, &p)
+	if err != nil {
+		reportError(errs, err)
+		return process.ExitFailed
 	}
-	err := c.Run(os.Stdout)
-	if err == nil {
+	err = parser.Parse(args)
+	switch {
+	case errors.Is(err, arg.ErrHelp):
+		_ = parser.WriteHelpForSubcommand(out, parser.SubcommandNames()...)
 		return process.ExitOK
+	case err != nil:
+		err = usageError(err, args)
+	case p.selected() == nil:
+		parser.WriteHelp(errs)
+		return process.ExitUsage
+	default:
+		err = execute(p.selected(), out)
+	}
+	if err != nil {
+		reportError(errs, err)
 	}
-	reportError(os.Stderr, err)
 	return exitCode(err)
 }
 
+func execute(c Command, out io.Writer) error {
+	if err := c.Check(); err != nil {
+		return err
+	}
+	return c.Run(out)
+}
+
 func reportError(w io.Writer, err error) {
 	path, value := status.DetailOf(err)
 	fmt.Fprintf(w, "code=%s path=%q value=%q", status.CodeOf(err), path, value)
@@ -93,14 +118,16 @@
 // exitCode maps an error to the documented exit codes.
 func exitCode(err error) int {
 	switch {
+	case err == nil:
+		return process.ExitOK
 	case errors.Is(err, status.ErrBadSetting):
 		return process.ExitUsage
-	case errors.Is(err, status.ErrConfigConflict), errors.Is(err, status.ErrJobConflict):
+	case errors.Is(err, status.ErrConfigConflict), errors.Is(err, status.ErrJobConflict),
+		errors.Is(err, status.ErrChangeIDReused):
 		return process.ExitConflict
-	case status.RetryAfterOf(err) > 0, errors.Is(err, status.ErrStoreUnavailable),
-		errors.Is(err, status.ErrUnreachable):
+	case status.RetryAfterOf(err) > 0, status.HTTPStatusOf(err) == retryStatus:
 		return process.ExitTryLater
-	case errors.Is(err, status.ErrInternal):
+	case errors.Is(err, status.ErrInternal), status.CodeOf(err) == status.ErrInternal.Code():
 		return process.ExitFailed
 	default:
 		return process.ExitRefused
--- a/io/commandline/jobs.go
+++ b/io/commandline/jobs.go
@@ -18,10 +18,12 @@
 // SubmitCommand submits a job.
 type SubmitCommand struct {
 	Target
+	Waiting
 	File string `arg:"positional,required" help:"path of the job as JSON"`
 }
 
-// Run prints the job when it is durable.
+// Run prints the job when it is durable, or with --wait when it has ended. A
+// job that ended otherwise than finished is refused with its state.
 func (c *SubmitCommand) Run(w io.Writer) error {
 	f, err := os.Open(c.File)
 	if err != nil {
@@ -38,7 +40,37 @@
 	if err := c.call(http.MethodPost, "/api/jobs", j, &j); err != nil {
 		return err
 	}
-	return printJSON(w, j)
+	if !c.Wait {
+		return printJSON(w, j)
+	}
+	var row worker.JobRow
+	if err := c.await(c.ended(j.ID, &row)); err != nil {
+		return err
+	}
+	if err := printJSON(w, row); err != nil {
+		return err
+	}
+	if row.State != worker.Finished {
+		return status.At(status.ErrJobNotFinished, "state", string(row.State))
+	}
+	return nil
+}
+
+// ended polls until a job has ended, and copies its state to row.
+func (c *SubmitCommand) ended(id string, row *worker.JobRow) func() (bool, string, error) {
+	return func() (bool, string, error) {
+		var rows []worker.JobRow
+		if err := c.get("/api/jobs", &rows); err != nil {
+			return false, "", err
+		}
+		for i := range rows {
+			if rows[i].ID == id {
+				*row = rows[i]
+			}
+		}
+		text := fmt.Sprintf("job=%s state=%s attempt=%d reason=%s", id, row.State, row.Attempt, row.Reason)
+		return !row.Ended.IsZero(), text, nil
+	}
 }
 
 // CancelCommand cancels a job.
@@ -55,7 +87,7 @@
 // JobsCommand lists jobs.
 type JobsCommand struct {
 	Target
-	JSON bool `arg:"--json" help:"print JSON instead of a table"`
+	JSON bool `arg:"--json,env:ROSEMARYGAP_JSON" help:"print JSON instead of a table"`
 }
 
 // Run prints all jobs.
--- a/io/commandline/settings_test.go
+++ b/io/commandline/settings_test.go
@@ -1,11 +1,78 @@
 package commandline
 
 import (
+	"bytes"
+	"fmt"
+	"reflect"
+	"strings"
 	"testing"
 
+	"rosemarygap/core/status"
 	"rosemarygap/io/golden"
+	"rosemarygap/io/process"
+
+	"github.com/matryer/is"
 )
 
 func TestGoldenSettingsPage(t *testing.T) {
 	golden.Check(t, "../../docs/SETTINGS.md", SettingsPage())
 }
+
+// TestGoldenHelp keeps the help of the program and of every subcommand.
+func TestGoldenHelp(t *testing.T) {
+	var out bytes.Buffer
+	is.New(t).Equal(Run([]string{"--help"}, &out, &out), process.ExitOK)
+	p := reflect.TypeFor[Program]()
+	for i := range p.NumField() {
+		name := subcommandName(p.Field(i))
+		fmt.Fprintf(&out, "\n==== %s\n\n", name)
+		is.New(t).Equal(Run([]string{name, "--help"}, &out, &out), process.ExitOK)
+	}
+	golden.Check(t, "testdata/help.txt", out.Bytes())
+}
+
+// Every setting at fault is named by its flag with its value, with exit code 2.
+func TestSettingsAreCheckedInOnePlace(t *testing.T) {
+	entry := "entry --id a --zone z --caller-listen 127.0.0.1:1 --peer-listen 127.0.0.1:2" +
+		" --operator-listen 127.0.0.1:3 --admin-listen 127.0.0.1:4 --platform 127.0.0.1:5 "
+	for _, c := range []struct{ args, path, value string }{
+		{"jobs", "ROSEMARYGAP_ENTRY", ""},
+		{"jobs --entry 127.0.0.1:0", "--entry", "127.0.0.1:0"},
+		{"jobs --entry localhost", "--entry", "localhost"},
+		{"jobs --entry 127.0.0.1:1 --colour red", "--colour", "red"},
+		{"apply x.json --entry 127.0.0.1:1 --revision -2", "--revision", "-2"},
+		{"apply x.json --entry 127.0.0.1:1 --wait-limit 0s", "--wait-limit", "0s"},
+		{"drain Worker --entry 127.0.0.1:1", "WORKER", "Worker"},
+		{"events --entry 127.0.0.1:1 --event 10000", "--event", "10000"},
+		{"events --entry 127.0.0.1:1 --after -1", "--after", "-1"},
+		{entry + "--lease-ttl 999ms", "--lease-ttl", "999ms"},
+		{entry + "--stop-limit 11m", "--stop-limit", "11m0s"},
+		{entry + "--log-level loud", "--log-level", "loud"},
+		{strings.Replace(entry, "127.0.0.1:3", "0.0.0.0:3", 1), "--operator-token", ""},
+	} {
+		is := is.New(t)
+		var out, errs bytes.Buffer
+		is.Equal(Run(strings.Fields(c.args), &out, &errs), process.ExitUsage)
+		want := fmt.Sprintf("code=bad-setting path=%q value=%q detail=", c.path, c.value)
+		if !strings.HasPrefix(errs.String(), want) {
+			t.Errorf("%s: got %s want %s", c.args, errs.String(), want)
+		}
+		is.Equal(out.Len(), 0)
+	}
+}
+
+// Every code has one of the documented exit codes, and no coded error is
+// taken for a failure of the program.
+func TestEveryCodeHasAnExitCode(t *testing.T) {
+	is := is.New(t)
+	for _, e := range status.All() {
+		got := exitCode(status.At(e, "path", "value"))
+		is.True(got >= process.ExitFailed && got <= process.ExitTryLater)
+		is.Equal(got == process.ExitFailed, e == status.ErrInternal)
+		is.Equal(exitCode(status.RetryIn(e, pollEvery)) == process.ExitTryLater || got == process.ExitConflict || got == process.ExitUsage, true)
+	}
+	is.Equal(exitCode(nil), process.ExitOK)
+	is.Equal(exitCode(status.ErrConfigConflict), process.ExitConflict)
+	is.Equal(exitCode(status.ErrConfigInvalid), process.ExitRefused)
+	is.Equal(exitCode(status.ErrStoreUnavailable), process.ExitTryLater)
+}
--- a/io/commandline/show.go
+++ b/io/commandline/show.go
@@ -15,7 +15,7 @@
 // ShowCommand shows the state of the system.
 type ShowCommand struct {
 	Target
-	JSON bool `arg:"--json" help:"print JSON instead of a table"`
+	JSON bool `arg:"--json,env:ROSEMARYGAP_JSON" help:"print JSON instead of a table"`
 }
 
 // Shown is the JSON output of show.
--- a/io/entry/control.go
+++ b/io/entry/control.go
@@ -8,6 +8,7 @@
 	"rosemarygap/core/endpoint"
 	"rosemarygap/core/entry"
 	"rosemarygap/core/event"
+	"rosemarygap/core/latency"
 	"rosemarygap/core/operator"
 	"rosemarygap/core/peer"
 	coreplatform "rosemarygap/core/platform"
@@ -40,6 +41,7 @@
 	store   platform.Store
 	peers   *iopeer.Client
 	workers *worker.Client
+	latency *latency.Recorder
 
 	mailbox chan message
 	results chan message
@@ -78,6 +80,7 @@
 		store:     s,
 		peers:     iopeer.NewClient(),
 		workers:   worker.NewClient(),
+		latency:   latency.NewRecorder(),
 		mailbox:   make(chan message, mailboxSize),
 		results:   make(chan message, mailboxSize),
 		endpoints: endpoint.NewMembership(defaultTTL),
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -24,10 +24,11 @@
 // Entry is the process on an entry VM.
 type Entry struct {
 	opts    Options
-	log     hclog.Logger
+	log     hclog.InterceptLogger
 	store   platform.Store
 	control *control
 	client  *endpoint.Client
+	recent  *operator.Recent
 }
 
 // Option changes how an Entry is built.
@@ -47,13 +48,14 @@
 	if err := o.Check(); err != nil {
 		return nil, err
 	}
-	e := &Entry{opts: o}
+	e := &Entry{opts: o, recent: operator.NewRecent()}
 	WithLog(os.Stderr)(e)
 	e.store = platform.NewClient(o.Platform)
 	e.client = endpoint.NewClient(connectionsPerEndpoint)
 	for _, f := range opts {
 		f(e)
 	}
+	e.log.RegisterSink(e.recent)
 	e.control = newControl(o, e.log, e.store)
 	return e, nil
 }
@@ -77,9 +79,10 @@
 // between entries goes last.
 func (e *Entry) addActors(g *run.Group) error {
 	callers := iocaller.NewServer(e.control, e.client, e.log)
-	operators := operator.NewServer(e.control, e.store, e.log, e.opts.OperatorToken)
+	operators := operator.NewServer(e.control, e.store, e.log,
+		operator.WithToken(e.opts.OperatorToken), operator.WithRecent(e.recent))
 	listeners := []listenerSpec{
-		{e.opts.CallerListen, callers.Handler()},
+		{e.opts.CallerListen, observeLatency(callers.Handler(), e.control.latency, e.control.Snapshot)},
 		{e.opts.OperatorListen, operators.Handler()},
 		{e.opts.PeerListen, iopeer.NewHandler(e.control)},
 		{e.opts.AdminListen, newAdminHandler(e.control)},
--- a/io/httpjson/httpjson.go
+++ b/io/httpjson/httpjson.go
@@ -101,12 +101,26 @@
 	return nil
 }
 
+// Refusal is a coded refusal with the whole body that carried it, which may
+// say more than the code.
+type Refusal struct {
+	cause error
+	// Body is the answer as JSON.
+	Body []byte
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return r.cause.Error() }
+
+// Unwrap returns the coded error.
+func (r *Refusal) Unwrap() error { return r.cause }
+
 func refusal(b []byte) error {
 	var e wire.ErrorBody
 	if err := json.Unmarshal(b, &e); err != nil || e.Code == "" {
 		return errors.WithMessage(status.ErrUnreachable, "answer without a code")
 	}
-	return e.Err()
+	return &Refusal{e.Err(), b}
 }
 
 // Decode reads the body of a request strictly into v.
--- /dev/null
+++ b/io/operator/console_overview.go
@@ -0,0 +1,30 @@
+package operator
+
+import (
+	"time"
+
+	"rosemarygap/core/entry"
+
+	"github.com/labstack/echo/v4"
+)
+
+// overviewBody is what the first page shows.
+type overviewBody struct {
+	Entries   []entry.Status
+	Endpoints []endpointRow
+	Latency   []plot
+	Batch     []plot
+}
+
+func (s *Server) showOverview(c echo.Context) error {
+	ctx, now := c.Request().Context(), time.Now()
+	body := overviewBody{Entries: s.statuses(ctx), Endpoints: s.endpoints(now)}
+	if a := s.control.Snapshot().Config; a != nil {
+		body.Latency = latencyPlots(body.Entries, &a.Document)
+	}
+	jobs, err := s.control.Jobs(ctx)
+	if err == nil {
+		body.Batch = batchPlots(jobs, now)
+	}
+	return s.render(c, page{Name: "overview", Refusal: refused(err), Body: body})
+}
--- /dev/null
+++ b/io/operator/console_workers.go
@@ -0,0 +1,27 @@
+package operator
+
+import (
+	"rosemarygap/core/entry"
+
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
+)
+
+// workersBody is what the workers page shows.
+type workersBody struct {
+	Workers []entry.Worker
+	// ChangeID is for the next drain, so that a form that is sent twice
+	// changes the configuration once.
+	ChangeID string
+}
+
+func (s *Server) showWorkers(c echo.Context) error { return s.renderWorkers(c, nil, "") }
+
+func (s *Server) renderWorkers(c echo.Context, r *Refusal, done string) error {
+	rows, err := s.workers(c.Request().Context())
+	if err != nil && r == nil {
+		r = refused(err)
+	}
+	return s.render(c, page{Name: "workers", Refusal: r, Done: done,
+		Body: workersBody{rows, uuid.NewString()}})
+}
--- /dev/null
+++ b/io/operator/drain.go
@@ -0,0 +1,68 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	core "rosemarygap/core/operator"
+	"rosemarygap/core/status"
+	"rosemarygap/io/httpjson"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+)
+
+// drainTries bounds the tries of a drain that meets other changes.
+const drainTries = 4
+
+// DrainMessage asks that a worker admits no further batch work, or that it
+// admits batch work again.
+type DrainMessage struct {
+	Draining bool   `json:"draining"`
+	ChangeID string `json:"change-id"`
+}
+
+func (s *Server) putDraining(c echo.Context) error {
+	var m DrainMessage
+	if err := httpjson.Decode(c, &m); err != nil {
+		return httpjson.Fail(c, err)
+	}
+	accepted, refusal := s.drain(c.Request().Context(), c.Param("id"), m)
+	if refusal != nil {
+		return c.JSON(status.HTTPStatusOf(refusal.Err()), refusal)
+	}
+	return c.JSON(http.StatusOK, accepted)
+}
+
+// drain changes one worker in the newest document. Since it depends on no
+// other value of the document, it is tried again after a conflict.
+func (s *Server) drain(ctx context.Context, worker string, m DrainMessage) (done *core.Accepted, refusal *Refusal) {
+	for range drainTries {
+		now, err := readConfig(ctx, s.store, s.control.Snapshot().Config)
+		if err != nil {
+			return nil, s.refusal(unsettled(err))
+		}
+		if now.newest.Revision == 0 {
+			return nil, s.refusal(status.RetryIn(status.ErrNoConfiguration, editRetry))
+		}
+		if now.newest.Includes(m.ChangeID) {
+			return now.newest, nil
+		}
+		done, refusal = s.drainAt(ctx, now.newest, worker, m)
+		if refusal == nil || !errors.Is(refusal.Err(), status.ErrConfigConflict) {
+			return done, refusal
+		}
+	}
+	return done, refusal
+}
+
+func (s *Server) drainAt(ctx context.Context, now *core.Accepted, worker string, m DrainMessage) (*core.Accepted, *Refusal) {
+	d := now.Document
+	d.SetDraining(worker, m.Draining)
+	b, err := json.Marshal(d)
+	if err != nil {
+		return nil, s.refusal(errors.Wrap(err, "encode document"))
+	}
+	return s.change(ctx, editMessage{now.Revision, m.ChangeID, b})
+}
--- a/io/operator/edit_test.go
+++ b/io/operator/edit_test.go
@@ -32,7 +32,7 @@
 // Faults of a call.
 const (
 	none      fault = "none"
-	refused   fault = "refused"
+	rejected  fault = "refused"
 	lostAfter fault = "answer-lost"
 	delayed   fault = "write-delayed"
 	overtaken fault = "overtaken"
@@ -51,15 +51,15 @@
 }
 
 func (s *faultyStore) Get(ctx context.Context, key string) (platform.Entry, error) {
-	if s.draw(none, none, none, refused) == refused {
+	if s.draw(none, none, none, rejected) == rejected {
 		return platform.Entry{}, status.ErrStoreUnavailable
 	}
 	return s.Store.Get(ctx, key)
 }
 
 func (s *faultyStore) Put(ctx context.Context, w platform.Write) (int64, error) {
-	switch s.draw(none, refused, lostAfter, delayed, overtaken) {
-	case refused:
+	switch s.draw(none, rejected, lostAfter, delayed, overtaken) {
+	case rejected:
 		return 0, status.ErrStoreUnavailable
 	case lostAfter:
 		_, _ = s.arrive(ctx, w)
--- /dev/null
+++ b/io/operator/help.go
@@ -0,0 +1,34 @@
+package operator
+
+import (
+	"encoding/json"
+	"sync"
+
+	core "rosemarygap/core/operator"
+)
+
+// documentHelp returns the description of each field of the document, by the
+// field's name, as the schema gives it.
+var documentHelp = sync.OnceValue(func() map[string]string {
+	var tree any
+	out := make(map[string]string)
+	if json.Unmarshal(core.Schema(), &tree) == nil {
+		collectHelp(tree, out)
+	}
+	return out
+})
+
+func collectHelp(tree any, out map[string]string) {
+	o, ok := tree.(map[string]any)
+	if !ok {
+		return
+	}
+	for k, v := range o {
+		if p, ok := v.(map[string]any); ok {
+			if d, ok := p["description"].(string); ok && out[k] == "" {
+				out[k] = d
+			}
+		}
+		collectHelp(v, out)
+	}
+}
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -1,27 +1,23 @@
-// Package operator serves operators: configuration, jobs and the state of the
-// system.
+// Package operator serves operators: the console of forms and the JSON
+// interface for configuration, jobs and the state of the system.
 //
 // Invariant: a change of configuration is one compare-and-swap of one
 // validated document; an unknown outcome is resolved by its change id, never
-// by a second write. The package owns no state.
+// by a second write. The package owns no state but the recent events.
 package operator
 
 import (
 	"context"
-	"crypto/subtle"
 	"net/http"
-	"strings"
 
 	"rosemarygap/core/entry"
 	"rosemarygap/core/operator"
-	"rosemarygap/core/status"
 	"rosemarygap/core/worker"
 	"rosemarygap/io/httpjson"
 	iopeer "rosemarygap/io/peer"
 	"rosemarygap/io/platform"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/labstack/echo/v4"
 )
 
 // Control is what the handlers need of the control goroutine.
@@ -38,6 +34,8 @@
 	Cancel(ctx context.Context, id string) error
 	// Jobs lists the jobs of all cells.
 	Jobs(ctx context.Context) ([]worker.JobRow, error)
+	// Workers lists the workers that announced themselves.
+	Workers(ctx context.Context) ([]entry.Worker, error)
 }
 
 // Server handles the operators' interface.
@@ -47,32 +45,42 @@
 	peers   *iopeer.Client
 	log     hclog.Logger
 	token   string
+	recent  *Recent
 }
 
-// NewServer returns a server; a token, if any, is required for changes.
-func NewServer(ctl Control, s platform.Store, l hclog.Logger, token string) *Server {
-	return &Server{control: ctl, store: s, peers: iopeer.NewClient(), log: l, token: token}
+// Option changes how a Server behaves.
+type Option func(*Server)
+
+// WithToken requires a token for changes, unless it is empty.
+func WithToken(token string) Option { return func(s *Server) { s.token = token } }
+
+// WithRecent serves the events that r keeps.
+func WithRecent(r *Recent) Option { return func(s *Server) { s.recent = r } }
+
+// NewServer returns a server.
+func NewServer(ctl Control, s platform.Store, l hclog.Logger, opts ...Option) *Server {
+	out := &Server{control: ctl, store: s, peers: iopeer.NewClient(), log: l, recent: NewRecent()}
+	for _, o := range opts {
+		o(out)
+	}
+	return out
 }
 
 // Handler returns the operators' interface.
 func (s *Server) Handler() http.Handler {
 	e := httpjson.NewServer()
+	e.Use(secureHeaders)
 	e.GET("/api/config", s.getConfig)
 	e.PUT("/api/config", s.putConfig, s.authorized)
+	e.GET("/api/schema", s.getSchema)
 	e.GET("/api/status", s.status)
+	e.GET("/api/events", s.listEvents)
+	e.GET("/api/endpoints", s.listEndpoints)
+	e.GET("/api/workers", s.listWorkers)
+	e.PUT("/api/workers/:id/draining", s.putDraining, s.authorized)
 	e.GET("/api/jobs", s.listJobs)
 	e.POST("/api/jobs", s.submitJob, s.authorized)
 	e.DELETE("/api/jobs/:id", s.cancelJob, s.authorized)
-	return e
-}
-
-// authorized admits a change only with the token.
-func (s *Server) authorized(next echo.HandlerFunc) echo.HandlerFunc {
-	return func(c echo.Context) error {
-		given := strings.TrimPrefix(c.Request().Header.Get(echo.HeaderAuthorization), "Bearer ")
-		if s.token != "" && subtle.ConstantTimeCompare([]byte(given), []byte(s.token)) != 1 {
-			return httpjson.Fail(c, status.ErrUnauthorized)
-		}
-		return next(c)
-	}
+	s.addConsole(e)
+	return sameOrigin(e)
 }
--- a/io/process/process.go
+++ b/io/process/process.go
@@ -17,9 +17,10 @@
 	"github.com/pkg/errors"
 )
 
-// NewLogger returns a JSON logger that writes to w from the given level on.
-func NewLogger(name, level string, w io.Writer) hclog.Logger {
-	return hclog.New(&hclog.LoggerOptions{
+// NewLogger returns a JSON logger that writes to w from the given level on,
+// and to the sinks that are registered with it.
+func NewLogger(name, level string, w io.Writer) hclog.InterceptLogger {
+	return hclog.NewInterceptLogger(&hclog.LoggerOptions{
 		Name:       name,
 		Level:      hclog.LevelFromString(level),
 		Output:     w,
