--- /dev/null
+++ b/io/operator/console_test.go
@@ -0,0 +1,349 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"os"
+	"reflect"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"rosemarygap/core/endpoint"
+	"rosemarygap/core/entry"
+	"rosemarygap/core/latency"
+	core "rosemarygap/core/operator"
+	"rosemarygap/core/status"
+	"rosemarygap/core/wire"
+	"rosemarygap/core/worker"
+	standin "rosemarygap/io/standin/platform"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+	"golang.org/x/net/html"
+	"pgregory.net/rapid"
+)
+
+// fakeControl keeps a configuration and jobs in memory.
+type fakeControl struct {
+	config    *core.Accepted
+	jobs      []worker.JobRow
+	cancelled []string
+}
+
+func (f *fakeControl) Snapshot() *entry.Snapshot {
+	return &entry.Snapshot{Config: f.config, Endpoints: endpoint.EmptyView()}
+}
+
+func (f *fakeControl) Status() entry.Status {
+	p := latency.Point{Began: time.Unix(0, 0), Answered: 9, P99: wire.Duration(300 * time.Millisecond)}
+	return entry.Status{ID: "entry-a", Revision: f.Snapshot().Revision(), Ready: true,
+		Services: []latency.Service{{Name: "catalogue", Points: []latency.Point{p, p}}}}
+}
+
+func (f *fakeControl) Adopt(_ context.Context, a *core.Accepted) { f.config = core.Newest(f.config, a) }
+
+func (f *fakeControl) Submit(_ context.Context, j worker.Job) error {
+	f.jobs = append(f.jobs, worker.JobRow{Job: j, State: worker.Queued})
+	return j.Check()
+}
+
+func (f *fakeControl) Cancel(_ context.Context, id string) error {
+	f.cancelled = append(f.cancelled, id)
+	return nil
+}
+
+func (f *fakeControl) Jobs(context.Context) ([]worker.JobRow, error) { return f.jobs, nil }
+
+func (f *fakeControl) Workers(context.Context) ([]entry.Worker, error) {
+	return []entry.Worker{{ID: "worker-1", Heard: true}}, nil
+}
+
+// browser is an operator's browser at one console.
+type browser struct {
+	t       *testing.T
+	handler http.Handler
+	cookies []*http.Cookie
+	headers http.Header
+}
+
+// newBrowser returns a browser at a console whose configuration is the
+// example at revision 1.
+func newBrowser(t *testing.T, token string) (*browser, *fakeControl) {
+	ctl := &fakeControl{}
+	s := NewServer(ctl, standin.NewStore(), hclog.NewNullLogger(), WithToken(token))
+	text, err := os.ReadFile("../../examples/kettle-valley.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, refusal := s.change(context.Background(), editMessage{0, "first", text}); refusal != nil {
+		t.Fatalf("%+v", refusal)
+	}
+	return &browser{t: t, handler: s.Handler(), headers: http.Header{}}, ctl
+}
+
+func (b *browser) do(method, path string, form url.Values) (int, string) {
+	b.t.Helper()
+	q := httptest.NewRequest(method, "http://console.example"+path, strings.NewReader(form.Encode()))
+	q.Header = b.headers.Clone()
+	q.Header.Set("Content-Type", "application/x-www-form-urlencoded")
+	for _, c := range b.cookies {
+		q.AddCookie(c)
+	}
+	w := httptest.NewRecorder()
+	b.handler.ServeHTTP(w, q)
+	b.cookies = append(b.cookies, w.Result().Cookies()...)
+	return w.Code, w.Body.String()
+}
+
+// node is an element of a page with its attributes.
+type node struct {
+	tag   string
+	attrs map[string]string
+	text  string
+}
+
+// elements returns every element of a page that has one of the given tags.
+func elements(t *testing.T, page string, tags ...string) []node {
+	t.Helper()
+	root, err := html.Parse(strings.NewReader(page))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out []node
+	for n := range root.Descendants() {
+		for _, tag := range tags {
+			if n.Type != html.ElementNode || n.Data != tag {
+				continue
+			}
+			e := node{tag: tag, attrs: map[string]string{}}
+			for _, a := range n.Attr {
+				e.attrs[a.Key] = a.Val
+			}
+			for d := range n.Descendants() {
+				if d.Type == html.TextNode {
+					e.text += d.Data
+				}
+			}
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// filled returns what a browser would send for the page's fields.
+func filled(t *testing.T, page string) url.Values {
+	form := url.Values{}
+	for _, e := range elements(t, page, "input") {
+		_, checked := e.attrs["checked"]
+		if e.attrs["name"] != "" && (e.attrs["type"] != "checkbox" || checked) {
+			form.Set(e.attrs["name"], e.attrs["value"])
+		}
+	}
+	return form
+}
+
+const quotaField = "teams[0].quota.memory-mib"
+
+// Two operators edit one revision: one wins, the other keeps what he typed
+// and sees both revisions and the fields that differ.
+func TestConsoleConflictKeepsWhatWasTyped(t *testing.T) {
+	is := is.New(t)
+	b, ctl := newBrowser(t, "")
+	_, page := b.do("GET", "/config", nil)
+	first, second := filled(t, page), filled(t, page)
+	second.Set(fieldChangeID, "second")
+	first.Set(quotaField, "1000")
+	second.Set(quotaField, "2000")
+	second.Set("services[0].queue-limit", "99")
+	first.Set(fieldAction, actionApply)
+	second.Set(fieldAction, actionApply)
+	code, _ := b.do("POST", "/config", first)
+	is.Equal(code, http.StatusOK)
+	is.Equal(ctl.config.Revision, int64(2))
+	code, page = b.do("POST", "/config", second)
+	is.Equal(code, http.StatusConflict)
+	is.Equal(filled(t, page).Get(quotaField), "2000")
+	is.Equal(filled(t, page).Get("services[0].queue-limit"), "99")
+	is.Equal(ctl.config.Document.Teams[0].Quota.Memory, int64(1000))
+	var texts []string
+	for _, e := range elements(t, page, "code", "td") {
+		texts = append(texts, e.text)
+	}
+	all := strings.Join(texts, "|")
+	is.True(strings.Contains(all, "config-conflict"))
+	is.True(strings.Contains(all, "teams[press].quota.memory-mib|1000|2000"))
+	is.True(strings.Contains(all, "services[catalogue].queue-limit|256|99"))
+	rebased := filled(t, page)
+	rebased.Set(fieldAction, actionRebase+"2")
+	_, page = b.do("POST", "/config", rebased)
+	rebased = filled(t, page)
+	rebased.Set(fieldAction, actionApply)
+	code, _ = b.do("POST", "/config", rebased)
+	is.Equal(code, http.StatusOK)
+	is.Equal(ctl.config.Document.Teams[0].Quota.Memory, int64(2000))
+}
+
+// Faults come from the same check as the command line's, each beside its
+// field, and elements can be added and removed without losing what was typed.
+func TestConsoleShowsFaultsAtTheirFields(t *testing.T) {
+	is := is.New(t)
+	b, ctl := newBrowser(t, "")
+	_, page := b.do("GET", "/config", nil)
+	form := filled(t, page)
+	form.Set(quotaField, "much")
+	form.Set("services[0].latency-target", "3s")
+	form.Set(fieldAction, actionAdd+"teams")
+	_, page = b.do("POST", "/config", form)
+	form = filled(t, page)
+	is.Equal(form.Get("teams"+countSuffix), "2")
+	is.Equal(form.Get(quotaField), "much")
+	form.Set(fieldAction, actionApply)
+	code, page := b.do("POST", "/config", form)
+	is.Equal(code, http.StatusUnprocessableEntity)
+	invalid := map[string]bool{}
+	for _, e := range elements(t, page, "input") {
+		if e.attrs["aria-invalid"] == "true" {
+			invalid[e.attrs["id"]] = true
+		}
+	}
+	is.True(invalid[quotaField] && invalid["services[0].latency-target"] && invalid["teams[1].name"])
+	is.Equal(ctl.config.Revision, int64(1))
+	form.Set(fieldAction, actionRemove+"teams[0]")
+	_, page = b.do("POST", "/config", form)
+	is.Equal(filled(t, page).Get("teams"+countSuffix), "1")
+}
+
+// Changes need the token, by header or by the cookie of the login form, and
+// come from the console's own pages, in forms of a bounded size.
+func TestConsoleAccess(t *testing.T) {
+	is := is.New(t)
+	b, ctl := newBrowser(t, "secret-token")
+	_, page := b.do("GET", "/config", nil)
+	form := filled(t, page)
+	form.Set(quotaField, "77")
+	form.Set(fieldAction, actionApply)
+	code, page := b.do("POST", "/config", form)
+	is.Equal(code, http.StatusUnauthorized)
+	is.Equal(filled(t, page).Get(quotaField), "77") // typed values are kept
+	for _, path := range []string{"/jobs", "/jobs/x/cancel", "/workers/worker-1/drain"} {
+		code, _ = b.do("POST", path, url.Values{})
+		is.Equal(code, http.StatusUnauthorized)
+	}
+	is.Equal(len(ctl.jobs)+len(ctl.cancelled), 0)
+	code, _ = b.do("POST", "/login", url.Values{"token": {"secret-tokex"}})
+	is.Equal(code, http.StatusUnauthorized)
+	is.Equal(len(b.cookies), 0)
+	b.do("POST", "/login", url.Values{"token": {"secret-token"}})
+	is.Equal(len(b.cookies), 1)
+	cookie := b.cookies[0]
+	is.True(cookie.HttpOnly && cookie.SameSite == http.SameSiteStrictMode && !strings.Contains(cookie.Value, "secret"))
+	b.headers.Set("Sec-Fetch-Site", "cross-site")
+	code, body := b.do("POST", "/config", form)
+	is.Equal(code, http.StatusForbidden)
+	is.True(strings.Contains(body, string(status.ErrCrossOrigin.Code())))
+	b.headers.Set("Sec-Fetch-Site", "same-origin")
+	big := url.Values{"x": {strings.Repeat("x", wire.MaxControlBody)}}
+	code, body = b.do("POST", "/config", big)
+	is.Equal(code, http.StatusRequestEntityTooLarge)
+	is.True(strings.Contains(body, string(status.ErrBodyTooLarge.Code())))
+	code, _ = b.do("POST", "/config", form)
+	is.Equal(code, http.StatusOK)
+	is.Equal(ctl.config.Document.Teams[0].Quota.Memory, int64(77))
+	code, _ = b.do("POST", "/workers/worker-1/drain", url.Values{"draining": {"true"}, fieldChangeID: {"d"}})
+	is.Equal(code, http.StatusOK)
+	is.Equal(ctl.config.Document.Draining, []string{"worker-1"})
+}
+
+// Every page can be used by keyboard, screen reader and phone: each field has
+// a label, each id is unique, each plot says its figures, nothing needs a
+// script.
+func TestPagesAreUsableWithoutAMouse(t *testing.T) {
+	is := is.New(t)
+	b, ctl := newBrowser(t, "")
+	ctl.jobs = []worker.JobRow{{Job: worker.Job{ID: "build-1"}, State: worker.Parked, Reason: "impossible-job"}}
+	for _, l := range append(links, link{"login", "/login"}) {
+		code, page := b.do("GET", l.Path, nil)
+		is.Equal(code, http.StatusOK)
+		is.Equal(len(elements(t, page, "script", "style")), 0)
+		is.Equal(len(elements(t, page, "h1", "main", "nav")) >= 3, true)
+		labels, ids := map[string]bool{}, map[string]bool{}
+		for _, e := range elements(t, page, "label") {
+			labels[e.attrs["for"]] = true
+		}
+		for _, e := range elements(t, page, "input", "fieldset", "main", "section", "datalist") {
+			if id := e.attrs["id"]; id != "" && ids[id] {
+				t.Errorf("%s: id %s twice", l.Path, id)
+			}
+			ids[e.attrs["id"]] = true
+			if e.tag == "input" && e.attrs["type"] != "hidden" && !labels[e.attrs["id"]] {
+				t.Errorf("%s: no label for %v", l.Path, e.attrs)
+			}
+		}
+		for _, e := range elements(t, page, "svg") {
+			is.True(e.attrs["role"] == "img" && strings.Contains(e.attrs["aria-label"], "="))
+		}
+		is.True(strings.Contains(page, `name="viewport"`))
+	}
+	_, page := b.do("GET", "/", nil)
+	is.True(strings.Contains(page, "target-missed")) // p99 of 300ms against 200ms
+	_, page = b.do("GET", "/jobs", nil)
+	is.True(strings.Contains(page, "impossible-job"))
+}
+
+// The jobs form reaches the same check as the command line.
+func TestConsoleSubmitsAJob(t *testing.T) {
+	is := is.New(t)
+	b, ctl := newBrowser(t, "")
+	_, page := b.do("GET", "/jobs", nil)
+	form := filled(t, page)
+	code, page := b.do("POST", "/jobs", form)
+	is.Equal(code, http.StatusBadRequest)
+	is.True(strings.Contains(page, string(status.ErrMissingField.Code())))
+	ctl.jobs = nil
+	form.Set("id", "build-7")
+	form.Set("run-time", "5m")
+	code, _ = b.do("POST", "/jobs", form)
+	is.Equal(code, http.StatusOK)
+	is.Equal(ctl.jobs[0].ID, "build-7")
+	is.Equal(ctl.jobs[0].RunTime.Std(), 5*time.Minute)
+}
+
+// A document passes through its form unchanged.
+func TestFormLosesNothing(t *testing.T) {
+	names := rapid.SliceOfN(rapid.StringMatching(`[a-z][a-z0-9-]{0,8}`), 0, 3)
+	rapid.Check(t, func(t *rapid.T) {
+		d := core.Document{Format: core.Format, Cells: rapid.Int().Draw(t, "cells") % (1 << 50)}
+		if rapid.Bool().Draw(t, "with-capacity") {
+			d.Capacity = &core.Quota{Memory: int64(rapid.IntRange(0, 1<<40).Draw(t, "memory"))}
+		}
+		d.Services = []core.Service{}
+		for i := range rapid.IntRange(0, 12).Draw(t, "services") {
+			d.Services = append(d.Services, core.Service{Name: "s" + strconv.Itoa(i),
+				Deadline: wire.Duration(rapid.IntRange(0, 1e12).Draw(t, "deadline"))})
+		}
+		d.Teams, d.Rules = []core.Team{}, []core.Rule{}
+		d.Classes = []core.Class{{Name: "a", Urgent: rapid.Bool().Draw(t, "urgent")}}
+		if zones := names.Draw(t, "zones"); len(zones) > 0 {
+			d.Rules = append(d.Rules, core.Rule{Name: "r", Class: "a", Zones: zones})
+		}
+		if w := names.Draw(t, "draining"); len(w) > 0 {
+			d.Draining = w
+		}
+		form, err := formOf(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var back core.Document
+		if err := json.Unmarshal(documentOf(form), &back); err != nil {
+			t.Fatal(err)
+		}
+		if !reflect.DeepEqual(d, back) {
+			t.Fatalf("%+v became %+v", d, back)
+		}
+	})
+}
--- a/io/operator/form.go
+++ b/io/operator/form.go
@@ -107,7 +107,7 @@
 }
 
 // choices maps a field's name to the list of known values.
-var choices = map[string]string{"team": "teams", "batch-class": "classes", "avoid-service": "services"}
+var choices = map[string]string{"team": "known-teams", "batch-class": "known-classes", "avoid-service": "known-services"}
 
 func (v *formView) input(t reflect.Type, path, name string) input {
 	in := input{Path: path, Label: name, Help: v.help[name], Kind: "text",
