--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,14 @@
 # Both targets need Go alone; they fetch the declared modules.
-.PHONY: demo test check generate soak
+.PHONY: demo up test check generate soak
 
 # The main job: a small deployment that survives three faults.
 demo:
 	./scripts/demo.sh
 
+# A deployment to try things on, until Ctrl-C.
+up:
+	./scripts/up.sh
+
 # All tests, as CI runs them.
 test:
 	go test -count=1 ./...
