--- a/io/operator/console.go
+++ b/io/operator/console.go
@@ -119,14 +119,15 @@
 	return c.Blob(http.StatusOK, "text/css; charset=utf-8", b)
 }
 
-// render answers a page. Its status is that of the refusal, if there is one.
+// render answers a page. After a change its status is that of the refusal, if
+// there is one; a page that is only shown says what it lacks.
 func (s *Server) render(c echo.Context, p page) error {
 	snap := s.control.Snapshot()
 	p.Entry, p.Revision = s.control.Status().ID, snap.Revision()
 	p.SignedIn = s.mayChange(c)
 	p.Known = knownNames(snap.Config)
 	code := http.StatusOK
-	if p.Refusal != nil {
+	if p.Refusal != nil && c.Request().Method == http.MethodPost {
 		code = status.HTTPStatusOf(p.Refusal.Err())
 	}
 	var b bytes.Buffer
--- a/scripts/up.sh
+++ b/scripts/up.sh
@@ -62,6 +62,10 @@
   sleep 0.2
 done
 [ -s "$run/apply.json" ] || { cat "$run/apply.log"; exit 1; }
+for _ in $(seq 100); do # until every cell has an owner
+  bin/rosemarygap jobs --entry $operator >/dev/null 2>&1 && break
+  sleep 0.2
+done
 for i in 0 1 2; do
   echo "console http://127.0.0.1:$((base + 20 + i))/"
   echo "callers http://${entries[$i]}/services/$service/"
