--- a/core/event/catalogue_test.go
+++ b/core/event/catalogue_test.go
@@ -13,6 +13,7 @@
 	"rosemarygap/core/event"
 	"rosemarygap/io/golden"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 )
 
@@ -22,6 +23,16 @@
 	golden.Check(t, root+"/docs/EVENTS.md", event.Page())
 }
 
+// TestGoldenAlerts also refuses an alert that tells people on call nothing to do.
+func TestGoldenAlerts(t *testing.T) {
+	golden.Check(t, root+"/docs/ALERTS.md", event.AlertsPage())
+	for _, e := range event.Catalogue() {
+		if e.Level >= hclog.Warn && e.Action == "None." {
+			t.Errorf("event %d is an alert without an action", e.Number)
+		}
+	}
+}
+
 func TestNumbersAndNamesAreUnique(t *testing.T) {
 	is := is.New(t)
 	numbers, names := map[event.Number]bool{}, map[string]bool{}
--- a/io/commandline/jobs.go
+++ b/io/commandline/jobs.go
@@ -73,15 +73,30 @@
 	}
 }
 
-// CancelCommand cancels a job.
+// CancelCommand cancels jobs.
 type CancelCommand struct {
 	Target
-	ID string `arg:"positional,required" help:"id of the job"`
+	IDs []string `arg:"positional,required" help:"ids of the jobs"`
 }
 
-// Run returns when the cancellation is durable.
+// Run returns when the cancellations are durable. A job that can't be
+// cancelled does not hold up the others; the last such error is returned, and
+// those before it are written to the standard error.
 func (c *CancelCommand) Run(io.Writer) error {
-	return c.call(http.MethodDelete, "/api/jobs/"+url.PathEscape(c.ID), nil, nil)
+	var failed error
+	for i, id := range c.IDs {
+		err := c.call(http.MethodDelete, "/api/jobs/"+url.PathEscape(id), nil, nil)
+		if err != nil {
+			if failed != nil {
+				reportError(os.Stderr, failed)
+			}
+			failed = status.At(err, "job", id)
+		}
+		if len(c.IDs) > 1 {
+			progress("job=%s done=%d of=%d", id, i+1, len(c.IDs))
+		}
+	}
+	return failed
 }
 
 // JobsCommand lists jobs.
--- /dev/null
+++ b/io/commandline/metrics_test.go
@@ -0,0 +1,58 @@
+package commandline
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+var metricName = regexp.MustCompile("[\"`](rosemarygap_[a-z_]+)")
+
+// TestMetricsPage compares docs/METRICS.md with the metrics in the code, in
+// both directions.
+func TestMetricsPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/METRICS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listed := metricNames(string(page))
+	used := map[string]bool{}
+	err = filepath.WalkDir("../..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") ||
+			strings.Contains(path, "/standin/") {
+			return err
+		}
+		b, err := os.ReadFile(path)
+		for name := range metricNames(string(b)) {
+			used[name] = true
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(used) == 0 {
+		t.Fatal("no metric found in the code")
+	}
+	for name := range used {
+		if !listed[name] {
+			t.Errorf("docs/METRICS.md lacks %s", name)
+		}
+	}
+	for name := range listed {
+		if !used[name] {
+			t.Errorf("docs/METRICS.md lists %s, which the code lacks", name)
+		}
+	}
+}
+
+func metricNames(text string) map[string]bool {
+	out := map[string]bool{}
+	for _, m := range metricName.FindAllStringSubmatch(text, -1) {
+		out[m[1]] = true
+	}
+	return out
+}
--- a/io/commandline/options.go
+++ b/io/commandline/options.go
@@ -106,8 +106,10 @@
 
 // Check implements Command.
 func (c *CancelCommand) Check() error {
-	if c.ID == "" || len(c.ID) > maxJobID {
-		return badSetting("ID", c.ID)
+	for _, id := range c.IDs {
+		if id == "" || len(id) > maxJobID {
+			return badSetting("IDS", id)
+		}
 	}
 	return c.Target.Check()
 }
--- a/io/commandline/show.go
+++ b/io/commandline/show.go
@@ -42,11 +42,39 @@
 	return out.table(w)
 }
 
+// table prints the entries and, below them, the configuration in force at the
+// entry that was asked.
 func (s *Shown) table(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "ENTRY\tZONE\tREVISION\tREADY\tCELLS\tCODE")
 	for _, e := range s.Entries {
 		fmt.Fprintf(t, "%s\t%s\t%d\t%t\t%v\t%s\n", e.ID, e.Zone, e.Revision, e.Ready, e.Cells, e.Code)
 	}
+	if s.Config != nil {
+		documentTable(t, &s.Config.Document)
+	}
 	return errors.Wrap(t.Flush(), "write output")
 }
+
+func documentTable(t io.Writer, d *operator.Document) {
+	fmt.Fprintln(t, "\nSERVICE\tLATENCY-TARGET\tDEADLINE\tQUEUE-LIMIT\tMAX-BODY-BYTES")
+	for _, s := range d.Services {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\n", s.Name, s.LatencyTarget.Std(), s.Deadline.Std(), s.QueueLimit, s.MaxBody)
+	}
+	fmt.Fprintln(t, "\nTEAM\tPROCESSORS-MILLI\tMEMORY-MIB\tACCELERATORS")
+	for _, m := range d.Teams {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\n", m.Name, m.Quota.Processors, m.Quota.Memory, m.Quota.Accelerators)
+	}
+	fmt.Fprintln(t, "\nBATCH-CLASS\tURGENT")
+	for _, b := range d.Classes {
+		fmt.Fprintf(t, "%s\t%t\n", b.Name, b.Urgent)
+	}
+	fmt.Fprintln(t, "\nPLACEMENT-RULE\tBATCH-CLASS\tAVOID-SERVICE\tZONES")
+	for _, r := range d.Rules {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%v\n", r.Name, r.Class, r.AvoidService, r.Zones)
+	}
+	fmt.Fprintln(t, "\nDRAINING-WORKER")
+	for _, w := range d.Draining {
+		fmt.Fprintln(t, w)
+	}
+}
--- a/io/entry/config.go
+++ b/io/entry/config.go
@@ -10,6 +10,8 @@
 	"rosemarygap/core/status"
 	"rosemarygap/core/worker"
 	"rosemarygap/io/platform"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
 func (c *control) applyConfigEntry(e platform.Entry) {
@@ -56,6 +58,7 @@
 	}
 	c.config = a
 	c.dirty = true
+	metrics.GetOrCreateGauge("rosemarygap_config_revision", nil).Set(float64(a.Revision))
 	c.endpoints.SetTTL(a.Document.Timings.AnnouncementTTL.Std())
 	for _, run := range c.cells.All {
 		c.configureCell(run.cell)
--- a/io/operator/config.go
+++ b/io/operator/config.go
@@ -11,6 +11,7 @@
 	"rosemarygap/core/wire"
 	"rosemarygap/io/httpjson"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/labstack/echo/v4"
 )
 
@@ -48,8 +49,7 @@
 func (s *Server) putConfig(c echo.Context) error {
 	var m editMessage
 	if err := httpjson.Decode(c, &m); err != nil {
-		event.ConfigRefused.Emit(s.log, event.Reason(status.CodeOf(err)))
-		return httpjson.Fail(c, err)
+		return c.JSON(status.HTTPStatusOf(err), s.refusal(err))
 	}
 	accepted, refusal := s.change(c.Request().Context(), m)
 	if refusal != nil {
@@ -82,6 +82,7 @@
 		return nil, s.conflict(err, e, current)
 	}
 	event.ConfigAccepted.Emit(s.log, event.Revision(done.Revision))
+	metrics.GetOrCreateCounter(`rosemarygap_config_edits_total{result="accepted"}`).Inc()
 	if len(done.Recent) > 0 {
 		s.control.Adopt(ctx, done)
 	}
@@ -90,6 +91,7 @@
 
 func (s *Server) refusal(err error) *Refusal {
 	event.ConfigRefused.Emit(s.log, event.Reason(status.CodeOf(err)))
+	metrics.GetOrCreateCounter(`rosemarygap_config_edits_total{result="refused"}`).Inc()
 	return &Refusal{ErrorBody: wire.BodyOf(err)}
 }
 
