Refuse changes under foreign host names without a token; walk through an outage

A browser takes a page of a site whose name points to 127.0.0.1 for the console's own, so the cross-origin check alone does not protect an entry without a token. Such an entry now answers only under an IP number or localhost. Refused changes are event 5004.

--- a/core/event/operator.go
+++ b/core/event/operator.go
@@ -13,6 +13,10 @@
 		[]string{"revision", "reason"},
 		"A stored configuration fails the checks of this version and was not put in force.",
 		"Apply a document that this version accepts, or install the version that wrote it."}
+	AccessRefused = Event{5004, "access-refused", hclog.Warn,
+		[]string{"reason", "address"},
+		"A change was refused since it lacked the operator token or came from another site.",
+		"If it repeats, find out who sends from that address; replace the token if it leaked."}
 )
 
-var operatorEvents = []Event{ConfigAccepted, ConfigRefused, ConfigUnusable}
+var operatorEvents = []Event{ConfigAccepted, ConfigRefused, ConfigUnusable, AccessRefused}
--- a/io/operator/access.go
+++ b/io/operator/access.go
@@ -6,9 +6,12 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"encoding/json"
+	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 
+	"rosemarygap/core/event"
 	"rosemarygap/core/status"
 	"rosemarygap/core/wire"
 	"rosemarygap/io/httpjson"
@@ -53,12 +56,23 @@
 func (s *Server) authorized(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		if !s.mayChange(c) {
-			return httpjson.Fail(c, status.ErrUnauthorized)
+			return httpjson.Fail(c, s.unauthorized(c.Request()))
 		}
 		return next(c)
 	}
 }
 
+// unauthorized logs and returns the refusal of a change without the token.
+func (s *Server) unauthorized(q *http.Request) error {
+	s.noteRefused(q, status.ErrUnauthorized)
+	return status.ErrUnauthorized
+}
+
+func (s *Server) noteRefused(q *http.Request, err error) {
+	from, _ := netip.ParseAddrPort(q.RemoteAddr)
+	event.AccessRefused.Emit(s.log, event.Reason(status.CodeOf(err)), event.Address(from))
+}
+
 // contentPolicy admits nothing that the console does not serve itself.
 const contentPolicy = "default-src 'none'; style-src 'self'; form-action 'self'; frame-ancestors 'none'; base-uri 'none'"
 
@@ -75,12 +89,34 @@
 }
 
 // sameOrigin refuses changes that another site asks a browser for.
-func sameOrigin(next http.Handler) http.Handler {
+func (s *Server) sameOrigin(next http.Handler) http.Handler {
 	p := http.NewCrossOriginProtection()
-	p.SetDenyHandler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set(echo.HeaderContentType, echo.MIMEApplicationJSON)
-		w.WriteHeader(status.ErrCrossOrigin.HTTPStatus())
-		_ = json.NewEncoder(w).Encode(wire.BodyOf(status.ErrCrossOrigin))
-	}))
-	return p.Handler(next)
+	deny := http.HandlerFunc(s.denyOrigin)
+	p.SetDenyHandler(deny)
+	guarded := p.Handler(next)
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if s.token == "" && !byNumber(q.Host) {
+			deny(w, q)
+			return
+		}
+		guarded.ServeHTTP(w, q)
+	})
+}
+
+// byNumber reports whether a request names this host by its IP number, or as
+// localhost. Without a token any other name is refused: a site may let its
+// own name point here, and a browser then takes its pages for the console's.
+func byNumber(host string) bool {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	_, err := netip.ParseAddr(strings.Trim(host, "[]"))
+	return err == nil || host == "localhost"
+}
+
+func (s *Server) denyOrigin(w http.ResponseWriter, q *http.Request) {
+	s.noteRefused(q, status.ErrCrossOrigin)
+	w.Header().Set(echo.HeaderContentType, echo.MIMEApplicationJSON)
+	w.WriteHeader(status.ErrCrossOrigin.HTTPStatus())
+	_ = json.NewEncoder(w).Encode(wire.BodyOf(status.ErrCrossOrigin))
 }
--- a/io/operator/console_cancel.go
+++ b/io/operator/console_cancel.go
@@ -1,8 +1,6 @@
 package operator
 
 import (
-	"rosemarygap/core/status"
-
 	"github.com/labstack/echo/v4"
 )
 
@@ -10,7 +8,7 @@
 func (s *Server) postCancel(c echo.Context) error {
 	form := c.Request().PostForm
 	if !s.mayChange(c) {
-		return s.renderJobs(c, form, refused(status.ErrUnauthorized), "")
+		return s.renderJobs(c, form, refused(s.unauthorized(c.Request())), "")
 	}
 	if err := s.control.Cancel(c.Request().Context(), c.Param("id")); err != nil {
 		return s.renderJobs(c, form, refused(err), "")
--- a/io/operator/console_config.go
+++ b/io/operator/console_config.go
@@ -83,7 +83,7 @@
 // applyForm sends the form's document the way of every change.
 func (s *Server) applyForm(c echo.Context, form url.Values) error {
 	if !s.mayChange(c) {
-		return s.renderConfig(c, form, refused(status.ErrUnauthorized), "")
+		return s.renderConfig(c, form, refused(s.unauthorized(c.Request())), "")
 	}
 	rev, err := strconv.ParseInt(form.Get(fieldRevision), 10, 64)
 	if err != nil {
--- a/io/operator/console_drain.go
+++ b/io/operator/console_drain.go
@@ -1,15 +1,13 @@
 package operator
 
 import (
-	"rosemarygap/core/status"
-
 	"github.com/labstack/echo/v4"
 )
 
 // postDrain drains a worker, or admits batch work there again.
 func (s *Server) postDrain(c echo.Context) error {
 	if !s.mayChange(c) {
-		return s.renderWorkers(c, refused(status.ErrUnauthorized), "")
+		return s.renderWorkers(c, refused(s.unauthorized(c.Request())), "")
 	}
 	m := DrainMessage{Draining: c.FormValue("draining") == "true", ChangeID: c.FormValue(fieldChangeID)}
 	if _, refusal := s.drain(c.Request().Context(), c.Param("id"), m); refusal != nil {
--- a/io/operator/console_submit.go
+++ b/io/operator/console_submit.go
@@ -1,8 +1,6 @@
 package operator
 
 import (
-	"rosemarygap/core/status"
-
 	"github.com/labstack/echo/v4"
 )
 
@@ -10,7 +8,7 @@
 func (s *Server) postJob(c echo.Context) error {
 	form := c.Request().PostForm
 	if !s.mayChange(c) {
-		return s.renderJobs(c, form, refused(status.ErrUnauthorized), "")
+		return s.renderJobs(c, form, refused(s.unauthorized(c.Request())), "")
 	}
 	j, err := jobOf(form)
 	if err == nil {
--- a/io/operator/console_test.go
+++ b/io/operator/console_test.go
@@ -69,6 +69,7 @@
 	handler http.Handler
 	cookies []*http.Cookie
 	headers http.Header
+	host    string
 }
 
 // newBrowser returns a browser at a console whose configuration is the
@@ -83,12 +84,12 @@
 	if _, refusal := s.change(context.Background(), editMessage{0, "first", text}); refusal != nil {
 		t.Fatalf("%+v", refusal)
 	}
-	return &browser{t: t, handler: s.Handler(), headers: http.Header{}}, ctl
+	return &browser{t: t, handler: s.Handler(), headers: http.Header{}, host: "127.0.0.1:80"}, ctl
 }
 
 func (b *browser) do(method, path string, form url.Values) (int, string) {
 	b.t.Helper()
-	q := httptest.NewRequest(method, "http://console.example"+path, strings.NewReader(form.Encode()))
+	q := httptest.NewRequest(method, "http://"+b.host+path, strings.NewReader(form.Encode()))
 	q.Header = b.headers.Clone()
 	q.Header.Set("Content-Type", "application/x-www-form-urlencoded")
 	for _, c := range b.cookies {
@@ -259,6 +260,19 @@
 	is.Equal(ctl.config.Document.Draining, []string{"worker-1"})
 }
 
+// Without a token, a site whose name points to this host can't act on it.
+func TestConsoleRefusesForeignNames(t *testing.T) {
+	is := is.New(t)
+	b, ctl := newBrowser(t, "")
+	for host, want := range map[string]int{"site.example:80": http.StatusForbidden,
+		"127.0.0.1:80": http.StatusOK, "[::1]:80": http.StatusOK, "localhost:80": http.StatusOK} {
+		b.host = host
+		code, _ := b.do("POST", "/jobs/build-1/cancel", url.Values{})
+		is.Equal(code, want) // host
+	}
+	is.Equal(len(ctl.cancelled), 3)
+}
+
 // Every page can be used by keyboard, screen reader and phone: each field has
 // a label, each id is unique, each plot says its figures, nothing needs a
 // script.
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -82,5 +82,5 @@
 	e.POST("/api/jobs", s.submitJob, s.authorized)
 	e.DELETE("/api/jobs/:id", s.cancelJob, s.authorized)
 	s.addConsole(e)
-	return sameOrigin(e)
+	return s.sameOrigin(e)
 }
--- a/io/standin/deployment/walk_test.go
+++ b/io/standin/deployment/walk_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/cookiejar"
+	"net/netip"
 	"net/url"
 	"os"
 	"os/exec"
@@ -29,6 +30,9 @@
 	root      = "../../.."
 	walkToken = "walk-token"
 	readyLine = "ready operator="
+	// operatorOffset is from the store's port to the first operator port.
+	operatorOffset = 20
+	outage         = 1500 * time.Millisecond
 )
 
 // walk follows docs/OPERATING.md with a command line and a
@@ -84,7 +88,9 @@
 	c.Env = append(os.Environ(), "ROSEMARYGAP_ENTRY="+w.operator, "ROSEMARYGAP_OPERATOR_TOKEN="+walkToken)
 	var o, e bytes.Buffer
 	c.Stdout, c.Stderr = &o, &e
+	began := time.Now()
 	_ = c.Run()
+	w.t.Logf("%v: exit %d after %v", args, c.ProcessState.ExitCode(), time.Since(began).Round(time.Millisecond))
 	return c.ProcessState.ExitCode(), o.String(), e.String()
 }
 
@@ -196,6 +202,7 @@
 	is.Equal(refusal.Differences, []operator.Difference{
 		{Path: "teams[press].quota.memory-mib", Current: "300000", Edited: "200000"}})
 
+	w.applyInOutage(is, file)
 	w.drainWorker(is)
 
 	// Ctrl-C.
@@ -204,6 +211,35 @@
 	is.True(strings.HasSuffix(w.output(), "stopped\n"))
 }
 
+// applyInOutage applies a document while the store is down for a while: the
+// command asks again with the same change id, and the change takes effect once.
+func (w *walk) applyInOutage(is *is.I, file string) {
+	w.t.Helper()
+	before := w.config().Revision
+	w.fault(`{"down":true}`)
+	back := time.AfterFunc(outage, func() { w.fault(`{"down":false}`) })
+	defer back.Stop()
+	code, _, errs := w.run("apply", file, "--change-id", "in-outage")
+	is.Equal(code, process.ExitOK) // apply in an outage
+	is.True(strings.Contains(errs, "progress code=store-unavailable change-id=in-outage"))
+	w.must("apply", file, "--change-id", "in-outage", "--revision", fmt.Sprint(before))
+	is.Equal(w.config().Revision, before+1)
+}
+
+// fault sets the switches of the store's stand-in.
+func (w *walk) fault(switches string) {
+	at, err := netip.ParseAddrPort(w.operator)
+	if err == nil {
+		store := netip.AddrPortFrom(at.Addr(), at.Port()-operatorOffset)
+		c := exec.Command("bin/rosemarygap-standin", "fault", "--at", store.String(), switches)
+		c.Dir = root
+		err = c.Run()
+	}
+	if err != nil {
+		w.t.Errorf("fault: %v", err)
+	}
+}
+
 // drainWorker submits a job, drains the worker on which it runs, and waits
 // until nothing runs there; the job finishes all the same.
 func (w *walk) drainWorker(is *is.I) {
