--- a/io/commandline/show.go
+++ b/io/commandline/show.go
@@ -15,7 +15,8 @@
 // ShowCommand shows the state of the system.
 type ShowCommand struct {
 	Target
-	JSON bool `arg:"--json,env:ROSEMARYGAP_JSON" help:"print JSON instead of a table"`
+	JSON     bool `arg:"--json,env:ROSEMARYGAP_JSON" help:"print JSON instead of a table"`
+	Document bool `arg:"--document" help:"print the document alone, for an edit"`
 }
 
 // Shown is the JSON output of show.
@@ -33,6 +34,12 @@
 	} else if !errors.Is(err, status.ErrNoConfiguration) {
 		return err
 	}
+	if c.Document {
+		if err != nil {
+			return err
+		}
+		return printJSON(w, a.Document)
+	}
 	if err := c.get("/api/status", &out.Entries); err != nil {
 		return err
 	}
--- a/io/standin/deployment/walk_test.go
+++ b/io/standin/deployment/walk_test.go
@@ -178,7 +178,8 @@
 	is.Equal(first.Document.Teams[0].Quota.Memory, int64(400000))
 
 	// Change it by the command line.
-	edited := first.Document
+	var edited operator.Document
+	is.NoErr(json.Unmarshal([]byte(w.must("show", "--document")), &edited))
 	edited.Teams[0].Quota.Memory = 300000
 	file := w.write("config.json", edited)
 	w.must("check", file)
