--- a/core/event/fields.go
+++ b/core/event/fields.go
@@ -57,3 +57,6 @@
 
 // Count gives a number of items.
 func Count(n int) Field { return Field{"count", n} }
+
+// Level counts the probations of a worker in a row.
+func Level(n int) Field { return Field{"level", n} }
--- a/core/event/worker.go
+++ b/core/event/worker.go
@@ -25,7 +25,16 @@
 		"Check whether its VM failed."}
 	JobCancelled = Event{3007, "job-cancelled", hclog.Info,
 		[]string{"job", "cell"}, "A cancellation is durable.", "None."}
+	JobParked = Event{3008, "job-parked", hclog.Warn,
+		[]string{"job", "cell", "reason"}, "A job waits because it cannot run.",
+		"See its limit or failed-on: cancel it, or add a worker that it fits on."}
+	JobUnparked = Event{3009, "job-unparked", hclog.Info,
+		[]string{"job", "cell"}, "A worker appeared that a parked job fits on.", "None."}
+	WorkerOnProbation = Event{3010, "worker-on-probation", hclog.Warn,
+		[]string{"worker", "cell", "level"},
+		"A worker failed several jobs in a row and gets no task for a while.",
+		"If the level rises, replace that worker."}
 )
 
 var workerEvents = []Event{JobAccepted, TaskPlaced, TaskFinished,
-	TaskInterrupted, WorkerAdded, WorkerLost, JobCancelled}
+	TaskInterrupted, WorkerAdded, WorkerLost, JobCancelled, JobParked, JobUnparked, WorkerOnProbation}
--- a/core/platform/platform.go
+++ b/core/platform/platform.go
@@ -48,21 +48,20 @@
 
 // LogSlots is the number of keys that hold the journal of a cell. Entry seq
 // stands in slot seq modulo LogSlots until a snapshot covers it.
-const LogSlots = 128
+const LogSlots = 256
 
 // LogKey returns the key of one slot of a cell's journal.
 func LogKey(cell int, slot int64) string {
 	return fmt.Sprintf("cells/%d/log/%03d", cell, slot)
 }
 
-// LogPrefix returns the prefix of a cell's journal entries.
-func LogPrefix(cell int) string { return fmt.Sprintf("cells/%d/log/", cell) }
-
 // Owner is the value of an owner key.
 type Owner struct {
-	Entry   string `json:"entry"`
-	Epoch   int64  `json:"epoch"`
-	Address string `json:"address"`
+	Entry string `json:"entry"`
+	// Instance tells two processes with the same name apart.
+	Instance string `json:"instance"`
+	Epoch    int64  `json:"epoch"`
+	Address  string `json:"address"`
 }
 
 // Batch is one journal entry: all decisions of one tick.
@@ -74,9 +73,27 @@
 	Records []R    `json:"records"`
 }
 
-// Snapshot is the state of a cell after the journal entry Seq.
+// Sizes of values, in bytes. The service takes values of up to a megabyte.
+const (
+	// MaxValue bounds every value that is written.
+	MaxValue = 1_000_000
+	// MaxRecords bounds the records of one batch, and the rows of one part
+	// of a snapshot, in their JSON form.
+	MaxRecords = 800_000
+)
+
+// PartKey returns the key of one further part of the snapshot at seq by the
+// owner with the given epoch. No other snapshot has parts of the same name.
+func PartKey(cell int, epoch, seq int64, part int) string {
+	return fmt.Sprintf("cells/%d/snapshot/%d-%d/%03d", cell, epoch, seq, part)
+}
+
+// Snapshot is the state of a cell after the journal entry Seq, or its first
+// part.
 type Snapshot[S any] struct {
 	Seq   int64 `json:"seq"`
 	Epoch int64 `json:"epoch"`
 	State S     `json:"state"`
+	// More names the keys of the further parts.
+	More []string `json:"more,omitempty"`
 }
--- a/core/worker/cell.go
+++ b/core/worker/cell.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"encoding/json"
 	"net/netip"
 	"slices"
 	"strings"
@@ -8,6 +9,7 @@
 
 	"rosemarygap/core/status"
 	"rosemarygap/core/table"
+	"rosemarygap/core/wire"
 )
 
 // Timings are the periods of a cell's leases.
@@ -18,22 +20,22 @@
 	Hold time.Duration
 }
 
-// driftDivisor gives the share of an interval by which clocks may differ: 1%.
-const driftDivisor = 100
-
-// maxFailures parks a job that failed this often.
-const maxFailures = 5
+// driftDivisor gives the share of an interval by which two clocks may differ,
+// each of which runs up to 1% fast or slow: 1.01/0.99 is less than 1 + 1/48.
+const driftDivisor = 48
 
 // drift returns d lengthened by the allowed difference of clocks.
-func drift(d time.Duration) time.Duration { return d + d/driftDivisor*2 }
+func drift(d time.Duration) time.Duration { return d + d/driftDivisor }
 
 // workerRow is a worker VM as the owner knows it.
 type workerRow struct {
 	id, zone, rack string
 	address        netip.AddrPort
-	capacity       Resources
-	used           Resources
-	tasks          map[string]bool
+	// vm is where the newest report came from.
+	vm       netip.Addr
+	capacity Resources
+	used     Resources
+	tasks    map[string]bool
 
 	// report is the newest report in this epoch; received is its arrival.
 	report   *Report
@@ -44,9 +46,13 @@
 	candidate Stamp
 	// bound is when every lease of the worker has certainly ended.
 	bound time.Time
-	seq   int64
-	sent  time.Time
-	lost  bool
+	// priorBound is when every lease of earlier incarnations on other VMs
+	// has certainly ended.
+	priorBound time.Time
+	seq        int64
+	sent       time.Time
+	lost       bool
+	health     Health
 }
 
 func newWorkerRow(id string) workerRow {
@@ -62,8 +68,20 @@
 	workers  *table.Table[string, workerRow]
 	incoming []Record
 	pending  map[string]*Job
+	// ending holds the jobs whose attempt is about to be recorded as ended.
+	ending map[string]bool
+	// drained names the workers that operators drain; draining also has
+	// those that are on probation at the time of the plan.
+	drained  []string
 	draining map[string]bool
 	classes  map[string]bool
+	// wait is the durable wait of a successor for unreachable workers.
+	wait time.Duration
+	// target are the configured periods; timings those that are covered by
+	// wait. lowerAt is when wait may be lowered to target.
+	target  Timings
+	lowerAt time.Time
+	opened  time.Time
 	// lastVerified is the owner's time of the latest proof of ownership.
 	lastVerified time.Time
 	// earliest is when leases granted by earlier owners have certainly ended.
@@ -75,28 +93,43 @@
 	return &Cell{
 		id:      id,
 		timings: t,
+		target:  t,
 		jobs:    table.New[string, JobRow](),
 		workers: table.New[string, workerRow](),
 		pending: make(map[string]*Job),
+		ending:  make(map[string]bool),
 	}
 }
 
 // Saved is the durable part of a cell.
 type Saved struct {
-	Jobs []JobRow `json:"jobs"`
+	Jobs    []JobRow      `json:"jobs,omitempty"`
+	Workers []Health      `json:"workers,omitempty"`
+	Wait    wire.Duration `json:"wait,omitzero"`
 }
 
 // Save returns the durable part of the cell.
 func (c *Cell) Save() Saved {
-	s := Saved{Jobs: make([]JobRow, 0, c.jobs.Len())}
+	s := Saved{Jobs: make([]JobRow, 0, c.jobs.Len()), Wait: wire.Duration(c.wait)}
 	for _, j := range c.jobs.All {
 		s.Jobs = append(s.Jobs, *j)
 	}
+	for _, w := range c.workers.All {
+		if h := w.health; h.Proven || len(h.Failed) > 0 {
+			h.Worker = w.id
+			h.Failed = slices.Clone(h.Failed)
+			s.Workers = append(s.Workers, h)
+		}
+	}
 	return s
 }
 
-// Load replaces the cell's jobs by a saved state.
+// Load adds a saved state, or a part of one, to the cell.
 func (c *Cell) Load(s Saved) {
+	c.wait = max(c.wait, s.Wait.Std())
+	for _, h := range s.Workers {
+		c.worker(h.Worker).health = h
+	}
 	for _, j := range s.Jobs {
 		row := c.jobs.Put(j.ID, j)
 		if row.State == Running {
@@ -105,43 +138,67 @@
 	}
 }
 
-// Open starts an ownership with the given epoch. Workers that earlier owners
-// may have granted leases to are waited for from now.
+// worker returns the row of a worker, which may be new.
+func (c *Cell) worker(id string) *workerRow {
+	w := c.workers.Get(id)
+	if w == nil {
+		w = c.workers.Put(id, newWorkerRow(id))
+		w.bound = c.earliest
+		w.priorBound = c.earliest
+	}
+	return w
+}
+
+// OpenRecord returns the record that opens an epoch on the loaded state.
+func (c *Cell) OpenRecord(now time.Time) Record {
+	return Record{Kind: KindOpened, At: now, Wait: wire.Duration(max(c.wait, c.target.wait()))}
+}
+
+// Open starts an ownership with the given epoch, after the state and the
+// opening record were applied. Workers that earlier owners may have granted
+// leases to are waited for from now.
 func (c *Cell) Open(epoch int64, now time.Time) {
 	c.epoch = epoch
+	c.opened = now
+	c.timings = c.target
 	c.lastVerified = now
-	c.earliest = now.Add(drift(c.timings.Hold + c.timings.Grant))
+	c.earliest = now.Add(drift(c.wait))
+	c.lowerAt = c.earliest
 	for _, w := range c.workers.All {
 		w.bound = c.earliest
+		w.priorBound = c.earliest
 	}
 }
 
 // Epoch returns the epoch of this ownership.
 func (c *Cell) Epoch() int64 { return c.epoch }
 
-// SetTimings changes the periods of later leases. A grant that was already
-// given keeps its bound.
-func (c *Cell) SetTimings(t Timings) { c.timings = t }
+// wait returns how long a new owner waits for leases with these periods.
+func (t Timings) wait() time.Duration { return t.Hold + t.Grant }
+
+// SetTimings changes the periods of later leases. Longer ones count once
+// their wait is durable.
+func (c *Cell) SetTimings(t Timings, now time.Time) {
+	if t == c.target {
+		return
+	}
+	c.target = t
+	c.lowerAt = now.Add(drift(c.wait))
+	if t.wait() <= c.wait {
+		c.timings = t
+	}
+}
 
 // SetClasses tells which batch classes are urgent.
 func (c *Cell) SetClasses(urgent map[string]bool) { c.classes = urgent }
 
 // SetDraining names the workers that receive no further task.
-func (c *Cell) SetDraining(ids []string) {
-	c.draining = make(map[string]bool, len(ids))
-	for _, id := range ids {
-		c.draining[id] = true
-	}
-}
+func (c *Cell) SetDraining(ids []string) { c.drained = ids }
 
 // Announce takes in the address of a worker and reports whether it is new.
 func (c *Cell) Announce(id, zone, rack string, a netip.AddrPort) bool {
-	w := c.workers.Get(id)
-	isNew := w == nil || !w.address.IsValid()
-	if w == nil {
-		w = c.workers.Put(id, newWorkerRow(id))
-		w.bound = c.earliest
-	}
+	w := c.worker(id)
+	isNew := !w.address.IsValid()
 	w.zone, w.rack, w.address = zone, rack, a
 	return isNew
 }
@@ -170,10 +227,10 @@
 // already ended or its cancellation is durable.
 func (c *Cell) Cancel(id string, now time.Time) (durable bool, err error) {
 	j := c.jobs.Get(id)
-	if j == nil {
+	switch {
+	case j == nil && c.pending[id] == nil:
 		return false, status.At(status.ErrUnknownJob, "id", id)
-	}
-	if j.Cancelling || j.State.Final() {
+	case j != nil && (j.Cancelling || j.State.Final()):
 		return true, nil
 	}
 	c.incoming = append(c.incoming, Record{Kind: KindCancelling, At: now, ID: id})
@@ -181,19 +238,20 @@
 }
 
 // Final reports whether a job in state s never runs again.
-func (s State) Final() bool {
-	return s == Finished || s == Cancelled || s == Parked
-}
+func (s State) Final() bool { return s == Finished || s == Cancelled }
 
-// Committed applies records that are now durable.
-func (c *Cell) Committed(rs []Record, now time.Time) {
+// Committed applies records that are now durable. It proves no ownership:
+// only VerifyEnd does, which knows when the proof was sought.
+func (c *Cell) Committed(rs []Record) {
 	for _, r := range rs {
 		c.Apply(r)
 		if r.Kind == KindSubmitted {
 			delete(c.pending, r.Job.ID)
 		}
 	}
-	c.lastVerified = now
+	if c.target.wait() <= c.wait {
+		c.timings = c.target
+	}
 }
 
 // Jobs returns the rows of all jobs, sorted by id.
@@ -202,3 +260,30 @@
 	slices.SortFunc(out, func(a, b JobRow) int { return strings.Compare(a.ID, b.ID) })
 	return out
 }
+
+// Split divides a saved state into parts whose JSON form has about limit
+// bytes at most. Load adds them up again.
+func (s Saved) Split(limit int) []Saved {
+	parts := []Saved{{Workers: s.Workers, Wait: s.Wait}}
+	size := jsonSize(parts[0])
+	for _, j := range s.Jobs {
+		n := jsonSize(j)
+		if size+n > limit {
+			parts = append(parts, Saved{})
+			size = 0
+		}
+		size += n + 1
+		last := &parts[len(parts)-1]
+		last.Jobs = append(last.Jobs, j)
+	}
+	return parts
+}
+
+// jsonSize returns the length of v's JSON form; 0 if it has none.
+func jsonSize(v any) int {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return 0
+	}
+	return len(b)
+}
--- a/core/worker/lease.go
+++ b/core/worker/lease.go
@@ -14,7 +14,7 @@
 // Commands returns the lease messages that are due at now, but none to the
 // workers in busy, which have not answered the last one yet.
 func (c *Cell) Commands(now time.Time, busy map[string]bool) []Command {
-	if now.Sub(c.lastVerified) > c.timings.Hold {
+	if elapsed(c.lastVerified, now) > c.timings.Hold {
 		return nil
 	}
 	var out []Command
@@ -27,6 +27,13 @@
 	return out
 }
 
+// elapsed returns the time from a to b by the monotonic or the wall clock,
+// whichever went further: the monotonic one may stand still while a VM is
+// paused.
+func elapsed(a, b time.Time) time.Duration {
+	return max(b.Sub(a), b.Round(0).Sub(a.Round(0)))
+}
+
 func (c *Cell) due(w *workerRow, now time.Time) bool {
 	if c.unsettled(w) {
 		return true
@@ -61,20 +68,29 @@
 		Grant: wire.Duration(c.timings.Grant),
 		Tasks: c.desired(w),
 	}
-	if w.report != nil {
+	if w.extendable() {
 		l.Echo = w.report.Stamp
-		l.HoldUntil = c.holdUntil(w)
+		l.HoldUntil = w.verified.Time + wire.Duration(c.timings.Hold)
 		w.extend(w.received.Add(drift(c.timings.Grant)))
 	}
 	return Command{Worker: w.id, Address: w.address, Lease: l, Sent: now}
 }
 
-// holdUntil gives the end of the outage hold in the worker's own time.
-func (c *Cell) holdUntil(w *workerRow) wire.Duration {
-	if w.verified.Incarnation != w.report.Stamp.Incarnation {
-		return w.report.Stamp.Time + wire.Duration(c.timings.Grant)
+// extendable reports whether ownership was proved after the worker's present
+// incarnation had reported. Before, the end of the outage hold cannot be told
+// in the worker's time, and a message must extend nothing.
+func (w *workerRow) extendable() bool {
+	return w.report != nil && w.verified.Incarnation == w.report.Stamp.Incarnation
+}
+
+// Unproved reports whether a worker waits for the next proof of ownership.
+func (c *Cell) Unproved() bool {
+	for _, w := range c.workers.All {
+		if w.report != nil && !w.extendable() {
+			return true
+		}
 	}
-	return w.verified.Time + wire.Duration(c.timings.Hold)
+	return false
 }
 
 func (w *workerRow) extend(t time.Time) {
@@ -89,7 +105,7 @@
 		j := c.jobs.Get(id)
 		d := Desired{Job: id, Attempt: j.Attempt, Need: j.Need, Payload: j.Payload,
 			Checkpoint: j.Checkpoint, Action: Run}
-		if j.Cancelling {
+		if !c.wanted(w, j) {
 			d.Action = Stop
 		}
 		out = append(out, d)
@@ -98,12 +114,22 @@
 	return out
 }
 
+// wanted reports whether the current attempt of j should run on w. One that
+// is about to be recorded as ended, or that an earlier incarnation got, must
+// not start late.
+func (c *Cell) wanted(w *workerRow, j *JobRow) bool {
+	if w.report != nil && w.report.Stamp.Incarnation != j.Incarnation {
+		return false
+	}
+	return !j.Cancelling && !c.ending[j.ID]
+}
+
 // Receive takes in a worker's answer to cmd at now and reports whether this
 // is the first one in this epoch. Late answers of earlier messages are
 // ignored.
 func (c *Cell) Receive(cmd Command, r *Report, now time.Time) bool {
 	w := c.workers.Get(cmd.Worker)
-	if w == nil || r.Epoch != c.epoch || cmd.Lease.Epoch != c.epoch {
+	if w == nil || r.Worker != w.id || r.Epoch != c.epoch || cmd.Lease.Epoch != c.epoch {
 		return false
 	}
 	if w.report != nil && !newerStamp(r.Stamp, w.report.Stamp) {
@@ -112,11 +138,14 @@
 	first := w.report == nil
 	if first || w.report.Stamp.Incarnation != r.Stamp.Incarnation {
 		// A confirmed contact ends the wait for grants of earlier owners:
-		// the worker itself says how long its lease lasts.
+		// the worker itself says how long its lease lasts. Earlier
+		// incarnations may still run on another VM.
+		w.priorBound = w.bound
 		w.bound = now.Add(drift(r.LeaseLeft.Std()))
 	}
 	w.report = r
 	w.received = now
+	w.vm = cmd.Address.Addr()
 	w.capacity = r.Capacity
 	w.lost = false
 	return first
--- a/core/worker/plan.go
+++ b/core/worker/plan.go
@@ -4,30 +4,42 @@
 	"slices"
 	"strings"
 	"time"
+
+	"rosemarygap/core/wire"
 )
 
 // Plan returns the records that this tick should make durable: what was
 // submitted and cancelled, what workers reported, and new placements. It
 // changes no job; Committed does that once the records are durable.
 func (c *Cell) Plan(now time.Time) []Record {
-	rs := c.incoming
+	rs := c.planTimings(c.incoming, now)
 	c.incoming = nil
 	touched := make(map[string]bool)
 	for _, r := range rs {
 		touched[r.ID] = true
 	}
 	rs = c.planEnded(rs, touched, now)
-	rs = c.planCancelled(rs, touched, now)
-	return c.planStarts(rs, touched, now)
+	rs = c.planIdle(rs, touched, now)
+	planned := len(rs)
+	rs = c.planRetries(rs, touched, now)
+	rs = c.planStarts(rs, touched, now)
+	for i := range rs[planned:] {
+		r := &rs[planned+i]
+		if r.Kind == KindStarted {
+			r.VM = c.workers.Get(r.Worker).vm
+		}
+	}
+	return rs
 }
 
-// Unplan takes back the records of a tick that are certainly not durable.
-func (c *Cell) Unplan(rs []Record) {
-	for _, r := range rs {
-		if r.Kind == KindSubmitted || r.Kind == KindCancelling {
-			c.incoming = append(c.incoming, r)
-		}
+// planTimings records a change of the wait of a successor: a longer one
+// before the first lease that needs it, a shorter one after the last.
+func (c *Cell) planTimings(rs []Record, now time.Time) []Record {
+	w := c.target.wait()
+	if w > c.wait || w < c.wait && now.After(c.lowerAt) {
+		rs = append(rs, Record{Kind: KindTimings, At: now, Wait: wire.Duration(w)})
 	}
+	return rs
 }
 
 // planEnded records the attempts that have certainly ended on their worker.
@@ -39,6 +51,7 @@
 			r, ended := c.ended(j, w, now)
 			if ended && !touched[id] {
 				touched[id] = true
+				c.ending[id] = true
 				rs = append(rs, r)
 			}
 		}
@@ -63,19 +76,24 @@
 func (c *Cell) ended(j *JobRow, w *workerRow, now time.Time) (Record, bool) {
 	r := Record{At: now, ID: j.ID, Attempt: j.Attempt, Worker: w.id}
 	if w.report != nil && w.report.Stamp.Incarnation != j.Incarnation {
+		// A VM runs one incarnation at a time; another VM with the same
+		// name tells nothing about the earlier one.
+		if w.vm != j.VM && !now.After(w.priorBound) {
+			return r, false
+		}
 		r.Kind, r.Reason = KindInterrupted, ReasonRestarted
-		return r, true
+		return cancelled(r, j), true
 	}
 	t := w.report.task(j.ID, j.Attempt)
 	if t != nil && t.State != TaskRunning {
-		return endedAs(r, t), true
+		return cancelled(endedAs(r, t), j), true
 	}
 	if w.lost {
 		r.Kind, r.Reason = KindInterrupted, ReasonLeaseLapsed
 		if t != nil {
 			r.Checkpoint = t.Checkpoint
 		}
-		return r, true
+		return cancelled(r, j), true
 	}
 	return r, false
 }
@@ -95,6 +113,14 @@
 	return r
 }
 
+// cancelled makes r end the job if it is being cancelled and has not finished.
+func cancelled(r Record, j *JobRow) Record {
+	if j.Cancelling && r.Kind != KindFinished {
+		r.Kind, r.Reason = KindCancelled, ""
+	}
+	return r
+}
+
 // task returns the report of an attempt, or nil. A nil report has none.
 func (r *Report) task(job string, attempt int) *TaskReport {
 	if r == nil {
@@ -108,23 +134,6 @@
 	return nil
 }
 
-// planCancelled ends cancelled jobs that hold no room.
-func (c *Cell) planCancelled(rs []Record, touched map[string]bool, now time.Time) []Record {
-	for id, j := range c.jobs.All {
-		if touched[id] || j.State != Queued {
-			continue
-		}
-		if j.Cancelling {
-			touched[id] = true
-			rs = append(rs, Record{Kind: KindCancelled, At: now, ID: id})
-		} else if j.Failures >= maxFailures {
-			touched[id] = true
-			rs = append(rs, Record{Kind: KindParked, At: now, ID: id, Reason: ReasonTooMany})
-		}
-	}
-	return rs
-}
-
 // planStarts places queued jobs, urgent ones first, then by submission.
 func (c *Cell) planStarts(rs []Record, touched map[string]bool, now time.Time) []Record {
 	free := c.freeRoom(now)
--- a/core/worker/record.go
+++ b/core/worker/record.go
@@ -1,9 +1,11 @@
 package worker
 
 import (
+	"net/netip"
 	"time"
 
 	"rosemarygap/core/status"
+	"rosemarygap/core/wire"
 )
 
 // Kind is the kind of a journal record.
@@ -11,7 +13,7 @@
 
 // Kinds of journal records.
 const (
-	// KindOpened opens an epoch; it changes no job.
+	// KindOpened opens an epoch and tells how long its successor waits.
 	KindOpened      Kind = "epoch-opened"
 	KindSubmitted   Kind = "submitted"
 	KindStarted     Kind = "started"
@@ -21,6 +23,11 @@
 	KindCancelling  Kind = "cancelling"
 	KindCancelled   Kind = "cancelled"
 	KindParked      Kind = "parked"
+	KindUnparked    Kind = "unparked"
+	// KindForgotten removes a job that ended long ago.
+	KindForgotten Kind = "forgotten"
+	// KindTimings changes how long a new owner has to wait.
+	KindTimings Kind = "timings"
 )
 
 // Record is one durable decision about one job.
@@ -32,8 +39,12 @@
 	Attempt     int         `json:"attempt,omitempty"`
 	Worker      string      `json:"worker,omitempty"`
 	Incarnation int64       `json:"incarnation,omitempty"`
+	VM          netip.Addr  `json:"vm,omitzero"`
 	Checkpoint  string      `json:"checkpoint,omitempty"`
 	Reason      status.Code `json:"reason,omitempty"`
+	// Wait is how long a new owner waits for a worker that it cannot reach.
+	Wait  wire.Duration `json:"wait,omitzero"`
+	Limit Resources     `json:"limit,omitzero"`
 }
 
 // Reasons of interruptions and parkings.
@@ -43,50 +54,64 @@
 	ReasonEvicted     status.Code = "evicted"
 	ReasonTaskFailed  status.Code = "task-failed"
 	ReasonTooMany     status.Code = "too-many-failures"
+	ReasonImpossible  status.Code = "impossible-job"
 )
 
 // Apply changes the tables by one durable record. It is the only writer of
-// job rows, so that a replay of the journal gives the same tables.
+// job rows, so that a replay of the journal gives the same tables. A record
+// of an attempt that is not the current one changes nothing.
 func (c *Cell) Apply(r Record) {
 	switch r.Kind {
+	case KindOpened, KindTimings:
+		c.wait = r.Wait.Std()
 	case KindSubmitted:
 		c.jobs.Put(r.Job.ID, JobRow{Job: *r.Job, State: Queued, Submitted: r.At})
+	case KindForgotten:
+		c.jobs.Delete(r.ID)
+	default:
+		if j := c.jobs.Get(r.ID); j != nil && !j.State.Final() {
+			c.applyTo(j, r)
+		}
+	}
+}
+
+func (c *Cell) applyTo(j *JobRow, r Record) {
+	if r.Attempt != 0 && r.Kind != KindStarted && (j.State != Running || r.Attempt != j.Attempt) {
+		return
+	}
+	switch r.Kind {
 	case KindStarted:
-		c.applyStarted(r)
+		c.applyStarted(j, r)
 	case KindFinished:
-		c.end(r, Finished)
+		c.succeeded(j)
+		c.end(j, r, Finished)
 	case KindCancelled:
-		c.end(r, Cancelled)
+		c.end(j, r, Cancelled)
 	case KindParked:
-		c.end(r, Parked)
+		j.Limit = r.Limit
+		c.end(j, r, Parked)
+	case KindUnparked:
+		j.State, j.Reason, j.Limit, j.Ended = Queued, "", Resources{}, time.Time{}
 	case KindInterrupted:
-		c.requeue(r, 0)
+		c.requeue(j, r)
 	case KindFailed:
-		c.requeue(r, 1)
+		c.failed(j, r)
+		c.requeue(j, r)
 	case KindCancelling:
-		if j := c.jobs.Get(r.ID); j != nil {
-			j.Cancelling = true
-		}
+		j.Cancelling = true
 	}
 }
 
-func (c *Cell) applyStarted(r Record) {
-	j := c.jobs.Get(r.ID)
-	if j == nil {
-		return
-	}
+func (c *Cell) applyStarted(j *JobRow, r Record) {
 	j.State = Running
 	j.Attempt = r.Attempt
 	j.Worker = r.Worker
 	j.Incarnation = r.Incarnation
+	j.VM = r.VM
 	c.reserve(j)
 }
 
-func (c *Cell) end(r Record, s State) {
-	j := c.jobs.Get(r.ID)
-	if j == nil {
-		return
-	}
+func (c *Cell) end(j *JobRow, r Record, s State) {
 	c.release(j)
 	j.State = s
 	j.Reason = r.Reason
@@ -94,15 +119,10 @@
 	j.Worker = ""
 }
 
-func (c *Cell) requeue(r Record, failures int) {
-	j := c.jobs.Get(r.ID)
-	if j == nil {
-		return
-	}
+func (c *Cell) requeue(j *JobRow, r Record) {
 	c.release(j)
 	j.State = Queued
 	j.Reason = r.Reason
-	j.Failures += failures
 	j.Worker = ""
 	if r.Reason == ReasonEvicted {
 		j.Evictions++
@@ -114,10 +134,7 @@
 
 // reserve adds the running job j to the room taken on its worker.
 func (c *Cell) reserve(j *JobRow) {
-	w := c.workers.Get(j.Worker)
-	if w == nil {
-		w = c.workers.Put(j.Worker, newWorkerRow(j.Worker))
-	}
+	w := c.worker(j.Worker)
 	w.tasks[j.ID] = true
 	w.used = w.used.Plus(j.Need)
 }
@@ -132,5 +149,6 @@
 		return
 	}
 	delete(w.tasks, j.ID)
+	delete(c.ending, j.ID)
 	w.used = w.used.Minus(j.Need)
 }
--- a/core/worker/types.go
+++ b/core/worker/types.go
@@ -25,6 +25,12 @@
 	Slots        int   `json:"slots"`
 }
 
+// Max returns the larger of r and o in each dimension.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{max(r.Processors, o.Processors), max(r.Memory, o.Memory),
+		max(r.Accelerators, o.Accelerators), max(r.Slots, o.Slots)}
+}
+
 // Plus returns r + o.
 func (r Resources) Plus(o Resources) Resources {
 	return Resources{r.Processors + o.Processors, r.Memory + o.Memory,
@@ -88,7 +94,8 @@
 // State is the state of a job.
 type State string
 
-// States of a job. Finished, Cancelled and Parked are final.
+// States of a job. Finished and Cancelled are final; a parked job waits for
+// its cancellation, or for a worker that it fits on.
 const (
 	Queued    State = "queued"
 	Running   State = "running"
@@ -106,14 +113,22 @@
 	// Worker and Incarnation name where the current attempt runs.
 	Worker      string `json:"worker,omitempty"`
 	Incarnation int64  `json:"incarnation,omitempty"`
+	// VM is the address of the VM of that incarnation.
+	VM netip.Addr `json:"vm,omitzero"`
 	// Checkpoint is where the next attempt resumes.
-	Checkpoint string      `json:"checkpoint,omitempty"`
-	Cancelling bool        `json:"cancelling,omitempty"`
-	Failures   int         `json:"failures,omitempty"`
-	Evictions  int         `json:"evictions,omitempty"`
-	Reason     status.Code `json:"reason,omitempty"`
-	Submitted  time.Time   `json:"submitted"`
-	Ended      time.Time   `json:"ended,omitzero"`
+	Checkpoint string `json:"checkpoint,omitempty"`
+	Cancelling bool   `json:"cancelling,omitempty"`
+	// Failures counts the attempts that failed; FailedOn names the workers.
+	Failures int      `json:"failures,omitempty"`
+	FailedOn []string `json:"failed-on,omitempty"`
+	// NotBefore delays the next attempt after a failure.
+	NotBefore time.Time `json:"not-before,omitzero"`
+	// Limit is the largest capacity seen, for a job that fits on no worker.
+	Limit     Resources   `json:"limit,omitzero"`
+	Evictions int         `json:"evictions,omitempty"`
+	Reason    status.Code `json:"reason,omitempty"`
+	Submitted time.Time   `json:"submitted"`
+	Ended     time.Time   `json:"ended,omitzero"`
 }
 
 // TaskState is the state of an attempt on a worker.
--- a/io/entry/cells.go
+++ b/io/entry/cells.go
@@ -7,15 +7,8 @@
 	"rosemarygap/core/event"
 	"rosemarygap/core/status"
 	"rosemarygap/core/worker"
-
-	"github.com/google/uuid"
-	"github.com/pkg/errors"
 )
 
-// appendRetry is the delay before a journal write of unknown outcome is tried
-// again.
-const appendRetry = 200 * time.Millisecond
-
 // appended is the result of a journal write.
 type appended struct {
 	run *cellRun
@@ -38,60 +31,49 @@
 
 func (c *control) tickCells(ctx context.Context, now time.Time) {
 	for _, run := range c.cells.All {
-		if !run.owned {
-			continue
-		}
-		c.tickJournal(ctx, run, now)
-		for _, cmd := range run.cell.Commands(now, run.sending) {
-			c.sendCommand(ctx, run, cmd)
+		if run.owned {
+			c.tickCell(ctx, run, now)
 		}
 	}
 }
 
-// tickJournal makes the decisions of this tick durable in one write.
-func (c *control) tickJournal(ctx context.Context, run *cellRun, now time.Time) {
-	if run.busy || c.stopping {
-		return
+func (c *control) tickCell(ctx context.Context, run *cellRun, now time.Time) {
+	if run.driver.Cell.Unproved() {
+		c.registration.dueBy(now)
 	}
-	if run.planned != nil {
-		c.append(ctx, run)
+	if run.driver.Busy() {
+		// The journal belongs to the write under way.
+		c.sendCommands(ctx, run, run.driver.Tick(now, worker.Ring{}).Commands)
 		return
 	}
-	if run.journal.SnapshotDue() {
-		c.snapshot(ctx, run)
-		return
-	}
-	rs := run.cell.Plan(now)
-	if len(rs) == 0 {
-		return
+	w := run.driver.Tick(now, worker.Ring{Due: run.journal.SnapshotDue(), Full: run.journal.Full()})
+	switch {
+	case w.Append != nil:
+		c.start(ctx, func(ctx context.Context) message {
+			return appended{run, run.journal.Append(ctx, *w.Append)}
+		})
+	case w.Snapshot != nil:
+		epoch := run.driver.Cell.Epoch()
+		c.start(ctx, func(ctx context.Context) message {
+			return snapshotted{run, run.journal.WriteSnapshot(ctx, epoch, *w.Snapshot)}
+		})
 	}
-	run.planned = rs
-	run.batch = batch{Epoch: run.cell.Epoch(), Owner: c.self.ID, Nonce: uuid.NewString(), Records: rs}
-	c.append(ctx, run)
+	c.sendCommands(ctx, run, w.Commands)
 }
 
-func (c *control) append(ctx context.Context, run *cellRun) {
-	run.busy = true
-	c.start(ctx, func(ctx context.Context) message {
-		err := run.journal.Append(ctx, run.batch)
-		if errors.Is(err, status.ErrStoreUnavailable) {
-			sleep(ctx, appendRetry)
-		}
-		return appended{run, err}
-	})
-}
-
-func (c *control) snapshot(ctx context.Context, run *cellRun) {
-	run.busy = true
-	state, epoch := run.cell.Save(), run.cell.Epoch()
-	c.start(ctx, func(ctx context.Context) message {
-		return snapshotted{run, run.journal.WriteSnapshot(ctx, epoch, state)}
-	})
+func (c *control) sendCommands(ctx context.Context, run *cellRun, cmds []worker.Command) {
+	for _, cmd := range cmds {
+		c.start(ctx, func(ctx context.Context) message {
+			r, err := c.workers.Send(ctx, cmd)
+			return answered{run, cmd, r, err}
+		})
+	}
 }
 
+// appending reports whether a journal write is under way.
 func (c *control) appending() bool {
 	for _, run := range c.cells.All {
-		if run.busy {
+		if run.owned && run.driver.Busy() {
 			return true
 		}
 	}
@@ -102,43 +84,30 @@
 func (c *control) current(run *cellRun) bool { return c.cells.Get(run.id) == run }
 
 func (m appended) handle(c *control, now time.Time) {
-	m.run.busy = false
 	c.noteStore(m.err, now)
 	if !c.current(m.run) {
 		return
 	}
-	switch {
-	case m.err == nil:
-		c.committed(m.run, now)
-	case errors.Is(m.err, status.ErrStoreConflict):
+	durable, deposed := m.run.driver.Appended(m.err)
+	if deposed {
 		c.stepDown(m.run, status.ErrNotOwner.Code())
+		return
+	}
+	c.logLost(m.run, durable)
+	for _, r := range durable {
+		c.logRecord(m.run, r)
+		if level, ok := m.run.driver.Cell.Probation(r); ok {
+			event.WorkerOnProbation.Emit(c.log, event.Worker(r.Worker),
+				event.Cell(m.run.id), event.Level(level))
+		}
 	}
 }
 
 func (m snapshotted) handle(c *control, now time.Time) {
-	m.run.busy = false
+	m.run.driver.Snapshotted(m.err)
 	c.noteStore(m.err, now)
 }
 
-// committed applies what is now durable and answers those who wait for it.
-func (c *control) committed(run *cellRun, now time.Time) {
-	rs := run.planned
-	run.planned = nil
-	run.cell.Committed(rs, now)
-	c.logLost(run, rs)
-	for _, r := range rs {
-		c.logRecord(run, r)
-		id := r.ID
-		if r.Job != nil {
-			id = r.Job.ID
-		}
-		for _, w := range run.waiting[id] {
-			w <- nil
-		}
-		delete(run.waiting, id)
-	}
-}
-
 // logLost logs each worker whose lease ended under tasks, once for a batch.
 func (c *control) logLost(run *cellRun, rs []worker.Record) {
 	logged := make(map[string]bool)
@@ -163,29 +132,18 @@
 	case worker.KindInterrupted, worker.KindFailed:
 		event.TaskInterrupted.Emit(c.log, event.Job(r.ID), event.Attempt(r.Attempt),
 			event.Worker(r.Worker), event.Cell(run.id), event.Reason(r.Reason))
+	case worker.KindParked:
+		event.JobParked.Emit(c.log, event.Job(r.ID), event.Cell(run.id), event.Reason(r.Reason))
+	case worker.KindUnparked:
+		event.JobUnparked.Emit(c.log, event.Job(r.ID), event.Cell(run.id))
 	case worker.KindCancelled:
 		event.JobCancelled.Emit(c.log, event.Job(r.ID), event.Cell(run.id))
 	}
 }
 
-func (c *control) sendCommand(ctx context.Context, run *cellRun, cmd worker.Command) {
-	run.sending[cmd.Worker] = true
-	c.start(ctx, func(ctx context.Context) message {
-		r, err := c.workers.Send(ctx, cmd)
-		return answered{run, cmd, r, err}
-	})
-}
-
 func (m answered) handle(c *control, now time.Time) {
-	delete(m.run.sending, m.cmd.Worker)
-	if !c.current(m.run) {
-		return
-	}
-	if errors.Is(m.err, status.ErrStaleEpoch) {
+	deposed := m.run.driver.Answered(m.cmd, m.report, m.err, now)
+	if deposed && c.current(m.run) {
 		c.stepDown(m.run, status.ErrStaleEpoch.Code())
-		return
-	}
-	if m.err == nil {
-		m.run.cell.Receive(m.cmd, m.report, now)
 	}
 }
--- a/io/entry/config.go
+++ b/io/entry/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"rosemarygap/core/event"
 	"rosemarygap/core/operator"
@@ -26,17 +27,16 @@
 	c.dirty = true
 	c.endpoints.SetTTL(a.Document.Timings.AnnouncementTTL.Std())
 	for _, run := range c.cells.All {
-		c.configureCell(run.cell)
+		if run.owned {
+			c.configureCell(run.driver.Cell, time.Now())
+		}
 	}
 	event.ConfigInForce.Emit(c.log, event.Revision(a.Revision))
 }
 
-func (c *control) configureCell(cell *worker.Cell) {
+func (c *control) configureCell(cell *worker.Cell, now time.Time) {
 	d := &c.config.Document
-	cell.SetTimings(worker.Timings{
-		Grant: d.Timings.LeaseGrant.Std(),
-		Hold:  d.Timings.OutageHold.Std(),
-	})
+	cell.SetTimings(c.timings(), now)
 	urgent := make(map[string]bool)
 	for _, b := range d.Classes {
 		urgent[b.Name] = b.Urgent
@@ -44,3 +44,9 @@
 	cell.SetClasses(urgent)
 	cell.SetDraining(d.Draining)
 }
+
+// timings returns the configured periods of leases.
+func (c *control) timings() worker.Timings {
+	t := &c.config.Document.Timings
+	return worker.Timings{Grant: t.LeaseGrant.Std(), Hold: t.OutageHold.Std()}
+}
--- a/io/entry/control.go
+++ b/io/entry/control.go
@@ -17,6 +17,7 @@
 	"rosemarygap/io/platform"
 	"rosemarygap/io/worker"
 
+	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 )
 
@@ -47,7 +48,9 @@
 	running   int
 	published atomic.Pointer[entry.Snapshot]
 
-	self      peer.Member
+	self peer.Member
+	// instance tells this process from an earlier one of the same name.
+	instance  string
 	config    *operator.Accepted
 	endpoints *endpoint.Membership
 	notices   *table.Table[string, heardWorker]
@@ -86,6 +89,7 @@
 		owners:    table.New[int, coreplatform.Owner](),
 		cells:     table.New[int, cellRun](),
 		known:     make(map[string]int64),
+		instance:  uuid.NewString(),
 		self: peer.Member{ID: o.ID, Zone: o.Zone, Address: o.PeerListen,
 			Operator: o.OperatorListen},
 	}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -49,7 +49,7 @@
 	}
 	e := &Entry{opts: o}
 	WithLog(os.Stderr)(e)
-	e.store = platform.NewClient(o.Platform)
+	e.store = platform.NewLimited(platform.NewClient(o.Platform))
 	e.client = endpoint.NewClient(connectionsPerEndpoint)
 	for _, f := range opts {
 		f(e)
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -116,10 +116,10 @@
 	}
 	cell := peer.CellOfWorker(n.ID, c.config.Document.Cells)
 	run := c.cells.Get(cell)
-	if run == nil {
+	if run == nil || !run.owned {
 		return
 	}
-	if run.cell.Announce(n.ID, n.Zone, n.Rack, n.Address) {
+	if run.driver.Cell.Announce(n.ID, n.Zone, n.Rack, n.Address) {
 		event.WorkerAdded.Emit(c.log, event.Worker(n.ID), event.Cell(cell), event.Address(n.Address))
 	}
 }
--- a/io/entry/jobs.go
+++ b/io/entry/jobs.go
@@ -59,12 +59,7 @@
 		m.reply <- err
 		return
 	}
-	durable, err := run.cell.Submit(m.job, now)
-	if err != nil || durable {
-		m.reply <- err
-		return
-	}
-	run.waiting[m.job.ID] = append(run.waiting[m.job.ID], m.reply)
+	run.driver.Submit(m.job, now, func(err error) { m.reply <- err })
 }
 
 func (m jobCancelled) handle(c *control, now time.Time) {
@@ -73,12 +68,7 @@
 		m.reply <- err
 		return
 	}
-	durable, err := run.cell.Cancel(m.id, now)
-	if err != nil || durable {
-		m.reply <- err
-		return
-	}
-	run.waiting[m.id] = append(run.waiting[m.id], m.reply)
+	run.driver.Cancel(m.id, now, func(err error) { m.reply <- err })
 }
 
 func (m jobsAsked) handle(c *control, _ time.Time) {
@@ -87,7 +77,7 @@
 		m.reply <- jobsAnswer{err: err}
 		return
 	}
-	m.reply <- jobsAnswer{rows: run.cell.Jobs()}
+	m.reply <- jobsAnswer{rows: run.driver.Cell.Jobs()}
 }
 
 // ask sends m and waits for its reply. The reply channel has room for one
--- a/io/entry/registration.go
+++ b/io/entry/registration.go
@@ -22,6 +22,17 @@
 	lease string
 	busy  bool
 	due   time.Time
+	done  time.Time
+}
+
+// proofGap is the least time between two proofs of ownership.
+const proofGap = 250 * time.Millisecond
+
+// dueBy makes the next step due at now, but not too soon after the last one.
+func (r *registration) dueBy(now time.Time) {
+	if now.Sub(r.done) >= proofGap && now.Before(r.due) && r.lease != "" {
+		r.due = now
+	}
 }
 
 // registered is the result of a step of the registration.
@@ -38,7 +49,9 @@
 	}
 	r.busy = true
 	for _, run := range c.cells.All {
-		run.cell.VerifyBegin()
+		if run.owned {
+			run.driver.Cell.VerifyBegin()
+		}
 	}
 	lease, self, ttl := r.lease, c.self, c.opts.LeaseTTL
 	c.start(ctx, func(ctx context.Context) message {
@@ -74,18 +87,33 @@
 func (m registered) handle(c *control, now time.Time) {
 	r := &c.registration
 	r.busy = false
+	r.done = now
 	r.due = now.Add(c.opts.LeaseTTL / keepAlivesPerTTL)
 	c.noteStore(m.err, now)
 	switch {
 	case m.err == nil:
 		r.lease = m.lease
-		for _, run := range c.cells.All {
-			run.cell.VerifyEnd(m.began)
-		}
+		c.verified(m)
 	case errors.Is(m.err, status.ErrLeaseExpired):
+		// The cells are claimed again under the next lease. Until then, or
+		// until another owner is heard of, their workers are renewed.
 		r.lease = ""
 		r.due = now
-		c.stepDownAll(status.ErrLeaseExpired.Code())
+	default:
+		r.due = now.Add(min(registerRetry, c.opts.LeaseTTL/keepAlivesPerTTL))
+	}
+}
+
+// registerRetry is the delay after a step without an answer.
+const registerRetry = 500 * time.Millisecond
+
+// verified tells the cells whose ownership is bound to the lease that it was
+// still held when the step began.
+func (c *control) verified(m registered) {
+	for _, run := range c.cells.All {
+		if run.owned && run.lease == m.lease {
+			run.driver.Cell.VerifyEnd(m.began)
+		}
 	}
 }
 
@@ -154,8 +182,13 @@
 		return
 	}
 	var o coreplatform.Owner
-	if json.Unmarshal(e.Value, &o) == nil {
-		c.owners.Put(cell, o)
+	if json.Unmarshal(e.Value, &o) != nil {
+		return
+	}
+	c.owners.Put(cell, o)
+	run := c.cells.Get(cell)
+	if run != nil && run.owned && o.Epoch > run.driver.Cell.Epoch() && o.Entry != c.self.ID {
+		c.stepDown(run, status.ErrNotOwner.Code())
 	}
 }
 
--- a/io/platform/journal.go
+++ b/io/platform/journal.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 
 	core "rosemarygap/core/platform"
 	"rosemarygap/core/status"
@@ -11,22 +10,40 @@
 	"github.com/pkg/errors"
 )
 
+// State is what a journal takes snapshots of. Split divides it into parts of
+// about limit bytes at most.
+type State[S any] interface {
+	Split(limit int) []S
+}
+
 // Journal is the log of one cell, kept in a fixed ring of keys.
 //
 // Invariant: a slot is written only on the revision that its writer has read,
 // so an append that was delayed past its slot's reuse fails. A Journal belongs
 // to one goroutine at a time.
-type Journal[R, S any] struct {
-	store    Store
-	cell     int
-	slots    [core.LogSlots]int64
+type Journal[R any, S State[S]] struct {
+	store Store
+	cell  int
+	slots [core.LogSlots]slot
+	// snapshot is the revision of the snapshot's key, snapSeq its sequence
+	// number, and parts its further keys.
 	snapshot int64
 	snapSeq  int64
-	next     int64
+	parts    []string
+	// garbage are keys of parts that no snapshot needs once the next one
+	// is in force.
+	garbage []string
+	next    int64
+}
+
+// slot is what is known of one key of the ring.
+type slot struct {
+	known    bool
+	revision int64
 }
 
 // NewJournal returns the journal of a cell; Read comes first.
-func NewJournal[R, S any](s Store, cell int) *Journal[R, S] {
+func NewJournal[R any, S State[S]](s Store, cell int) *Journal[R, S] {
 	return &Journal[R, S]{store: s, cell: cell}
 }
 
@@ -35,62 +52,106 @@
 
 // Contents is what a journal holds.
 type Contents[R, S any] struct {
-	Snapshot core.Snapshot[S]
-	Batches  []core.Batch[R]
+	// State holds the parts of the snapshot.
+	State   []S
+	Batches []core.Batch[R]
 }
 
+// readTries bounds how often another owner's writes may interfere.
+const readTries = 5
+
 // Read returns the snapshot and the batches that follow it.
 func (j *Journal[R, S]) Read(ctx context.Context) (Contents[R, S], error) {
-	var out Contents[R, S]
-	if err := j.readSnapshot(ctx, &out.Snapshot); err != nil {
-		return out, err
-	}
-	l, err := j.store.List(ctx, core.LogPrefix(j.cell))
-	if err != nil {
-		return out, err
+	for range readTries {
+		out, err := j.readOnce(ctx)
+		if !errors.Is(err, status.ErrStoreConflict) {
+			return out, err
+		}
 	}
-	batches, err := j.decode(l.Entries)
+	return Contents[R, S]{}, status.ErrStoreConflict
+}
+
+func (j *Journal[R, S]) readOnce(ctx context.Context) (Contents[R, S], error) {
+	var out Contents[R, S]
+	first, err := j.readHead(ctx)
 	if err != nil {
 		return out, err
 	}
-	j.next = out.Snapshot.Seq + 1
-	for _, b := range batches {
-		if b.Seq == j.next {
-			out.Batches = append(out.Batches, b)
-			j.next++
+	out.State = []S{first.State}
+	for _, key := range first.More {
+		var part S
+		if err := getJSON(ctx, j.store, key, &part); err != nil {
+			return out, replaced(err)
 		}
+		out.State = append(out.State, part)
 	}
-	return out, nil
+	out.Batches, err = j.readLog(ctx)
+	return out, err
 }
 
-func (j *Journal[R, S]) readSnapshot(ctx context.Context, s *core.Snapshot[S]) error {
-	e, err := j.store.Get(ctx, core.SnapshotKey(j.cell))
+// replaced maps a part that is gone to a conflict: a later snapshot is in
+// force.
+func replaced(err error) error {
 	if errors.Is(err, status.ErrNotFound) {
-		return nil
+		return status.ErrStoreConflict
 	}
+	return err
+}
+
+func getJSON(ctx context.Context, s Store, key string, v any) error {
+	e, err := s.Get(ctx, key)
 	if err != nil {
 		return err
 	}
-	j.snapshot = e.Revision
-	if err := json.Unmarshal(e.Value, s); err != nil {
-		return errors.Wrap(err, "decode snapshot")
+	return errors.Wrap(json.Unmarshal(e.Value, v), "decode value")
+}
+
+func (j *Journal[R, S]) readHead(ctx context.Context) (core.Snapshot[S], error) {
+	var s core.Snapshot[S]
+	e, err := j.store.Get(ctx, core.SnapshotKey(j.cell))
+	if err != nil && !errors.Is(err, status.ErrNotFound) {
+		return s, err
 	}
-	j.snapSeq = s.Seq
-	return nil
+	if err == nil {
+		if err := json.Unmarshal(e.Value, &s); err != nil {
+			return s, errors.Wrap(err, "decode snapshot")
+		}
+	}
+	j.snapshot, j.snapSeq, j.parts = e.Revision, s.Seq, s.More
+	return s, nil
 }
 
-func (j *Journal[R, S]) decode(entries []Entry) ([]core.Batch[R], error) {
-	batches := make([]core.Batch[R], 0, len(entries))
-	for _, e := range entries {
-		var b core.Batch[R]
+// readLog reads the batches that follow the snapshot, one key after another.
+func (j *Journal[R, S]) readLog(ctx context.Context) ([]core.Batch[R], error) {
+	var out []core.Batch[R]
+	for j.next = j.snapSeq + 1; ; j.next++ {
+		b, err := j.readSlot(ctx, j.next%core.LogSlots)
+		switch {
+		case err != nil:
+			return nil, err
+		case b.Seq > j.next:
+			return nil, status.ErrStoreConflict
+		case b.Seq < j.next:
+			return out, nil
+		}
+		out = append(out, b)
+	}
+}
+
+// readSlot returns the batch in slot i, or one with sequence number 0.
+func (j *Journal[R, S]) readSlot(ctx context.Context, i int64) (core.Batch[R], error) {
+	var b core.Batch[R]
+	e, err := j.store.Get(ctx, core.LogKey(j.cell, i))
+	if err != nil && !errors.Is(err, status.ErrNotFound) {
+		return b, err
+	}
+	if err == nil {
 		if err := json.Unmarshal(e.Value, &b); err != nil {
-			return nil, errors.Wrap(err, "decode journal entry")
+			return b, errors.Wrap(err, "decode journal entry")
 		}
-		j.slots[b.Seq%core.LogSlots] = e.Revision
-		batches = append(batches, b)
 	}
-	slices.SortFunc(batches, func(a, b core.Batch[R]) int { return int(a.Seq - b.Seq) })
-	return batches, nil
+	j.slots[i] = slot{true, e.Revision}
+	return b, nil
 }
 
 // Append makes b durable at the next sequence number. It returns
@@ -98,40 +159,77 @@
 // status.ErrStoreUnavailable if the outcome is not known yet; the same batch
 // may then be appended again.
 func (j *Journal[R, S]) Append(ctx context.Context, b core.Batch[R]) error {
+	if j.Full() {
+		return status.ErrStoreUnavailable
+	}
 	b.Seq = j.next
 	v, err := json.Marshal(b)
 	if err != nil {
 		return errors.Wrap(err, "encode journal entry")
 	}
-	slot := b.Seq % core.LogSlots
-	key := core.LogKey(j.cell, slot)
-	rev, err := j.store.Put(ctx, Write{Key: key, Value: v, Expect: j.slots[slot]})
+	i := b.Seq % core.LogSlots
+	if !j.slots[i].known {
+		if mine, err := j.look(ctx, i, b); err != nil || mine {
+			return err
+		}
+	}
+	rev, err := j.store.Put(ctx, Write{Key: core.LogKey(j.cell, i), Value: v, Expect: j.slots[i].revision})
 	if errors.Is(err, status.ErrStoreConflict) {
-		rev, err = j.settle(ctx, key, b.Nonce)
+		return j.settle(ctx, i, b)
 	}
 	if err != nil {
 		return err
 	}
-	j.slots[slot] = rev
-	j.next++
+	j.appended(slot{true, rev})
 	return nil
 }
 
+func (j *Journal[R, S]) appended(s slot) {
+	j.slots[j.next%core.LogSlots] = s
+	j.next++
+}
+
+// look reads the slot that b is about to take. It reports whether b itself
+// is there already, from an earlier try.
+func (j *Journal[R, S]) look(ctx context.Context, i int64, b core.Batch[R]) (mine bool, err error) {
+	found, err := j.readSlot(ctx, i)
+	switch {
+	case err != nil:
+		return false, err
+	case found.Seq < b.Seq:
+		return false, nil
+	case found.Nonce != b.Nonce:
+		return false, status.ErrStoreConflict
+	}
+	j.appended(j.slots[i])
+	return true, nil
+}
+
 // settle finds out whether a write that conflicts is an earlier one of ours
 // whose answer was lost.
-func (j *Journal[R, S]) settle(ctx context.Context, key, nonce string) (int64, error) {
-	e, err := j.store.Get(ctx, key)
-	if err != nil {
-		return 0, err
-	}
-	var found core.Batch[json.RawMessage]
-	if err := json.Unmarshal(e.Value, &found); err != nil {
-		return 0, errors.Wrap(err, "decode journal entry")
+func (j *Journal[R, S]) settle(ctx context.Context, i int64, b core.Batch[R]) error {
+	mine, err := j.look(ctx, i, b)
+	if err == nil && !mine {
+		return status.ErrStoreConflict
 	}
-	if found.Nonce != nonce {
-		return 0, status.ErrStoreConflict
+	return err
+}
+
+// Open reads the journal and appends the batch that shuts out all earlier
+// owners; build makes it from what was read.
+func (j *Journal[R, S]) Open(ctx context.Context, build func(Contents[R, S]) core.Batch[R]) (Contents[R, S], core.Batch[R], error) {
+	for range readTries {
+		contents, err := j.Read(ctx)
+		if err != nil {
+			return contents, core.Batch[R]{}, err
+		}
+		b := build(contents)
+		err = j.Append(ctx, b)
+		if !errors.Is(err, status.ErrStoreConflict) {
+			return contents, b, err
+		}
 	}
-	return e.Revision, nil
+	return Contents[R, S]{}, core.Batch[R]{}, status.ErrStoreConflict
 }
 
 // SnapshotDue reports whether the ring needs a snapshot before it is reused.
@@ -144,31 +242,3 @@
 func (j *Journal[R, S]) Full() bool {
 	return j.next-j.snapSeq > core.LogSlots
 }
-
-// WriteSnapshot makes state durable as the result of all appended batches.
-func (j *Journal[R, S]) WriteSnapshot(ctx context.Context, epoch int64, state S) error {
-	s := core.Snapshot[S]{Seq: j.next - 1, Epoch: epoch, State: state}
-	v, err := json.Marshal(s)
-	if err != nil {
-		return errors.Wrap(err, "encode snapshot")
-	}
-	key := core.SnapshotKey(j.cell)
-	rev, err := j.store.Put(ctx, Write{Key: key, Value: v, Expect: j.snapshot})
-	if err != nil {
-		return j.resync(ctx, err)
-	}
-	j.snapshot, j.snapSeq = rev, s.Seq
-	return nil
-}
-
-// resync learns the snapshot's revision after a write of unknown outcome.
-func (j *Journal[R, S]) resync(ctx context.Context, cause error) error {
-	if !errors.Is(cause, status.ErrStoreConflict) {
-		return cause
-	}
-	var s core.Snapshot[S]
-	if err := j.readSnapshot(ctx, &s); err != nil {
-		return err
-	}
-	return cause
-}
--- /dev/null
+++ b/io/platform/limited.go
@@ -0,0 +1,178 @@
+package platform
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"rosemarygap/core/status"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cenkalti/backoff/v4"
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+)
+
+// Limits of the calls of one process.
+const (
+	// CallsPerSecond bounds the calls of all kinds, a watch as one.
+	CallsPerSecond = 100
+	// callBurst is how many calls may follow one another at once.
+	callBurst = 50
+	// Delays after a call that the service did not answer; each is drawn
+	// at random around its mean.
+	firstBackoff = 100 * time.Millisecond
+	maxBackoff   = 3 * time.Second
+)
+
+// Limited is a Store that keeps calls below a limit and spares a service that
+// does not answer.
+//
+// Invariant: after a call without an answer, no other call leaves until the
+// backoff has passed, and then one alone until one is answered. A call that
+// is held back fails with status.ErrStoreUnavailable and has no effect.
+type Limited struct {
+	store Store
+	limit *rate.Limiter
+	count *metrics.Counter
+	spare *metrics.Counter
+
+	mu      sync.Mutex
+	backoff *backoff.ExponentialBackOff
+	failing bool
+	probing bool
+	until   time.Time
+}
+
+// NewLimited returns s behind the limits, with metrics of its calls.
+func NewLimited(s Store) *Limited {
+	b := backoff.NewExponentialBackOff(
+		backoff.WithInitialInterval(firstBackoff),
+		backoff.WithMaxInterval(maxBackoff),
+		backoff.WithMaxElapsedTime(0))
+	return &Limited{
+		store:   s,
+		limit:   rate.NewLimiter(CallsPerSecond, callBurst),
+		count:   metrics.GetOrCreateCounter("rosemarygap_store_calls_total"),
+		spare:   metrics.GetOrCreateCounter("rosemarygap_store_calls_held_back_total"),
+		backoff: b,
+	}
+}
+
+var _ Store = (*Limited)(nil)
+
+// admit waits for the rate limit, or refuses while the service is spared.
+func (l *Limited) admit(ctx context.Context) error {
+	if !l.open() {
+		l.spare.Inc()
+		return status.ErrStoreUnavailable
+	}
+	if err := l.limit.Wait(ctx); err != nil {
+		l.done(status.ErrStoreUnavailable)
+		return status.ErrStoreUnavailable
+	}
+	l.count.Inc()
+	return nil
+}
+
+// open reports whether a call may leave now.
+func (l *Limited) open() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.failing {
+		return true
+	}
+	if l.probing || time.Now().Before(l.until) {
+		return false
+	}
+	l.probing = true
+	return true
+}
+
+func (l *Limited) spared() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.failing
+}
+
+// done takes in the result of a call that left.
+func (l *Limited) done(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.probing = false
+	if !errors.Is(err, status.ErrStoreUnavailable) {
+		l.failing = false
+		l.backoff.Reset()
+		return
+	}
+	if now := time.Now(); !l.failing || !now.Before(l.until) {
+		l.until = now.Add(l.backoff.NextBackOff())
+	}
+	l.failing = true
+}
+
+// limited makes one call within the limits.
+func limited[T any](ctx context.Context, l *Limited, call func() (T, error)) (T, error) {
+	var none T
+	if err := l.admit(ctx); err != nil {
+		return none, err
+	}
+	v, err := call()
+	l.done(err)
+	return v, err
+}
+
+// Get implements Store.
+func (l *Limited) Get(ctx context.Context, key string) (Entry, error) {
+	return limited(ctx, l, func() (Entry, error) { return l.store.Get(ctx, key) })
+}
+
+// List implements Store.
+func (l *Limited) List(ctx context.Context, prefix string) (Changes, error) {
+	return limited(ctx, l, func() (Changes, error) { return l.store.List(ctx, prefix) })
+}
+
+// Put implements Store.
+func (l *Limited) Put(ctx context.Context, w Write) (int64, error) {
+	return limited(ctx, l, func() (int64, error) { return l.store.Put(ctx, w) })
+}
+
+// Delete implements Store.
+func (l *Limited) Delete(ctx context.Context, key string, expect int64) error {
+	return l.plain(ctx, func() error { return l.store.Delete(ctx, key, expect) })
+}
+
+// Grant implements Store.
+func (l *Limited) Grant(ctx context.Context, ttl time.Duration) (string, error) {
+	return limited(ctx, l, func() (string, error) { return l.store.Grant(ctx, ttl) })
+}
+
+// KeepAlive implements Store.
+func (l *Limited) KeepAlive(ctx context.Context, lease string) error {
+	return l.plain(ctx, func() error { return l.store.KeepAlive(ctx, lease) })
+}
+
+// Revoke implements Store.
+func (l *Limited) Revoke(ctx context.Context, lease string) error {
+	return l.plain(ctx, func() error { return l.store.Revoke(ctx, lease) })
+}
+
+// Watch implements Store. It waits long, so it is never the one call that
+// finds out whether the service answers again.
+func (l *Limited) Watch(ctx context.Context, prefix string, after int64) (Changes, error) {
+	if l.spared() {
+		l.spare.Inc()
+		return Changes{}, status.ErrStoreUnavailable
+	}
+	return limited(ctx, l, func() (Changes, error) { return l.store.Watch(ctx, prefix, after) })
+}
+
+// plain makes a call that returns no value.
+func (l *Limited) plain(ctx context.Context, call func() error) error {
+	if err := l.admit(ctx); err != nil {
+		return err
+	}
+	err := call()
+	l.done(err)
+	return err
+}
--- a/io/standin/platform/store.go
+++ b/io/standin/platform/store.go
@@ -20,6 +20,9 @@
 // watchWait is the longest time a watch waits, well below a client's limit.
 const watchWait = 10 * time.Second
 
+// maxValue is the largest value, in bytes.
+const maxValue = 1 << 20
+
 type lease struct {
 	ttl     time.Duration
 	expires time.Time
@@ -38,8 +41,15 @@
 	leases   map[string]lease
 	changed  chan struct{}
 	calls    Calls
+	now      func() time.Time
 }
 
+// Option changes how a Store is built.
+type Option func(*Store)
+
+// WithClock replaces the clock that leases end by.
+func WithClock(now func() time.Time) Option { return func(s *Store) { s.now = now } }
+
 // Calls counts what the store was asked.
 type Calls struct {
 	Reads   int64 `json:"reads"`
@@ -49,12 +59,17 @@
 }
 
 // NewStore returns an empty store.
-func NewStore() *Store {
-	return &Store{
+func NewStore(opts ...Option) *Store {
+	s := &Store{
 		values:  make(map[string]value),
 		leases:  make(map[string]lease),
 		changed: make(chan struct{}),
+		now:     time.Now,
 	}
+	for _, o := range opts {
+		o(s)
+	}
+	return s
 }
 
 var _ platform.Store = (*Store)(nil)
@@ -107,6 +122,9 @@
 	defer s.mu.Unlock()
 	s.expire()
 	s.calls.Writes++
+	if len(w.Value) > maxValue {
+		return 0, status.ErrBodyTooLarge
+	}
 	if s.live(w.Key) != w.Expect {
 		return 0, status.ErrStoreConflict
 	}
@@ -157,7 +175,7 @@
 	s.calls.Writes++
 	s.revision++
 	id := "lease-" + strconv.FormatInt(s.revision, 10)
-	s.leases[id] = lease{ttl, time.Now().Add(ttl)}
+	s.leases[id] = lease{ttl, s.now().Add(ttl)}
 	return id, nil
 }
 
@@ -171,7 +189,7 @@
 	if !ok {
 		return status.ErrLeaseExpired
 	}
-	s.leases[id] = lease{l.ttl, time.Now().Add(l.ttl)}
+	s.leases[id] = lease{l.ttl, s.now().Add(l.ttl)}
 	return nil
 }
 
@@ -194,7 +212,7 @@
 }
 
 func (s *Store) expire() {
-	now := time.Now()
+	now := s.now()
 	for id, l := range s.leases {
 		if now.After(l.expires) {
 			s.end(id)
--- a/io/standin/worker/server.go
+++ b/io/standin/worker/server.go
@@ -20,9 +20,9 @@
 // Server serves an Engine over HTTP.
 type Server struct {
 	notice peer.WorkerNotice
-	began  time.Time
 
 	mu     sync.Mutex
+	clock  *Clock
 	engine *Engine
 	cut    bool
 }
@@ -39,7 +39,7 @@
 func NewServer(n peer.WorkerNotice, capacity worker.Resources) *Server {
 	began := time.Now()
 	n.Incarnation = began.UnixNano()
-	return &Server{notice: n, began: began, engine: NewEngine(n.ID, n.Incarnation, capacity)}
+	return &Server{notice: n, clock: NewClock(began), engine: NewEngine(n.ID, n.Incarnation, capacity)}
 }
 
 // Handler returns the worker's side of the leases.
@@ -61,7 +61,7 @@
 	if s.cut {
 		panic(http.ErrAbortHandler)
 	}
-	r, err := s.engine.Lease(l, time.Since(s.began))
+	r, err := s.engine.Lease(l, s.clock.Read(time.Now()))
 	if err != nil {
 		return httpjson.Fail(c, err)
 	}
@@ -71,7 +71,7 @@
 func (s *Server) ran(c echo.Context) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.engine.Advance(time.Since(s.began))
+	s.engine.Advance(s.clock.Read(time.Now()))
 	return c.JSON(http.StatusOK, s.engine.Ran())
 }
 
