--- a/core/worker/cell.go
+++ b/core/worker/cell.go
@@ -254,6 +254,9 @@
 	}
 }
 
+// Job returns the row of a job, or nil. The caller must not change it.
+func (c *Cell) Job(id string) *JobRow { return c.jobs.Get(id) }
+
 // Jobs returns the rows of all jobs, sorted by id.
 func (c *Cell) Jobs() []JobRow {
 	out := c.Save().Jobs
--- a/io/standin/platform/store.go
+++ b/io/standin/platform/store.go
@@ -203,6 +203,9 @@
 }
 
 func (s *Store) end(id string) {
+	if _, ok := s.leases[id]; !ok {
+		return
+	}
 	delete(s.leases, id)
 	for k, v := range s.values {
 		if v.lease == id && !v.Deleted {
