--- a/core/caller/outcome.go
+++ b/core/caller/outcome.go
@@ -1,5 +1,7 @@
 // Package caller holds the rules of a request's life: what an attempt proves,
-// when another attempt is allowed, and which outcome the caller is told.
+// when another attempt is allowed, how long a request may wait for a slot,
+// which entry decides whether an id is a repeat, and which outcome the caller
+// is told.
 //
 // Invariant: not-run is told only if every attempt proved that it did not run;
 // a non-idempotent request is dispatched again only after such a proof. A
@@ -36,23 +38,45 @@
 	Lost
 )
 
+// State is where a request stands.
+type State int
+
+// States of a request, in the order in which it passes through them; a
+// retried request returns from Dispatched to Queued.
+const (
+	Received State = iota
+	Queued
+	Dispatched
+	Ended
+)
+
 // Request is the state of one request.
 type Request struct {
 	ID         string
 	Service    string
 	Idempotent bool
-	Deadline   time.Time
+	// Named is true if the caller gave the id, so that a repeat can carry it.
+	Named    bool
+	Deadline time.Time
 
+	state    State
 	attempts int
 	maybeRan bool
 	answered bool
 }
 
+// State returns where the request stands.
+func (q *Request) State() State { return q.state }
+
 // Attempts returns the number of dispatches so far.
 func (q *Request) Attempts() int { return q.attempts }
 
+// Queue notes that the request waits for a slot.
+func (q *Request) Queue() { q.state = Queued }
+
 // Dispatch counts a dispatch and returns its attempt number, from 1.
 func (q *Request) Dispatch() int {
+	q.state = Dispatched
 	q.attempts++
 	return q.attempts
 }
@@ -67,14 +91,22 @@
 	}
 }
 
+// Repeated notes that an earlier request with the same id may have run.
+func (q *Request) Repeated() { q.maybeRan = true }
+
 // MayRetry reports whether another dispatch is allowed by the request's own
 // state; budgets and deadlines are for the caller of this method.
 func (q *Request) MayRetry() bool {
 	return !q.answered && (q.Idempotent || !q.maybeRan)
 }
 
-// Outcome returns what the caller must be told if the request ends now.
-func (q *Request) Outcome() Outcome {
+// NeedsClaim reports whether the request's id must be claimed before its
+// first dispatch: only an id that the caller chose can come back.
+func (q *Request) NeedsClaim() bool { return q.Named && !q.Idempotent }
+
+// End returns what the caller must be told. Nothing follows it.
+func (q *Request) End() Outcome {
+	q.state = Ended
 	switch {
 	case q.answered:
 		return Answered
--- a/core/event/caller.go
+++ b/core/event/caller.go
@@ -14,6 +14,10 @@
 		[]string{"request", "endpoint", "reason"},
 		"An endpoint's answer was dropped because it was foreign or cut off.",
 		"Inspect the endpoint if it repeats."}
+	ClaimDenied = Event{1004, "claim-denied", hclog.Info,
+		[]string{"request", "service", "reason"},
+		"A non-idempotent request was not dispatched because its id is a repeat or may be one.",
+		"None; if it lasts, check that the entries reach one another and the key-value service."}
 )
 
-var callerEvents = []Event{RequestRouted, RequestEnded, AnswerDropped}
+var callerEvents = []Event{RequestRouted, RequestEnded, AnswerDropped, ClaimDenied}
--- a/core/status/codes.go
+++ b/core/status/codes.go
@@ -32,6 +32,10 @@
 	ErrForeignAnswer    = &Error{"foreign-answer", http.StatusBadGateway}
 	ErrCallerCancelled  = &Error{"caller-cancelled", 499}
 	ErrStopping         = &Error{"stopping", http.StatusServiceUnavailable}
+	ErrRepeatedRequest  = &Error{"repeated-request", http.StatusConflict}
+	ErrRepeatUnsure     = &Error{"repeat-unsure", http.StatusServiceUnavailable}
+	ErrNotHome          = &Error{"not-home", http.StatusServiceUnavailable}
+	ErrDuplicateHeader  = &Error{"duplicate-header", http.StatusBadRequest}
 )
 
 // Sentinels of the platform's key-value service.
@@ -66,6 +70,7 @@
 		ErrBadSetting, ErrUnreachable, ErrMethodNotServed, ErrUnknownService, ErrNoEndpoint,
 		ErrQueueFull, ErrDeadlineExceeded, ErrEndpointRefused,
 		ErrEndpointFailed, ErrForeignAnswer, ErrCallerCancelled, ErrStopping,
+		ErrRepeatedRequest, ErrRepeatUnsure, ErrNotHome, ErrDuplicateHeader,
 		ErrStoreUnavailable, ErrStoreConflict, ErrLeaseExpired, ErrNoOwner,
 		ErrNotOwner, ErrStaleEpoch, ErrStaleEcho, ErrJobConflict,
 		ErrUnknownJob, ErrImpossibleJob, ErrWorkerFull, ErrConfigConflict,
--- a/io/caller/parse.go
+++ b/io/caller/parse.go
@@ -11,72 +11,116 @@
 	"rosemarygap/core/status"
 
 	"github.com/google/uuid"
+	"github.com/pkg/errors"
 )
 
-// maxRequestID is the longest accepted request id, in bytes.
+// maxRequestID is the longest accepted request id, and the longest part of a
+// wrong value that is told back, in bytes.
 const maxRequestID = 128
 
-// parse reads the headers of a request that are meant for rosemarygap.
-func parse(r *http.Request, svc *operator.Service, now time.Time) (caller.Request, error) {
-	q := caller.Request{ID: r.Header.Get(HeaderRequestID), Service: svc.Name}
-	if len(q.ID) > maxRequestID {
-		return q, status.At(status.ErrOutOfRange, HeaderRequestID, q.ID[:maxRequestID])
-	}
-	idempotent, err := parseIdempotent(r)
+// newID returns an id for a request whose caller gave none.
+func newID() string { return uuid.Must(uuid.NewV7()).String() }
+
+// parseIdentity reads the headers that identify a request into q.
+func parseIdentity(r *http.Request, q *caller.Request) error {
+	id, err := single(r, HeaderRequestID)
 	if err != nil {
-		return q, err
+		return err
+	}
+	if len(id) > maxRequestID {
+		return status.At(status.ErrOutOfRange, HeaderRequestID, clip(id))
+	}
+	if !visible(id) {
+		return status.At(status.ErrBadName, HeaderRequestID, "")
+	}
+	if id != "" {
+		q.ID, q.Named = id, true
+	}
+	q.Idempotent, err = parseIdempotent(r)
+	return err
+}
+
+// parseLimits reads the headers that limit a request into q.
+func parseLimits(r *http.Request, svc *operator.Service, now time.Time, q *caller.Request) error {
+	if r.Method == http.MethodConnect {
+		return status.ErrMethodNotServed
 	}
-	q.Idempotent = idempotent
 	d, err := parseDeadline(r, svc)
 	if err != nil {
-		return q, err
+		return err
 	}
 	q.Deadline = now.Add(d)
-	return q, nil
+	return nil
 }
 
-// requestID returns the caller's id for the request, or a new one.
-func requestID(r *http.Request) string {
-	if id := r.Header.Get(HeaderRequestID); id != "" {
-		return id
+// single returns the value of a header that may be given once.
+func single(r *http.Request, name string) (string, error) {
+	vs := r.Header.Values(name)
+	if len(vs) > 1 {
+		return "", status.At(status.ErrDuplicateHeader, name, clip(vs[1]))
 	}
-	return uuid.Must(uuid.NewV7()).String()
+	return r.Header.Get(name), nil
 }
 
-func parseIdempotent(r *http.Request) (bool, error) {
-	v := r.Header.Get(HeaderIdempotent)
-	if v == "" {
-		return r.Method == http.MethodGet || r.Method == http.MethodHead, nil
+// clip bounds a value that is told back.
+func clip(s string) string { return s[:min(len(s), maxRequestID)] }
+
+// visible reports whether s has printable ASCII characters only.
+func visible(s string) bool {
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] > '~' {
+			return false
+		}
 	}
-	b, err := strconv.ParseBool(v)
+	return true
+}
+
+func parseIdempotent(r *http.Request) (bool, error) {
+	v, err := single(r, HeaderIdempotent)
 	if err != nil {
-		return false, status.At(status.ErrOutOfRange, HeaderIdempotent, v)
+		return false, err
 	}
-	return b, nil
+	switch v {
+	case "":
+		return r.Method == http.MethodGet || r.Method == http.MethodHead, nil
+	case "true":
+		return true, nil
+	case "false":
+		return false, nil
+	}
+	return false, status.At(status.ErrOutOfRange, HeaderIdempotent, clip(v))
 }
 
 func parseDeadline(r *http.Request, svc *operator.Service) (time.Duration, error) {
-	v := r.Header.Get(HeaderDeadline)
+	v, err := single(r, HeaderDeadline)
+	if err != nil {
+		return 0, err
+	}
 	if v == "" {
 		return svc.Deadline.Std(), nil
 	}
 	d, err := time.ParseDuration(v)
 	if err != nil {
-		return 0, status.At(status.ErrWrongUnit, HeaderDeadline, v)
+		return 0, status.At(status.ErrWrongUnit, HeaderDeadline, clip(v))
 	}
 	if d <= 0 || d > operator.MaxDeadline {
-		return 0, status.At(status.ErrOutOfRange, HeaderDeadline, v)
+		return 0, status.At(status.ErrOutOfRange, HeaderDeadline, clip(v))
 	}
 	return d, nil
 }
 
+// readBody reads a body of at most limit bytes.
 func readBody(r *http.Request, limit int64) ([]byte, error) {
 	b, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	var late interface{ Timeout() bool }
+	if errors.As(err, &late) && late.Timeout() {
+		return nil, status.ErrDeadlineExceeded
+	}
 	if err != nil {
 		return nil, status.ErrCallerCancelled
 	}
 	if int64(len(b)) > limit {
-		return nil, status.ErrBodyTooLarge
+		return nil, status.At(status.ErrBodyTooLarge, "max-body-bytes", strconv.FormatInt(limit, 10))
 	}
 	return b, nil
 }
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -2,12 +2,14 @@
 // exactly one final answer.
 //
 // Invariant: every answer carries its request's id, outcome and code. The
-// handlers share nothing but the immutable snapshot and atomic counters.
+// handlers share the immutable snapshot and, for each service, one gate with a
+// lock of its own.
 package caller
 
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	coreendpoint "rosemarygap/core/endpoint"
@@ -35,6 +37,20 @@
 	client  *endpoint.Client
 	policy  coreendpoint.Policy
 	log     hclog.Logger
+
+	observer Observer
+	claims   Claims
+	// gates holds one *gate for each service that is configured.
+	gates sync.Map
+}
+
+// Claims decides whether a request with a caller's id may be dispatched.
+type Claims interface {
+	// Claim returns nil if no request with this id was dispatched before
+	// and none will be on another claim. It returns
+	// status.ErrRepeatedRequest if one may have been. The function gives
+	// the claim of a request up that was not run.
+	Claim(ctx context.Context, service, id string) (release func(), err error)
 }
 
 // Option changes how a Server behaves.
@@ -45,6 +61,17 @@
 	return func(s *Server) { s.policy = p }
 }
 
+// WithObserver reports each dispatch to o.
+func WithObserver(o Observer) Option {
+	return func(s *Server) { s.observer = o }
+}
+
+// WithClaims sets who decides on repeated ids; without it, only this entry's
+// own attempts are kept from running twice.
+func WithClaims(c Claims) Option {
+	return func(s *Server) { s.claims = c }
+}
+
 // NewServer returns a server that dispatches through c.
 func NewServer(ctl Control, c *endpoint.Client, l hclog.Logger, opts ...Option) *Server {
 	s := &Server{control: ctl, client: c, policy: coreendpoint.TwoChoices{}, log: l}
@@ -64,11 +91,25 @@
 	return e
 }
 
+// gate returns the gate of a service.
+func (s *Server) gate(service string) *gate {
+	if g, ok := s.gates.Load(service); ok {
+		return g.(*gate)
+	}
+	g, _ := s.gates.LoadOrStore(service, &gate{
+		policy: s.policy,
+		candidates: func() []coreendpoint.Candidate {
+			return s.control.Snapshot().Endpoints.Candidates(service)
+		},
+	})
+	return g.(*gate)
+}
+
 // Headers of the callers' interface.
 const (
 	HeaderRequestID  = endpoint.HeaderRequestID
-	HeaderIdempotent = "Rosemarygap-Idempotent"
-	HeaderDeadline   = "Rosemarygap-Deadline"
+	HeaderIdempotent = endpoint.HeaderIdempotent
+	HeaderDeadline   = endpoint.HeaderDeadline
 	HeaderOutcome    = "Rosemarygap-Outcome"
 	HeaderCode       = "Rosemarygap-Code"
 	HeaderEndpoint   = "Rosemarygap-Endpoint"
--- a/io/endpoint/dialer.go
+++ /dev/null
@@ -1,5 +0,0 @@
-package endpoint
-
-import "net"
-
-var dialer = &net.Dialer{Timeout: dialTimeout}
--- a/io/standin/endpoint/server.go
+++ b/io/standin/endpoint/server.go
@@ -108,6 +108,7 @@
 func (s *Server) serve(c echo.Context) error {
 	r, w := c.Request(), c.Response()
 	id := r.Header.Get(HeaderRequestID)
+	w.Header().Set(HeaderRequestID, id)
 	select {
 	case s.slots <- struct{}{}:
 		defer func() { <-s.slots }()
@@ -121,7 +122,6 @@
 		return c.NoContent(http.StatusBadRequest)
 	}
 	f, d := s.begin(id)
-	w.Header().Set(HeaderRequestID, id)
 	if f.Fail {
 		return c.NoContent(http.StatusInternalServerError)
 	}
