--- a/Makefile
+++ b/Makefile
@@ -18,3 +18,7 @@
 # Rewrites the generated pages of docs.
 generate:
 	go test ./io/commandline ./core/event ./core/operator -run Golden -update
+
+# The long runs of the property tests.
+soak:
+	go test ./io/caller -count=1 -timeout 30m -run TestOutcomesAreTrue -rapid.checks=100000
--- a/io/endpoint/answer.go
+++ b/io/endpoint/answer.go
@@ -37,15 +37,15 @@
 }
 
 // readAnswer reads the whole answer, or as much as is buffered.
-func readAnswer(ctx context.Context, w *http.Response) (*Answer, caller.Result, error) {
+func (c *Client) readAnswer(ctx context.Context, w *http.Response) (*Answer, caller.Result, error) {
 	a := &Answer{Status: w.StatusCode, Header: w.Header}
-	b, err := io.ReadAll(io.LimitReader(w.Body, bufferedBytes))
+	b, err := io.ReadAll(io.LimitReader(w.Body, c.buffer))
 	if err != nil {
 		w.Body.Close()
 		return nil, caller.Lost, failure(ctx, err)
 	}
 	a.Body = b
-	if len(b) == bufferedBytes {
+	if int64(len(b)) == c.buffer {
 		a.Rest = w.Body
 		return a, caller.Lost, nil
 	}
--- a/io/endpoint/client.go
+++ b/io/endpoint/client.go
@@ -67,6 +67,7 @@
 type Client struct {
 	pooled *http.Transport
 	fresh  *http.Transport
+	buffer int64
 
 	mu sync.Mutex
 	// echoing holds the endpoints whose answers carry the request's id;
@@ -86,10 +87,14 @@
 	}
 }
 
+// WithBuffer sets how many bytes of an answer are read before any of it is
+// passed on; a shorter answer that breaks off is never passed on.
+func WithBuffer(n int64) Option { return func(c *Client) { c.buffer = n } }
+
 // NewClient returns a client that keeps at most perHost connections to one
 // endpoint.
 func NewClient(perHost int, opts ...Option) *Client {
-	c := &Client{pooled: newTransport(), fresh: newTransport(),
+	c := &Client{pooled: newTransport(), fresh: newTransport(), buffer: bufferedBytes,
 		echoing: make(map[netip.AddrPort]struct{})}
 	c.pooled.MaxConnsPerHost = perHost
 	c.pooled.MaxIdleConnsPerHost = perHost
@@ -132,7 +137,7 @@
 		w.Body.Close()
 		return nil, result, err
 	}
-	return readAnswer(ctx, w)
+	return c.readAnswer(ctx, w)
 }
 
 // expired judges the deadline by the wall clock as well, since the monotonic
