--- a/io/caller/scripted_test.go
+++ b/io/caller/scripted_test.go
@@ -62,13 +62,20 @@
 type scripted struct {
 	mu    sync.Mutex
 	steps []step
+	// usual draws the step that follows the script, if it is set.
+	usual func() step
 	ran   map[string]int
 	conns []net.Conn
+	// busy and most count the requests in progress, now and at the worst.
+	busy, most int
 }
 
 func (e *scripted) next() step {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if len(e.steps) == 0 && e.usual != nil {
+		return e.usual()
+	}
 	if len(e.steps) == 0 {
 		return step{frame: "length"}
 	}
@@ -83,6 +90,13 @@
 	e.ran[id]++
 }
 
+func (e *scripted) count(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.busy += n
+	e.most = max(e.most, e.busy)
+}
+
 // dial connects to the endpoint as the script says.
 func (e *scripted) dial(_ context.Context, _, _ string) (net.Conn, error) {
 	s := e.next()
@@ -153,7 +167,9 @@
 		c.Close()
 		return false
 	}
+	e.count(1)
 	time.Sleep(s.delay)
+	e.count(-1)
 	text := answerText(id, q.Method, s)
 	switch s.at {
 	case runThenCut:
