--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,6 @@
 fuzz:
 	go test ./core/worker -run '^$$' -fuzz FuzzJob -fuzztime 20s
 	go test ./core/operator -run '^$$' -fuzz FuzzDocument -fuzztime 20s
+# The long runs of the property tests.
+soak:
+	go test ./io/caller -count=1 -timeout 30m -run TestOutcomesAreTrue -rapid.checks=100000
