Place by priority, fair share, quota and learnt size; preempt for urgent work

Placement took the first worker with room in order of submission alone. Urgent work waited for room on a full fleet, quotas were not looked at, and a stream of small jobs kept a large one out for good.

Now a tick places urgent jobs first, then the team that holds the smallest part of its quota, then by submission, with placement rules, learnt sizes and an index of free room. A job that waited 30 s gets a worker kept free. For urgent jobs without room the cheapest non-urgent tasks are stopped with a checkpoint, within a budget; their room stays reserved until the stop is confirmed and then belongs to the urgent job. Quotas are split over cells; a cell gives idle quota to another by a journaled, growing total, so a lost, doubled or reordered message never creates quota.

--- a/core/event/fields.go
+++ b/core/event/fields.go
@@ -57,3 +57,9 @@
 
 // Count gives a number of items.
 func Count(n int) Field { return Field{"count", n} }
+
+// Team names a team.
+func Team(name string) Field { return Field{"team", name} }
+
+// Other names the second cell of a transfer.
+func Other(cell int) Field { return Field{"other", cell} }
--- a/core/event/worker.go
+++ b/core/event/worker.go
@@ -25,7 +25,12 @@
 		"Check whether its VM failed."}
 	JobCancelled = Event{3007, "job-cancelled", hclog.Info,
 		[]string{"job", "cell"}, "A cancellation is durable.", "None."}
+	QuotaLent = Event{3051, "quota-lent", hclog.Info, []string{"team", "cell", "other"},
+		"A cell gave a part of a team's quota to another cell.", "None."}
+	QuotaBorrowed = Event{3052, "quota-borrowed", hclog.Info, []string{"team", "cell", "other"},
+		"A cell took a part of a team's quota that another cell gave.", "None."}
 )
 
 var workerEvents = []Event{JobAccepted, TaskPlaced, TaskFinished,
-	TaskInterrupted, WorkerAdded, WorkerLost, JobCancelled}
+	TaskInterrupted, WorkerAdded, WorkerLost, JobCancelled,
+	QuotaLent, QuotaBorrowed}
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -10,6 +10,7 @@
 	"rosemarygap/core/endpoint"
 	"rosemarygap/core/operator"
 	"rosemarygap/core/wire"
+	"rosemarygap/core/worker"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -81,4 +82,7 @@
 	Revision  int64              `json:"config-revision"`
 	Endpoints []endpoint.Aged    `json:"endpoints,omitempty"`
 	Workers   []AgedWorker       `json:"workers,omitempty"`
+	// Transfers and Wants of the sender's cells move quota between cells.
+	Transfers []worker.Transfer `json:"quota-transfers,omitempty"`
+	Wants     []worker.Want     `json:"quota-wants,omitempty"`
 }
--- a/core/worker/cell.go
+++ b/core/worker/cell.go
@@ -47,6 +47,10 @@
 	seq   int64
 	sent  time.Time
 	lost  bool
+	// excess is what tasks were measured to use beyond their reservation.
+	excess Resources
+	// changed is true if a throttle or stop was decided since the last lease.
+	changed bool
 }
 
 func newWorkerRow(id string) workerRow {
@@ -64,6 +68,7 @@
 	pending  map[string]*Job
 	draining map[string]bool
 	classes  map[string]bool
+	placer
 	// lastVerified is the owner's time of the latest proof of ownership.
 	lastVerified time.Time
 	// earliest is when leases granted by earlier owners have certainly ended.
@@ -78,17 +83,20 @@
 		jobs:    table.New[string, JobRow](),
 		workers: table.New[string, workerRow](),
 		pending: make(map[string]*Job),
+		placer:  newPlacer(),
 	}
 }
 
 // Saved is the durable part of a cell.
 type Saved struct {
 	Jobs []JobRow `json:"jobs"`
+	// Transfers are the parts of quotas given and taken, in total.
+	Transfers []Transfer `json:"transfers,omitempty"`
 }
 
 // Save returns the durable part of the cell.
 func (c *Cell) Save() Saved {
-	s := Saved{Jobs: make([]JobRow, 0, c.jobs.Len())}
+	s := Saved{Jobs: make([]JobRow, 0, c.jobs.Len()), Transfers: c.savedTransfers()}
 	for _, j := range c.jobs.All {
 		s.Jobs = append(s.Jobs, *j)
 	}
@@ -102,6 +110,10 @@
 		if row.State == Running {
 			c.reserve(row)
 		}
+		c.indexRow(row)
+	}
+	for _, t := range s.Transfers {
+		c.applyTransfer(t)
 	}
 }
 
@@ -124,7 +136,10 @@
 func (c *Cell) SetTimings(t Timings) { c.timings = t }
 
 // SetClasses tells which batch classes are urgent.
-func (c *Cell) SetClasses(urgent map[string]bool) { c.classes = urgent }
+func (c *Cell) SetClasses(urgent map[string]bool) {
+	c.classes = urgent
+	c.reindex()
+}
 
 // SetDraining names the workers that receive no further task.
 func (c *Cell) SetDraining(ids []string) {
--- a/core/worker/lease.go
+++ b/core/worker/lease.go
@@ -36,7 +36,7 @@
 
 // unsettled reports whether the worker's tasks differ from the desired ones.
 func (c *Cell) unsettled(w *workerRow) bool {
-	if w.report == nil {
+	if w.report == nil || w.changed {
 		return true
 	}
 	if len(w.report.Tasks) != len(w.tasks) {
@@ -44,7 +44,7 @@
 	}
 	for _, t := range w.report.Tasks {
 		j := c.jobs.Get(t.Job)
-		if j == nil || !w.tasks[t.Job] || j.Attempt != t.Attempt || j.Cancelling {
+		if j == nil || !w.tasks[t.Job] || j.Attempt != t.Attempt || j.Cancelling || c.evictingRow(j) {
 			return true
 		}
 	}
@@ -54,6 +54,7 @@
 func (c *Cell) command(w *workerRow, now time.Time) Command {
 	w.seq++
 	w.sent = now
+	w.changed = false
 	l := Lease{
 		Cell:  c.id,
 		Epoch: c.epoch,
@@ -87,10 +88,12 @@
 	out := make([]Desired, 0, len(w.tasks))
 	for id := range w.tasks {
 		j := c.jobs.Get(id)
-		d := Desired{Job: id, Attempt: j.Attempt, Need: j.Need, Payload: j.Payload,
-			Checkpoint: j.Checkpoint, Action: Run}
+		d := Desired{Job: id, Attempt: j.Attempt, Need: j.Size, Payload: j.Payload,
+			Checkpoint: j.Checkpoint, Action: Run, Throttle: c.throttles[id]}
 		if j.Cancelling {
 			d.Action = Stop
+		} else if c.evictingRow(j) {
+			d.Action, d.Reason = Stop, ReasonEvicted
 		}
 		out = append(out, d)
 	}
@@ -119,6 +122,7 @@
 	w.received = now
 	w.capacity = r.Capacity
 	w.lost = false
+	c.learnSizes(w)
 	return first
 }
 
--- /dev/null
+++ b/core/worker/place.go
@@ -0,0 +1,320 @@
+package worker
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Bounds of one tick's placement.
+const (
+	// maxMisses is how many jobs of one team may fail to fit in one tick
+	// before the team's later jobs wait for the next tick.
+	maxMisses = 64
+	// claimAfter is how long a job may wait for room that smaller jobs take
+	// before a worker is kept free for it.
+	claimAfter = 30 * time.Second
+)
+
+// ClassRule restricts where the jobs of a batch class run.
+type ClassRule struct {
+	// Avoid names services that the class must not share a VM with.
+	Avoid []string
+	// Zones, if any, are the only availability zones.
+	Zones []string
+}
+
+// placer is what placement keeps between ticks. None of it is durable except
+// the transfers of quotas.
+type placer struct {
+	ranker   Ranker
+	rules    map[string]ClassRule
+	services map[string][]string
+	queues   map[string]*teamQueue
+	sizes    map[string]Resources
+	// shapes are the distinct capacities of the workers.
+	shapes []Resources
+	quotas *quotas
+	held   map[string]Resources
+	claim  claim
+	evictions
+}
+
+func newPlacer() placer {
+	return placer{
+		ranker:    Packed{},
+		queues:    make(map[string]*teamQueue),
+		sizes:     make(map[string]Resources),
+		held:      make(map[string]Resources),
+		quotas:    newQuotas(),
+		evictions: newEvictions(),
+	}
+}
+
+// SetRanker chooses how workers are compared.
+func (c *Cell) SetRanker(r Ranker) { c.ranker = r }
+
+// SetRules replaces the placement rules by batch class.
+func (c *Cell) SetRules(rules map[string]ClassRule) { c.rules = rules }
+
+// SetServices tells which services have an endpoint on the VM of a worker.
+func (c *Cell) SetServices(byWorker map[string][]string) { c.services = byWorker }
+
+// claim keeps one worker free for a job that smaller jobs keep out.
+type claim struct {
+	job, worker string
+}
+
+// pass is the placement of one tick.
+type pass struct {
+	cell    *Cell
+	now     time.Time
+	rooms   *roomIndex
+	held    map[string]Resources
+	records []Record
+	// misfits are sizes that fit nowhere, by batch class.
+	misfits map[string][]Resources
+	// shut are teams whose oldest job waits for quota.
+	shut    map[string]bool
+	blocked []*JobRow
+	oldest  *JobRow
+	touched map[string]bool
+}
+
+// planStarts places queued jobs: urgent ones first, then the team that holds
+// the smallest part of its quota, then by submission.
+func (c *Cell) planStarts(rs []Record, touched map[string]bool, now time.Time) []Record {
+	c.refreshClaim()
+	c.noteShapes()
+	p := &pass{
+		cell:    c,
+		now:     now,
+		rooms:   newRoomIndex(c.freeRoom(now)),
+		held:    make(map[string]Resources, len(c.held)),
+		misfits: make(map[string][]Resources),
+		shut:    make(map[string]bool),
+		touched: touched,
+	}
+	for t, h := range c.held {
+		p.held[t] = h
+	}
+	c.quotas.wants = c.quotas.wants[:0]
+	p.place(true)
+	c.planPreemptions(p)
+	p.place(false)
+	c.chooseClaim(p)
+	return c.planLent(p, append(rs, p.records...))
+}
+
+// freeRoom lists the workers that may receive tasks, by id.
+func (c *Cell) freeRoom(now time.Time) []freeWorker {
+	free := make([]freeWorker, 0, c.workers.Len())
+	for id, w := range c.workers.All {
+		if w.report == nil || w.lost || c.draining[id] {
+			continue
+		}
+		if now.Sub(w.received) > c.timings.Grant/2 {
+			continue
+		}
+		room := w.capacity.Minus(w.used).Minus(w.excess)
+		free = append(free, freeWorker{w, room})
+	}
+	slices.SortFunc(free, func(a, b freeWorker) int {
+		return strings.Compare(a.worker.id, b.worker.id)
+	})
+	return free
+}
+
+// place starts jobs of one urgency until no team has one that fits.
+func (p *pass) place(urgent bool) {
+	open := p.openTeams(urgent)
+	for len(open) > 0 {
+		i := p.neediest(open)
+		if !p.placeOne(open[i]) {
+			open = slices.Delete(open, i, i+1)
+		}
+	}
+}
+
+// teamCursor is how far one tick has come in a team's queue.
+type teamCursor struct {
+	team   string
+	jobs   []*JobRow
+	misses int
+}
+
+func (p *pass) openTeams(urgent bool) []*teamCursor {
+	var open []*teamCursor
+	for t, q := range p.cell.queues {
+		if jobs := q.jobs(urgent); len(jobs) > 0 {
+			open = append(open, &teamCursor{team: t, jobs: jobs})
+		}
+	}
+	slices.SortFunc(open, func(a, b *teamCursor) int { return strings.Compare(a.team, b.team) })
+	return open
+}
+
+// neediest returns the index of the team that holds the smallest part of its
+// quota.
+func (p *pass) neediest(open []*teamCursor) int {
+	best, bestPart := 0, 0.0
+	for i, t := range open {
+		part := p.cell.quotas.part(t.team, p.held[t.team])
+		if i == 0 || part < bestPart {
+			best, bestPart = i, part
+		}
+	}
+	return best
+}
+
+// placeOne starts the first job of a team that fits and reports whether there
+// was one.
+func (p *pass) placeOne(t *teamCursor) bool {
+	for len(t.jobs) > 0 && t.misses < maxMisses && !p.shut[t.team] {
+		j := t.jobs[0]
+		t.jobs = t.jobs[1:]
+		if p.touched[j.ID] || !p.cell.possible(&j.Job) {
+			continue
+		}
+		if p.start(j) {
+			return true
+		}
+		t.misses++
+	}
+	return false
+}
+
+// possible reports whether j could ever start with the quota of its team and
+// the workers of this cell.
+func (c *Cell) possible(j *Job) bool {
+	return j.Need.Fits(c.quotas.limit(j.Team)) && c.holdable(j.Need)
+}
+
+// start journals the start of j if a worker and the team's quota have room.
+func (p *pass) start(j *JobRow) bool {
+	c := p.cell
+	size := c.size(&j.Job)
+	if missing, ok := c.quotas.allows(j.Team, p.held[j.Team], size); !ok {
+		c.quotas.want(j, missing, c.classes[j.Class])
+		p.shut[j.Team] = true
+		return false
+	}
+	i := p.choose(j, size)
+	if i < 0 {
+		p.noteMiss(j)
+		return false
+	}
+	w := p.rooms.leaves[i].worker
+	p.rooms.take(i, size)
+	p.held[j.Team] = p.held[j.Team].Plus(size)
+	p.records = append(p.records, startRecord(j, w, size, p.now))
+	return true
+}
+
+func startRecord(j *JobRow, w *workerRow, size Resources, now time.Time) Record {
+	r := Record{Kind: KindStarted, At: now, ID: j.ID, Attempt: j.Attempt + 1,
+		Worker: w.id, Incarnation: w.report.Stamp.Incarnation}
+	if size != j.Need {
+		r.Size = &size
+	}
+	return r
+}
+
+// choose returns the leaf of the best worker for j, or -1.
+func (p *pass) choose(j *JobRow, size Resources) int {
+	for _, m := range p.misfits[j.Class] {
+		if m.Fits(size) && p.cell.claim.job != j.ID {
+			return -1
+		}
+	}
+	best, bestCost, seen := -1, 0.0, 0
+	p.rooms.each(size, func(i int) bool {
+		l := &p.rooms.leaves[i]
+		if !p.cell.admits(l.worker, &j.Job) || p.cell.keptFrom(l.worker, j) {
+			return true
+		}
+		cost := p.cell.ranker.Cost(&j.Job, size, l.candidate())
+		if best < 0 || cost < bestCost {
+			best, bestCost = i, cost
+		}
+		seen++
+		return seen < p.cell.ranker.Width()
+	})
+	if best < 0 {
+		p.misfits[j.Class] = append(p.misfits[j.Class], size)
+	}
+	return best
+}
+
+func (p *pass) noteMiss(j *JobRow) {
+	if p.cell.classes[j.Class] {
+		p.blocked = append(p.blocked, j)
+	}
+	if p.oldest == nil || j.Submitted.Before(p.oldest.Submitted) {
+		p.oldest = j
+	}
+}
+
+// admits reports whether the placement rules let j run on w.
+func (c *Cell) admits(w *workerRow, j *Job) bool {
+	r, ok := c.rules[j.Class]
+	if !ok {
+		return true
+	}
+	if len(r.Zones) > 0 && !slices.Contains(r.Zones, w.zone) {
+		return false
+	}
+	for _, s := range c.services[w.id] {
+		if slices.Contains(r.Avoid, s) {
+			return false
+		}
+	}
+	return true
+}
+
+// keptFrom reports whether w is kept free for another job. Urgent jobs pass.
+func (c *Cell) keptFrom(w *workerRow, j *JobRow) bool {
+	return c.claim.worker == w.id && c.claim.job != j.ID && !c.classes[j.Class]
+}
+
+// refreshClaim drops a claim whose job or worker no longer needs it.
+func (c *Cell) refreshClaim() {
+	j, w := c.jobs.Get(c.claim.job), c.workers.Get(c.claim.worker)
+	if j == nil || j.State != Queued || j.Cancelling || w == nil || w.lost || c.draining[w.id] {
+		c.claim = claim{}
+	}
+}
+
+// chooseClaim keeps the least committed worker that could hold the oldest
+// job, if that job has waited long.
+func (c *Cell) chooseClaim(p *pass) {
+	j := p.oldest
+	if j == nil || c.claim.job != "" || p.now.Sub(j.Submitted) < claimAfter {
+		return
+	}
+	size := c.size(&j.Job)
+	best, bestPart := "", 0.0
+	for _, l := range p.rooms.leaves {
+		if !size.Fits(l.worker.capacity) || !c.admits(l.worker, &j.Job) {
+			continue
+		}
+		part := dominant(l.worker.used, l.worker.capacity)
+		if best == "" || part < bestPart {
+			best, bestPart = l.worker.id, part
+		}
+	}
+	c.claim = claim{j.ID, best}
+}
+
+// dominant returns the largest share that used has of any dimension of all.
+func dominant(used, all Resources) float64 {
+	return max(share(used.Processors, all.Processors), share(used.Memory, all.Memory),
+		share(used.Accelerators, all.Accelerators), share(used.Slots, all.Slots))
+}
+
+func share[N int | int64](used, all N) float64 {
+	if all <= 0 {
+		return 0
+	}
+	return float64(used) / float64(all)
+}
--- a/core/worker/plan.go
+++ b/core/worker/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -18,6 +17,7 @@
 	}
 	rs = c.planEnded(rs, touched, now)
 	rs = c.planCancelled(rs, touched, now)
+	rs = c.planBorrowed(rs, now)
 	return c.planStarts(rs, touched, now)
 }
 
@@ -124,73 +124,3 @@
 	}
 	return rs
 }
-
-// planStarts places queued jobs, urgent ones first, then by submission.
-func (c *Cell) planStarts(rs []Record, touched map[string]bool, now time.Time) []Record {
-	free := c.freeRoom(now)
-	for _, j := range c.queue(touched) {
-		i := firstFit(free, j.Need)
-		if i < 0 {
-			continue
-		}
-		free[i].room = free[i].room.Minus(j.Need)
-		w := free[i].worker
-		rs = append(rs, Record{Kind: KindStarted, At: now, ID: j.ID,
-			Attempt: j.Attempt + 1, Worker: w.id,
-			Incarnation: w.report.Stamp.Incarnation})
-	}
-	return rs
-}
-
-type freeWorker struct {
-	worker *workerRow
-	room   Resources
-}
-
-func (c *Cell) freeRoom(now time.Time) []freeWorker {
-	var free []freeWorker
-	for id, w := range c.workers.All {
-		if w.report == nil || w.lost || c.draining[id] {
-			continue
-		}
-		if now.Sub(w.received) > c.timings.Grant/2 {
-			continue
-		}
-		free = append(free, freeWorker{w, w.capacity.Minus(w.used)})
-	}
-	slices.SortFunc(free, func(a, b freeWorker) int {
-		return strings.Compare(a.worker.id, b.worker.id)
-	})
-	return free
-}
-
-func firstFit(free []freeWorker, need Resources) int {
-	for i := range free {
-		if need.Fits(free[i].room) {
-			return i
-		}
-	}
-	return -1
-}
-
-func (c *Cell) queue(touched map[string]bool) []*JobRow {
-	var q []*JobRow
-	for id, j := range c.jobs.All {
-		if j.State == Queued && !touched[id] && !j.Cancelling {
-			q = append(q, j)
-		}
-	}
-	slices.SortFunc(q, func(a, b *JobRow) int {
-		if u, v := c.classes[a.Class], c.classes[b.Class]; u != v {
-			if u {
-				return -1
-			}
-			return 1
-		}
-		if d := a.Submitted.Compare(b.Submitted); d != 0 {
-			return d
-		}
-		return strings.Compare(a.ID, b.ID)
-	})
-	return q
-}
--- a/core/worker/record.go
+++ b/core/worker/record.go
@@ -21,6 +21,10 @@
 	KindCancelling  Kind = "cancelling"
 	KindCancelled   Kind = "cancelled"
 	KindParked      Kind = "parked"
+	// KindLent and KindBorrowed move a part of a team's quota; they change
+	// no job.
+	KindLent     Kind = "quota-lent"
+	KindBorrowed Kind = "quota-borrowed"
 )
 
 // Record is one durable decision about one job.
@@ -34,6 +38,10 @@
 	Incarnation int64       `json:"incarnation,omitempty"`
 	Checkpoint  string      `json:"checkpoint,omitempty"`
 	Reason      status.Code `json:"reason,omitempty"`
+	// Size is the room that a start reserves, if it differs from the need.
+	Size *Resources `json:"size,omitempty"`
+	// Transfer is the total that a cell has given another.
+	Transfer *Transfer `json:"transfer,omitempty"`
 }
 
 // Reasons of interruptions and parkings.
@@ -67,7 +75,10 @@
 		if j := c.jobs.Get(r.ID); j != nil {
 			j.Cancelling = true
 		}
+	case KindLent, KindBorrowed:
+		c.applyTransfer(*r.Transfer)
 	}
+	c.indexJob(r)
 }
 
 func (c *Cell) applyStarted(r Record) {
@@ -79,6 +90,10 @@
 	j.Attempt = r.Attempt
 	j.Worker = r.Worker
 	j.Incarnation = r.Incarnation
+	j.Size = j.Need
+	if r.Size != nil {
+		j.Size = *r.Size
+	}
 	c.reserve(j)
 }
 
@@ -119,7 +134,8 @@
 		w = c.workers.Put(j.Worker, newWorkerRow(j.Worker))
 	}
 	w.tasks[j.ID] = true
-	w.used = w.used.Plus(j.Need)
+	w.used = w.used.Plus(j.Size)
+	c.hold(j.Team, j.Size)
 }
 
 // release frees the room of j if it is running.
@@ -132,5 +148,6 @@
 		return
 	}
 	delete(w.tasks, j.ID)
-	w.used = w.used.Minus(j.Need)
+	w.used = w.used.Minus(j.Size)
+	c.hold(j.Team, Resources{}.Minus(j.Size))
 }
--- a/core/worker/types.go
+++ b/core/worker/types.go
@@ -106,6 +106,8 @@
 	// Worker and Incarnation name where the current attempt runs.
 	Worker      string `json:"worker,omitempty"`
 	Incarnation int64  `json:"incarnation,omitempty"`
+	// Size is the room reserved for the current attempt.
+	Size Resources `json:"size,omitzero"`
 	// Checkpoint is where the next attempt resumes.
 	Checkpoint string      `json:"checkpoint,omitempty"`
 	Cancelling bool        `json:"cancelling,omitempty"`
@@ -136,6 +138,15 @@
 	Attempt    int       `json:"attempt"`
 	State      TaskState `json:"state"`
 	Checkpoint string    `json:"checkpoint,omitempty"`
+	// Usage is what the task was measured to use, some time ago, or nil.
+	Usage *Usage `json:"usage,omitempty"`
+}
+
+// Usage is what a task used in an interval of the past.
+type Usage struct {
+	// Processors is in thousandths of a processor, Memory in MiB.
+	Processors int   `json:"processors-milli"`
+	Memory     int64 `json:"memory-mib"`
 }
 
 // Stamp is a point in a worker's own time: the time since the start of an
@@ -173,6 +184,11 @@
 	Payload    string    `json:"payload,omitempty"`
 	Checkpoint string    `json:"checkpoint,omitempty"`
 	Action     Action    `json:"action"`
+	// Reason tells why an attempt is stopped, if it will be resumed.
+	Reason status.Code `json:"reason,omitempty"`
+	// Throttle is the share of its processors that the task may use, in
+	// thousandths; 0 means all.
+	Throttle int `json:"throttle-milli,omitempty"`
 }
 
 // Lease is the one message from a cell's owner to a worker: it extends the
--- a/io/entry/cells.go
+++ b/io/entry/cells.go
@@ -41,6 +41,7 @@
 		if !run.owned {
 			continue
 		}
+		c.shareQuotas(run)
 		c.tickJournal(ctx, run, now)
 		for _, cmd := range run.cell.Commands(now, run.sending) {
 			c.sendCommand(ctx, run, cmd)
@@ -48,6 +49,15 @@
 	}
 }
 
+// shareQuotas passes quota between the cells that this entry owns.
+func (c *control) shareQuotas(run *cellRun) {
+	for _, other := range c.cells.All {
+		if other != run && other.owned {
+			run.cell.Hear(other.cell.Transfers(), other.cell.Wants())
+		}
+	}
+}
+
 // tickJournal makes the decisions of this tick durable in one write.
 func (c *control) tickJournal(ctx context.Context, run *cellRun, now time.Time) {
 	if run.busy || c.stopping {
@@ -165,6 +175,10 @@
 			event.Worker(r.Worker), event.Cell(run.id), event.Reason(r.Reason))
 	case worker.KindCancelled:
 		event.JobCancelled.Emit(c.log, event.Job(r.ID), event.Cell(run.id))
+	case worker.KindLent:
+		event.QuotaLent.Emit(c.log, event.Team(r.Transfer.Team), event.Cell(run.id), event.Other(r.Transfer.To))
+	case worker.KindBorrowed:
+		event.QuotaBorrowed.Emit(c.log, event.Team(r.Transfer.Team), event.Cell(run.id), event.Other(r.Transfer.From))
 	}
 }
 
--- a/io/entry/config.go
+++ b/io/entry/config.go
@@ -43,4 +43,30 @@
 	}
 	cell.SetClasses(urgent)
 	cell.SetDraining(d.Draining)
+	cell.SetRules(classRules(d))
+	cell.SetQuotas(d.Cells, teamQuotas(d))
+}
+
+// classRules joins the placement rules of each batch class. Zones of several
+// rules for one class add up.
+func classRules(d *operator.Document) map[string]worker.ClassRule {
+	rules := make(map[string]worker.ClassRule)
+	for _, r := range d.Rules {
+		c := rules[r.Class]
+		if r.AvoidService != "" {
+			c.Avoid = append(c.Avoid, r.AvoidService)
+		}
+		c.Zones = append(c.Zones, r.Zones...)
+		rules[r.Class] = c
+	}
+	return rules
+}
+
+func teamQuotas(d *operator.Document) map[string]worker.Resources {
+	quotas := make(map[string]worker.Resources, len(d.Teams))
+	for _, t := range d.Teams {
+		quotas[t.Name] = worker.Resources{Processors: t.Quota.Processors,
+			Memory: t.Quota.Memory, Accelerators: t.Quota.Accelerators}
+	}
+	return quotas
 }
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -10,6 +10,7 @@
 	"rosemarygap/core/peer"
 	"rosemarygap/core/status"
 	"rosemarygap/core/wire"
+	"rosemarygap/core/worker"
 )
 
 // exchanged is the result of one exchange with another entry.
@@ -73,6 +74,12 @@
 			x.Workers = append(x.Workers, peer.AgedWorker{Notice: w.notice, Age: wire.Duration(age)})
 		}
 	}
+	for _, run := range c.cells.All {
+		if run.owned {
+			x.Transfers = append(x.Transfers, run.cell.Transfers()...)
+			x.Wants = append(x.Wants, run.cell.Wants()...)
+		}
+	}
 	return x
 }
 
@@ -96,6 +103,16 @@
 	for _, w := range x.Workers {
 		c.heardWorker(w.Notice, w.Age.Std(), now)
 	}
+	c.hearQuotas(x.Transfers, x.Wants)
+}
+
+// hearQuotas tells the cells owned here what other cells lent and want.
+func (c *control) hearQuotas(ts []worker.Transfer, ws []worker.Want) {
+	for _, run := range c.cells.All {
+		if run.owned {
+			run.cell.Hear(ts, ws)
+		}
+	}
 }
 
 func (c *control) heardEndpoint(a endpoint.Announcement, age time.Duration, now time.Time) {
