--- /dev/null
+++ b/cmd/rosemarygap-trial/main.go
@@ -0,0 +1,22 @@
+// Command rosemarygap-trial compares the placement and interference policy
+// with its baselines and prints one JSON result.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"rosemarygap/io/process"
+	"rosemarygap/io/trial"
+
+	"github.com/alexflint/go-arg"
+)
+
+func main() {
+	var o trial.Options
+	arg.MustParse(&o)
+	if err := trial.All(o, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(process.ExitFailed)
+	}
+}
