Keep only the endpoints that the peak needs, and leave harmful jobs waiting

Causes found in the trial (seed 1, 2h): every endpoint was kept, so disturbing jobs found no VM where they do no harm and were throttled to a quarter, which made them run four times as long and pile up; a worker was claimed for a large disturbing job on an endpoint that its service needs; sums over maps made two runs of one seed differ.

--- a/core/interference/decide.go
+++ b/core/interference/decide.go
@@ -113,7 +113,9 @@
 
 func (p *Policy) predict(byVM map[string][]Task, now time.Time) {
 	for _, s := range p.sites {
-		s.predicted = p.model.predict(s.service, s.vm, Band(s.load), beside(byVM[s.vm]), now)
+		band, with := Band(s.load), beside(byVM[s.vm])
+		s.predicted = p.model.predict(s.service, s.vm, band, with, now)
+		s.disturbed = s.predicted - p.model.predict(s.service, s.vm, band, nil, now)
 	}
 }
 
--- a/core/interference/model.go
+++ b/core/interference/model.go
@@ -1,7 +1,9 @@
 package interference
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -102,6 +104,10 @@
 // average over an interval; throttled ones count in part.
 type exposure map[string]float64
 
+// classes returns the classes in order, so that sums of floating-point numbers
+// are the same in every run.
+func (e exposure) classes() []string { return slices.Sorted(maps.Keys(e)) }
+
 // saturation turns a number of tasks into the strength of their effect, which
 // grows less with each further task.
 func saturation(tasks float64) float64 { return 2 * tasks / (tasks + 1) }
@@ -112,8 +118,8 @@
 	ps = append(ps, part{term{service: service, band: anyBand}, 1},
 		part{term{service: service, band: band}, 1},
 		part{term{service: service, vm: vm, band: anyBand}, 1})
-	for class, n := range beside {
-		w := saturation(n)
+	for _, class := range beside.classes() {
+		w := saturation(beside[class])
 		ps = append(ps, part{term{service: service, class: class, band: anyBand}, w},
 			part{term{service: service, class: class, band: band}, w})
 	}
@@ -144,8 +150,8 @@
 	for _, p := range parts(service, vm, band, nil) {
 		y += p.weight * m.get(p.term, now).mean
 	}
-	for class, n := range beside {
-		y += saturation(n) * m.effect(service, class, band, now)
+	for _, class := range beside.classes() {
+		y += saturation(beside[class]) * m.effect(service, class, band, now)
 	}
 	return y
 }
--- a/core/interference/policy.go
+++ b/core/interference/policy.go
@@ -8,7 +8,9 @@
 package interference
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"rosemarygap/core/wire"
@@ -55,7 +57,6 @@
 type site struct {
 	service, vm string
 	load        float64
-	requests    float64
 	measured    time.Time
 	// breached is the end of the latest interval beyond the target.
 	breached time.Time
@@ -63,6 +64,10 @@
 	kept bool
 	// predicted is the logarithm of latency over target, as of now.
 	predicted float64
+	// disturbed is the part of it that batch tasks cause.
+	disturbed float64
+	// rank orders the endpoints of a service, the least disturbed first.
+	rank float64
 }
 
 type siteKey struct{ service, vm string }
@@ -71,6 +76,7 @@
 type Policy struct {
 	settings  Settings
 	targets   map[string]time.Duration
+	services  []string
 	model     *model
 	timelines map[string]*timeline
 	sites     map[siteKey]*site
@@ -79,7 +85,10 @@
 	released  map[string]time.Time
 	budget    budget
 	evicted   map[string]time.Time
-	now       time.Time
+	// peaks are the highest undisturbed loads of services of late, in
+	// endpoints.
+	peaks map[string]float64
+	now   time.Time
 }
 
 // Settings weigh latency against batch work.
@@ -122,12 +131,16 @@
 		throttled: make(map[string]time.Time),
 		released:  make(map[string]time.Time),
 		evicted:   make(map[string]time.Time),
+		peaks:     make(map[string]float64),
 		budget:    budget{tokens: s.Burst},
 	}
 }
 
 // SetTargets sets the latency targets of services.
-func (p *Policy) SetTargets(targets map[string]time.Duration) { p.targets = targets }
+func (p *Policy) SetTargets(targets map[string]time.Duration) {
+	p.targets = targets
+	p.services = slices.Sorted(maps.Keys(targets))
+}
 
 // Observe takes in a measurement and reports whether it could be attributed.
 func (p *Policy) Observe(m Measurement, now time.Time) bool {
@@ -166,6 +179,5 @@
 	}
 	if m.To.After(s.measured) {
 		s.measured, s.load = m.To, m.Load
-		s.requests = float64(m.Requests)
 	}
 }
--- a/core/interference/route.go
+++ b/core/interference/route.go
@@ -2,13 +2,17 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 )
 
 // avoidedWeight is what remains for an endpoint that requests are routed away
 // from, so that its latency is still measured.
-const avoidedWeight = 0.01
+const avoidedWeight = 0.004
+
+// peakKept is how much of a peak of load is left after each tick.
+const peakKept = 0.9998
 
 // Weights advises how requests of a service are shared among its endpoints.
 // It is immutable. The weight of an endpoint without advice is 1.
@@ -36,44 +40,56 @@
 	return len(w.bySite)
 }
 
-// route decides which endpoints each service keeps: the ones predicted within
-// the margin, and as many of the others, the best first, as the load needs.
+// route decides which endpoints each service keeps: the ones that are expected
+// to be least disturbed at the peak of load, as many as that peak needs. The
+// others are used while they are predicted within the margin.
 func (p *Policy) route() *Weights {
 	w := &Weights{bySite: make(map[siteKey]float64)}
+	keeping := make(map[string]bool)
 	for i := 0; i < len(p.order); {
-		end := i
 		var sites []*site
-		for end < len(p.order) && p.order[end].service == p.order[i].service {
-			sites = append(sites, p.sites[p.order[end]])
-			end++
+		service := p.order[i].service
+		for ; i < len(p.order) && p.order[i].service == service; i++ {
+			sites = append(sites, p.sites[p.order[i]])
 		}
-		p.routeService(sites, w)
-		i = end
+		p.routeService(service, sites, keeping, w)
 	}
 	return w
 }
 
-func (p *Policy) routeService(sites []*site, w *Weights) {
-	total := 0.0
+// routeService keeps endpoints of one service, first on the VMs that services
+// before it keep.
+func (p *Policy) routeService(service string, sites []*site, keeping map[string]bool, w *Weights) {
+	need := p.needed(service, sites)
 	for _, s := range sites {
-		total += s.load
+		s.rank = p.outlookAt(s, "")
+		if s.kept {
+			s.rank -= sticky
+		}
+		if keeping[s.vm] {
+			s.rank -= sticky
+		}
 	}
-	need := int(math.Ceil(total / p.settings.Busy))
-	slices.SortStableFunc(sites, func(a, b *site) int { return cmp.Compare(a.rank(), b.rank()) })
+	slices.SortStableFunc(sites, func(a, b *site) int { return cmp.Compare(a.rank, b.rank) })
 	for i, s := range sites {
-		s.kept = i < need || s.rank() <= p.margin()
-		if !s.kept {
+		s.kept = i < need
+		if s.kept {
+			keeping[s.vm] = true
+		} else if s.predicted > p.margin() {
 			w.bySite[siteKey{s.service, s.vm}] = avoidedWeight
 		}
 	}
 }
 
-// rank orders sites; a kept one is preferred to an equal one.
-func (s *site) rank() float64 {
-	if s.kept {
-		return s.predicted - sticky
+// needed returns how many endpoints carry the peak of the service's load when
+// none is disturbed.
+func (p *Policy) needed(service string, sites []*site) int {
+	total := 0.0
+	for _, s := range sites {
+		total += s.load * math.Exp(-s.disturbed)
 	}
-	return s.predicted
+	p.peaks[service] = max(total, p.peaks[service]*peakKept)
+	return int(math.Ceil(p.peaks[service] / p.settings.Busy))
 }
 
 // missSlope is how sharply requests begin to miss the target around it.
@@ -84,15 +100,16 @@
 const avoidedHarm = 0.05
 
 // Harm predicts the share of requests that one more task of class on a VM
-// makes miss their target.
+// makes miss their target at the usual peak of load.
 func (p *Policy) Harm(vm, class string) float64 {
 	harm := 0.0
-	for service := range p.targets {
+	for _, service := range p.services {
 		s := p.sites[siteKey{service, vm}]
 		if s == nil {
 			continue
 		}
-		h := p.misses(s.predicted+p.added(s, class)) - p.misses(s.predicted)
+		before := p.outlookAt(s, "")
+		h := p.misses(p.outlookAt(s, class)) - p.misses(before)
 		if !s.kept {
 			h *= avoidedHarm
 		}
@@ -101,14 +118,17 @@
 	return harm
 }
 
-// added is the effect of one more task of class at a site.
-func (p *Policy) added(s *site, class string) float64 {
-	n := 0.0
+// outlookAt predicts a site at its peak of load with one more task of class,
+// or with none if class is empty.
+func (p *Policy) outlookAt(s *site, class string) float64 {
+	after := make(exposure)
 	if l := p.timelines[s.vm]; l != nil && len(l.stretches) > 0 {
-		n = l.stretches[len(l.stretches)-1].beside[class]
+		maps.Copy(after, l.stretches[len(l.stretches)-1].beside)
+	}
+	if class != "" {
+		after[class]++
 	}
-	e := p.model.effect(s.service, class, Band(s.load), p.now)
-	return (saturation(n+1) - saturation(n)) * e
+	return p.model.predict(s.service, s.vm, Band(p.settings.Busy), after, p.now)
 }
 
 // misses is a smooth share of requests beyond the target.
--- a/core/worker/place.go
+++ b/core/worker/place.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -11,6 +12,10 @@
 	// maxMisses is how many jobs of one team may fail to fit in one tick
 	// before the team's later jobs wait for the next tick.
 	maxMisses = 64
+	// maxRefusals bounds the same for jobs that no worker should take, and
+	// the workers that are looked at for one of them.
+	maxRefusals = 1024
+	maxRefused  = 64
 	// claimAfter is how long a job may wait for room that smaller jobs take
 	// before a worker is kept free for it.
 	claimAfter = 30 * time.Second
@@ -37,6 +42,9 @@
 	quotas *quotas
 	held   map[string]Resources
 	claim  claim
+	// refusals tells since when jobs have been left waiting although there
+	// was room.
+	refusals map[string]time.Time
 	evictions
 }
 
@@ -46,6 +54,7 @@
 		queues:    make(map[string]*teamQueue),
 		sizes:     make(map[string]Resources),
 		held:      make(map[string]Resources),
+		refusals:  make(map[string]time.Time),
 		quotas:    newQuotas(),
 		evictions: newEvictions(),
 	}
@@ -74,6 +83,8 @@
 	records []Record
 	// misfits are sizes that fit nowhere, by batch class.
 	misfits map[string][]Resources
+	// refused are sizes that have room but no worker that should take them.
+	refused map[string][]Resources
 	// shut are teams whose oldest job waits for quota.
 	shut    map[string]bool
 	blocked []*JobRow
@@ -92,6 +103,7 @@
 		rooms:   newRoomIndex(c.freeRoom(now)),
 		held:    make(map[string]Resources, len(c.held)),
 		misfits: make(map[string][]Resources),
+		refused: make(map[string][]Resources),
 		shut:    make(map[string]bool),
 		touched: touched,
 	}
@@ -141,6 +153,8 @@
 	team   string
 	jobs   []*JobRow
 	misses int
+	// refusals counts the jobs that no worker should take.
+	refusals int
 }
 
 func (p *pass) openTeams(urgent bool) []*teamCursor {
@@ -170,20 +184,35 @@
 // placeOne starts the first job of a team that fits and reports whether there
 // was one.
 func (p *pass) placeOne(t *teamCursor) bool {
-	for len(t.jobs) > 0 && t.misses < maxMisses && !p.shut[t.team] {
+	for len(t.jobs) > 0 && t.misses < maxMisses && t.refusals < maxRefusals && !p.shut[t.team] {
 		j := t.jobs[0]
 		t.jobs = t.jobs[1:]
 		if p.touched[j.ID] || !p.cell.possible(&j.Job) {
 			continue
 		}
-		if p.start(j) {
+		switch p.start(j) {
+		case placed:
 			return true
+		case refused:
+			t.refusals++
+		case missed:
+			t.misses++
 		}
-		t.misses++
 	}
 	return false
 }
 
+// verdict is what became of a job in one pass.
+type verdict int
+
+const (
+	// missed found no room or no quota.
+	missed verdict = iota
+	// refused found room only where the job would do harm.
+	refused
+	placed
+)
+
 // possible reports whether j could ever start with the quota of its team and
 // the workers of this cell.
 func (c *Cell) possible(j *Job) bool {
@@ -191,24 +220,24 @@
 }
 
 // start journals the start of j if a worker and the team's quota have room.
-func (p *pass) start(j *JobRow) bool {
+func (p *pass) start(j *JobRow) verdict {
 	c := p.cell
 	size := c.size(&j.Job)
 	if missing, ok := c.quotas.allows(j.Team, p.held[j.Team], size); !ok {
 		c.quotas.want(j, missing, c.classes[j.Class])
 		p.shut[j.Team] = true
-		return false
+		return missed
 	}
-	i := p.choose(j, size)
-	if i < 0 {
-		p.noteMiss(j)
-		return false
+	i, v := p.choose(j, size)
+	if v != placed {
+		p.noteUnplaced(j, v)
+		return v
 	}
 	w := p.rooms.leaves[i].worker
 	p.rooms.take(i, size)
 	p.held[j.Team] = p.held[j.Team].Plus(size)
 	p.records = append(p.records, startRecord(j, w, size, p.now))
-	return true
+	return placed
 }
 
 func startRecord(j *JobRow, w *workerRow, size Resources, now time.Time) Record {
@@ -220,33 +249,64 @@
 	return r
 }
 
-// choose returns the leaf of the best worker for j, or -1.
-func (p *pass) choose(j *JobRow, size Resources) int {
-	for _, m := range p.misfits[j.Class] {
-		if m.Fits(size) && p.cell.claim.job != j.ID {
-			return -1
-		}
+// choose returns the leaf of the best worker for j.
+func (p *pass) choose(j *JobRow, size Resources) (leaf int, v verdict) {
+	waited := p.waited(j)
+	if p.cell.claim.job != j.ID && covers(p.misfits[j.Class], size) {
+		return -1, missed
+	}
+	if waited < patience && covers(p.refused[j.Class], size) {
+		return -1, refused
 	}
-	best, bestCost, seen := -1, 0.0, 0
+	best, bestCost, seen, unfit := -1, math.Inf(1), 0, 0
 	p.rooms.each(size, func(i int) bool {
 		l := &p.rooms.leaves[i]
 		if !p.cell.admits(l.worker, &j.Job) || p.cell.keptFrom(l.worker, j) {
 			return true
 		}
-		cost := p.cell.ranker.Cost(&j.Job, size, l.candidate())
+		cost := p.cell.ranker.Cost(&j.Job, size, waited, l.candidate())
+		if math.IsInf(cost, 1) && !p.cell.classes[j.Class] {
+			unfit++
+			return unfit < maxRefused
+		}
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
 		seen++
 		return seen < p.cell.ranker.Width()
 	})
-	if best < 0 {
-		p.misfits[j.Class] = append(p.misfits[j.Class], size)
+	switch {
+	case best >= 0:
+		return best, placed
+	case unfit > 0:
+		p.refused[j.Class] = append(p.refused[j.Class], size)
+		return -1, refused
 	}
-	return best
+	p.misfits[j.Class] = append(p.misfits[j.Class], size)
+	return -1, missed
 }
 
-func (p *pass) noteMiss(j *JobRow) {
+// covers reports whether one of the sizes is within size.
+func covers(sizes []Resources, size Resources) bool {
+	return slices.ContainsFunc(sizes, func(s Resources) bool { return s.Fits(size) })
+}
+
+// waited returns how long j has been left waiting although there was room.
+func (p *pass) waited(j *JobRow) time.Duration {
+	since, ok := p.cell.refusals[j.ID]
+	if !ok {
+		return 0
+	}
+	return p.now.Sub(since)
+}
+
+func (p *pass) noteUnplaced(j *JobRow, v verdict) {
+	if v == refused {
+		if _, ok := p.cell.refusals[j.ID]; !ok {
+			p.cell.refusals[j.ID] = p.now
+		}
+		return
+	}
 	if p.cell.classes[j.Class] {
 		p.blocked = append(p.blocked, j)
 	}
@@ -298,6 +358,9 @@
 		if !size.Fits(l.worker.capacity) || !c.admits(l.worker, &j.Job) {
 			continue
 		}
+		if math.IsInf(c.ranker.Cost(&j.Job, size, p.waited(j), l.candidate()), 1) {
+			continue
+		}
 		part := dominant(l.worker.used, l.worker.capacity)
 		if best == "" || part < bestPart {
 			best, bestPart = l.worker.id, part
--- a/core/worker/place_queue.go
+++ b/core/worker/place_queue.go
@@ -53,6 +53,9 @@
 	case !waits && found:
 		*jobs = slices.Delete(*jobs, i, i+1)
 	}
+	if !waits {
+		delete(c.refusals, j.ID)
+	}
 	if j.State != Running {
 		delete(c.evicting, j.ID)
 		delete(c.throttles, j.ID)
