Predict avoided endpoints at the load that they would carry; keep the kept ones longer

Also, 64 jobs too large for any room at the head of a team's queue shut out the smaller ones behind them; now only vain searches count towards that bound.

--- a/core/interference/decide.go
+++ b/core/interference/decide.go
@@ -26,8 +26,13 @@
 	// siteLife is how long an endpoint counts without a measurement.
 	siteLife = 3 * time.Minute
 	// sticky is how much worse, as a logarithm, a kept endpoint may be than
-	// one that is not kept before they change places.
-	sticky = 0.2
+	// one that is not kept before they change places; shared is the same for
+	// one whose VM another service keeps.
+	sticky = 0.6
+	shared = 0.3
+	// returning is how far within the margin an avoided endpoint must be
+	// before requests are routed back to it.
+	returning = 0.15
 	// releaseBelow is how far below the margin a prediction without the
 	// throttle must be, as a logarithm, before the throttle ends.
 	releaseBelow = 0.25
@@ -111,9 +116,16 @@
 	return e
 }
 
+// predict estimates each site with the tasks beside it now, at the load of the
+// service's busiest endpoint: one that requests are routed away from would be
+// as busy if they were routed back.
 func (p *Policy) predict(byVM map[string][]Task, now time.Time) {
+	busiest := make(map[string]float64)
 	for _, s := range p.sites {
-		band, with := Band(s.load), beside(byVM[s.vm])
+		busiest[s.service] = max(busiest[s.service], s.load)
+	}
+	for _, s := range p.sites {
+		band, with := Band(busiest[s.service]), beside(byVM[s.vm])
 		s.predicted = p.model.predict(s.service, s.vm, band, with, now)
 		s.disturbed = s.predicted - p.model.predict(s.service, s.vm, band, nil, now)
 	}
--- a/core/interference/policy.go
+++ b/core/interference/policy.go
@@ -62,6 +62,8 @@
 	breached time.Time
 	// kept is true while the service needs the endpoint.
 	kept bool
+	// avoided is true while requests are routed away from it.
+	avoided bool
 	// predicted is the logarithm of latency over target, as of now.
 	predicted float64
 	// disturbed is the part of it that batch tasks cause.
--- a/core/interference/route.go
+++ b/core/interference/route.go
@@ -12,7 +12,7 @@
 const avoidedWeight = 0.004
 
 // peakKept is how much of a peak of load is left after each tick.
-const peakKept = 0.9998
+const peakKept = 0.99995
 
 // Weights advises how requests of a service are shared among its endpoints.
 // It is immutable. The weight of an endpoint without advice is 1.
@@ -67,15 +67,21 @@
 			s.rank -= sticky
 		}
 		if keeping[s.vm] {
-			s.rank -= sticky
+			s.rank -= shared
 		}
 	}
 	slices.SortStableFunc(sites, func(a, b *site) int { return cmp.Compare(a.rank, b.rank) })
 	for i, s := range sites {
 		s.kept = i < need
+		limit := p.margin()
+		if s.avoided {
+			limit -= returning
+		}
+		s.avoided = !s.kept && s.predicted > limit
 		if s.kept {
 			keeping[s.vm] = true
-		} else if s.predicted > p.margin() {
+		}
+		if s.avoided {
 			w.bySite[siteKey{s.service, s.vm}] = avoidedWeight
 		}
 	}
--- a/core/worker/place.go
+++ b/core/worker/place.go
@@ -9,13 +9,14 @@
 
 // Bounds of one tick's placement.
 const (
-	// maxMisses is how many jobs of one team may fail to fit in one tick
+	// maxSearches is how many jobs of one team may be searched a worker for
+	// in vain in one tick, and maxPassed how many may be passed over at all,
 	// before the team's later jobs wait for the next tick.
-	maxMisses = 64
-	// maxRefusals bounds the same for jobs that no worker should take, and
-	// the workers that are looked at for one of them.
-	maxRefusals = 1024
-	maxRefused  = 64
+	maxSearches = 64
+	maxPassed   = 1024
+	// maxRefused is how many workers are looked at for a job that would do
+	// harm on them.
+	maxRefused = 64
 	// claimAfter is how long a job may wait for room that smaller jobs take
 	// before a worker is kept free for it.
 	claimAfter = 30 * time.Second
@@ -89,7 +90,9 @@
 	shut    map[string]bool
 	blocked []*JobRow
 	oldest  *JobRow
-	touched map[string]bool
+	// searches counts the searches of the index in vain.
+	searches int
+	touched  map[string]bool
 }
 
 // planStarts places queued jobs: urgent ones first, then the team that holds
@@ -150,11 +153,10 @@
 
 // teamCursor is how far one tick has come in a team's queue.
 type teamCursor struct {
-	team   string
-	jobs   []*JobRow
-	misses int
-	// refusals counts the jobs that no worker should take.
-	refusals int
+	team string
+	jobs []*JobRow
+	// searched and passed count the jobs that were not placed.
+	searched, passed int
 }
 
 func (p *pass) openTeams(urgent bool) []*teamCursor {
@@ -184,20 +186,18 @@
 // placeOne starts the first job of a team that fits and reports whether there
 // was one.
 func (p *pass) placeOne(t *teamCursor) bool {
-	for len(t.jobs) > 0 && t.misses < maxMisses && t.refusals < maxRefusals && !p.shut[t.team] {
+	for len(t.jobs) > 0 && t.searched < maxSearches && t.passed < maxPassed && !p.shut[t.team] {
 		j := t.jobs[0]
 		t.jobs = t.jobs[1:]
 		if p.touched[j.ID] || !p.cell.possible(&j.Job) {
 			continue
 		}
-		switch p.start(j) {
-		case placed:
+		searches := p.searches
+		if p.start(j) {
 			return true
-		case refused:
-			t.refusals++
-		case missed:
-			t.misses++
 		}
+		t.passed++
+		t.searched += p.searches - searches
 	}
 	return false
 }
@@ -220,24 +220,24 @@
 }
 
 // start journals the start of j if a worker and the team's quota have room.
-func (p *pass) start(j *JobRow) verdict {
+func (p *pass) start(j *JobRow) bool {
 	c := p.cell
 	size := c.size(&j.Job)
 	if missing, ok := c.quotas.allows(j.Team, p.held[j.Team], size); !ok {
 		c.quotas.want(j, missing, c.classes[j.Class])
 		p.shut[j.Team] = true
-		return missed
+		return false
 	}
 	i, v := p.choose(j, size)
 	if v != placed {
 		p.noteUnplaced(j, v)
-		return v
+		return false
 	}
 	w := p.rooms.leaves[i].worker
 	p.rooms.take(i, size)
 	p.held[j.Team] = p.held[j.Team].Plus(size)
 	p.records = append(p.records, startRecord(j, w, size, p.now))
-	return placed
+	return true
 }
 
 func startRecord(j *JobRow, w *workerRow, size Resources, now time.Time) Record {
@@ -275,10 +275,11 @@
 		seen++
 		return seen < p.cell.ranker.Width()
 	})
-	switch {
-	case best >= 0:
+	if best >= 0 {
 		return best, placed
-	case unfit > 0:
+	}
+	p.searches++
+	if unfit > 0 {
 		p.refused[j.Class] = append(p.refused[j.Class], size)
 		return -1, refused
 	}
--- a/core/worker/place_test.go
+++ b/core/worker/place_test.go
@@ -234,7 +234,7 @@
 	c.SetRules(map[string]ClassRule{"small": {Avoid: []string{"catalogue"}, Zones: []string{"z"}}})
 	c.SetServices(map[string][]string{ids[1]: {"catalogue"}})
 	c.SetDraining([]string{ids[2]})
-	c.SetRanker(Packed{harmOf{ids[0]: 1, ids[3]: 1}})
+	c.SetRanker(Packed{harmOf{ids[0]: 1, ids[3]: 0.02}})
 	f.step()
 	for i := range 4 {
 		need := Resources{1000, 1000, 0, 1}
