--- a/core/event/fields.go
+++ b/core/event/fields.go
@@ -60,3 +60,9 @@
 
 // Level counts the probations of a worker in a row.
 func Level(n int) Field { return Field{"level", n} }
+
+// Team names a team.
+func Team(name string) Field { return Field{"team", name} }
+
+// Other names the second cell of a transfer.
+func Other(cell int) Field { return Field{"other", cell} }
--- a/core/event/worker.go
+++ b/core/event/worker.go
@@ -34,7 +34,12 @@
 		[]string{"worker", "cell", "level"},
 		"A worker failed several jobs in a row and gets no task for a while.",
 		"If the level rises, replace that worker."}
+	QuotaLent = Event{3051, "quota-lent", hclog.Info, []string{"team", "cell", "other"},
+		"A cell gave a part of a team's quota to another cell.", "None."}
+	QuotaBorrowed = Event{3052, "quota-borrowed", hclog.Info, []string{"team", "cell", "other"},
+		"A cell took a part of a team's quota that another cell gave.", "None."}
 )
 
 var workerEvents = []Event{JobAccepted, TaskPlaced, TaskFinished,
-	TaskInterrupted, WorkerAdded, WorkerLost, JobCancelled, JobParked, JobUnparked, WorkerOnProbation}
+	TaskInterrupted, WorkerAdded, WorkerLost, JobCancelled, JobParked, JobUnparked,
+	WorkerOnProbation, QuotaLent, QuotaBorrowed}
--- a/core/worker/cell.go
+++ b/core/worker/cell.go
@@ -53,6 +53,10 @@
 	sent       time.Time
 	lost       bool
 	health     Health
+	// excess is what tasks were measured to use beyond their reservation.
+	excess Resources
+	// changed is true if a throttle or stop was decided since the last lease.
+	changed bool
 }
 
 func newWorkerRow(id string) workerRow {
@@ -82,6 +86,7 @@
 	target  Timings
 	lowerAt time.Time
 	opened  time.Time
+	placer
 	// lastVerified is the owner's time of the latest proof of ownership.
 	lastVerified time.Time
 	// earliest is when leases granted by earlier owners have certainly ended.
@@ -98,6 +103,7 @@
 		workers: table.New[string, workerRow](),
 		pending: make(map[string]*Job),
 		ending:  make(map[string]bool),
+		placer:  newPlacer(),
 	}
 }
 
@@ -106,11 +112,14 @@
 	Jobs    []JobRow      `json:"jobs,omitempty"`
 	Workers []Health      `json:"workers,omitempty"`
 	Wait    wire.Duration `json:"wait,omitzero"`
+	// Transfers are the parts of quotas given and taken, in total.
+	Transfers []Transfer `json:"transfers,omitempty"`
 }
 
 // Save returns the durable part of the cell.
 func (c *Cell) Save() Saved {
-	s := Saved{Jobs: make([]JobRow, 0, c.jobs.Len()), Wait: wire.Duration(c.wait)}
+	s := Saved{Jobs: make([]JobRow, 0, c.jobs.Len()), Wait: wire.Duration(c.wait),
+		Transfers: c.savedTransfers()}
 	for _, j := range c.jobs.All {
 		s.Jobs = append(s.Jobs, *j)
 	}
@@ -135,6 +144,10 @@
 		if row.State == Running {
 			c.reserve(row)
 		}
+		c.indexRow(row)
+	}
+	for _, t := range s.Transfers {
+		c.applyTransfer(t)
 	}
 }
 
@@ -190,7 +203,10 @@
 }
 
 // SetClasses tells which batch classes are urgent.
-func (c *Cell) SetClasses(urgent map[string]bool) { c.classes = urgent }
+func (c *Cell) SetClasses(urgent map[string]bool) {
+	c.classes = urgent
+	c.reindex()
+}
 
 // SetDraining names the workers that receive no further task.
 func (c *Cell) SetDraining(ids []string) { c.drained = ids }
--- a/core/worker/record.go
+++ b/core/worker/record.go
@@ -28,6 +28,10 @@
 	KindForgotten Kind = "forgotten"
 	// KindTimings changes how long a new owner has to wait.
 	KindTimings Kind = "timings"
+	// KindLent and KindBorrowed move a part of a team's quota; they change
+	// no job.
+	KindLent     Kind = "quota-lent"
+	KindBorrowed Kind = "quota-borrowed"
 )
 
 // Record is one durable decision about one job.
@@ -45,6 +49,10 @@
 	// Wait is how long a new owner waits for a worker that it cannot reach.
 	Wait  wire.Duration `json:"wait,omitzero"`
 	Limit Resources     `json:"limit,omitzero"`
+	// Size is the room that a start reserves, if it differs from the need.
+	Size *Resources `json:"size,omitempty"`
+	// Transfer is the total that a cell has given another.
+	Transfer *Transfer `json:"transfer,omitempty"`
 }
 
 // Reasons of interruptions and parkings.
@@ -68,11 +76,14 @@
 		c.jobs.Put(r.Job.ID, JobRow{Job: *r.Job, State: Queued, Submitted: r.At})
 	case KindForgotten:
 		c.jobs.Delete(r.ID)
+	case KindLent, KindBorrowed:
+		c.applyTransfer(*r.Transfer)
 	default:
 		if j := c.jobs.Get(r.ID); j != nil && !j.State.Final() {
 			c.applyTo(j, r)
 		}
 	}
+	c.indexJob(r)
 }
 
 func (c *Cell) applyTo(j *JobRow, r Record) {
@@ -108,6 +119,10 @@
 	j.Worker = r.Worker
 	j.Incarnation = r.Incarnation
 	j.VM = r.VM
+	j.Size = j.Need
+	if r.Size != nil {
+		j.Size = *r.Size
+	}
 	c.reserve(j)
 }
 
@@ -136,7 +151,8 @@
 func (c *Cell) reserve(j *JobRow) {
 	w := c.worker(j.Worker)
 	w.tasks[j.ID] = true
-	w.used = w.used.Plus(j.Need)
+	w.used = w.used.Plus(j.Size)
+	c.hold(j.Team, j.Size)
 }
 
 // release frees the room of j if it is running.
@@ -150,5 +166,6 @@
 	}
 	delete(w.tasks, j.ID)
 	delete(c.ending, j.ID)
-	w.used = w.used.Minus(j.Need)
+	w.used = w.used.Minus(j.Size)
+	c.hold(j.Team, Resources{}.Minus(j.Size))
 }
--- a/io/entry/cells.go
+++ b/io/entry/cells.go
@@ -37,7 +37,17 @@
 	}
 }
 
+// shareQuotas passes quota between the cells that this entry owns.
+func (c *control) shareQuotas(run *cellRun) {
+	for _, other := range c.cells.All {
+		if other != run && other.owned {
+			run.driver.Cell.Hear(other.driver.Cell.Transfers(), other.driver.Cell.Wants())
+		}
+	}
+}
+
 func (c *control) tickCell(ctx context.Context, run *cellRun, now time.Time) {
+	c.shareQuotas(run)
 	if run.driver.Cell.Unproved() {
 		c.registration.dueBy(now)
 	}
@@ -138,6 +148,10 @@
 		event.JobUnparked.Emit(c.log, event.Job(r.ID), event.Cell(run.id))
 	case worker.KindCancelled:
 		event.JobCancelled.Emit(c.log, event.Job(r.ID), event.Cell(run.id))
+	case worker.KindLent:
+		event.QuotaLent.Emit(c.log, event.Team(r.Transfer.Team), event.Cell(run.id), event.Other(r.Transfer.To))
+	case worker.KindBorrowed:
+		event.QuotaBorrowed.Emit(c.log, event.Team(r.Transfer.Team), event.Cell(run.id), event.Other(r.Transfer.From))
 	}
 }
 
