--- a/io/demo/demo.go
+++ b/io/demo/demo.go
@@ -144,7 +144,7 @@
 	if err != nil {
 		return err
 	}
-	edit := operator.Accepted{ChangeID: uuid.NewString(), Document: *doc}
+	edit := operator.Edit{ChangeID: uuid.NewString(), Document: *doc}
 	return d.waitFor(ctx, settleLimit, func(ctx context.Context) bool {
 		return d.anywhere(ctx, http.MethodPut, "/api/config", edit, nil) == nil
 	})
@@ -165,10 +165,10 @@
 	if err := d.anywhere(ctx, http.MethodGet, "/api/config", nil, &now); err != nil {
 		return 0, err
 	}
-	now.ChangeID = uuid.NewString()
-	now.Document.Services[0].QueueLimit++
+	edit := operator.Edit{Revision: now.Revision, ChangeID: uuid.NewString(), Document: now.Document}
+	edit.Document.Services[0].QueueLimit++
 	err := d.waitFor(ctx, settleLimit, func(ctx context.Context) bool {
-		return d.anywhere(ctx, http.MethodPut, "/api/config", now, &done) == nil
+		return d.anywhere(ctx, http.MethodPut, "/api/config", edit, &done) == nil
 	})
 	return done.Revision, err
 }
--- a/io/standin/deployment/deployment.go
+++ b/io/standin/deployment/deployment.go
@@ -280,7 +280,7 @@
 	d.t.Helper()
 	var now, done operator.Accepted
 	_ = d.Call(http.MethodGet, d.Entries[0].Operator, "/api/config", nil, &now)
-	edit := operator.Accepted{Revision: now.Revision, ChangeID: changeID, Document: doc}
+	edit := operator.Edit{Revision: now.Revision, ChangeID: changeID, Document: doc}
 	if err := d.Call(http.MethodPut, d.Entries[0].Operator, "/api/config", edit, &done); err != nil {
 		d.t.Fatal(err)
 	}
