Widen the generated histories to two owners, late copies and a small ring

The old owner learnt of the new one from the worker that both could reach, so the trace with two owners never lasted. Now an isolated owner keeps just one worker; owners stutter with a clock that stands still; each command may have a second copy up to 6 s late; the ring has 12 slots; clocks run 1% fast or slow.

--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,14 @@
 test:
 	go test -count=1 ./...
 
+# Long property tests of batch work: 12,000 histories, a quarter per seed.
+SOAK_HISTORIES ?= 3000
+soak:
+	for s in 101 102 103 104; do \
+		go test -count=1 -timeout 30m ./io/standin/worker -run 'TestHistories|TestTwoOwners' \
+			-rapid.checks=$(SOAK_HISTORIES) -rapid.seed=$$s || exit 1; \
+	done
+
 # Formatter and linters.
 check:
 	@test -z "$$(gofmt -l .)" || { gofmt -l .; echo "not formatted"; exit 1; }
--- a/io/platform/journal.go
+++ b/io/platform/journal.go
@@ -24,7 +24,7 @@
 type Journal[R any, S State[S]] struct {
 	store Store
 	cell  int
-	slots [core.LogSlots]slot
+	slots []slot
 	// snapshot is the revision of the snapshot's key, snapSeq its sequence
 	// number, and parts its further keys.
 	snapshot int64
@@ -42,11 +42,14 @@
 	revision int64
 }
 
-// NewJournal returns the journal of a cell; Read comes first.
-func NewJournal[R any, S State[S]](s Store, cell int) *Journal[R, S] {
-	return &Journal[R, S]{store: s, cell: cell}
+// NewJournal returns the journal of a cell in a ring of as many keys; Read
+// comes first. All owners of a cell use the same number.
+func NewJournal[R any, S State[S]](s Store, cell, slots int) *Journal[R, S] {
+	return &Journal[R, S]{store: s, cell: cell, slots: make([]slot, slots)}
 }
 
+func (j *Journal[R, S]) slotOf(seq int64) int64 { return seq % int64(len(j.slots)) }
+
 // Next returns the sequence number of the next batch.
 func (j *Journal[R, S]) Next() int64 { return j.next }
 
@@ -125,7 +128,7 @@
 func (j *Journal[R, S]) readLog(ctx context.Context) ([]core.Batch[R], error) {
 	var out []core.Batch[R]
 	for j.next = j.snapSeq + 1; ; j.next++ {
-		b, err := j.readSlot(ctx, j.next%core.LogSlots)
+		b, err := j.readSlot(ctx, j.slotOf(j.next))
 		switch {
 		case err != nil:
 			return nil, err
@@ -167,7 +170,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode journal entry")
 	}
-	i := b.Seq % core.LogSlots
+	i := j.slotOf(b.Seq)
 	if !j.slots[i].known {
 		if mine, err := j.look(ctx, i, b); err != nil || mine {
 			return err
@@ -185,7 +188,7 @@
 }
 
 func (j *Journal[R, S]) appended(s slot) {
-	j.slots[j.next%core.LogSlots] = s
+	j.slots[j.slotOf(j.next)] = s
 	j.next++
 }
 
@@ -234,11 +237,11 @@
 
 // SnapshotDue reports whether the ring needs a snapshot before it is reused.
 func (j *Journal[R, S]) SnapshotDue() bool {
-	return j.next-j.snapSeq > core.LogSlots/2
+	return j.next-j.snapSeq > int64(len(j.slots)/2)
 }
 
 // Full reports whether the next append would overwrite a batch that no
 // snapshot covers yet.
 func (j *Journal[R, S]) Full() bool {
-	return j.next-j.snapSeq > core.LogSlots
+	return j.next-j.snapSeq > int64(len(j.slots))
 }
--- a/io/standin/worker/engine.go
+++ b/io/standin/worker/engine.go
@@ -119,7 +119,8 @@
 	case t == nil && d.Action == worker.Run:
 		e.start(k, d, now)
 	case t == nil:
-		e.tasks[k] = &task{state: worker.TaskStopped, started: now, ended: now}
+		e.tasks[k] = &task{state: worker.TaskStopped, started: now, ended: now,
+			checkpoint: resumeAt(d.Checkpoint)}
 	case d.Action == worker.Stop:
 		e.stop(k, t, worker.TaskStopped, now)
 	}
@@ -131,13 +132,22 @@
 	if err := json.Unmarshal([]byte(d.Payload), &t.work); err != nil {
 		t.work.RunTime = wire.Duration(time.Second)
 	}
-	t.resumed, _ = time.ParseDuration(d.Checkpoint)
+	t.resumed = resumeAt(d.Checkpoint)
 	t.checkpoint = t.resumed
 	if e.failStarts || !e.used().Fits(e.capacity) {
 		e.stop(k, t, worker.TaskFailed, now)
 	}
 }
 
+// resumeAt returns the progress that a checkpoint holds; none if it is empty.
+func resumeAt(checkpoint string) time.Duration {
+	d, err := time.ParseDuration(checkpoint)
+	if err != nil {
+		return 0
+	}
+	return d
+}
+
 func (e *Engine) used() worker.Resources {
 	var sum worker.Resources
 	for _, t := range e.tasks {
--- a/io/standin/worker/history_test.go
+++ b/io/standin/worker/history_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,9 +19,11 @@
 // runs choose theirs.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
-		if err := flag.Set("rapid.seed", "1"); err != nil {
-			panic(err)
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "300"} {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			if err := flag.Set(name, value); err != nil {
+				panic(err)
+			}
 		}
 	}
 	os.Exit(m.Run())
@@ -40,7 +43,7 @@
 			w.fail("%s: attempt %d recorded as finished, but it did not", r.ID, r.Attempt)
 		}
 	case core.KindInterrupted:
-		if progress(r.Checkpoint) < progress(j.Checkpoint) && r.Checkpoint != "" {
+		if resumeAt(r.Checkpoint) < resumeAt(j.Checkpoint) && r.Checkpoint != "" {
 			w.fail("%s: checkpoint went back from %s to %s", r.ID, j.Checkpoint, r.Checkpoint)
 		}
 	}
@@ -50,14 +53,6 @@
 	}
 }
 
-func progress(checkpoint string) time.Duration {
-	d, err := time.ParseDuration(checkpoint)
-	if err != nil {
-		return 0
-	}
-	return d
-}
-
 func (w *world) checkJournalRoom() {
 	used := make(map[string]core.Resources)
 	for _, j := range w.journal.Jobs() {
@@ -107,7 +102,7 @@
 		w.fail("%s attempt %d runs on %s#%d, but the journal has %+v", k.job, k.attempt, v.id, v.engine.incarnation, j)
 		return
 	}
-	if t.resumed != progress(j.Checkpoint) {
+	if t.resumed != resumeAt(j.Checkpoint) {
 		w.fail("%s attempt %d resumed at %v, not at %s", k.job, k.attempt, t.resumed, j.Checkpoint)
 	}
 }
@@ -169,8 +164,13 @@
 // actions are the commands of a history.
 func (w *world) actions() map[string]func(*rapid.T) {
 	jobs := 0
-	owner := func(t *rapid.T) *owner { return w.owners[rapid.IntRange(0, len(w.owners)-1).Draw(t, "owner")] }
-	worker := func(t *rapid.T) string { return fmt.Sprintf("worker-%d", rapid.IntRange(0, 2).Draw(t, "worker")) }
+	owner := func(t *rapid.T) *owner {
+		alive := slices.DeleteFunc(slices.Clone(w.owners), func(o *owner) bool { return o.dead })
+		return rapid.SampledFrom(alive).Draw(t, "owner")
+	}
+	worker := func(t *rapid.T) string {
+		return fmt.Sprintf("worker-%d", rapid.IntRange(0, workers-1).Draw(t, "worker"))
+	}
 	toggle := func(p *process, clockWentOn bool) {
 		if p.frozen {
 			w.wake(p, clockWentOn)
@@ -186,7 +186,7 @@
 		"submit": func(t *rapid.T) {
 			for range rapid.IntRange(1, 4).Draw(t, "jobs") {
 				jobs++
-				w.submit(fmt.Sprintf("job-%d", jobs), time.Duration(rapid.IntRange(1, 12).Draw(t, "seconds"))*time.Second,
+				w.submit(fmt.Sprintf("job-%d", jobs), time.Duration(rapid.SampledFrom([]int{1, 3, 10, 60}).Draw(t, "seconds"))*time.Second,
 					rapid.IntRange(1, 4).Draw(t, "size"))
 			}
 		},
@@ -200,16 +200,23 @@
 		"freeze or wake worker": func(t *rapid.T) { toggle(&w.current(worker(t)).process, true) },
 		"restart worker":        func(t *rapid.T) { w.restart(worker(t), rapid.IntRange(0, 3).Draw(t, "moved") == 0) },
 		"cut": func(t *rapid.T) {
-			k := pair(owner(t).id, rapid.SampledFrom([]string{"store", "worker-0", "worker-1", "worker-2"}).Draw(t, "to"))
+			k := pair(owner(t).id, rapid.SampledFrom([]string{"store", "worker-0", "worker-1"}).Draw(t, "to"))
 			w.cuts[k] = !w.cuts[k]
 		},
 		"store down or up": func(*rapid.T) { w.down = !w.down },
 		"store slow":       func(t *rapid.T) { w.slow = time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond },
-		"noise":            func(t *rapid.T) { w.noise = rapid.Float64Range(0, 0.6).Draw(t, "noise") },
+		"noise":            func(t *rapid.T) { w.noise = rapid.SampledFrom([]float64{0, 0.1, 0.3, 0.6}).Draw(t, "noise") },
 		"lease lapses":     func(t *rapid.T) { w.lapse(owner(t)) },
+		"isolate owner": func(t *rapid.T) {
+			o := w.isolate(worker(t))
+			w.run(time.Duration(rapid.IntRange(0, 5).Draw(t, "seconds")) * time.Second)
+			w.stutter(o, rapid.IntRange(0, 80).Draw(t, "pauses"))
+		},
+		"owner stutters": func(t *rapid.T) { w.stutter(owner(t), rapid.IntRange(1, 20).Draw(t, "pauses")) },
+		"cuts heal":      func(*rapid.T) { clear(w.cuts) },
 		"configuration": func(t *rapid.T) {
 			w.timing = core.Timings{Grant: time.Duration(rapid.IntRange(2, 10).Draw(t, "grant")) * time.Second,
-				Hold: time.Duration(rapid.IntRange(10, 60).Draw(t, "hold")) * time.Second}
+				Hold: time.Duration(rapid.SampledFrom([]int{10, 15, 60}).Draw(t, "hold")) * time.Second}
 		},
 	}
 }
@@ -230,3 +237,28 @@
 		}
 	})
 }
+
+// The trace in which two owners believe that they own a cell: the old one is
+// cut from the store but not from the worker, the new one from the worker.
+// The old one's clock stands still in many short pauses.
+func TestTwoOwners(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.Uint64().Draw(t, "seed"), t.Fatalf)
+		w.run(5 * time.Second)
+		w.submit("job-1", 5*time.Minute, 4)
+		w.run(2 * time.Second)
+		v := w.journal.Job("job-1").Worker
+		old := w.isolate(v)
+		if rapid.Bool().Draw(t, "restart") {
+			w.restart(v, false)
+		}
+		if rapid.Bool().Draw(t, "shorter hold") {
+			w.timing.Hold = 5 * time.Second
+		}
+		w.stutter(old, rapid.IntRange(60, 100).Draw(t, "pauses"))
+		w.run(30 * time.Second)
+		if j := w.journal.Job("job-1"); j.State != core.Running || j.Worker == v {
+			t.Fatalf("not restarted elsewhere: %+v", j)
+		}
+	})
+}
--- a/io/standin/worker/owner_test.go
+++ b/io/standin/worker/owner_test.go
@@ -25,6 +25,7 @@
 	w            *world
 	id, instance string
 	store        faulty
+	timing       core.Timings
 
 	lease      string
 	registring bool
@@ -40,7 +41,7 @@
 func (w *world) startOwner(id string) {
 	w.nonces++
 	o := &owner{process: process{rate: w.rate(), seen: w.now}, w: w, id: id,
-		instance: fmt.Sprint(w.nonces)}
+		instance: fmt.Sprint(w.nonces), timing: w.timing}
 	o.store = faulty{w.store, w, o}
 	w.owners = append(w.owners, o)
 	w.to(&o.process, 0, o.tick)
@@ -104,6 +105,7 @@
 	if o.store.unreachable() || o.w.lossy() {
 		return
 	}
+	o.timing = o.w.timing
 	e, err := o.w.store.Get(context.Background(), coreplatform.OwnerKey(0))
 	var other coreplatform.Owner
 	if err == nil && json.Unmarshal(e.Value, &other) == nil && other.Entry != o.id {
@@ -139,9 +141,9 @@
 }
 
 func (o *owner) open(n int64, lease string) {
-	j := platform.NewJournal[core.Record, core.Saved](o.store, 0)
+	j := platform.NewJournal[core.Record, core.Saved](o.store, 0, 12)
 	build := func() *core.Driver {
-		return core.NewDriver(core.NewCell(0, o.w.timing), o.id, o.nonce)
+		return core.NewDriver(core.NewCell(0, o.timing), o.id, o.nonce)
 	}
 	o.call(func(ctx context.Context) func() {
 		d, err := platform.OpenCell(ctx, j, n, build, o.now)
@@ -174,7 +176,7 @@
 	if d == nil {
 		return
 	}
-	d.Cell.SetTimings(o.w.timing, now)
+	d.Cell.SetTimings(o.timing, now)
 	for _, v := range o.w.vms {
 		if v == o.w.current(v.id) {
 			d.Cell.Announce(v.id, "kelowna", "rack-1", v.addr)
--- a/io/standin/worker/world_test.go
+++ b/io/standin/worker/world_test.go
@@ -139,8 +139,10 @@
 func (w *world) delay() time.Duration {
 	ms := 1 + w.rng.IntN(4)
 	switch x := w.rng.Float64(); {
-	case x < w.noise/4:
+	case x < w.noise/10:
 		ms = w.rng.IntN(30_000)
+	case x < w.noise/2:
+		ms = w.rng.IntN(8000)
 	case x < w.noise:
 		ms = w.rng.IntN(1500)
 	}
@@ -159,6 +161,9 @@
 	engine *Engine
 }
 
+// workers is the number of worker VMs of a world.
+const workers = 2
+
 var capacity = core.Resources{Processors: 2000, Memory: 2048, Slots: 4}
 
 func (w *world) startVM(id string, a netip.AddrPort) *vm {
@@ -169,7 +174,8 @@
 	return v
 }
 
-func (w *world) rate() float64 { return 0.99 + 0.02*w.rng.Float64() }
+// rate draws a clock that is right, or off by as much as it may be.
+func (w *world) rate() float64 { return []float64{0.99, 1, 1.01}[w.rng.IntN(3)] }
 
 // current returns the newest incarnation of a worker.
 func (w *world) current(id string) *vm {
@@ -205,12 +211,12 @@
 		}
 	}
 	w.to(&o.process, time.Second, func() { answer(nil, status.ErrUnreachable) })
-	copies := 1
-	if w.lossy() {
-		copies = w.rng.IntN(3)
+	arrive := func() { w.receive(o, cmd, answer) }
+	if !w.lossy() {
+		w.after(w.delay(), arrive)
 	}
-	for range copies {
-		w.after(w.delay(), func() { w.receive(o, cmd, answer) })
+	if w.rng.Float64() < w.noise {
+		w.after(time.Duration(w.rng.IntN(6000))*time.Millisecond, arrive)
 	}
 }
 
@@ -304,7 +310,7 @@
 		timing: core.Timings{Grant: 4 * time.Second, Hold: 20 * time.Second}}
 	w.store = standin.NewStore(standin.WithClock(func() time.Time { return epoch.Add(w.now) }))
 	w.journal = core.NewCell(0, w.timing)
-	for i := range 3 {
+	for i := range workers {
 		w.startVM(fmt.Sprintf("worker-%d", i), netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i), 0, 1}), 80))
 	}
 	for i := range 2 {
@@ -319,3 +325,35 @@
 		w.fail("revoke: %v", err)
 	}
 }
+
+// isolate cuts the owner of the cell from all but one worker, and all others
+// from that one: the trace in which two believe that they own it. It returns
+// the owner, or nil.
+func (w *world) isolate(id string) *owner {
+	var found *owner
+	for _, o := range w.owners {
+		old := o.driver != nil && !o.dead
+		w.cuts[pair(o.id, "store")] = old
+		for _, v := range w.vms {
+			w.cuts[pair(o.id, v.id)] = old == (v.id != id)
+		}
+		if old {
+			found = o
+		}
+	}
+	return found
+}
+
+// stutter freezes an owner many times for a moment each; its clock stands
+// still meanwhile.
+func (w *world) stutter(o *owner, n int) {
+	for range n {
+		if o == nil || o.dead || o.frozen {
+			return
+		}
+		w.freeze(&o.process)
+		w.run(time.Duration(w.rng.IntN(400)) * time.Millisecond)
+		w.wake(&o.process, false)
+		w.run(300 * time.Millisecond)
+	}
+}
