--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 SOAK_HISTORIES ?= 3000
 soak:
 	for s in 101 102 103 104; do \
-		go test -count=1 -timeout 30m ./io/standin/worker -run 'TestHistories|TestTwoOwners' \
+		go test -count=1 -timeout 30m ./io/standin/history -run 'TestHistories|TestTwoOwners' \
 			-rapid.checks=$(SOAK_HISTORIES) -rapid.seed=$$s || exit 1; \
 	done
 
--- a/io/standin/worker/owner_test.go
+++ b/io/standin/history/owner.go
@@ -1,4 +1,4 @@
-package worker
+package history
 
 import (
 	"context"
@@ -22,7 +22,7 @@
 // owner is an entry process as far as one cell is concerned.
 type owner struct {
 	process
-	w            *world
+	w            *World
 	id, instance string
 	store        faulty
 	timing       core.Timings
@@ -38,7 +38,7 @@
 	retry     time.Time
 }
 
-func (w *world) startOwner(id string) {
+func (w *World) StartOwner(id string) {
 	w.nonces++
 	o := &owner{process: process{rate: w.rate(), seen: w.now}, w: w, id: id,
 		instance: fmt.Sprint(w.nonces), timing: w.timing}
@@ -141,7 +141,7 @@
 }
 
 func (o *owner) open(n int64, lease string) {
-	j := platform.NewJournal[core.Record, core.Saved](o.store, 0, 12)
+	j := platform.NewJournal[core.Record, core.Saved](o.store, 0, o.w.slots)
 	build := func() *core.Driver {
 		return core.NewDriver(core.NewCell(0, o.timing), o.id, o.nonce)
 	}
@@ -178,7 +178,7 @@
 	}
 	d.Cell.SetTimings(o.timing, now)
 	for _, v := range o.w.vms {
-		if v == o.w.current(v.id) {
+		if v == o.w.Current(v.id) {
 			d.Cell.Announce(v.id, "kelowna", "rack-1", v.addr)
 		}
 	}
--- a/io/standin/worker/world_test.go
+++ b/io/standin/history/world.go
@@ -1,4 +1,10 @@
-package worker
+// Package history is a small world in virtual time for property tests of a
+// cell: owners with the product's own drive loop, worker engines, the store's
+// stand-in, and messages and clocks that fail.
+//
+// Invariant: nothing happens but by the agenda, in the order of true time; a
+// world with the same seed and the same calls runs the same way.
+package history
 
 import (
 	"container/heap"
@@ -14,6 +20,7 @@
 	core "rosemarygap/core/worker"
 	"rosemarygap/io/platform"
 	standin "rosemarygap/io/standin/platform"
+	"rosemarygap/io/standin/worker"
 )
 
 // epoch is the true time at which every world begins.
@@ -61,9 +68,9 @@
 	return p.active
 }
 
-// world holds owners and workers of one cell, the store, and the messages
+// World holds owners and workers of one cell, the store, and the messages
 // between them, in true time.
-type world struct {
+type World struct {
 	fail   func(format string, args ...any)
 	rng    *rand.Rand
 	now    time.Duration
@@ -83,16 +90,24 @@
 	last    int64
 	nonces  int
 	vmCount int
-	finals  map[string]bool
+	// done tells how attempts ended on their workers.
+	done map[string]bool
+	// slots is the size of the journal's ring.
+	slots int
+	// failures is true if attempts may fail.
+	failures bool
+
+	checkRunning func(w *World)
+	checkRecord  func(w *World, r core.Record)
 }
 
-func (w *world) after(d time.Duration, do func()) {
+func (w *World) after(d time.Duration, do func()) {
 	w.seq++
 	heap.Push(&w.agenda, happening{w.now + d, w.seq, do})
 }
 
 // to delivers do to p after d, or once p wakes, unless it is dead.
-func (w *world) to(p *process, d time.Duration, do func()) {
+func (w *World) to(p *process, d time.Duration, do func()) {
 	w.after(d, func() {
 		switch {
 		case p.dead:
@@ -104,26 +119,26 @@
 	})
 }
 
-// run lets true time pass and checks the invariants at every instant at which
+// Run lets true time pass and checks the invariants at every instant at which
 // something happens.
-func (w *world) run(d time.Duration) {
+func (w *World) Run(d time.Duration) {
 	end := w.now + d
 	for len(w.agenda) > 0 && w.agenda[0].at <= end {
 		h := heap.Pop(&w.agenda).(happening)
 		w.now = h.at
 		h.do()
-		w.check()
+		w.checkRunning(w)
 	}
 	w.now = end
-	w.check()
+	w.checkRunning(w)
 }
 
-func (w *world) freeze(p *process) {
+func (w *World) Freeze(p *process) {
 	p.clock(w.now, true)
 	p.frozen = true
 }
 
-func (w *world) wake(p *process, clockWentOn bool) {
+func (w *World) Wake(p *process, clockWentOn bool) {
 	p.clock(w.now, clockWentOn)
 	p.frozen = false
 	late := p.inbox
@@ -136,7 +151,7 @@
 
 // delay draws how long a message takes: mostly little, now and then far
 // longer than any time limit.
-func (w *world) delay() time.Duration {
+func (w *World) delay() time.Duration {
 	ms := 1 + w.rng.IntN(4)
 	switch x := w.rng.Float64(); {
 	case x < w.noise/10:
@@ -149,7 +164,7 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
-func (w *world) lossy() bool { return w.rng.Float64() < w.noise/3 }
+func (w *World) lossy() bool { return w.rng.Float64() < w.noise/3 }
 
 func pair(a, b string) string { return a + "/" + b }
 
@@ -158,27 +173,34 @@
 	process
 	id     string
 	addr   netip.AddrPort
-	engine *Engine
+	engine *worker.Engine
+	// checked is the number of executions that were looked at.
+	checked int
 }
 
-// workers is the number of worker VMs of a world.
-const workers = 2
+// NewJob returns a job of the stand-in's work that takes size quarters of a
+// worker.
+func NewJob(id string, work worker.Work, size int) core.Job {
+	return core.Job{ID: id, Payload: work.Payload(),
+		Need: core.Resources{Processors: 500 * size, Memory: int64(512 * size), Slots: 1}}
+}
 
+// capacity is what each worker has.
 var capacity = core.Resources{Processors: 2000, Memory: 2048, Slots: 4}
 
-func (w *world) startVM(id string, a netip.AddrPort) *vm {
+func (w *World) StartVM(id string, a netip.AddrPort) *vm {
 	w.vmCount++
 	v := &vm{process: process{rate: w.rate(), seen: w.now}, id: id, addr: a}
-	v.engine = NewEngine(id, int64(w.vmCount), capacity)
+	v.engine = worker.NewEngine(id, int64(w.vmCount), capacity)
 	w.vms = append(w.vms, v)
 	return v
 }
 
 // rate draws a clock that is right, or off by as much as it may be.
-func (w *world) rate() float64 { return []float64{0.99, 1, 1.01}[w.rng.IntN(3)] }
+func (w *World) rate() float64 { return []float64{0.99, 1, 1.01}[w.rng.IntN(3)] }
 
-// current returns the newest incarnation of a worker.
-func (w *world) current(id string) *vm {
+// Current returns the newest incarnation of a worker.
+func (w *World) Current(id string) *vm {
 	var found *vm
 	for _, v := range w.vms {
 		if v.id == id {
@@ -188,21 +210,21 @@
 	return found
 }
 
-// restart replaces a worker. At its old address the old incarnation is dead;
+// Restart replaces a worker. At its old address the old incarnation is dead;
 // at a new address it may go on, and its endings are not confirmed.
-func (w *world) restart(id string, moved bool) {
-	v := w.current(id)
+func (w *World) Restart(id string, moved bool) {
+	v := w.Current(id)
 	a := v.addr
 	if moved {
 		a = netip.AddrPortFrom(a.Addr().Next(), a.Port())
 	} else {
 		v.dead = true
 	}
-	w.startVM(id, a)
+	w.StartVM(id, a)
 }
 
 // send carries a command to whatever VM has the address, and the answer back.
-func (w *world) send(o *owner, d *core.Driver, cmd core.Command) {
+func (w *World) send(o *owner, d *core.Driver, cmd core.Command) {
 	open := true
 	answer := func(r *core.Report, err error) {
 		if open {
@@ -220,7 +242,7 @@
 	}
 }
 
-func (w *world) receive(o *owner, cmd core.Command, answer func(*core.Report, error)) {
+func (w *World) receive(o *owner, cmd core.Command, answer func(*core.Report, error)) {
 	for _, v := range w.vms {
 		if v.dead || v.addr != cmd.Address || w.cuts[pair(o.id, v.id)] {
 			continue
@@ -238,7 +260,7 @@
 // faulty is the store as one owner sees it.
 type faulty struct {
 	*standin.Store
-	w *world
+	w *World
 	o *owner
 }
 
@@ -285,7 +307,7 @@
 
 // put writes, and applies a journal entry to the world's own tables at the
 // instant at which it is durable.
-func (w *world) put(ctx context.Context, p platform.Write) (int64, error) {
+func (w *World) put(ctx context.Context, p platform.Write) (int64, error) {
 	rev, err := w.store.Put(ctx, p)
 	if err != nil || !strings.HasPrefix(p.Key, "cells/0/log/") {
 		return rev, err
@@ -299,37 +321,41 @@
 	}
 	w.last = b.Seq
 	for _, r := range b.Records {
-		w.durable(r)
+		w.checkRecord(w, r)
+		w.journal.Apply(r)
 	}
 	return rev, nil
 }
 
-func newWorld(seed uint64, fail func(string, ...any)) *world {
-	w := &world{fail: fail, rng: rand.New(rand.NewPCG(seed, 1)), cuts: make(map[string]bool),
-		finals: make(map[string]bool),
+// New returns a world of two owners and n workers. Running is called at every
+// instant at which something happens, record before each durable record.
+func New(seed uint64, n int, fail func(string, ...any), running func(*World), record func(*World, core.Record)) *World {
+	w := &World{fail: fail, rng: rand.New(rand.NewPCG(seed, 1)), cuts: make(map[string]bool),
+		done: make(map[string]bool), slots: 12,
 		timing: core.Timings{Grant: 4 * time.Second, Hold: 20 * time.Second}}
 	w.store = standin.NewStore(standin.WithClock(func() time.Time { return epoch.Add(w.now) }))
 	w.journal = core.NewCell(0, w.timing)
-	for i := range workers {
-		w.startVM(fmt.Sprintf("worker-%d", i), netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i), 0, 1}), 80))
+	w.checkRunning, w.checkRecord = running, record
+	for i := range n {
+		w.StartVM(fmt.Sprintf("worker-%d", i), netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i), 0, 1}), 80))
 	}
 	for i := range 2 {
-		w.startOwner(fmt.Sprintf("entry-%d", i))
+		w.StartOwner(fmt.Sprintf("entry-%d", i))
 	}
 	return w
 }
 
-// lapse ends an owner's registration in the store.
-func (w *world) lapse(o *owner) {
+// Lapse ends an owner's registration in the store.
+func (w *World) Lapse(o *owner) {
 	if err := w.store.Revoke(context.Background(), o.lease); err != nil {
 		w.fail("revoke: %v", err)
 	}
 }
 
-// isolate cuts the owner of the cell from all but one worker, and all others
+// Isolate cuts the owner of the cell from all but one worker, and all others
 // from that one: the trace in which two believe that they own it. It returns
 // the owner, or nil.
-func (w *world) isolate(id string) *owner {
+func (w *World) Isolate(id string) *owner {
 	var found *owner
 	for _, o := range w.owners {
 		old := o.driver != nil && !o.dead
@@ -344,16 +370,16 @@
 	return found
 }
 
-// stutter freezes an owner many times for a moment each; its clock stands
+// Stutter freezes an owner many times for a moment each; its clock stands
 // still meanwhile.
-func (w *world) stutter(o *owner, n int) {
+func (w *World) Stutter(o *owner, n int) {
 	for range n {
 		if o == nil || o.dead || o.frozen {
 			return
 		}
-		w.freeze(&o.process)
-		w.run(time.Duration(w.rng.IntN(400)) * time.Millisecond)
-		w.wake(&o.process, false)
-		w.run(300 * time.Millisecond)
+		w.Freeze(&o.process)
+		w.Run(time.Duration(w.rng.IntN(400)) * time.Millisecond)
+		w.Wake(&o.process, false)
+		w.Run(300 * time.Millisecond)
 	}
 }
--- a/io/standin/worker/engine.go
+++ b/io/standin/worker/engine.go
@@ -25,6 +25,15 @@
 	Fails bool `json:"fails,omitempty"`
 }
 
+// Payload returns the payload that asks for this work.
+func (w Work) Payload() string {
+	fails := ""
+	if w.Fails {
+		fails = `,"fails":true`
+	}
+	return `{"run-time":"` + w.RunTime.Std().String() + `"` + fails + `}`
+}
+
 type key struct {
 	job     string
 	attempt int
@@ -134,7 +143,7 @@
 	}
 	t.resumed = resumeAt(d.Checkpoint)
 	t.checkpoint = t.resumed
-	if e.failStarts || !e.used().Fits(e.capacity) {
+	if e.failStarts || !e.Used().Fits(e.capacity) {
 		e.stop(k, t, worker.TaskFailed, now)
 	}
 }
@@ -148,7 +157,29 @@
 	return d
 }
 
-func (e *Engine) used() worker.Resources {
+// Running is an attempt that runs now, and where it resumed.
+type Running struct {
+	Job     string
+	Attempt int
+	Resumed time.Duration
+}
+
+// Running returns the attempts that run, as of the last Advance.
+func (e *Engine) Running() []Running {
+	var out []Running
+	for k, t := range e.tasks {
+		if t.state == worker.TaskRunning {
+			out = append(out, Running{k.job, k.attempt, t.resumed})
+		}
+	}
+	return out
+}
+
+// Incarnation tells this engine from others of the same worker.
+func (e *Engine) Incarnation() int64 { return e.incarnation }
+
+// Used returns what the running tasks need together.
+func (e *Engine) Used() worker.Resources {
 	var sum worker.Resources
 	for _, t := range e.tasks {
 		if t.state == worker.TaskRunning {
