--- a/core/worker/health.go
+++ b/core/worker/health.go
@@ -20,8 +20,9 @@
 }
 
 const (
-	// probationStrikes is how many distinct jobs fail before a probation.
-	probationStrikes = 3
+	// probationStrikes begins a probation: three distinct jobs that failed
+	// nowhere else.
+	probationStrikes = 6
 	// maxEvidence bounds the failed jobs that are kept for a worker.
 	maxEvidence = 16
 	// probationBase is the first probation; each further one doubles.
@@ -74,28 +75,29 @@
 	c.worker(j.Worker).health = Health{Proven: true}
 }
 
-// strikes counts the failed jobs that speak against the worker: those that
-// finished elsewhere, or failed nowhere else among workers not in doubt.
+// strikes adds up what speaks against the worker: a job that failed there
+// weighs two if it finished elsewhere or failed nowhere else, one if all other
+// workers that it failed on are in doubt themselves, and else nothing.
 func (c *Cell) strikes(id string, h *Health) int {
 	n := 0
 	for _, job := range h.Failed {
-		j := c.jobs.Get(job)
-		if j != nil && (j.State == Finished || c.blames(j, id)) {
-			n++
+		if j := c.jobs.Get(job); j != nil {
+			n += c.blame(j, id)
 		}
 	}
 	return n
 }
 
-// blames reports whether worker id is the only one, but for those with a
-// probation behind them, that j failed on.
-func (c *Cell) blames(j *JobRow, id string) bool {
+func (c *Cell) blame(j *JobRow, id string) int {
+	if j.State == Finished || len(j.FailedOn) == 1 {
+		return 2
+	}
 	for _, other := range j.FailedOn {
 		if other != id && c.worker(other).health.Level == 0 {
-			return false
+			return 0
 		}
 	}
-	return true
+	return 1
 }
 
 // onProbation reports whether w gets no task for now. It is lifted early if
--- a/io/standin/history/history_test.go
+++ b/io/standin/history/history_test.go
@@ -58,7 +58,7 @@
 			used = used.Plus(j.Need)
 		}
 	}
-	if !used.Fits(capacity) {
+	if !used.Fits(w.Current(r.Worker).engine.Capacity()) {
 		w.fail("journal commits %s beyond its capacity: %+v", r.Worker, used)
 	}
 }
@@ -71,7 +71,7 @@
 			continue
 		}
 		v.engine.Advance(v.clock(w.now, true))
-		if !v.engine.Used().Fits(capacity) {
+		if !v.engine.Used().Fits(v.engine.Capacity()) {
 			w.fail("%s runs beyond its capacity", v.id)
 		}
 		for _, t := range v.engine.Running() {
--- a/io/standin/worker/engine.go
+++ b/io/standin/worker/engine.go
@@ -178,6 +178,9 @@
 // Incarnation tells this engine from others of the same worker.
 func (e *Engine) Incarnation() int64 { return e.incarnation }
 
+// Capacity returns what the worker has.
+func (e *Engine) Capacity() worker.Resources { return e.capacity }
+
 // Used returns what the running tasks need together.
 func (e *Engine) Used() worker.Resources {
 	var sum worker.Resources
