Stop asking workers that are gone, and answer those who wait at a planned stop

Now an idle worker is asked for 30 s after its last announcement, one that does not answer less and less often, and both tables forget it. A submission that waited while its entry stopped was held to its caller's limit; it is now answered at once with when to come back. The owner's check of the outage hold goes by its monotonic clock alone: the worker enforces the hold in its own time, and a wall clock set forward must not stop renewals.

--- a/core/worker/cell.go
+++ b/core/worker/cell.go
@@ -52,7 +52,11 @@
 	seq        int64
 	sent       time.Time
 	lost       bool
-	health     Health
+	// announced is the time of the latest announcement, misses the number
+	// of messages without an answer since the newest report.
+	announced time.Time
+	misses    int
+	health    Health
 }
 
 func newWorkerRow(id string) workerRow {
@@ -196,9 +200,10 @@
 func (c *Cell) SetDraining(ids []string) { c.drained = ids }
 
 // Announce takes in the address of a worker and reports whether it is new.
-func (c *Cell) Announce(id, zone, rack string, a netip.AddrPort) bool {
+func (c *Cell) Announce(id, zone, rack string, a netip.AddrPort, now time.Time) bool {
 	w := c.worker(id)
 	isNew := !w.address.IsValid()
+	w.announced = now
 	w.zone, w.rack, w.address = zone, rack, a
 	return isNew
 }
--- a/core/worker/driver.go
+++ b/core/worker/driver.go
@@ -104,6 +104,7 @@
 // nextBatch takes what fits into one value from the planned records.
 func (d *Driver) nextBatch(now time.Time) {
 	if len(d.planned) == 0 {
+		d.Cell.Forget(now)
 		d.planned = d.Cell.Plan(now)
 	}
 	if len(d.planned) == 0 {
@@ -209,6 +210,8 @@
 	delete(d.sending, cmd.Worker)
 	if err == nil {
 		d.Cell.Receive(cmd, r, now)
+	} else {
+		d.Cell.Missed(cmd.Worker)
 	}
 	return errors.Is(err, status.ErrStaleEpoch)
 }
--- a/core/worker/lease.go
+++ b/core/worker/lease.go
@@ -11,10 +11,39 @@
 // renewalsPerGrant is how often a lease is renewed within one grant.
 const renewalsPerGrant = 4
 
+const (
+	// announcedFor is how long an idle worker is asked after its last
+	// announcement.
+	announcedFor = 30 * time.Second
+	// missBase is the least delay after a message without an answer.
+	missBase = 100 * time.Millisecond
+)
+
+// Missed notes that a message to a worker got no answer.
+func (c *Cell) Missed(id string) {
+	if w := c.workers.Get(id); w != nil {
+		w.misses++
+	}
+}
+
+// Forget removes the workers that hold nothing, are not announced any more,
+// and have certainly no lease.
+func (c *Cell) Forget(now time.Time) {
+	var gone []string
+	for id, w := range c.workers.All {
+		if len(w.tasks) == 0 && now.Sub(w.announced) > retention && c.certainlyEnded(w, now) {
+			gone = append(gone, id)
+		}
+	}
+	for _, id := range gone {
+		c.workers.Delete(id)
+	}
+}
+
 // Commands returns the lease messages that are due at now, but none to the
 // workers in busy, which have not answered the last one yet.
 func (c *Cell) Commands(now time.Time, busy map[string]bool) []Command {
-	if elapsed(c.lastVerified, now) > c.timings.Hold {
+	if now.Sub(c.lastVerified) > c.timings.Hold {
 		return nil
 	}
 	var out []Command
@@ -27,14 +56,15 @@
 	return out
 }
 
-// elapsed returns the time from a to b by the monotonic or the wall clock,
-// whichever went further: the monotonic one may stand still while a VM is
-// paused.
-func elapsed(a, b time.Time) time.Duration {
-	return max(b.Sub(a), b.Round(0).Sub(a.Round(0)))
-}
-
+// due reports whether w needs a message now. One that does not answer is
+// asked less and less often, but as often as a renewal is due.
 func (c *Cell) due(w *workerRow, now time.Time) bool {
+	if len(w.tasks) == 0 && now.Sub(w.announced) > announcedFor {
+		return false
+	}
+	if w.misses > 0 && now.Sub(w.sent) < backoffFor(missBase, c.timings.Grant/renewalsPerGrant, w.misses) {
+		return false
+	}
 	if c.unsettled(w) {
 		return true
 	}
@@ -144,6 +174,7 @@
 		w.bound = now.Add(drift(r.LeaseLeft.Std()))
 	}
 	w.report = r
+	w.misses = 0
 	w.received = now
 	w.vm = cmd.Address.Addr()
 	w.capacity = r.Capacity
--- a/io/entry/cells.go
+++ b/io/entry/cells.go
@@ -29,7 +29,25 @@
 	err    error
 }
 
+// noticeKept is how long a worker's announcement is kept for cells that this
+// entry may come to own.
+const noticeKept = time.Minute
+
+// forgetNotices drops the announcements of workers that have gone silent.
+func (c *control) forgetNotices(now time.Time) {
+	var gone []string
+	for id, w := range c.notices.All {
+		if now.Sub(w.made) > noticeKept {
+			gone = append(gone, id)
+		}
+	}
+	for _, id := range gone {
+		c.notices.Delete(id)
+	}
+}
+
 func (c *control) tickCells(ctx context.Context, now time.Time) {
+	c.forgetNotices(now)
 	for _, run := range c.cells.All {
 		if run.owned {
 			c.tickCell(ctx, run, now)
--- a/io/entry/control.go
+++ b/io/entry/control.go
@@ -44,6 +44,8 @@
 
 	mailbox chan message
 	results chan message
+	// ended is closed when the control goroutine takes no more messages.
+	ended chan struct{}
 	// running counts the goroutines that still owe a result.
 	running   int
 	published atomic.Pointer[entry.Snapshot]
@@ -83,6 +85,7 @@
 		workers:   worker.NewClient(),
 		mailbox:   make(chan message, mailboxSize),
 		results:   make(chan message, mailboxSize),
+		ended:     make(chan struct{}),
 		endpoints: endpoint.NewMembership(defaultTTL),
 		notices:   table.New[string, heardWorker](),
 		members:   table.New[string, peer.Member](),
@@ -107,6 +110,7 @@
 		select {
 		case <-ctx.Done():
 			c.handOver(work, cancel)
+			close(c.ended)
 			return nil
 		case m := <-c.mailbox:
 			m.handle(c, time.Now())
@@ -240,6 +244,7 @@
 		_ = c.store.Revoke(limit, c.registration.lease)
 		done()
 	}
+	c.closeCells()
 	cancel()
 	for c.running > 0 {
 		m := <-c.results
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -119,7 +119,7 @@
 	if run == nil || !run.owned {
 		return
 	}
-	if run.driver.Cell.Announce(n.ID, n.Zone, n.Rack, n.Address) {
+	if run.driver.Cell.Announce(n.ID, n.Zone, n.Rack, n.Address, made) {
 		event.WorkerAdded.Emit(c.log, event.Worker(n.ID), event.Cell(cell), event.Address(n.Address))
 	}
 }
--- a/io/entry/jobs.go
+++ b/io/entry/jobs.go
@@ -90,6 +90,8 @@
 	select {
 	case v := <-reply:
 		return v, nil
+	case <-c.ended:
+		return none, status.RetryIn(status.ErrStopping, acquireRetry)
 	case <-ctx.Done():
 		return none, status.ErrStopping
 	}
--- a/io/entry/ownership.go
+++ b/io/entry/ownership.go
@@ -128,7 +128,7 @@
 func (c *control) introduceWorkers(run *cellRun) {
 	for id, w := range c.notices.All {
 		if peer.CellOfWorker(id, c.config.Document.Cells) == run.id {
-			run.driver.Cell.Announce(id, w.notice.Zone, w.notice.Rack, w.notice.Address)
+			run.driver.Cell.Announce(id, w.notice.Zone, w.notice.Rack, w.notice.Address, w.made)
 		}
 	}
 }
@@ -142,3 +142,12 @@
 	}
 	c.cells.Delete(run.id)
 }
+
+// closeCells answers all who wait for a cell, once the registration is gone.
+func (c *control) closeCells() {
+	for _, run := range c.cells.All {
+		if run.owned {
+			run.driver.Close(status.RetryIn(status.ErrNotOwner, acquireRetry))
+		}
+	}
+}
--- a/io/standin/history/owner.go
+++ b/io/standin/history/owner.go
@@ -179,7 +179,7 @@
 	d.Cell.SetTimings(o.timing, now)
 	for _, v := range o.w.vms {
 		if v == o.w.Current(v.id) {
-			d.Cell.Announce(v.id, "kelowna", "rack-1", v.addr)
+			d.Cell.Announce(v.id, "kelowna", "rack-1", v.addr, now)
 		}
 	}
 	var ring core.Ring
