--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,16 @@
 test:
 	go test -count=1 ./...
 
+# Long property tests: 12,000 histories of batch work, a quarter per seed, and
+# 100,000 cases of requests.
+SOAK_HISTORIES ?= 3000
+soak:
+	go test ./io/caller -count=1 -timeout 30m -run TestOutcomesAreTrue -rapid.checks=100000
+	for s in 101 102 103 104; do \
+		go test -count=1 -timeout 30m ./io/standin/history -run 'TestHistories|TestTwoOwners' \
+			-rapid.checks=$(SOAK_HISTORIES) -rapid.seed=$$s || exit 1; \
+	done
+
 # Formatter and linters.
 check:
 	@test -z "$$(gofmt -l .)" || { gofmt -l .; echo "not formatted"; exit 1; }
@@ -33,6 +43,3 @@
 fuzz:
 	go test ./core/worker -run '^$$' -fuzz FuzzJob -fuzztime 20s
 	go test ./core/operator -run '^$$' -fuzz FuzzDocument -fuzztime 20s
-# The long runs of the property tests.
-soak:
-	go test ./io/caller -count=1 -timeout 30m -run TestOutcomesAreTrue -rapid.checks=100000
--- a/core/status/codes.go
+++ b/core/status/codes.go
@@ -59,6 +59,7 @@
 	ErrWorkerFull      = &Error{"worker-full", http.StatusConflict}
 	ErrConfigConflict  = &Error{"config-conflict", http.StatusConflict}
 	ErrConfigInvalid   = &Error{"config-invalid", http.StatusUnprocessableEntity}
+	ErrCellsFixed      = &Error{"cells-fixed", http.StatusConflict}
 	ErrNoConfiguration = &Error{"no-configuration", http.StatusServiceUnavailable}
 	ErrUnauthorized    = &Error{"unauthorized", http.StatusUnauthorized}
 	ErrContradiction   = &Error{"contradiction", http.StatusUnprocessableEntity}
@@ -81,7 +82,7 @@
 		ErrStoreUnavailable, ErrStoreConflict, ErrLeaseExpired, ErrNoOwner,
 		ErrNotOwner, ErrStaleEpoch, ErrStaleEcho, ErrJobConflict,
 		ErrUnknownJob, ErrImpossibleJob, ErrWorkerFull, ErrConfigConflict,
-		ErrConfigInvalid, ErrNoConfiguration, ErrUnauthorized,
+		ErrConfigInvalid, ErrCellsFixed, ErrNoConfiguration, ErrUnauthorized,
 		ErrWrongType, ErrDuplicateKey, ErrContradiction, ErrAboveCapacity,
 		ErrChangeIDReused, ErrCrossOrigin, ErrJobNotFinished,
 	}
--- a/io/entry/control.go
+++ b/io/entry/control.go
@@ -46,6 +46,8 @@
 
 	mailbox chan message
 	results chan message
+	// ended is closed when the control goroutine takes no more messages.
+	ended chan struct{}
 	// running counts the goroutines that still owe a result.
 	running   int
 	published atomic.Pointer[entry.Snapshot]
@@ -86,6 +88,7 @@
 		latency:   latency.NewRecorder(),
 		mailbox:   make(chan message, mailboxSize),
 		results:   make(chan message, mailboxSize),
+		ended:     make(chan struct{}),
 		endpoints: endpoint.NewMembership(defaultTTL),
 		notices:   table.New[string, heardWorker](),
 		members:   table.New[string, peer.Member](),
@@ -110,6 +113,7 @@
 		select {
 		case <-ctx.Done():
 			c.handOver(work, cancel)
+			close(c.ended)
 			return nil
 		case m := <-c.mailbox:
 			m.handle(c, time.Now())
@@ -243,6 +247,7 @@
 		_ = c.store.Revoke(limit, c.registration.lease)
 		done()
 	}
+	c.closeCells()
 	cancel()
 	for c.running > 0 {
 		m := <-c.results
--- a/io/trial/run.go
+++ b/io/trial/run.go
@@ -79,7 +79,7 @@
 	for i := range r.scenario.Workers {
 		v := &fakeVM{id: fmt.Sprintf("vm-%02d", i), scenario: r.scenario}
 		r.vms = append(r.vms, v)
-		r.cell.Announce(v.id, "zone", fmt.Sprint("rack-", i/3), netip.MustParseAddrPort("127.0.0.1:1"))
+		r.announce(i, epoch)
 	}
 	for i := range r.scenario.Services {
 		q := &queue{spec: &r.scenario.Services[i], index: i, random: rand.New(rand.NewPCG(seed, uint64(i)+2))}
@@ -90,9 +90,18 @@
 	}
 }
 
+// announce tells the cell of the VM with index i.
+func (r *run) announce(i int, now time.Time) {
+	a := netip.MustParseAddrPort("127.0.0.1:1")
+	r.cell.Announce(r.vms[i].id, "zone", fmt.Sprint("rack-", i/3), a, now)
+}
+
 // tick runs one second of the whole deployment.
 func (r *run) tick(at time.Duration) {
 	now := epoch.Add(at)
+	for i := range r.vms {
+		r.announce(i, now)
+	}
 	r.submit(at)
 	r.receive(now)
 	r.decide(now)
