--- a/io/operator/plot.go
+++ b/io/operator/plot.go
@@ -37,14 +37,19 @@
 	Missed bool
 }
 
-// line scales values into the picture; top is the value at its upper edge.
-func line(values []float64, top float64) string {
+// curve scales values into a picture with room for slots of them, the newest
+// at the right edge; top is the value at the upper edge. The newest point
+// stands twice, so that a single one is drawn as a dot.
+func curve(values []float64, slots int, top float64) string {
 	var b strings.Builder
 	for i, v := range values {
-		x := float64(i) * plotWidth / float64(max(1, len(values)-1))
+		x := plotWidth * (1 - float64(len(values)-1-i)/float64(slots-1))
 		fmt.Fprintf(&b, "%.1f,%.1f ", x, height(v, top))
 	}
-	return strings.TrimSpace(b.String())
+	if n := len(values); n > 0 {
+		fmt.Fprintf(&b, "%d,%.1f", plotWidth, height(values[n-1], top))
+	}
+	return b.String()
 }
 
 func height(v, top float64) float64 {
@@ -78,7 +83,7 @@
 	p := newest(s.Points)
 	return plot{
 		Code: "latency-p99", Subject: s.Name + " / " + id,
-		Line: line(values, top), Target: height(target.Seconds(), top),
+		Line: curve(values, latency.Windows, top), Target: height(target.Seconds(), top),
 		Figures: fmt.Sprintf("p99=%s target=%s p50=%s answered=%d refused=%d",
 			p.P99.Std().Round(100*time.Microsecond), target, p.P50.Std().Round(100*time.Microsecond), p.Answered, p.Refused),
 		Missed: p.P99.Std() > target,
@@ -129,6 +134,6 @@
 		sum += v
 		top = max(top, v)
 	}
-	return plot{Code: code, Subject: fmt.Sprintf("per %s", batchInterval), Line: line(values, top), Target: -1,
+	return plot{Code: code, Subject: fmt.Sprintf("per %s", batchInterval), Line: curve(values, batchIntervals, top), Target: -1,
 		Figures: fmt.Sprintf("last-%s=%.0f %s", batchIntervals*batchInterval, sum, more)}
 }
--- a/io/operator/recent.go
+++ b/io/operator/recent.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"cmp"
 	"fmt"
 	"net/url"
 	"slices"
@@ -45,40 +46,60 @@
 	return ""
 }
 
+// line is an event as it was logged; it becomes text when somebody asks.
+type line struct {
+	seq    int64
+	time   time.Time
+	number int
+	name   string
+	level  hclog.Level
+	// args are keys and values in turn, which nobody changes any more.
+	args []any
+}
+
+// logged turns a line into text.
+func (l *line) logged() Logged {
+	out := Logged{Seq: l.seq, Time: l.time, Number: l.number, Name: l.name, Level: l.level.String()}
+	for i := 0; i+1 < len(l.args); i += 2 {
+		if key, ok := l.args[i].(string); ok && key != numberKey {
+			out.Fields = append(out.Fields, Pair{key, fmt.Sprint(l.args[i+1])})
+		}
+	}
+	return out
+}
+
+// numberKey is the key of an event's number.
+const numberKey = "event"
+
 // Recent keeps the latest events of an entry in memory. It is a sink of the
 // process's logger and safe for concurrent use.
 type Recent struct {
 	mu    sync.Mutex
 	seq   int64
-	areas map[int][]Logged
+	areas map[int][]line
 }
 
 // NewRecent returns an empty Recent.
-func NewRecent() *Recent { return &Recent{areas: make(map[int][]Logged)} }
+func NewRecent() *Recent { return &Recent{areas: make(map[int][]line)} }
 
 var _ hclog.SinkAdapter = (*Recent)(nil)
 
 // Accept implements hclog.SinkAdapter.
 func (r *Recent) Accept(_ string, level hclog.Level, name string, args ...any) {
-	e := Logged{Time: time.Now(), Name: name, Level: level.String()}
-	for i := 0; i+1 < len(args); i += 2 {
-		key, ok := args[i].(string)
-		if n, is := args[i+1].(int); ok && is && key == "event" {
-			e.Number = n
-			continue
-		}
-		e.Fields = append(e.Fields, Pair{key, fmt.Sprint(args[i+1])})
+	l := line{time: time.Now(), name: name, level: level, args: args}
+	if len(args) > 1 && args[0] == numberKey {
+		l.number, _ = args[1].(int)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.seq++
-	e.Seq = r.seq
-	area := e.Number / areaSize
+	l.seq = r.seq
+	area := l.number / areaSize
 	kept := r.areas[area]
 	if len(kept) == 2*keptPerArea {
 		kept = slices.Delete(kept, 0, keptPerArea)
 	}
-	r.areas[area] = append(kept, e)
+	r.areas[area] = append(kept, l)
 }
 
 // Filter selects events; zero values select all.
@@ -99,17 +120,23 @@
 
 // Select returns the kept events that f admits, oldest first.
 func (r *Recent) Select(f Filter) []Logged {
+	out := []Logged{}
+	for _, l := range r.lines() {
+		if e := l.logged(); f.admits(&e) {
+			out = append(out, e)
+		}
+	}
+	slices.SortFunc(out, func(a, b Logged) int { return cmp.Compare(a.Seq, b.Seq) })
+	return out
+}
+
+func (r *Recent) lines() []line {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := []Logged{}
+	var out []line
 	for _, kept := range r.areas {
-		for i := range kept {
-			if f.admits(&kept[i]) {
-				out = append(out, kept[i])
-			}
-		}
+		out = append(out, kept...)
 	}
-	slices.SortFunc(out, func(a, b Logged) int { return int(a.Seq - b.Seq) })
 	return out
 }
 
