Show events of all entries, and follow them through an entry's restart

A follower asks for events above the last seq. Counting from 1 in each process hid the events of an entry that was started again; seq now begins with the time. Buttons send the id of a job or worker as a field, since an id may hold a slash.

--- a/core/entry/snapshot.go
+++ b/core/entry/snapshot.go
@@ -6,6 +6,8 @@
 package entry
 
 import (
+	"net/netip"
+
 	"rosemarygap/core/endpoint"
 	"rosemarygap/core/latency"
 	"rosemarygap/core/operator"
@@ -60,6 +62,8 @@
 	Revision int64  `json:"config-revision"`
 	Cells    []int  `json:"cells"`
 	Ready    bool   `json:"ready"`
+	// Operator is where this entry serves operators.
+	Operator netip.AddrPort `json:"operator-address,omitzero"`
 	// Services is the latency that callers of this entry saw.
 	Services []latency.Service `json:"services,omitempty"`
 	// Code is set instead of the other values if the entry did not answer.
--- a/io/commandline/commandline.go
+++ b/io/commandline/commandline.go
@@ -29,7 +29,7 @@
 	Cancel *CancelCommand `arg:"subcommand:cancel" help:"cancel a batch job"`
 	Jobs   *JobsCommand   `arg:"subcommand:jobs" help:"list batch jobs"`
 	Drain  *DrainCommand  `arg:"subcommand:drain" help:"keep further batch work off a worker"`
-	Events *EventsCommand `arg:"subcommand:events" help:"show recent events of one entry"`
+	Events *EventsCommand `arg:"subcommand:events" help:"show recent events"`
 }
 
 // Description is shown by --help.
--- a/io/entry/jobs.go
+++ b/io/entry/jobs.go
@@ -128,7 +128,7 @@
 func (c *control) Status() entry.Status {
 	s := c.Snapshot()
 	st := entry.Status{ID: c.self.ID, Zone: c.self.Zone, Revision: s.Revision(),
-		Ready: s.Ready(), Cells: []int{}, Services: c.latency.Services(time.Now())}
+		Ready: s.Ready(), Cells: []int{}, Operator: c.self.Operator, Services: c.latency.Services(time.Now())}
 	for cell, o := range s.Owners {
 		if o.Entry == c.self.ID {
 			st.Cells = append(st.Cells, cell)
--- a/io/operator/config.go
+++ b/io/operator/config.go
@@ -49,16 +49,21 @@
 func (s *Server) putConfig(c echo.Context) error {
 	var m editMessage
 	if err := httpjson.Decode(c, &m); err != nil {
-		return c.JSON(status.HTTPStatusOf(err), s.refusal(err))
+		return answerChange(c, nil, s.refusal(err))
 	}
 	accepted, refusal := s.change(c.Request().Context(), m)
-	if refusal != nil {
-		if d := refusal.RetryAfter.Std(); d > 0 {
-			httpjson.SetRetryAfter(c.Response().Header(), d)
-		}
-		return c.JSON(status.HTTPStatusOf(refusal.Err()), refusal)
+	return answerChange(c, accepted, refusal)
+}
+
+// answerChange answers a change of the configuration.
+func answerChange(c echo.Context, accepted *core.Accepted, refusal *Refusal) error {
+	if refusal == nil {
+		return c.JSON(http.StatusOK, accepted)
+	}
+	if d := refusal.RetryAfter.Std(); d > 0 {
+		httpjson.SetRetryAfter(c.Response().Header(), d)
 	}
-	return c.JSON(http.StatusOK, accepted)
+	return c.JSON(status.HTTPStatusOf(refusal.Err()), refusal)
 }
 
 // change is the one way by which a configuration takes effect: the forms, the
--- a/io/operator/console_drain.go
+++ b/io/operator/console_drain.go
@@ -10,7 +10,7 @@
 		return s.renderWorkers(c, refused(s.unauthorized(c.Request())), "")
 	}
 	m := DrainMessage{Draining: c.FormValue("draining") == "true", ChangeID: c.FormValue(fieldChangeID)}
-	if _, refusal := s.drain(c.Request().Context(), c.Param("id"), m); refusal != nil {
+	if _, refusal := s.drain(c.Request().Context(), c.FormValue(fieldID), m); refusal != nil {
 		return s.renderWorkers(c, refusal, "")
 	}
 	return s.renderWorkers(c, nil, "config-accepted")
--- a/io/operator/console_test.go
+++ b/io/operator/console_test.go
@@ -231,7 +231,7 @@
 	code, page := b.do("POST", "/config", form)
 	is.Equal(code, http.StatusUnauthorized)
 	is.Equal(filled(t, page).Get(quotaField), "77") // typed values are kept
-	for _, path := range []string{"/jobs", "/jobs/x/cancel", "/workers/worker-1/drain"} {
+	for _, path := range []string{"/jobs", "/jobs/cancel", "/workers/drain"} {
 		code, _ = b.do("POST", path, url.Values{})
 		is.Equal(code, http.StatusUnauthorized)
 	}
@@ -255,7 +255,7 @@
 	code, _ = b.do("POST", "/config", form)
 	is.Equal(code, http.StatusOK)
 	is.Equal(ctl.config.Document.Teams[0].Quota.Memory, int64(77))
-	code, _ = b.do("POST", "/workers/worker-1/drain", url.Values{"draining": {"true"}, fieldChangeID: {"d"}})
+	code, _ = b.do("POST", "/workers/drain", url.Values{fieldID: {"worker-1"}, "draining": {"true"}, fieldChangeID: {"d"}})
 	is.Equal(code, http.StatusOK)
 	is.Equal(ctl.config.Document.Draining, []string{"worker-1"})
 }
@@ -267,10 +267,10 @@
 	for host, want := range map[string]int{"site.example:80": http.StatusForbidden,
 		"127.0.0.1:80": http.StatusOK, "[::1]:80": http.StatusOK, "localhost:80": http.StatusOK} {
 		b.host = host
-		code, _ := b.do("POST", "/jobs/build-1/cancel", url.Values{})
+		code, _ := b.do("POST", "/jobs/cancel", url.Values{fieldID: {"a/b"}})
 		is.Equal(code, want) // host
 	}
-	is.Equal(len(ctl.cancelled), 3)
+	is.Equal(ctl.cancelled, []string{"a/b", "a/b", "a/b"})
 }
 
 // Every page can be used by keyboard, screen reader and phone: each field has
--- a/io/operator/drain.go
+++ b/io/operator/drain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net/http"
 
 	core "rosemarygap/core/operator"
 	"rosemarygap/core/status"
@@ -29,10 +28,7 @@
 		return httpjson.Fail(c, err)
 	}
 	accepted, refusal := s.drain(c.Request().Context(), c.Param("id"), m)
-	if refusal != nil {
-		return c.JSON(status.HTTPStatusOf(refusal.Err()), refusal)
-	}
-	return c.JSON(http.StatusOK, accepted)
+	return answerChange(c, accepted, refusal)
 }
 
 // drain changes one worker in the newest document. Since it depends on no
--- a/io/operator/recent.go
+++ b/io/operator/recent.go
@@ -21,7 +21,8 @@
 
 // Logged is one event that was logged.
 type Logged struct {
-	// Seq rises by one with each event of this entry's process.
+	// Seq rises with each event of this entry, also when its process is
+	// started again.
 	Seq    int64     `json:"seq"`
 	Time   time.Time `json:"time"`
 	Number int       `json:"event"`
@@ -80,7 +81,9 @@
 }
 
 // NewRecent returns an empty Recent.
-func NewRecent() *Recent { return &Recent{areas: make(map[int][]line)} }
+func NewRecent() *Recent {
+	return &Recent{seq: time.Now().UnixMicro(), areas: make(map[int][]line)}
+}
 
 var _ hclog.SinkAdapter = (*Recent)(nil)
 
--- a/io/standin/deployment/walk_test.go
+++ b/io/standin/deployment/walk_test.go
@@ -261,6 +261,6 @@
 	is.NoErr(json.Unmarshal([]byte(out), &done))
 	is.Equal(done.Document.Draining, []string{row.Worker})
 	w.must("submit", "examples/job.json", "--wait", "--wait-limit", "20s")
-	events := w.must("events", "--event", "5001")
-	is.True(strings.Contains(events, "config-accepted"))
+	events := w.must("events", "--all", "--job", row.ID)
+	is.True(strings.Contains(events, "job-accepted") && strings.Contains(events, "task-finished"))
 }
