--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -50,7 +50,7 @@
 	}
 	e := &Entry{opts: o, recent: operator.NewRecent()}
 	WithLog(os.Stderr)(e)
-	e.store = platform.NewClient(o.Platform)
+	e.store = platform.NewLimited(platform.NewClient(o.Platform))
 	e.client = endpoint.NewClient(connectionsPerEndpoint)
 	for _, f := range opts {
 		f(e)
@@ -82,10 +82,10 @@
 	operators := operator.NewServer(e.control, e.store, e.log,
 		operator.WithToken(e.opts.OperatorToken), operator.WithRecent(e.recent))
 	listeners := []listenerSpec{
-		{e.opts.CallerListen, observeLatency(callers.Handler(), e.control.latency, e.control.Snapshot)},
-		{e.opts.OperatorListen, operators.Handler()},
-		{e.opts.PeerListen, iopeer.NewHandler(e.control)},
-		{e.opts.AdminListen, newAdminHandler(e.control)},
+		{"caller", e.opts.CallerListen, observeLatency(callers.Handler(), e.control.latency, e.control.Snapshot)},
+		{"operator", e.opts.OperatorListen, operators.Handler()},
+		{"peer", e.opts.PeerListen, iopeer.NewHandler(e.control)},
+		{"admin", e.opts.AdminListen, newAdminHandler(e.control)},
 	}
 	bound, err := bindAll(listeners)
 	if err != nil {
