--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -63,7 +63,7 @@
 	d := json.NewDecoder(bytes.NewReader(b))
 	d.DisallowUnknownFields()
 	if err := d.Decode(v); err != nil {
-		return decodeError(err)
+		return located(decodeError(err), b, v)
 	}
 	if _, err := d.Token(); !errors.Is(err, io.EOF) {
 		return status.At(status.ErrMalformedJSON, "body", "trailing-data")
--- a/core/wire/wire_test.go
+++ b/core/wire/wire_test.go
@@ -51,3 +51,24 @@
 	is.Equal(path, "service")
 	is.Equal(value, "catalogue")
 }
+
+// A bad duration is named by the path of its field, however deep it stands.
+func TestBadDurationHasItsPath(t *testing.T) {
+	type outer struct {
+		sample
+		Inner *sample  `json:"inner"`
+		List  []sample `json:"list"`
+	}
+	for in, want := range map[string][2]string{
+		`{"wait":"1 s"}`:                       {"wait", "1 s"},
+		`{"wait":"1s","inner":{"wait":10}}`:    {"inner.wait", "10"},
+		`{"list":[{"wait":"1s"},{"wait":""}]}`: {"list[1].wait", ""},
+	} {
+		is := is.New(t)
+		var v outer
+		err := Unmarshal([]byte(in), &v)
+		is.True(errors.Is(err, status.ErrWrongUnit))
+		path, value := status.DetailOf(err)
+		is.Equal([2]string{path, value}, want)
+	}
+}
