Cancel many jobs in one call, and log an unusable configuration once

A configuration that this version refuses was logged at every exchange, twice a second; now once per revision. A stored value that is no configuration is the code config-unusable in place of internal.

--- a/core/status/codes.go
+++ b/core/status/codes.go
@@ -64,6 +64,7 @@
 	ErrContradiction   = &Error{"contradiction", http.StatusUnprocessableEntity}
 	ErrAboveCapacity   = &Error{"above-capacity", http.StatusUnprocessableEntity}
 	ErrChangeIDReused  = &Error{"change-id-reused", http.StatusConflict}
+	ErrConfigUnusable  = &Error{"config-unusable", http.StatusInternalServerError}
 	ErrJobNotFinished  = &Error{"job-not-finished", http.StatusConflict}
 	ErrCrossOrigin     = &Error{"cross-origin", http.StatusForbidden}
 )
@@ -83,6 +84,6 @@
 		ErrUnknownJob, ErrImpossibleJob, ErrWorkerFull, ErrConfigConflict,
 		ErrConfigInvalid, ErrNoConfiguration, ErrUnauthorized,
 		ErrWrongType, ErrDuplicateKey, ErrContradiction, ErrAboveCapacity,
-		ErrChangeIDReused, ErrCrossOrigin, ErrJobNotFinished,
+		ErrChangeIDReused, ErrCrossOrigin, ErrJobNotFinished, ErrConfigUnusable,
 	}
 }
--- a/io/commandline/jobs.go
+++ b/io/commandline/jobs.go
@@ -4,13 +4,14 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/url"
 	"os"
+	"slices"
 	"text/tabwriter"
 
 	"rosemarygap/core/status"
 	"rosemarygap/core/wire"
 	"rosemarygap/core/worker"
+	"rosemarygap/io/operator"
 
 	"github.com/pkg/errors"
 )
@@ -69,7 +70,7 @@
 			}
 		}
 		text := fmt.Sprintf("job=%s state=%s attempt=%d reason=%s", id, row.State, row.Attempt, row.Reason)
-		return !row.Ended.IsZero(), text, nil
+		return !row.Ended.IsZero() || row.State == worker.Parked, text, nil
 	}
 }
 
@@ -80,22 +81,27 @@
 }
 
 // Run returns when the cancellations are durable. A job that can't be
-// cancelled does not hold up the others; the last such error is returned, and
-// those before it are written to the standard error.
-func (c *CancelCommand) Run(io.Writer) error {
+// cancelled does not hold up the others.
+func (c *CancelCommand) Run(w io.Writer) error {
 	var failed error
-	for i, id := range c.IDs {
-		err := c.call(http.MethodDelete, "/api/jobs/"+url.PathEscape(id), nil, nil)
+	var all []operator.Cancelled
+	for ids := range slices.Chunk(c.IDs, operator.MaxCancelled) {
+		var out []operator.Cancelled
+		err := c.call(http.MethodPost, "/api/cancellations", operator.CancelMessage{IDs: ids}, &out)
 		if err != nil {
-			if failed != nil {
-				reportError(os.Stderr, failed)
-			}
-			failed = status.At(err, "job", id)
+			return err
 		}
-		if len(c.IDs) > 1 {
-			progress("job=%s done=%d of=%d", id, i+1, len(c.IDs))
+		all = append(all, out...)
+		progress("cancelled=%d of=%d", len(all), len(c.IDs))
+	}
+	for i := range all {
+		if all[i].Code != "" {
+			failed = all[i].Err()
 		}
 	}
+	if err := printJSON(w, all); err != nil {
+		return err
+	}
 	return failed
 }
 
--- a/io/entry/config.go
+++ b/io/entry/config.go
@@ -15,8 +15,12 @@
 )
 
 func (c *control) applyConfigEntry(e platform.Entry) {
+	if e.Deleted {
+		return
+	}
 	var a operator.Accepted
-	if e.Deleted || json.Unmarshal(e.Value, &a) != nil {
+	if err := json.Unmarshal(e.Value, &a); err != nil {
+		event.ConfigUnusable.Emit(c.log, event.Revision(0), event.Reason(status.ErrMalformedJSON.Code()))
 		return
 	}
 	c.adoptConfig(&a)
@@ -49,11 +53,12 @@
 
 // adoptConfig puts a configuration in force if its revision is higher.
 func (c *control) adoptConfig(a *operator.Accepted) {
-	if operator.Newest(c.config, a) == c.config {
+	if operator.Newest(c.config, a) == c.config || a.Revision == c.unusable {
 		return
 	}
 	if err := operator.Usable(a); err != nil {
 		event.ConfigUnusable.Emit(c.log, event.Revision(a.Revision), event.Reason(status.CodeOf(err)))
+		c.unusable = a.Revision
 		return
 	}
 	c.config = a
--- a/io/entry/control.go
+++ b/io/entry/control.go
@@ -52,8 +52,11 @@
 
 	self peer.Member
 	// instance tells this process from an earlier one of the same name.
-	instance  string
-	config    *operator.Accepted
+	instance string
+	config   *operator.Accepted
+	// unusable is the revision that was refused last; every exchange offers
+	// it again.
+	unusable  int64
 	endpoints *endpoint.Membership
 	notices   *table.Table[string, heardWorker]
 	members   *table.Table[string, peer.Member]
--- a/io/operator/console_cancel.go
+++ b/io/operator/console_cancel.go
@@ -1,20 +1,29 @@
 package operator
 
 import (
+	"rosemarygap/core/status"
+
 	"github.com/labstack/echo/v4"
 )
 
-// fieldID names the job or worker that a button acts on.
+// fieldID names the jobs or the worker that a button acts on.
 const fieldID = "id"
 
-// postCancel cancels a job.
+// postCancel cancels the chosen jobs.
 func (s *Server) postCancel(c echo.Context) error {
 	form := c.Request().PostForm
 	if !s.mayChange(c) {
 		return s.renderJobs(c, form, refused(s.unauthorized(c.Request())), "")
 	}
-	if err := s.control.Cancel(c.Request().Context(), c.FormValue(fieldID)); err != nil {
-		return s.renderJobs(c, form, refused(err), "")
+	ids := form[fieldID]
+	if len(ids) < 1 || len(ids) > MaxCancelled {
+		return s.renderJobs(c, form, refused(status.At(status.ErrOutOfRange, "ids", "")), "")
+	}
+	for _, o := range s.cancelAll(c.Request().Context(), ids) {
+		if o.Code != "" {
+			err := status.At(o.Err(), fieldID, o.ID)
+			return s.renderJobs(c, form, refused(err), "")
+		}
 	}
 	return s.renderJobs(c, form, nil, "job-cancelled")
 }
--- a/io/operator/edit.go
+++ b/io/operator/edit.go
@@ -84,6 +84,9 @@
 
 // unsettled marks an error after which the same edit may be sent again.
 func unsettled(err error) error {
+	if errors.Is(err, status.ErrConfigUnusable) {
+		return err
+	}
 	if errors.Is(err, status.ErrStoreConflict) {
 		err = status.ErrStoreUnavailable
 	}
@@ -100,7 +103,7 @@
 	}
 	if err == nil {
 		if err := json.Unmarshal(e.Value, newest); err != nil {
-			return stored{}, errors.Wrap(err, "decode configuration")
+			return stored{}, status.At(status.ErrConfigUnusable, coreplatform.ConfigKey, "")
 		}
 	}
 	return stored{core.Newest(newest, inForce), e.Revision}, nil
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -81,6 +81,7 @@
 	e.GET("/api/jobs", s.listJobs)
 	e.POST("/api/jobs", s.submitJob, s.authorized)
 	e.DELETE("/api/jobs/:id", s.cancelJob, s.authorized)
+	e.POST("/api/cancellations", s.postCancellations, s.authorized)
 	s.addConsole(e)
 	return s.sameOrigin(e)
 }
