--- a/io/commandline/jobs.go
+++ b/io/commandline/jobs.go
@@ -95,7 +95,7 @@
 		progress("cancelled=%d of=%d", len(all), len(c.IDs))
 	}
 	for i := range all {
-		if all[i].Code != "" {
+		if all[i].ErrorBody != nil {
 			failed = all[i].Err()
 		}
 	}
--- a/io/operator/cancellations.go
+++ b/io/operator/cancellations.go
@@ -25,10 +25,10 @@
 	IDs []string `json:"ids"`
 }
 
-// Cancelled is what became of one cancellation; without a code it is durable.
+// Cancelled is what became of one cancellation; without an error it is durable.
 type Cancelled struct {
 	ID string `json:"id"`
-	wire.ErrorBody
+	*wire.ErrorBody
 }
 
 func (s *Server) postCancellations(c echo.Context) error {
@@ -61,7 +61,8 @@
 func (s *Server) cancelOne(ctx context.Context, id string) Cancelled {
 	out := Cancelled{ID: id}
 	if err := s.control.Cancel(ctx, id); err != nil {
-		out.ErrorBody = wire.BodyOf(err)
+		body := wire.BodyOf(err)
+		out.ErrorBody = &body
 	}
 	return out
 }
--- a/io/operator/console_cancel.go
+++ b/io/operator/console_cancel.go
@@ -20,7 +20,7 @@
 		return s.renderJobs(c, form, refused(status.At(status.ErrOutOfRange, "ids", "")), "")
 	}
 	for _, o := range s.cancelAll(c.Request().Context(), ids) {
-		if o.Code != "" {
+		if o.ErrorBody != nil {
 			err := status.At(o.Err(), fieldID, o.ID)
 			return s.renderJobs(c, form, refused(err), "")
 		}
