--- a/core/worker/health.go
+++ b/core/worker/health.go
@@ -37,9 +37,6 @@
 	parkScore = 6
 	// parkFailures is the least number of failures that park a job.
 	parkFailures = 3
-	// retriesPerTick bounds the jobs that failed before and are placed in
-	// one tick.
-	retriesPerTick = 8
 )
 
 // backoffFor returns base doubled n times, at most limit.
@@ -148,10 +145,9 @@
 	return max(n, 1)
 }
 
-// planRetries places jobs that failed before, each on a worker where it did
-// not fail yet while there is one. The workers that it chose, and those on
-// probation, take no other start in this tick.
-func (c *Cell) planRetries(rs []Record, touched map[string]bool, now time.Time) []Record {
+// closeWorkers shuts out, for this tick, the workers that are drained or on
+// probation.
+func (c *Cell) closeWorkers(now time.Time) {
 	closed := make(map[string]bool)
 	for _, id := range c.drained {
 		closed[id] = true
@@ -161,47 +157,16 @@
 			closed[w.id] = true
 		}
 	}
-	for _, j := range c.retries(touched) {
-		rs = c.planRetry(rs, touched, closed, j, now)
-	}
 	c.draining = closed
-	return rs
-}
-
-// retries returns the queued jobs that failed before and may start again.
-func (c *Cell) retries(touched map[string]bool) []*JobRow {
-	var q []*JobRow
-	for id, j := range c.jobs.All {
-		if len(j.FailedOn) > 0 && j.State == Queued && !j.Cancelling && !touched[id] {
-			q = append(q, j)
-		}
-	}
-	slices.SortFunc(q, func(a, b *JobRow) int { return a.NotBefore.Compare(b.NotBefore) })
-	return q[:min(len(q), retriesPerTick)]
 }
 
-// planRetry places one job and closes its worker for this tick.
-func (c *Cell) planRetry(rs []Record, touched, closed map[string]bool, j *JobRow, now time.Time) []Record {
-	c.draining = make(map[string]bool, len(closed)+len(j.FailedOn))
-	for id := range closed {
-		c.draining[id] = true
-	}
-	if c.untried(j, closed) {
-		for _, id := range j.FailedOn {
-			c.draining[id] = true
-		}
-	}
-	others := make(map[string]bool, c.jobs.Len())
-	for id := range c.jobs.All {
-		others[id] = id != j.ID || touched[id]
-	}
-	n := len(rs)
-	rs = c.planStarts(rs, others, now)
-	for _, r := range rs[n:] {
-		closed[r.Worker] = true
+// avoided returns the workers that j must not start on: those where it failed,
+// while there is another one.
+func (c *Cell) avoided(j *JobRow) []string {
+	if len(j.FailedOn) == 0 || !c.untried(j, c.draining) {
+		return nil
 	}
-	touched[j.ID] = true
-	return rs
+	return j.FailedOn
 }
 
 // untried reports whether j fits on an open worker where it has not failed.
