--- a/io/commandline/jobs.go
+++ b/io/commandline/jobs.go
@@ -121,9 +121,9 @@
 		return printJSON(w, rows)
 	}
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "JOB\tTEAM\tCLASS\tSTATE\tATTEMPT\tWORKER\tREASON")
+	fmt.Fprintln(t, "JOB\tTEAM\tCLASS\tSTATE\tATTEMPT\tEVICTIONS\tWORKER\tREASON")
 	for _, j := range rows {
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%s\t%s\n", j.ID, j.Team, j.Class, j.State, j.Attempt, j.Worker, j.Reason)
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s\n", j.ID, j.Team, j.Class, j.State, j.Attempt, j.Evictions, j.Worker, j.Reason)
 	}
 	return errors.Wrap(t.Flush(), "write output")
 }
--- a/io/operator/console_test.go
+++ b/io/operator/console_test.go
@@ -314,6 +314,7 @@
 	is.True(strings.Contains(page, "target-missed")) // p99 of 300ms against 200ms
 	_, page = b.do("GET", "/jobs", nil)
 	is.True(strings.Contains(page, "impossible-job"))
+	is.True(strings.Contains(page, `aria-label="choose build-1"`)) // a parked job can be cancelled
 }
 
 // A wave of cancellations is answered one by one, in order.
--- a/io/operator/plot.go
+++ b/io/operator/plot.go
@@ -109,8 +109,10 @@
 	for i := range jobs {
 		j := &jobs[i]
 		evictions += j.Evictions
-		if j.Ended.IsZero() {
+		if !j.State.Final() {
 			open++
+		}
+		if j.Ended.IsZero() {
 			continue
 		}
 		at := batchIntervals - 1 - int(now.Sub(j.Ended)/batchInterval)
