--- a/io/operator/console_overview.go
+++ b/io/operator/console_overview.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"rosemarygap/core/endpoint"
 	"rosemarygap/core/entry"
 
 	"github.com/labstack/echo/v4"
@@ -11,19 +12,23 @@
 // overviewBody is what the first page shows.
 type overviewBody struct {
 	Entries   []entry.Status
-	Endpoints []endpointRow
+	Endpoints []endpoint.Row
 	Latency   []plot
 	Batch     []plot
 }
 
 func (s *Server) showOverview(c echo.Context) error {
 	ctx, now := c.Request().Context(), time.Now()
-	body := overviewBody{Entries: s.statuses(ctx), Endpoints: s.endpoints(now)}
+	body := overviewBody{Entries: s.statuses(ctx)}
 	if a := s.control.Snapshot().Config; a != nil {
 		body.Latency = latencyPlots(body.Entries, &a.Document)
 	}
-	jobs, err := s.control.Jobs(ctx)
-	if err == nil {
+	rows, err := s.control.Endpoints(ctx)
+	body.Endpoints = rows
+	jobs, failed := s.control.Jobs(ctx)
+	if failed != nil {
+		err = failed
+	} else {
 		body.Batch = batchPlots(jobs, now)
 	}
 	return s.render(c, page{Name: "overview", Refusal: refused(err), Body: body})
--- a/io/operator/console_test.go
+++ b/io/operator/console_test.go
@@ -66,6 +66,10 @@
 
 func (f *fakeControl) Jobs(context.Context) ([]worker.JobRow, error) { return f.jobs, nil }
 
+func (f *fakeControl) Endpoints(context.Context) ([]endpoint.Row, error) {
+	return []endpoint.Row{{ID: "endpoint-1", State: endpoint.Lapsed}}, nil
+}
+
 func (f *fakeControl) Workers(context.Context) ([]entry.Worker, error) {
 	return []entry.Worker{{ID: "worker-1", Heard: true}}, nil
 }
@@ -312,6 +316,7 @@
 	}
 	_, page := b.do("GET", "/", nil)
 	is.True(strings.Contains(page, "target-missed")) // p99 of 300ms against 200ms
+	is.True(strings.Contains(page, string(endpoint.Lapsed)))
 	_, page = b.do("GET", "/jobs", nil)
 	is.True(strings.Contains(page, "impossible-job"))
 	is.True(strings.Contains(page, `aria-label="choose build-1"`)) // a parked job can be cancelled
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -10,6 +10,7 @@
 	"context"
 	"net/http"
 
+	"rosemarygap/core/endpoint"
 	"rosemarygap/core/entry"
 	"rosemarygap/core/operator"
 	"rosemarygap/core/worker"
@@ -34,6 +35,8 @@
 	Cancel(ctx context.Context, id string) error
 	// Jobs lists the jobs of all cells.
 	Jobs(ctx context.Context) ([]worker.JobRow, error)
+	// Endpoints lists the endpoints that are known here, with their state.
+	Endpoints(ctx context.Context) ([]endpoint.Row, error)
 	// Workers lists the workers that announced themselves.
 	Workers(ctx context.Context) ([]entry.Worker, error)
 }
