Merge field by field when an operator goes on after a conflict

Cause: the button that moved a form to the newer revision applied the whole form, and so took back the other operator's change in fields that this one had not touched. The form now carries the document that the edit began with, and core/operator.Merge puts only the changed fields on the newer one.

--- a/core/operator/diff.go
+++ b/core/operator/diff.go
@@ -25,6 +25,15 @@
 	return d.found
 }
 
+// DiffText is Diff of two documents as JSON text, valid or not.
+func DiffText(current, edited []byte) []Difference {
+	var d differ
+	a, _, _ := scan(current)
+	b, _, _ := scan(edited)
+	d.compare("", a, b)
+	return d.found
+}
+
 // treeOf returns the JSON tree of d. A document always encodes.
 func treeOf(d *Document) any {
 	b, _ := json.Marshal(d)
--- a/io/operator/console_config.go
+++ b/io/operator/console_config.go
@@ -19,23 +19,28 @@
 const (
 	fieldRevision = "edit-revision"
 	fieldChangeID = "edit-change-id"
-	fieldAction   = "action"
+	// fieldBase is the document that the edit began with, as JSON.
+	fieldBase   = "edit-base"
+	fieldAction = "action"
 )
 
-// Actions of the configuration form. The last three are followed by a list,
-// an element, or a revision.
+// Actions of the configuration form. Those that end in a colon are followed
+// by the path of a list or an element.
 const (
 	actionCheck  = "check"
 	actionApply  = "apply"
 	actionAdd    = "add:"
 	actionRemove = "remove:"
-	actionRebase = "rebase:"
+	actionRebase = "rebase"
 )
 
 // configBody is what the configuration page shows.
 type configBody struct {
-	Revision, ChangeID string
-	Document           fieldset
+	Revision, ChangeID, Base string
+	Document                 fieldset
+	// Changes are the fields in which a rebased form differs from the
+	// configuration in force.
+	Changes []core.Difference
 }
 
 func (s *Server) showConfig(c echo.Context) error {
@@ -43,15 +48,34 @@
 	if a == nil {
 		a = &core.Accepted{Document: core.Document{Format: core.Format}}
 	}
-	form, err := formOf(a.Document)
+	form, err := startEdit(a)
 	if err != nil {
-		return errors.Wrap(err, "show configuration")
+		return err
 	}
-	form.Set(fieldRevision, strconv.FormatInt(a.Revision, 10))
-	form.Set(fieldChangeID, uuid.NewString())
 	return s.renderConfig(c, form, nil, "")
 }
 
+// startEdit returns a form for an edit of a.
+func startEdit(a *core.Accepted) (url.Values, error) {
+	b, err := json.Marshal(a.Document)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode document")
+	}
+	form, err := formOfText(b)
+	if err != nil {
+		return nil, err
+	}
+	setEdit(form, a.Revision, b)
+	return form, nil
+}
+
+// setEdit makes form an edit of the document base at a revision.
+func setEdit(form url.Values, revision int64, base []byte) {
+	form.Set(fieldRevision, strconv.FormatInt(revision, 10))
+	form.Set(fieldChangeID, uuid.NewString())
+	form.Set(fieldBase, string(base))
+}
+
 // postConfig acts on the form and shows it again with what was typed.
 func (s *Server) postConfig(c echo.Context) error {
 	form, action := c.Request().PostForm, c.FormValue(fieldAction)
@@ -71,9 +95,8 @@
 		form.Set(list+countSuffix, strconv.Itoa(count(form, list)+1))
 	case strings.HasPrefix(action, actionRemove):
 		form = withoutElement(form, strings.TrimPrefix(action, actionRemove))
-	case strings.HasPrefix(action, actionRebase):
-		form.Set(fieldRevision, strings.TrimPrefix(action, actionRebase))
-		form.Set(fieldChangeID, uuid.NewString())
+	case action == actionRebase:
+		return s.rebaseForm(c, form)
 	default:
 		return s.renderConfig(c, form, refused(status.At(status.ErrOutOfRange, fieldAction, action)), "")
 	}
@@ -95,15 +118,34 @@
 	if refusal != nil {
 		return s.renderConfig(c, form, refusal, "")
 	}
-	form, err = formOf(accepted.Document)
-	if err != nil {
-		return errors.Wrap(err, "show configuration")
+	if form, err = startEdit(accepted); err != nil {
+		return err
 	}
-	form.Set(fieldRevision, strconv.FormatInt(accepted.Revision, 10))
-	form.Set(fieldChangeID, uuid.NewString())
 	return s.renderConfig(c, form, nil, "config-accepted")
 }
 
+// rebaseForm puts what was changed in the form on top of the configuration in
+// force. Fields that only others changed keep their new values.
+func (s *Server) rebaseForm(c echo.Context, form url.Values) error {
+	now := s.control.Snapshot().Config
+	if now == nil {
+		return s.renderConfig(c, form, refused(status.ErrNoConfiguration), "")
+	}
+	current, err := json.Marshal(now.Document)
+	if err != nil {
+		return errors.Wrap(err, "encode document")
+	}
+	merged, err := core.Merge([]byte(form.Get(fieldBase)), current, documentOf(form))
+	if err != nil {
+		return s.renderConfig(c, form, refused(err), "")
+	}
+	if form, err = formOfText(merged); err != nil {
+		return err
+	}
+	setEdit(form, now.Revision, current)
+	return s.renderConfig(c, form, nil, "config-rebased")
+}
+
 // documentOf returns the form's document as JSON. A form always encodes.
 func documentOf(form url.Values) []byte {
 	b, _ := json.Marshal(treeOfForm(form, reflect.TypeFor[core.Document](), ""))
@@ -120,7 +162,7 @@
 	tree := treeOfForm(form, reflect.TypeFor[core.Document](), "")
 	removeElement(tree, list, i)
 	out := formOfTree(tree)
-	for _, f := range []string{fieldRevision, fieldChangeID} {
+	for _, f := range []string{fieldRevision, fieldChangeID, fieldBase} {
 		out.Set(f, form.Get(f))
 	}
 	return out
@@ -131,7 +173,10 @@
 	if r != nil {
 		v.faults = r.Faults
 	}
-	body := configBody{form.Get(fieldRevision), form.Get(fieldChangeID),
-		v.fieldset(reflect.TypeFor[core.Document](), "", "document")}
+	body := configBody{Revision: form.Get(fieldRevision), ChangeID: form.Get(fieldChangeID),
+		Base: form.Get(fieldBase), Document: v.fieldset(reflect.TypeFor[core.Document](), "", "document")}
+	if done == "config-rebased" {
+		body.Changes = core.DiffText([]byte(body.Base), documentOf(form))
+	}
 	return s.render(c, page{Name: "config", Refusal: r, Done: done, Body: body})
 }
--- a/io/operator/console_test.go
+++ b/io/operator/console_test.go
@@ -170,6 +170,7 @@
 	first, second := filled(t, page), filled(t, page)
 	second.Set(fieldChangeID, "second")
 	first.Set(quotaField, "1000")
+	first.Set("services[0].deadline", "3s")
 	second.Set(quotaField, "2000")
 	second.Set("services[0].queue-limit", "99")
 	first.Set(fieldAction, actionApply)
@@ -191,13 +192,15 @@
 	is.True(strings.Contains(all, "teams[press].quota.memory-mib|1000|2000"))
 	is.True(strings.Contains(all, "services[catalogue].queue-limit|256|99"))
 	rebased := filled(t, page)
-	rebased.Set(fieldAction, actionRebase+"2")
+	rebased.Set(fieldAction, actionRebase)
 	_, page = b.do("POST", "/config", rebased)
 	rebased = filled(t, page)
 	rebased.Set(fieldAction, actionApply)
 	code, _ = b.do("POST", "/config", rebased)
 	is.Equal(code, http.StatusOK)
 	is.Equal(ctl.config.Document.Teams[0].Quota.Memory, int64(2000))
+	is.Equal(ctl.config.Document.Services[0].QueueLimit, 99)
+	is.Equal(ctl.config.Document.Services[0].Deadline.Std(), 3*time.Second) // the winner's change stands
 }
 
 // Faults come from the same check as the command line's, each beside its
--- a/io/operator/form.go
+++ b/io/operator/form.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/url"
 	"reflect"
@@ -9,6 +10,8 @@
 	"strings"
 
 	core "rosemarygap/core/operator"
+
+	"github.com/pkg/errors"
 )
 
 // A form carries a document as text, one value for each field, named by the
@@ -232,13 +235,18 @@
 func formOf(v any) (url.Values, error) {
 	b, err := json.Marshal(v)
 	if err != nil {
-		return nil, err
+		return nil, errors.Wrap(err, "encode form")
 	}
-	d := json.NewDecoder(strings.NewReader(string(b)))
+	return formOfText(b)
+}
+
+// formOfText turns JSON text into a form.
+func formOfText(b []byte) (url.Values, error) {
+	d := json.NewDecoder(bytes.NewReader(b))
 	d.UseNumber()
 	var tree any
 	if err := d.Decode(&tree); err != nil {
-		return nil, err
+		return nil, errors.Wrap(err, "decode form")
 	}
 	return formOfTree(tree), nil
 }
--- a/io/standin/deployment/walk_test.go
+++ b/io/standin/deployment/walk_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"html"
 	"io"
 	"net/http"
 	"net/http/cookiejar"
@@ -142,7 +143,7 @@
 	form := url.Values{}
 	for _, m := range inputForm.FindAllStringSubmatch(page, -1) {
 		if !strings.Contains(m[0], "checkbox") || m[3] != "" {
-			form.Set(m[1], m[2])
+			form.Set(m[1], html.UnescapeString(m[2]))
 		}
 	}
 	form.Del("action")
