--- a/Makefile
+++ b/Makefile
@@ -36,4 +36,4 @@
 # The long runs of the property tests.
 soak:
 	go test ./io/caller -count=1 -timeout 30m -run TestOutcomesAreTrue -rapid.checks=100000
-	go test ./io/operator ./core/operator -count=1 -timeout 30m -run 'TestEdits|TestForm|TestEvery' -rapid.checks=20000
+	go test ./io/operator ./core/operator -count=1 -timeout 30m -run 'TestEdits|TestForm|TestEvery|TestMerge' -rapid.checks=20000
--- a/io/standin/deployment/walk_test.go
+++ b/io/standin/deployment/walk_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"html"
 	"io"
+	"net"
 	"net/http"
 	"net/http/cookiejar"
 	"net/netip"
@@ -34,6 +35,10 @@
 	// operatorOffset is from the store's port to the first operator port.
 	operatorOffset = 20
 	outage         = 1500 * time.Millisecond
+	// Ranges of ports for scripts/up.sh, below those that the system gives.
+	firstPort  = 22000
+	portRanges = 60
+	portsOfUp  = 80
 )
 
 // walk follows docs/OPERATING.md with a command line and a
@@ -56,7 +61,7 @@
 	}
 	defer out.Close()
 	up := exec.Command("scripts/up.sh")
-	port := 22000 + os.Getpid()%60*100
+	port := freePorts(t)
 	up.Env = append(os.Environ(), "UP_DIR="+dir, "UP_PORT="+strconv.Itoa(port), "ROSEMARYGAP_OPERATOR_TOKEN="+walkToken)
 	up.Dir, up.Stdout, up.Stderr = root, out, out
 	if err := up.Start(); err != nil {
@@ -75,6 +80,25 @@
 	return w, up
 }
 
+// freePorts returns the first of a range of ports that nothing listens on.
+func freePorts(t *testing.T) int {
+	for i := range portRanges {
+		first := firstPort + (os.Getpid()+i)%portRanges*portsOfUp
+		free := true
+		for p := first; p < first+portsOfUp && free; p++ {
+			l, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(p))
+			if free = err == nil; free {
+				l.Close()
+			}
+		}
+		if free {
+			return first
+		}
+	}
+	t.Fatal("no free range of ports")
+	return 0
+}
+
 func (w *walk) output() string {
 	b, _ := os.ReadFile(w.log)
 	return string(b)
--- a/scripts/up.sh
+++ b/scripts/up.sh
@@ -66,6 +66,9 @@
   bin/rosemarygap jobs --entry $operator >/dev/null 2>&1 && break
   sleep 0.2
 done
+for p in "${pids[@]}"; do
+  kill -0 "$p" 2>/dev/null || { echo "process $p has ended; is one of the ports $base to $((base + 75)) in use? see $run"; exit 1; }
+done
 for i in 0 1 2; do
   echo "console http://127.0.0.1:$((base + 20 + i))/"
   echo "callers http://${entries[$i]}/services/$service/"
