--- a/io/standin/deployment/config_test.go
+++ b/io/standin/deployment/config_test.go
@@ -134,69 +134,80 @@
 		len(entries), time.Since(began).Round(time.Millisecond))
 }
 
+// accepted sends one change until it is accepted.
+func (d *editor) accepted(e *Entry) {
+	d.t.Helper()
+	d.Eventually("accepted", inForceLimit, func() bool { _, err := d.put(e); return err == nil })
+}
+
+func (d *editor) faults(f platform.Faults) { d.Fault(d.Store.Address, "/faults", f) }
+
 // An accepted configuration is in force everywhere in time and never goes
 // back, through lost answers, a slow store, an outage with a restart, a cut, a
 // freeze, and kills of the entry that accepts it. No change takes effect
 // twice, and a refused one not at all.
 func TestConfigurationThroughFaults(t *testing.T) {
-	is := is.New(t)
 	base := New(t, 0)
 	link := newWire(t, base.Store.Address)
 	a, b := base.StartEntry(), base.StartEntry()
-	peers := []string{"--peer", a.Peer.String(), b.Peer.String()}
-	c := base.StartEntry(append(peers, "--platform", link.Address.String())...)
+	far := []string{"--peer", a.Peer.String(), b.Peer.String(), "--platform", link.Address.String()}
+	c := base.StartEntry(far...)
 	d := &editor{Deployment: base, t: t, highest: map[*Process]int64{},
 		doc: ReadConfig(t, "../../../examples/kettle-valley.json")}
-	ok := func(e *Entry) {
-		t.Helper()
-		d.Eventually("accepted", inForceLimit, func() bool { _, err := d.put(e); return err == nil })
-	}
-	faults := func(f platform.Faults) { d.Fault(d.Store.Address, "/faults", f) }
-	ok(a)
+	d.accepted(a)
 	d.everywhere("first", a, b, c)
+	d.throughStore(a, b, c, far)
+	link.Cut()
+	d.accepted(b)
+	d.everywhere("cut from the store", a, b, c)
+	link.Mend()
+	b.Freeze()
+	d.accepted(a)
+	b.Wake()
+	d.everywhere("woken", a, b, c)
+	for i := range 5 {
+		d.throughKill(time.Duration(i)*700*time.Microsecond, a, b, c)
+	}
+}
 
-	faults(platform.Faults{LoseAnswers: 1000})
-	ok(b)
-	faults(platform.Faults{})
+// throughStore edits while the store loses answers, is slow, and is down; far
+// are the flags with which c starts again.
+func (d *editor) throughStore(a, b, c *Entry, far []string) {
+	is := is.New(d.t)
+	d.faults(platform.Faults{LoseAnswers: 1000})
+	d.accepted(b)
+	d.faults(platform.Faults{})
 	is.Equal(d.last.Revision, int64(2)) // one change, one revision
 	d.everywhere("answers lost", a, b, c)
-
-	faults(platform.Faults{Delay: wire.Duration(400 * time.Millisecond)})
-	ok(a)
+	d.faults(platform.Faults{Delay: wire.Duration(400 * time.Millisecond)})
+	d.accepted(a)
 	d.everywhere("slow store", a, b, c)
-	faults(platform.Faults{})
-
-	faults(platform.Faults{Down: true})
+	d.faults(platform.Faults{Down: true})
 	_, err := d.put(a)
 	is.True(errors.Is(err, status.ErrStoreUnavailable) && status.RetryAfterOf(err) > 0)
 	c.Kill()
-	base.RestartEntry(c, append(peers, "--platform", link.Address.String())...)
+	d.RestartEntry(c, far...)
 	d.everywhere("restart in an outage", a, b, c)
 	is.Equal(d.revision(a), int64(3)) // the refused change had no effect
-	faults(platform.Faults{})
-
-	link.Cut()
-	ok(b)
-	d.everywhere("cut from the store", a, b, c)
-	link.Mend()
-
-	b.Freeze()
-	ok(a)
-	b.Wake()
-	d.everywhere("woken", a, b, c)
+	d.faults(platform.Faults{})
+}
 
-	for i := range 5 {
-		before := d.last.Revision
-		answered := make(chan struct{})
-		go func() { _, _ = d.Raw(http.MethodPut, a.Operator, "/api/config", d.next()); close(answered) }()
-		time.Sleep(time.Duration(i) * 700 * time.Microsecond)
-		a.Kill()
-		<-answered
-		ok(b)
-		is.Equal(d.last.Revision, before+1) // sent twice, took effect once
-		base.RestartEntry(a)
-		d.everywhere("accepting entry killed", a, b, c)
-	}
+// throughKill kills the entry a some time after it was sent a change, and
+// sends the same change to b.
+func (d *editor) throughKill(after time.Duration, a, b, c *Entry) {
+	before := d.last.Revision
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		_, _ = d.Raw(http.MethodPut, a.Operator, "/api/config", d.next())
+	}()
+	time.Sleep(after)
+	a.Kill()
+	<-answered
+	d.accepted(b)
+	is.New(d.t).Equal(d.last.Revision, before+1) // sent twice, took effect once
+	d.RestartEntry(a)
+	d.everywhere("accepting entry killed", a, b, c)
 }
 
 // next is the edit that the next put sends.
