--- a/io/commandline/jobs.go
+++ b/io/commandline/jobs.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"slices"
+	"strconv"
 	"text/tabwriter"
 
 	"rosemarygap/core/status"
@@ -123,7 +124,16 @@
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "JOB\tTEAM\tCLASS\tSTATE\tATTEMPT\tEVICTIONS\tWORKER\tREASON")
 	for _, j := range rows {
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s\n", j.ID, j.Team, j.Class, j.State, j.Attempt, j.Evictions, j.Worker, j.Reason)
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s\n", plain(j.ID), j.Team, j.Class, j.State, j.Attempt, j.Evictions, j.Worker, j.Reason)
 	}
 	return errors.Wrap(t.Flush(), "write output")
 }
+
+// plain returns an id for a table: quoted, if a terminal would take a part of
+// it for a command or the table for two cells.
+func plain(id string) string {
+	if q := strconv.Quote(id); q != `"`+id+`"` {
+		return q
+	}
+	return id
+}
--- a/io/entry/admin.go
+++ b/io/entry/admin.go
@@ -38,9 +38,9 @@
 		metrics.WritePrometheus(x.Response(), true)
 		return nil
 	})
-	e.GET("/live", func(x echo.Context) error { return x.JSON(http.StatusOK, c.Status()) })
+	e.GET("/live", func(x echo.Context) error { return x.JSON(http.StatusOK, c.identity()) })
 	e.GET("/ready", func(x echo.Context) error {
-		st := c.Status()
+		st := c.identity()
 		if !st.Ready {
 			return x.JSON(http.StatusServiceUnavailable, st)
 		}
--- a/io/entry/jobs.go
+++ b/io/entry/jobs.go
@@ -114,11 +114,18 @@
 	return ask(ctx, c, reply, exchangeReceived{x, reply})
 }
 
-// Status describes this entry.
+// Status describes this entry with the latency that its callers saw.
 func (c *control) Status() entry.Status {
+	st := c.identity()
+	st.Services = c.latency.Services(time.Now())
+	return st
+}
+
+// identity is Status without the latency, for the balancer's frequent checks.
+func (c *control) identity() entry.Status {
 	s := c.Snapshot()
 	st := entry.Status{ID: c.self.ID, Zone: c.self.Zone, Revision: s.Revision(),
-		Ready: s.Ready(), Cells: []int{}, Operator: c.self.Operator, Services: c.latency.Services(time.Now())}
+		Ready: s.Ready(), Cells: []int{}, Operator: c.self.Operator}
 	for cell, o := range s.Owners {
 		if o.Entry == c.self.ID {
 			st.Cells = append(st.Cells, cell)
--- a/io/standin/deployment/walk_test.go
+++ b/io/standin/deployment/walk_test.go
@@ -17,6 +17,7 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -129,6 +130,29 @@
 	return out
 }
 
+// follow starts a command that follows accepted changes at all entries. It
+// returns a function that ends the command and returns its output.
+func (w *walk) follow() func() string {
+	w.t.Helper()
+	c := exec.Command("bin/rosemarygap", "events", "--all", "--follow", "--event", "5001", "--entry", w.operator)
+	c.Dir = root
+	var out bytes.Buffer
+	c.Stdout = &out
+	if err := c.Start(); err != nil {
+		w.t.Fatal(err)
+	}
+	end := sync.OnceFunc(func() {
+		time.Sleep(time.Second) // the period of following, twice
+		_ = c.Process.Kill()
+		_ = c.Wait()
+	})
+	w.t.Cleanup(end)
+	return func() string {
+		end()
+		return out.String()
+	}
+}
+
 // config returns the configuration in force.
 func (w *walk) config() operator.Accepted {
 	w.t.Helper()
@@ -188,6 +212,7 @@
 func TestWalkThroughOperatingPage(t *testing.T) {
 	is := is.New(t)
 	w, up := startWalk(t)
+	followed := w.follow()
 
 	// Change a quota in the console, after the login.
 	code, _ := w.page("/login", url.Values{"token": {walkToken}})
@@ -231,6 +256,9 @@
 	w.applyInOutage(is, file)
 	w.drainWorker(is)
 
+	// The command that followed the events has seen all of these changes.
+	is.True(strings.Count(followed(), " config-accepted ") >= 5)
+
 	// Ctrl-C.
 	is.NoErr(up.Process.Signal(syscall.SIGINT))
 	is.NoErr(up.Wait())
