--- a/io/operator/edit_test.go
+++ b/io/operator/edit_test.go
@@ -9,10 +9,12 @@
 	"testing"
 
 	core "rosemarygap/core/operator"
+	coreplatform "rosemarygap/core/platform"
 	"rosemarygap/core/status"
 	"rosemarygap/io/platform"
 	standin "rosemarygap/io/standin/platform"
 
+	"github.com/matryer/is"
 	"github.com/pkg/errors"
 	"pgregory.net/rapid"
 )
@@ -216,3 +218,30 @@
 	}
 	d.check(t)
 }
+
+// A store that lost the configuration brings no old revision back: the next
+// edit is written above the one in force.
+func TestLostKeyIsMendedAboveTheRevisionInForce(t *testing.T) {
+	is := is.New(t)
+	ctx, s := context.Background(), standin.NewStore()
+	inForce := &core.Accepted{Revision: 7, ChangeID: "seventh"}
+	_, current, err := applyEdit(ctx, s, inForce, &core.Edit{Revision: 0, ChangeID: "stale"})
+	is.True(errors.Is(err, status.ErrConfigConflict))
+	is.Equal(current.Revision, int64(7))
+	done, _, err := applyEdit(ctx, s, inForce, &core.Edit{Revision: 7, ChangeID: "next"})
+	is.NoErr(err)
+	is.Equal(done.Revision, int64(8))
+	_, err = s.Put(ctx, platform.Write{Key: coreplatform.ConfigKey, Value: []byte(`[]`), Expect: storeRevision(t, s)})
+	is.NoErr(err)
+	_, _, err = applyEdit(ctx, s, done, &core.Edit{Revision: 8, ChangeID: "last"})
+	is.True(errors.Is(err, status.ErrConfigUnusable)) // by hand, by mistake
+}
+
+func storeRevision(t *testing.T, s platform.Store) int64 {
+	t.Helper()
+	e, err := s.Get(context.Background(), coreplatform.ConfigKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return e.Revision
+}
