Log when a service misses its latency target and when it meets it again

Nobody is awake at night to look at a plot: event 5005 is an alert, 5006 ends it, and a gauge gives the figure. Each window of 10 s is judged once, and not at all below 50 answers, where a 99th percentile is a single request.

--- a/core/latency/latency_test.go
+++ b/core/latency/latency_test.go
@@ -28,3 +28,30 @@
 	is.Equal(len(later), Windows)
 	is.Equal(later[Windows-1].Answered+later[0].Answered, int64(0)) // an hour of silence
 }
+
+// Each window is judged once; only a change of the verdict is news, and a
+// window with few answers changes nothing.
+func TestJudgeTellsChangesOnce(t *testing.T) {
+	is := is.New(t)
+	r, j, now := NewRecorder(), NewJudge(), time.Unix(1_000_000, 0)
+	target := func(string) time.Duration { return 100 * time.Millisecond }
+	var news []bool
+	for _, window := range []struct {
+		answers int
+		latency time.Duration
+	}{{100, time.Millisecond}, {100, time.Second}, {MinAnswers - 1, time.Millisecond},
+		{100, time.Second}, {0, 0}, {100, time.Millisecond}} {
+		for range window.answers {
+			r.Observe("booking", window.latency, true, now)
+		}
+		now = now.Add(Window)
+		is.True(j.Due(now))
+		for _, v := range j.Judge(r.Services(now), target, now) {
+			if v.Changed {
+				news = append(news, v.Missed)
+			}
+		}
+		is.True(!j.Due(now.Add(Window - 1)))
+	}
+	is.Equal(news, []bool{true, false})
+}
--- a/io/entry/control.go
+++ b/io/entry/control.go
@@ -43,6 +43,7 @@
 	peers   *iopeer.Client
 	workers *worker.Client
 	latency *latency.Recorder
+	judge   *latency.Judge
 
 	mailbox chan message
 	results chan message
@@ -87,6 +88,7 @@
 		peers:     iopeer.NewClient(),
 		workers:   worker.NewClient(),
 		latency:   latency.NewRecorder(),
+		judge:     latency.NewJudge(),
 		mailbox:   make(chan message, mailboxSize),
 		results:   make(chan message, mailboxSize),
 		endpoints: endpoint.NewMembership(defaultTTL),
@@ -144,6 +146,7 @@
 	c.tickExchange(ctx, now)
 	c.tickOwnership(ctx, now)
 	c.tickCells(ctx, now)
+	c.tickTargets(now)
 }
 
 // start runs f in a goroutine whose result the control goroutine handles.
