--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 SOAK_HISTORIES ?= 3000
 soak:
 	go test ./io/caller -count=1 -timeout 30m -run TestOutcomesAreTrue -rapid.checks=100000
+	go test ./io/operator ./core/operator -count=1 -timeout 30m -run 'TestEdits|TestForm|TestEvery|TestMerge' -rapid.checks=20000
 	for s in 101 102 103 104; do \
 		go test -count=1 -timeout 30m ./io/standin/history -run 'TestHistories|TestTwoOwners' \
 			-rapid.checks=$(SOAK_HISTORIES) -rapid.seed=$$s || exit 1; \
--- a/io/commandline/jobs.go
+++ b/io/commandline/jobs.go
@@ -4,13 +4,15 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/url"
 	"os"
+	"slices"
+	"strconv"
 	"text/tabwriter"
 
 	"rosemarygap/core/status"
 	"rosemarygap/core/wire"
 	"rosemarygap/core/worker"
+	"rosemarygap/io/operator"
 
 	"github.com/pkg/errors"
 )
@@ -69,7 +71,7 @@
 			}
 		}
 		text := fmt.Sprintf("job=%s state=%s attempt=%d reason=%s", id, row.State, row.Attempt, row.Reason)
-		return !row.Ended.IsZero(), text, nil
+		return !row.Ended.IsZero() || row.State == worker.Parked, text, nil
 	}
 }
 
@@ -80,22 +82,27 @@
 }
 
 // Run returns when the cancellations are durable. A job that can't be
-// cancelled does not hold up the others; the last such error is returned, and
-// those before it are written to the standard error.
-func (c *CancelCommand) Run(io.Writer) error {
+// cancelled does not hold up the others.
+func (c *CancelCommand) Run(w io.Writer) error {
 	var failed error
-	for i, id := range c.IDs {
-		err := c.call(http.MethodDelete, "/api/jobs/"+url.PathEscape(id), nil, nil)
+	var all []operator.Cancelled
+	for ids := range slices.Chunk(c.IDs, operator.MaxCancelled) {
+		var out []operator.Cancelled
+		err := c.call(http.MethodPost, "/api/cancellations", operator.CancelMessage{IDs: ids}, &out)
 		if err != nil {
-			if failed != nil {
-				reportError(os.Stderr, failed)
-			}
-			failed = status.At(err, "job", id)
+			return err
 		}
-		if len(c.IDs) > 1 {
-			progress("job=%s done=%d of=%d", id, i+1, len(c.IDs))
+		all = append(all, out...)
+		progress("cancelled=%d of=%d", len(all), len(c.IDs))
+	}
+	for i := range all {
+		if all[i].ErrorBody != nil {
+			failed = all[i].Err()
 		}
 	}
+	if err := printJSON(w, all); err != nil {
+		return err
+	}
 	return failed
 }
 
@@ -115,9 +122,18 @@
 		return printJSON(w, rows)
 	}
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "JOB\tTEAM\tCLASS\tSTATE\tATTEMPT\tWORKER\tREASON")
+	fmt.Fprintln(t, "JOB\tTEAM\tCLASS\tSTATE\tATTEMPT\tEVICTIONS\tWORKER\tREASON")
 	for _, j := range rows {
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%s\t%s\n", j.ID, j.Team, j.Class, j.State, j.Attempt, j.Worker, j.Reason)
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s\n", plain(j.ID), j.Team, j.Class, j.State, j.Attempt, j.Evictions, j.Worker, j.Reason)
 	}
 	return errors.Wrap(t.Flush(), "write output")
 }
+
+// plain returns an id for a table: quoted, if a terminal would take a part of
+// it for a command or the table for two cells.
+func plain(id string) string {
+	if q := strconv.Quote(id); q != `"`+id+`"` {
+		return q
+	}
+	return id
+}
--- a/io/entry/control.go
+++ b/io/entry/control.go
@@ -43,6 +43,7 @@
 	peers   *iopeer.Client
 	workers *worker.Client
 	latency *latency.Recorder
+	judge   *latency.Judge
 
 	mailbox chan message
 	results chan message
@@ -54,8 +55,11 @@
 
 	self peer.Member
 	// instance tells this process from an earlier one of the same name.
-	instance  string
-	config    *operator.Accepted
+	instance string
+	config   *operator.Accepted
+	// unusable is the revision that was refused last; every exchange offers
+	// it again.
+	unusable  int64
 	endpoints *endpoint.Membership
 	notices   *table.Table[string, heardWorker]
 	members   *table.Table[string, peer.Member]
@@ -86,6 +90,7 @@
 		peers:     iopeer.NewClient(),
 		workers:   worker.NewClient(),
 		latency:   latency.NewRecorder(),
+		judge:     latency.NewJudge(),
 		mailbox:   make(chan message, mailboxSize),
 		results:   make(chan message, mailboxSize),
 		ended:     make(chan struct{}),
@@ -145,6 +150,7 @@
 	c.tickExchange(ctx, now)
 	c.tickOwnership(ctx, now)
 	c.tickCells(ctx, now)
+	c.tickTargets(now)
 }
 
 // start runs f in a goroutine whose result the control goroutine handles.
