Leave spare room to disturbing jobs, and count their wait from their class's last start

Cause: quiet jobs filled the small rooms that came free on the VMs where disturbing jobs do no harm; the latter waited out their patience and then ran throttled where a service needed its endpoint (5 to 8 of 64 running tasks were lost to throttles). A claim without a worker also shut out later claims.

--- a/core/interference/route.go
+++ b/core/interference/route.go
@@ -124,6 +124,21 @@
 	return harm
 }
 
+// Spare reports whether no service needs its endpoint on vm, and at least one
+// has such an endpoint.
+func (p *Policy) Spare(vm string) bool {
+	spare := false
+	for _, service := range p.services {
+		if s := p.sites[siteKey{service, vm}]; s != nil {
+			if s.kept {
+				return false
+			}
+			spare = true
+		}
+	}
+	return spare
+}
+
 // outlookAt predicts a site at its peak of load with one more task of class,
 // or with none if class is empty.
 func (p *Policy) outlookAt(s *site, class string) float64 {
--- a/core/worker/place.go
+++ b/core/worker/place.go
@@ -46,6 +46,10 @@
 	// refusals tells since when jobs have been left waiting although there
 	// was room.
 	refusals map[string]time.Time
+	// lastStart is the latest start by batch class.
+	lastStart map[string]time.Time
+	// disturbing are the classes that were refused room in the last tick.
+	disturbing map[string]bool
 	evictions
 }
 
@@ -56,6 +60,7 @@
 		sizes:     make(map[string]Resources),
 		held:      make(map[string]Resources),
 		refusals:  make(map[string]time.Time),
+		lastStart: make(map[string]time.Time),
 		quotas:    newQuotas(),
 		evictions: newEvictions(),
 	}
@@ -86,6 +91,8 @@
 	misfits map[string][]Resources
 	// refused are sizes that have room but no worker that should take them.
 	refused map[string][]Resources
+	// disturbing are the classes of which jobs would do harm.
+	disturbing map[string]bool
 	// shut are teams whose oldest job waits for quota.
 	shut    map[string]bool
 	blocked []*JobRow
@@ -101,14 +108,15 @@
 	c.refreshClaim()
 	c.noteShapes()
 	p := &pass{
-		cell:    c,
-		now:     now,
-		rooms:   newRoomIndex(c.freeRoom(now)),
-		held:    make(map[string]Resources, len(c.held)),
-		misfits: make(map[string][]Resources),
-		refused: make(map[string][]Resources),
-		shut:    make(map[string]bool),
-		touched: touched,
+		cell:       c,
+		now:        now,
+		rooms:      newRoomIndex(c.freeRoom(now)),
+		held:       make(map[string]Resources, len(c.held)),
+		misfits:    make(map[string][]Resources),
+		refused:    make(map[string][]Resources),
+		disturbing: make(map[string]bool),
+		shut:       make(map[string]bool),
+		touched:    touched,
 	}
 	for t, h := range c.held {
 		p.held[t] = h
@@ -118,6 +126,7 @@
 	c.planPreemptions(p)
 	p.place(false)
 	c.chooseClaim(p)
+	c.disturbing = p.disturbing
 	return c.planLent(p, append(rs, p.records...))
 }
 
@@ -237,6 +246,7 @@
 	p.rooms.take(i, size)
 	p.held[j.Team] = p.held[j.Team].Plus(size)
 	p.records = append(p.records, startRecord(j, w, size, p.now))
+	c.lastStart[j.Class] = p.now
 	return true
 }
 
@@ -265,9 +275,15 @@
 			return true
 		}
 		cost := p.cell.ranker.Cost(&j.Job, size, waited, l.candidate())
-		if math.IsInf(cost, 1) && !p.cell.classes[j.Class] {
-			unfit++
-			return unfit < maxRefused
+		if !p.cell.classes[j.Class] {
+			harmful := math.IsInf(cost, 1)
+			if harmful {
+				p.disturbing[j.Class] = true
+			}
+			if harmful || p.leaves(l.worker, j, waited) {
+				unfit++
+				return unfit < maxRefused
+			}
 		}
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
@@ -287,17 +303,29 @@
 	return -1, missed
 }
 
+// leaves reports whether j leaves the room on w to jobs that are refused
+// elsewhere.
+func (p *pass) leaves(w *workerRow, j *JobRow, waited time.Duration) bool {
+	c := p.cell
+	return len(c.disturbing) > 0 && !c.disturbing[j.Class] && waited < patience && c.ranker.Spare(w.id)
+}
+
 // covers reports whether one of the sizes is within size.
 func covers(sizes []Resources, size Resources) bool {
 	return slices.ContainsFunc(sizes, func(s Resources) bool { return s.Fits(size) })
 }
 
-// waited returns how long j has been left waiting although there was room.
+// waited returns how long j has been left waiting although there was room. The
+// wait counts from the latest start of a job of its class, unless it has
+// lasted very long: jobs that take turns on few workers are not stuck.
 func (p *pass) waited(j *JobRow) time.Duration {
 	since, ok := p.cell.refusals[j.ID]
 	if !ok {
 		return 0
 	}
+	if last := p.cell.lastStart[j.Class]; last.After(since) && p.now.Sub(since) < longPatience {
+		since = last
+	}
 	return p.now.Sub(since)
 }
 
@@ -367,7 +395,9 @@
 			best, bestPart = l.worker.id, part
 		}
 	}
-	c.claim = claim{j.ID, best}
+	if best != "" {
+		c.claim = claim{j.ID, best}
+	}
 }
 
 // dominant returns the largest share that used has of any dimension of all.
--- a/core/worker/place_rank.go
+++ b/core/worker/place_rank.go
@@ -19,6 +19,9 @@
 	Cost(j *Job, size Resources, waited time.Duration, on Candidate) float64
 	// Width is how many workers with room are compared.
 	Width() int
+	// Spare reports whether a worker is where jobs that are refused
+	// elsewhere do little harm; while such jobs wait, its room is theirs.
+	Spare(worker string) bool
 }
 
 // FirstFit takes the first worker with room. It is a baseline.
@@ -30,6 +33,9 @@
 // Width implements Ranker.
 func (FirstFit) Width() int { return 1 }
 
+// Spare implements Ranker.
+func (FirstFit) Spare(string) bool { return false }
+
 // allWorkers is a width beyond any number of workers.
 const allWorkers = 1 << 30
 
@@ -44,6 +50,9 @@
 // Width implements Ranker.
 func (Spread) Width() int { return allWorkers }
 
+// Spare implements Ranker.
+func (Spread) Spare(string) bool { return false }
+
 // packedWidth is how many candidates a packing placement compares.
 const packedWidth = 16
 
@@ -51,6 +60,9 @@
 // added share of their requests that miss the latency target, 0 to 1.
 type Harm interface {
 	Harm(worker, class string) float64
+	// Spare reports whether no service needs its endpoint on the VM, and at
+	// least one has such an endpoint.
+	Spare(worker string) bool
 }
 
 const (
@@ -62,6 +74,8 @@
 	refusedHarm = 0.03
 	// patience is how long a job may be left waiting for this reason.
 	patience = 15 * time.Minute
+	// longPatience is the same while other jobs of its class are started.
+	longPatience = 2 * time.Hour
 )
 
 // Packed takes the worker that is left with the least room after placement,
@@ -83,3 +97,6 @@
 
 // Width implements Ranker.
 func (p Packed) Width() int { return packedWidth }
+
+// Spare implements Ranker.
+func (p Packed) Spare(worker string) bool { return p.Harm != nil && p.Harm.Spare(worker) }
--- a/core/worker/place_test.go
+++ b/core/worker/place_test.go
@@ -252,3 +252,5 @@
 type harmOf map[string]float64
 
 func (h harmOf) Harm(worker, _ string) float64 { return h[worker] }
+
+func (harmOf) Spare(string) bool { return false }
