--- a/core/interference/model.go
+++ b/core/interference/model.go
@@ -160,8 +160,20 @@
 // as a logarithm, 0 or more.
 func (m *model) effect(service, class string, band int, now time.Time) float64 {
 	all := m.get(term{service: service, class: class, band: anyBand}, now)
-	here := m.get(term{service: service, class: class, band: band}, now)
-	return max(0, all.mean+here.mean)
+	return max(0, all.mean+m.shift(service, class, band, now))
+}
+
+// shift returns how the effect of a class in a band differs from its effect
+// in all bands. A band of which little is known is taken to be like the
+// nearest lower one that is known.
+func (m *model) shift(service, class string, band int, now time.Time) float64 {
+	for b := band; b >= 0; b-- {
+		e := m.get(term{service: service, class: class, band: b}, now)
+		if e.variance < shiftPrior.variance/2 {
+			return e.mean
+		}
+	}
+	return 0
 }
 
 func noiseOf(requests int) float64 {
--- a/core/interference/route.go
+++ b/core/interference/route.go
@@ -62,8 +62,8 @@
 func (p *Policy) routeService(service string, sites []*site, keeping map[string]bool, w *Weights) {
 	need := p.needed(service, sites)
 	for _, s := range sites {
-		s.rank = p.outlookAt(s, "")
-		if s.kept {
+		s.rank = max(s.predicted, p.outlookAt(s, ""))
+		if s.kept && s.rank <= p.margin() {
 			s.rank -= sticky
 		}
 		if keeping[s.vm] {
