--- a/core/interference/route.go
+++ b/core/interference/route.go
@@ -103,7 +103,7 @@
 
 // avoidedHarm is the part of harm that counts on a VM whose endpoint is
 // routed away from: it might be needed again.
-const avoidedHarm = 0.05
+const avoidedHarm = 0.005
 
 // Harm predicts the share of requests that one more task of class on a VM
 // makes miss their target at the usual peak of load.
--- a/core/worker/place.go
+++ b/core/worker/place.go
@@ -20,6 +20,8 @@
 	// claimAfter is how long a job may wait for room that smaller jobs take
 	// before a worker is kept free for it.
 	claimAfter = 30 * time.Second
+	// claimLife is how long a worker is kept free for one job at most.
+	claimLife = 30 * time.Minute
 )
 
 // ClassRule restricts where the jobs of a batch class run.
@@ -78,6 +80,7 @@
 // claim keeps one worker free for a job that smaller jobs keep out.
 type claim struct {
 	job, worker string
+	since       time.Time
 }
 
 // pass is the placement of one tick.
@@ -105,7 +108,7 @@
 // planStarts places queued jobs: urgent ones first, then the team that holds
 // the smallest part of its quota, then by submission.
 func (c *Cell) planStarts(rs []Record, touched map[string]bool, now time.Time) []Record {
-	c.refreshClaim()
+	c.refreshClaim(now)
 	c.noteShapes()
 	p := &pass{
 		cell:       c,
@@ -262,11 +265,14 @@
 // choose returns the leaf of the best worker for j.
 func (p *pass) choose(j *JobRow, size Resources) (leaf int, v verdict) {
 	waited := p.waited(j)
-	if p.cell.claim.job != j.ID && covers(p.misfits[j.Class], size) {
-		return -1, missed
-	}
-	if waited < patience && covers(p.refused[j.Class], size) {
-		return -1, refused
+	if p.cell.claim.job != j.ID {
+		// The one with a claim may use a worker that the others may not.
+		if covers(p.misfits[j.Class], size) {
+			return -1, missed
+		}
+		if waited < patience && covers(p.refused[j.Class], size) {
+			return -1, refused
+		}
 	}
 	best, bestCost, seen, unfit := -1, math.Inf(1), 0, 0
 	p.rooms.each(size, func(i int) bool {
@@ -367,9 +373,10 @@
 }
 
 // refreshClaim drops a claim whose job or worker no longer needs it.
-func (c *Cell) refreshClaim() {
+func (c *Cell) refreshClaim(now time.Time) {
 	j, w := c.jobs.Get(c.claim.job), c.workers.Get(c.claim.worker)
-	if j == nil || j.State != Queued || j.Cancelling || w == nil || w.lost || c.draining[w.id] {
+	if j == nil || j.State != Queued || j.Cancelling || w == nil || w.lost || c.draining[w.id] ||
+		now.Sub(c.claim.since) > claimLife {
 		c.claim = claim{}
 	}
 }
@@ -396,7 +403,7 @@
 		}
 	}
 	if best != "" {
-		c.claim = claim{j.ID, best}
+		c.claim = claim{j.ID, best, p.now}
 	}
 }
 
