--- a/core/interference/model.go
+++ b/core/interference/model.go
@@ -139,6 +139,10 @@
 		gain := es[i].variance * p.weight / variance
 		es[i].mean += gain * (y - mean)
 		es[i].variance *= 1 - gain*p.weight
+		if p.term.class != "" && p.term.band == anyBand {
+			// No class is a help: what looks like one belongs to the level.
+			es[i].mean = max(0, es[i].mean)
+		}
 		m.terms[p.term] = es[i]
 	}
 }
--- /dev/null
+++ b/core/interference/policy_test.go
@@ -0,0 +1,152 @@
+package interference
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"testing"
+	"time"
+
+	"rosemarygap/core/wire"
+
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+const target = 100 * time.Millisecond
+
+func newPolicy(opts ...Option) *Policy {
+	p := New(opts...)
+	p.SetTargets(map[string]time.Duration{"s": target})
+	return p
+}
+
+// measured is a measurement of a VM that ended before now by age.
+func measured(vm string, now time.Time, age time.Duration, overTarget, load float64) Measurement {
+	return Measurement{Service: "s", VM: vm, From: now.Add(-age - 10*time.Second), To: now.Add(-age),
+		Requests: 500, P99: wire.Duration(float64(target) * overTarget), Load: load}
+}
+
+// A measurement counts for the tasks that ran when it was taken: the class that
+// was gone when it arrived is blamed, the one that came after is not.
+func TestLateMeasurementsAreAttributed(t *testing.T) {
+	p := newPolicy()
+	now := time.Unix(0, 0)
+	for round := range 60 {
+		noisy := round%2 == 0
+		class := map[bool]string{true: "noisy", false: "quiet"}[noisy]
+		for range 30 {
+			now = now.Add(time.Second)
+			p.Decide([]Task{{Job: fmt.Sprint(round), Class: class, VM: "a"}}, now)
+		}
+		// What was measured in the round before arrives in this one.
+		p.Observe(measured("a", now, 35*time.Second, map[bool]float64{true: 0.5, false: 1.5}[noisy], 0.4), now)
+	}
+	noisy, quiet := p.model.effect("s", "noisy", 1, now), p.model.effect("s", "quiet", 1, now)
+	if noisy < math.Log(2) || quiet > 0.1 {
+		t.Fatalf("learnt %.2f for the noisy class and %.2f for the quiet one", noisy, quiet)
+	}
+}
+
+// Effects are shrunk while measurements are few, found when they are many, and
+// forgotten slowly.
+func TestEffectsShrinkAndFade(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		truth := rapid.Float64Range(1.5, 4).Draw(t, "slower")
+		p, now := newPolicy(), time.Unix(0, 0)
+		observe := func() {
+			for i, vm := range []string{"a", "b"} {
+				p.Observe(measured(vm, now, 15*time.Second, []float64{0.4 * truth, 0.4}[i], 0.4), now)
+			}
+		}
+		step := func(d time.Duration) {
+			now = now.Add(d)
+			p.Decide([]Task{{Job: "1", Class: "noisy", VM: "a"}, {Job: "2", Class: "quiet", VM: "b"}}, now)
+		}
+		step(time.Second)
+		step(30 * time.Second)
+		observe()
+		if e := p.model.effect("s", "noisy", 1, now); e > math.Log(truth)*0.9 {
+			t.Fatalf("one measurement taught %.2f of %.2f", e, math.Log(truth))
+		}
+		for range 60 {
+			step(10 * time.Second)
+			observe()
+		}
+		learnt := p.model.effect("s", "noisy", 1, now) - p.model.effect("s", "quiet", 1, now)
+		if math.Abs(learnt-math.Log(truth)) > 0.35*math.Log(truth) {
+			t.Fatalf("learnt %.2f of %.2f", learnt, math.Log(truth))
+		}
+		if e := p.model.effect("s", "noisy", 1, now.Add(48*time.Hour)); e > 0.05 {
+			t.Fatalf("%.2f is left after two days without measurements", e)
+		}
+	})
+}
+
+// Whatever is measured, urgent tasks are left alone, evictions stay within the
+// budget and follow a throttle that was given time, and some endpoint of the
+// service keeps its whole weight.
+func TestMeasuresKeepTheirBounds(t *testing.T) {
+	const every, burst = 2 * time.Minute, 2
+	rapid.Check(t, func(t *rapid.T) {
+		p, now, evictions := newPolicy(WithBudget(every, burst)), time.Unix(0, 0), 0
+		tasks := make([]Task, 12)
+		for i := range tasks {
+			class := rapid.SampledFrom([]string{"a", "b", "urgent"}).Draw(t, "class")
+			tasks[i] = Task{Job: fmt.Sprint(i), Class: class, VM: fmt.Sprint("vm-", i%3), Urgent: class == "urgent"}
+		}
+		throttledAt := make(map[string]time.Time)
+		for range 120 {
+			now = now.Add(10 * time.Second)
+			for i := range 3 {
+				over := rapid.Float64Range(0.3, 6).Draw(t, "over")
+				p.Observe(measured(fmt.Sprint("vm-", i), now, 10*time.Second, over, 0.9), now)
+			}
+			d := p.Decide(tasks, now)
+			for _, th := range d.Throttles {
+				applyThrottle(t, tasks, th, throttledAt, now)
+			}
+			for _, job := range d.Evictions {
+				evictions++
+				if at, ok := throttledAt[job]; !ok || now.Sub(at) < settle {
+					t.Fatalf("%s was evicted before its throttle could show an effect", job)
+				}
+				for i := range tasks {
+					if tasks[i].Job == job && tasks[i].Urgent {
+						t.Fatalf("urgent %s was evicted", job)
+					}
+				}
+			}
+			if limit := burst + int(now.Sub(time.Unix(0, 0))/every); evictions > limit {
+				t.Fatalf("%d evictions, the budget allows %d", evictions, limit)
+			}
+			if d.Weights.Len() >= 3 {
+				t.Fatal("every endpoint is avoided")
+			}
+		}
+	})
+}
+
+func applyThrottle(t *rapid.T, tasks []Task, th Throttle, at map[string]time.Time, now time.Time) {
+	for i := range tasks {
+		if tasks[i].Job != th.Job {
+			continue
+		}
+		if tasks[i].Urgent {
+			t.Fatalf("urgent %s was throttled", th.Job)
+		}
+		tasks[i].Throttle = th.Milli
+		at[th.Job] = now
+		if th.Milli == 0 {
+			delete(at, th.Job)
+		}
+	}
+}
--- a/core/interference/route.go
+++ b/core/interference/route.go
@@ -99,7 +99,7 @@
 }
 
 // missSlope is how sharply requests begin to miss the target around it.
-const missSlope = 6
+const missSlope = 12
 
 // avoidedHarm is the part of harm that counts on a VM whose endpoint is
 // routed away from: it might be needed again.
--- a/core/worker/place_rank.go
+++ b/core/worker/place_rank.go
@@ -71,7 +71,7 @@
 	harmWeight = 10
 	// refusedHarm is the harm at which a job is left waiting for another
 	// worker, so that a less harmful job takes the room.
-	refusedHarm = 0.03
+	refusedHarm = 0.2
 	// patience is how long a job may be left waiting for this reason.
 	patience = 15 * time.Minute
 	// longPatience is the same while other jobs of its class are started.
