--- a/core/status/codes.go
+++ b/core/status/codes.go
@@ -19,6 +19,8 @@
 	ErrBadSetting      = &Error{"bad-setting", http.StatusBadRequest}
 	ErrUnreachable     = &Error{"unreachable", http.StatusServiceUnavailable}
 	ErrMethodNotServed = &Error{"method-not-allowed", http.StatusMethodNotAllowed}
+	ErrWrongType       = &Error{"wrong-type", http.StatusBadRequest}
+	ErrDuplicateKey    = &Error{"duplicate-key", http.StatusBadRequest}
 )
 
 // Sentinels of the request path. See docs/INTERFACES.md for their outcome.
@@ -32,6 +34,10 @@
 	ErrForeignAnswer    = &Error{"foreign-answer", http.StatusBadGateway}
 	ErrCallerCancelled  = &Error{"caller-cancelled", 499}
 	ErrStopping         = &Error{"stopping", http.StatusServiceUnavailable}
+	ErrRepeatedRequest  = &Error{"repeated-request", http.StatusConflict}
+	ErrRepeatUnsure     = &Error{"repeat-unsure", http.StatusServiceUnavailable}
+	ErrNotHome          = &Error{"not-home", http.StatusServiceUnavailable}
+	ErrDuplicateHeader  = &Error{"duplicate-header", http.StatusBadRequest}
 )
 
 // Sentinels of the platform's key-value service.
@@ -55,6 +61,11 @@
 	ErrConfigInvalid   = &Error{"config-invalid", http.StatusUnprocessableEntity}
 	ErrNoConfiguration = &Error{"no-configuration", http.StatusServiceUnavailable}
 	ErrUnauthorized    = &Error{"unauthorized", http.StatusUnauthorized}
+	ErrContradiction   = &Error{"contradiction", http.StatusUnprocessableEntity}
+	ErrAboveCapacity   = &Error{"above-capacity", http.StatusUnprocessableEntity}
+	ErrChangeIDReused  = &Error{"change-id-reused", http.StatusConflict}
+	ErrJobNotFinished  = &Error{"job-not-finished", http.StatusConflict}
+	ErrCrossOrigin     = &Error{"cross-origin", http.StatusForbidden}
 )
 
 // All returns every sentinel, in the order of docs/INTERFACES.md.
@@ -66,9 +77,12 @@
 		ErrBadSetting, ErrUnreachable, ErrMethodNotServed, ErrUnknownService, ErrNoEndpoint,
 		ErrQueueFull, ErrDeadlineExceeded, ErrEndpointRefused,
 		ErrEndpointFailed, ErrForeignAnswer, ErrCallerCancelled, ErrStopping,
+		ErrRepeatedRequest, ErrRepeatUnsure, ErrNotHome, ErrDuplicateHeader,
 		ErrStoreUnavailable, ErrStoreConflict, ErrLeaseExpired, ErrNoOwner,
 		ErrNotOwner, ErrStaleEpoch, ErrStaleEcho, ErrJobConflict,
 		ErrUnknownJob, ErrImpossibleJob, ErrWorkerFull, ErrConfigConflict,
 		ErrConfigInvalid, ErrNoConfiguration, ErrUnauthorized,
+		ErrWrongType, ErrDuplicateKey, ErrContradiction, ErrAboveCapacity,
+		ErrChangeIDReused, ErrCrossOrigin, ErrJobNotFinished,
 	}
 }
--- a/core/worker/place.go
+++ b/core/worker/place.go
@@ -255,7 +255,7 @@
 
 func startRecord(j *JobRow, w *workerRow, size Resources, now time.Time) Record {
 	r := Record{Kind: KindStarted, At: now, ID: j.ID, Attempt: j.Attempt + 1,
-		Worker: w.id, Incarnation: w.report.Stamp.Incarnation}
+		Worker: w.id, Incarnation: w.report.Stamp.Incarnation, VM: w.vm}
 	if size != j.Need {
 		r.Size = &size
 	}
@@ -275,9 +275,11 @@
 		}
 	}
 	best, bestCost, seen, unfit := -1, math.Inf(1), 0, 0
+	avoided := p.cell.avoided(j)
 	p.rooms.each(size, func(i int) bool {
 		l := &p.rooms.leaves[i]
-		if !p.cell.admits(l.worker, &j.Job) || p.cell.keptFrom(l.worker, j) {
+		if !p.cell.admits(l.worker, &j.Job) || p.cell.keptFrom(l.worker, j) ||
+			slices.Contains(avoided, l.worker.id) {
 			return true
 		}
 		cost := p.cell.ranker.Cost(&j.Job, size, waited, l.candidate())
@@ -305,7 +307,9 @@
 		p.refused[j.Class] = append(p.refused[j.Class], size)
 		return -1, refused
 	}
-	p.misfits[j.Class] = append(p.misfits[j.Class], size)
+	if len(avoided) == 0 {
+		p.misfits[j.Class] = append(p.misfits[j.Class], size)
+	}
 	return -1, missed
 }
 
--- a/core/worker/place_fleet_test.go
+++ b/core/worker/place_fleet_test.go
@@ -63,6 +63,7 @@
 		if quotas != nil {
 			c.SetQuotas(cells, quotas)
 		}
+		c.Apply(c.OpenRecord(f.now))
 		c.Open(1, f.now)
 		f.cells = append(f.cells, c)
 	}
@@ -90,7 +91,9 @@
 	for _, c := range f.cells {
 		f.exchange(c)
 		rs := c.Plan(f.now)
-		c.Committed(rs, f.now)
+		c.Committed(rs)
+		c.VerifyBegin()
+		c.VerifyEnd(f.now)
 		for _, r := range rs {
 			if _, ok := f.started[r.ID]; !ok && r.Kind == KindStarted {
 				f.started[r.ID] = f.now
--- a/io/entry/control.go
+++ b/io/entry/control.go
@@ -8,6 +8,7 @@
 	"rosemarygap/core/endpoint"
 	"rosemarygap/core/entry"
 	"rosemarygap/core/event"
+	"rosemarygap/core/latency"
 	"rosemarygap/core/operator"
 	"rosemarygap/core/peer"
 	coreplatform "rosemarygap/core/platform"
@@ -17,6 +18,7 @@
 	"rosemarygap/io/platform"
 	"rosemarygap/io/worker"
 
+	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 )
 
@@ -40,6 +42,7 @@
 	store   platform.Store
 	peers   *iopeer.Client
 	workers *worker.Client
+	latency *latency.Recorder
 
 	mailbox chan message
 	results chan message
@@ -47,7 +50,9 @@
 	running   int
 	published atomic.Pointer[entry.Snapshot]
 
-	self      peer.Member
+	self peer.Member
+	// instance tells this process from an earlier one of the same name.
+	instance  string
 	config    *operator.Accepted
 	endpoints *endpoint.Membership
 	notices   *table.Table[string, heardWorker]
@@ -78,6 +83,7 @@
 		store:     s,
 		peers:     iopeer.NewClient(),
 		workers:   worker.NewClient(),
+		latency:   latency.NewRecorder(),
 		mailbox:   make(chan message, mailboxSize),
 		results:   make(chan message, mailboxSize),
 		endpoints: endpoint.NewMembership(defaultTTL),
@@ -86,6 +92,7 @@
 		owners:    table.New[int, coreplatform.Owner](),
 		cells:     table.New[int, cellRun](),
 		known:     make(map[string]int64),
+		instance:  uuid.NewString(),
 		self: peer.Member{ID: o.ID, Zone: o.Zone, Address: o.PeerListen,
 			Operator: o.OperatorListen},
 	}
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -76,8 +76,8 @@
 	}
 	for _, run := range c.cells.All {
 		if run.owned {
-			x.Transfers = append(x.Transfers, run.cell.Transfers()...)
-			x.Wants = append(x.Wants, run.cell.Wants()...)
+			x.Transfers = append(x.Transfers, run.driver.Cell.Transfers()...)
+			x.Wants = append(x.Wants, run.driver.Cell.Wants()...)
 		}
 	}
 	return x
@@ -110,7 +110,7 @@
 func (c *control) hearQuotas(ts []worker.Transfer, ws []worker.Want) {
 	for _, run := range c.cells.All {
 		if run.owned {
-			run.cell.Hear(ts, ws)
+			run.driver.Cell.Hear(ts, ws)
 		}
 	}
 }
@@ -133,10 +133,10 @@
 	}
 	cell := peer.CellOfWorker(n.ID, c.config.Document.Cells)
 	run := c.cells.Get(cell)
-	if run == nil {
+	if run == nil || !run.owned {
 		return
 	}
-	if run.cell.Announce(n.ID, n.Zone, n.Rack, n.Address) {
+	if run.driver.Cell.Announce(n.ID, n.Zone, n.Rack, n.Address) {
 		event.WorkerAdded.Emit(c.log, event.Worker(n.ID), event.Cell(cell), event.Address(n.Address))
 	}
 }
--- a/io/trial/run.go
+++ b/io/trial/run.go
@@ -59,6 +59,7 @@
 		urgent[c.Name] = c.Urgent
 	}
 	r.cell.SetClasses(urgent)
+	r.cell.Apply(r.cell.OpenRecord(epoch))
 	r.cell.Open(1, epoch)
 	if p.Learns {
 		r.learner = interference.New(interference.WithMargin(s.Margin))
@@ -96,7 +97,9 @@
 	r.receive(now)
 	r.decide(now)
 	rs := r.cell.Plan(now)
-	r.cell.Committed(rs, now)
+	r.cell.Committed(rs)
+	r.cell.VerifyBegin()
+	r.cell.VerifyEnd(now)
 	r.noteStarts(rs, now)
 	for _, cmd := range r.cell.Commands(now, nil) {
 		v := r.vms[slices.IndexFunc(r.vms, func(v *fakeVM) bool { return v.id == cmd.Worker })]
