Measure latency per endpoint and act on interference in the entry

An entry counts the latency of whole answers by endpoint in intervals of 10 s and tells the others for 2 s after each. The owner of a cell dates each report by its age, adds up the load that all entries put on an endpoint, learns, and each second decides weights, throttles and evictions. An endpoint and a worker share a VM if they announce the same vm, or the same IP address that is not loopback and belongs to one worker alone.

Weighed: the cell's owner asks entries for latency (one more call per entry and cell); reports through the store (writes grow with endpoints); reports along with the exchanges that entries make anyhow. Chosen: the last.

--- a/core/endpoint/membership.go
+++ b/core/endpoint/membership.go
@@ -40,6 +40,8 @@
 	State       State          `json:"state"`
 	Slots       int            `json:"slots"`
 	Connections int            `json:"connections"`
+	// VM names the VM, if it cannot be told by the IP address.
+	VM string `json:"vm,omitempty"`
 }
 
 // Bounds of an announcement's numbers.
--- a/core/entry/snapshot.go
+++ b/core/entry/snapshot.go
@@ -7,6 +7,7 @@
 
 import (
 	"rosemarygap/core/endpoint"
+	"rosemarygap/core/interference"
 	"rosemarygap/core/latency"
 	"rosemarygap/core/operator"
 	"rosemarygap/core/peer"
@@ -23,6 +24,8 @@
 	Members []peer.Member
 	// Owners are the owners of cells by cell number.
 	Owners map[int]platform.Owner
+	// Advice weighs endpoints by the interference on their VMs.
+	Advice *interference.Advised
 	// Stopping is true from the start of a planned stop.
 	Stopping bool
 }
--- a/core/event/fields.go
+++ b/core/event/fields.go
@@ -66,3 +66,6 @@
 
 // Other names the second cell of a transfer.
 func Other(cell int) Field { return Field{"other", cell} }
+
+// Throttle gives a share of processors in thousandths; 0 means no limit.
+func Throttle(milli int) Field { return Field{"throttle", milli} }
--- a/core/event/worker.go
+++ b/core/event/worker.go
@@ -36,10 +36,16 @@
 		"If the level rises, replace that worker."}
 	QuotaLent = Event{3051, "quota-lent", hclog.Info, []string{"team", "cell", "other"},
 		"A cell gave a part of a team's quota to another cell.", "None."}
+	TaskThrottled = Event{3053, "task-throttled", hclog.Info, []string{"job", "cell", "throttle"},
+		"A task is limited to a share of its processors, in thousandths, to spare a service; 0 ends the limit.",
+		"None."}
+	TaskEvicting = Event{3054, "task-evicting", hclog.Warn, []string{"job", "cell"},
+		"A task will be stopped with a checkpoint, because throttling it did not spare a service.",
+		"If it repeats, keep the job's class off the service's VMs by a placement rule."}
 	QuotaBorrowed = Event{3052, "quota-borrowed", hclog.Info, []string{"team", "cell", "other"},
 		"A cell took a part of a team's quota that another cell gave.", "None."}
 )
 
 var workerEvents = []Event{JobAccepted, TaskPlaced, TaskFinished,
 	TaskInterrupted, WorkerAdded, WorkerLost, JobCancelled, JobParked, JobUnparked,
-	WorkerOnProbation, QuotaLent, QuotaBorrowed}
+	WorkerOnProbation, QuotaLent, QuotaBorrowed, TaskThrottled, TaskEvicting}
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -8,6 +8,7 @@
 	"strconv"
 
 	"rosemarygap/core/endpoint"
+	"rosemarygap/core/interference"
 	"rosemarygap/core/operator"
 	"rosemarygap/core/wire"
 	"rosemarygap/core/worker"
@@ -67,6 +68,8 @@
 	Rack        string         `json:"rack"`
 	Address     netip.AddrPort `json:"address"`
 	Incarnation int64          `json:"incarnation"`
+	// VM names the VM, if it cannot be told by the IP address.
+	VM string `json:"vm,omitempty"`
 }
 
 // AgedWorker is a worker's announcement with its age at the sender.
@@ -85,4 +88,6 @@
 	// Transfers and Wants of the sender's cells move quota between cells.
 	Transfers []worker.Transfer `json:"quota-transfers,omitempty"`
 	Wants     []worker.Want     `json:"quota-wants,omitempty"`
+	// Interference is what the sender measured and advises.
+	Interference interference.Gossip `json:"interference,omitzero"`
 }
--- a/core/worker/place.go
+++ b/core/worker/place.go
@@ -77,6 +77,9 @@
 // SetServices tells which services have an endpoint on the VM of a worker.
 func (c *Cell) SetServices(byWorker map[string][]string) { c.services = byWorker }
 
+// Has reports whether a worker belongs to the cell.
+func (c *Cell) Has(id string) bool { return c.workers.Get(id) != nil }
+
 // claim keeps one worker free for a job that smaller jobs keep out.
 type claim struct {
 	job, worker string
--- a/io/entry/control.go
+++ b/io/entry/control.go
@@ -61,6 +61,7 @@
 	cells     *table.Table[int, cellRun]
 	known     map[string]int64
 
+	interference interferenceState
 	registration registration
 	watching     bool
 	watched      int64
@@ -92,7 +93,9 @@
 		owners:    table.New[int, coreplatform.Owner](),
 		cells:     table.New[int, cellRun](),
 		known:     make(map[string]int64),
-		instance:  uuid.NewString(),
+
+		interference: newInterferenceState(),
+		instance:     uuid.NewString(),
 		self: peer.Member{ID: o.ID, Zone: o.Zone, Address: o.PeerListen,
 			Operator: o.OperatorListen},
 	}
@@ -140,6 +143,7 @@
 	c.tickWatch(ctx)
 	c.tickExchange(ctx, now)
 	c.tickOwnership(ctx, now)
+	c.tickInterference(now)
 	c.tickCells(ctx, now)
 }
 
@@ -171,6 +175,7 @@
 		Members:   c.memberList(),
 		Owners:    make(map[int]coreplatform.Owner, c.owners.Len()),
 		Stopping:  c.stopping,
+		Advice:    c.interference.advised,
 	}
 	for cell, o := range c.owners.All {
 		s.Owners[cell] = *o
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -78,7 +78,8 @@
 // stop ends them: callers are sent elsewhere first, and the interface
 // between entries goes last.
 func (e *Entry) addActors(g *run.Group) error {
-	callers := iocaller.NewServer(e.control, e.client, e.log)
+	callers := iocaller.NewServer(e.control, e.client, e.log,
+		iocaller.WithObserver(dispatchRecorder{e.control.interference.recorder, e.control.Snapshot}))
 	operators := operator.NewServer(e.control, e.store, e.log,
 		operator.WithToken(e.opts.OperatorToken), operator.WithRecent(e.recent))
 	listeners := []listenerSpec{
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -80,6 +80,7 @@
 			x.Wants = append(x.Wants, run.driver.Cell.Wants()...)
 		}
 	}
+	x.Interference = c.gossip(now)
 	return x
 }
 
@@ -104,6 +105,7 @@
 		c.heardWorker(w.Notice, w.Age.Std(), now)
 	}
 	c.hearQuotas(x.Transfers, x.Wants)
+	c.hearGossip(x.From, x.Interference, now)
 }
 
 // hearQuotas tells the cells owned here what other cells lent and want.
--- a/io/entry/ownership.go
+++ b/io/entry/ownership.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rosemarygap/core/event"
+	"rosemarygap/core/interference"
 	"rosemarygap/core/peer"
 	coreplatform "rosemarygap/core/platform"
 	"rosemarygap/core/status"
@@ -30,6 +31,8 @@
 	id      int
 	driver  *worker.Driver
 	journal *journal
+	// policy is what the owner learnt about interference in the cell.
+	policy *interference.Policy
 	// owned is true once the epoch was opened in the journal.
 	owned bool
 	// lease is the registration that the ownership is bound to.
