Place on the first worker without harm rather than on the tightest one

The tightest fit leaves rooms that no later job fits.

Now the first worker with room is taken unless the job disturbs services there. The tightest fit stays as a baseline.

--- a/core/worker/place_rank.go
+++ b/core/worker/place_rank.go
@@ -56,6 +56,21 @@
 // packedWidth is how many candidates a packing placement compares.
 const packedWidth = 16
 
+// TightestFit takes the worker that is left with the least room. It is a
+// baseline.
+type TightestFit struct{}
+
+// Cost implements Ranker.
+func (TightestFit) Cost(_ *Job, size Resources, _ time.Duration, on Candidate) float64 {
+	return 1 - dominant(on.Capacity.Minus(on.Room).Plus(size), on.Capacity)
+}
+
+// Width implements Ranker.
+func (TightestFit) Width() int { return packedWidth }
+
+// Spare implements Ranker.
+func (TightestFit) Spare(string) bool { return false }
+
 // Harm predicts what one more task of a class costs the services on a VM: the
 // added share of their requests that miss the latency target, 0 to 1.
 type Harm interface {
@@ -66,9 +81,8 @@
 }
 
 const (
-	// harmWeight is how much of a VM's room may stay unused to spare all
-	// requests of its services.
-	harmWeight = 10
+	// negligibleHarm does not count when workers are compared.
+	negligibleHarm = 0.02
 	// refusedHarm is the harm at which a job is left waiting for another
 	// worker, so that a less harmful job takes the room.
 	refusedHarm = 0.2
@@ -78,21 +92,21 @@
 	longPatience = 2 * time.Hour
 )
 
-// Packed takes the worker that is left with the least room after placement,
-// and avoids pairs that are predicted to disturb services. Harm may be nil.
+// Packed takes the first worker with room where the job is predicted not to
+// disturb services, or else the one where it disturbs them least. Harm may be
+// nil.
 type Packed struct{ Harm Harm }
 
 // Cost implements Ranker.
-func (p Packed) Cost(j *Job, size Resources, waited time.Duration, on Candidate) float64 {
-	cost := 1 - dominant(on.Capacity.Minus(on.Room).Plus(size), on.Capacity)
+func (p Packed) Cost(j *Job, _ Resources, waited time.Duration, on Candidate) float64 {
 	if p.Harm == nil {
-		return cost
+		return 0
 	}
 	harm := p.Harm.Harm(on.Worker, j.Class)
 	if harm > refusedHarm && waited < patience {
 		return math.Inf(1)
 	}
-	return cost + harmWeight*harm
+	return max(0, harm-negligibleHarm)
 }
 
 // Width implements Ranker.
--- a/io/trial/scenario.go
+++ b/io/trial/scenario.go
@@ -108,7 +108,7 @@
 func Policies() []Policy {
 	return []Policy{
 		{Name: "learned", Ranker: worker.Packed{}, Learns: true},
-		{Name: "no-learning", Ranker: worker.Packed{}},
+		{Name: "tightest-fit", Ranker: worker.TightestFit{}},
 		{Name: "first-fit", Ranker: worker.FirstFit{}},
 		{Name: "spread", Ranker: worker.Spread{}},
 		{Name: "evict-each-breach", Ranker: worker.Spread{}, EvictsEachBreach: true},
