--- a/core/entry/snapshot.go
+++ b/core/entry/snapshot.go
@@ -9,6 +9,7 @@
 	"net/netip"
 
 	"rosemarygap/core/endpoint"
+	"rosemarygap/core/interference"
 	"rosemarygap/core/latency"
 	"rosemarygap/core/operator"
 	"rosemarygap/core/peer"
@@ -25,6 +26,8 @@
 	Members []peer.Member
 	// Owners are the owners of cells by cell number.
 	Owners map[int]platform.Owner
+	// Advice weighs endpoints by the interference on their VMs.
+	Advice *interference.Advised
 	// Stopping is true from the start of a planned stop.
 	Stopping bool
 }
--- a/core/worker/place.go
+++ b/core/worker/place.go
@@ -20,6 +20,8 @@
 	// claimAfter is how long a job may wait for room that smaller jobs take
 	// before a worker is kept free for it.
 	claimAfter = 30 * time.Second
+	// claimLife is how long a worker is kept free for one job at most.
+	claimLife = 30 * time.Minute
 )
 
 // ClassRule restricts where the jobs of a batch class run.
@@ -46,6 +48,10 @@
 	// refusals tells since when jobs have been left waiting although there
 	// was room.
 	refusals map[string]time.Time
+	// lastStart is the latest start by batch class.
+	lastStart map[string]time.Time
+	// disturbing are the classes that were refused room in the last tick.
+	disturbing map[string]bool
 	evictions
 }
 
@@ -56,6 +62,7 @@
 		sizes:     make(map[string]Resources),
 		held:      make(map[string]Resources),
 		refusals:  make(map[string]time.Time),
+		lastStart: make(map[string]time.Time),
 		quotas:    newQuotas(),
 		evictions: newEvictions(),
 	}
@@ -70,9 +77,13 @@
 // SetServices tells which services have an endpoint on the VM of a worker.
 func (c *Cell) SetServices(byWorker map[string][]string) { c.services = byWorker }
 
+// Has reports whether a worker belongs to the cell.
+func (c *Cell) Has(id string) bool { return c.workers.Get(id) != nil }
+
 // claim keeps one worker free for a job that smaller jobs keep out.
 type claim struct {
 	job, worker string
+	since       time.Time
 }
 
 // pass is the placement of one tick.
@@ -86,6 +97,8 @@
 	misfits map[string][]Resources
 	// refused are sizes that have room but no worker that should take them.
 	refused map[string][]Resources
+	// disturbing are the classes of which jobs would do harm.
+	disturbing map[string]bool
 	// shut are teams whose oldest job waits for quota.
 	shut    map[string]bool
 	blocked []*JobRow
@@ -98,17 +111,18 @@
 // planStarts places queued jobs: urgent ones first, then the team that holds
 // the smallest part of its quota, then by submission.
 func (c *Cell) planStarts(rs []Record, touched map[string]bool, now time.Time) []Record {
-	c.refreshClaim()
+	c.refreshClaim(now)
 	c.noteShapes()
 	p := &pass{
-		cell:    c,
-		now:     now,
-		rooms:   newRoomIndex(c.freeRoom(now)),
-		held:    make(map[string]Resources, len(c.held)),
-		misfits: make(map[string][]Resources),
-		refused: make(map[string][]Resources),
-		shut:    make(map[string]bool),
-		touched: touched,
+		cell:       c,
+		now:        now,
+		rooms:      newRoomIndex(c.freeRoom(now)),
+		held:       make(map[string]Resources, len(c.held)),
+		misfits:    make(map[string][]Resources),
+		refused:    make(map[string][]Resources),
+		disturbing: make(map[string]bool),
+		shut:       make(map[string]bool),
+		touched:    touched,
 	}
 	for t, h := range c.held {
 		p.held[t] = h
@@ -118,6 +132,7 @@
 	c.planPreemptions(p)
 	p.place(false)
 	c.chooseClaim(p)
+	c.disturbing = p.disturbing
 	return c.planLent(p, append(rs, p.records...))
 }
 
@@ -237,6 +252,7 @@
 	p.rooms.take(i, size)
 	p.held[j.Team] = p.held[j.Team].Plus(size)
 	p.records = append(p.records, startRecord(j, w, size, p.now))
+	c.lastStart[j.Class] = p.now
 	return true
 }
 
@@ -252,11 +268,14 @@
 // choose returns the leaf of the best worker for j.
 func (p *pass) choose(j *JobRow, size Resources) (leaf int, v verdict) {
 	waited := p.waited(j)
-	if p.cell.claim.job != j.ID && covers(p.misfits[j.Class], size) {
-		return -1, missed
-	}
-	if waited < patience && covers(p.refused[j.Class], size) {
-		return -1, refused
+	if p.cell.claim.job != j.ID {
+		// The one with a claim may use a worker that the others may not.
+		if covers(p.misfits[j.Class], size) {
+			return -1, missed
+		}
+		if waited < patience && covers(p.refused[j.Class], size) {
+			return -1, refused
+		}
 	}
 	best, bestCost, seen, unfit := -1, math.Inf(1), 0, 0
 	avoided := p.cell.avoided(j)
@@ -267,9 +286,15 @@
 			return true
 		}
 		cost := p.cell.ranker.Cost(&j.Job, size, waited, l.candidate())
-		if math.IsInf(cost, 1) && !p.cell.classes[j.Class] {
-			unfit++
-			return unfit < maxRefused
+		if !p.cell.classes[j.Class] {
+			harmful := math.IsInf(cost, 1)
+			if harmful {
+				p.disturbing[j.Class] = true
+			}
+			if harmful || p.leaves(l.worker, j, waited) {
+				unfit++
+				return unfit < maxRefused
+			}
 		}
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
@@ -291,17 +316,29 @@
 	return -1, missed
 }
 
+// leaves reports whether j leaves the room on w to jobs that are refused
+// elsewhere.
+func (p *pass) leaves(w *workerRow, j *JobRow, waited time.Duration) bool {
+	c := p.cell
+	return len(c.disturbing) > 0 && !c.disturbing[j.Class] && waited < patience && c.ranker.Spare(w.id)
+}
+
 // covers reports whether one of the sizes is within size.
 func covers(sizes []Resources, size Resources) bool {
 	return slices.ContainsFunc(sizes, func(s Resources) bool { return s.Fits(size) })
 }
 
-// waited returns how long j has been left waiting although there was room.
+// waited returns how long j has been left waiting although there was room. The
+// wait counts from the latest start of a job of its class, unless it has
+// lasted very long: jobs that take turns on few workers are not stuck.
 func (p *pass) waited(j *JobRow) time.Duration {
 	since, ok := p.cell.refusals[j.ID]
 	if !ok {
 		return 0
 	}
+	if last := p.cell.lastStart[j.Class]; last.After(since) && p.now.Sub(since) < longPatience {
+		since = last
+	}
 	return p.now.Sub(since)
 }
 
@@ -343,9 +380,10 @@
 }
 
 // refreshClaim drops a claim whose job or worker no longer needs it.
-func (c *Cell) refreshClaim() {
+func (c *Cell) refreshClaim(now time.Time) {
 	j, w := c.jobs.Get(c.claim.job), c.workers.Get(c.claim.worker)
-	if j == nil || j.State != Queued || j.Cancelling || w == nil || w.lost || c.draining[w.id] {
+	if j == nil || j.State != Queued || j.Cancelling || w == nil || w.lost || c.draining[w.id] ||
+		now.Sub(c.claim.since) > claimLife {
 		c.claim = claim{}
 	}
 }
@@ -371,7 +409,9 @@
 			best, bestPart = l.worker.id, part
 		}
 	}
-	c.claim = claim{j.ID, best}
+	if best != "" {
+		c.claim = claim{j.ID, best, p.now}
+	}
 }
 
 // dominant returns the largest share that used has of any dimension of all.
--- a/core/worker/place_rank.go
+++ b/core/worker/place_rank.go
@@ -19,6 +19,9 @@
 	Cost(j *Job, size Resources, waited time.Duration, on Candidate) float64
 	// Width is how many workers with room are compared.
 	Width() int
+	// Spare reports whether a worker is where jobs that are refused
+	// elsewhere do little harm; while such jobs wait, its room is theirs.
+	Spare(worker string) bool
 }
 
 // FirstFit takes the first worker with room. It is a baseline.
@@ -30,6 +33,9 @@
 // Width implements Ranker.
 func (FirstFit) Width() int { return 1 }
 
+// Spare implements Ranker.
+func (FirstFit) Spare(string) bool { return false }
+
 // allWorkers is a width beyond any number of workers.
 const allWorkers = 1 << 30
 
@@ -44,42 +50,67 @@
 // Width implements Ranker.
 func (Spread) Width() int { return allWorkers }
 
+// Spare implements Ranker.
+func (Spread) Spare(string) bool { return false }
+
 // packedWidth is how many candidates a packing placement compares.
 const packedWidth = 16
 
+// TightestFit takes the worker that is left with the least room. It is a
+// baseline.
+type TightestFit struct{}
+
+// Cost implements Ranker.
+func (TightestFit) Cost(_ *Job, size Resources, _ time.Duration, on Candidate) float64 {
+	return 1 - dominant(on.Capacity.Minus(on.Room).Plus(size), on.Capacity)
+}
+
+// Width implements Ranker.
+func (TightestFit) Width() int { return packedWidth }
+
+// Spare implements Ranker.
+func (TightestFit) Spare(string) bool { return false }
+
 // Harm predicts what one more task of a class costs the services on a VM: the
 // added share of their requests that miss the latency target, 0 to 1.
 type Harm interface {
 	Harm(worker, class string) float64
+	// Spare reports whether no service needs its endpoint on the VM, and at
+	// least one has such an endpoint.
+	Spare(worker string) bool
 }
 
 const (
-	// harmWeight is how much of a VM's room may stay unused to spare all
-	// requests of its services.
-	harmWeight = 10
+	// negligibleHarm does not count when workers are compared.
+	negligibleHarm = 0.02
 	// refusedHarm is the harm at which a job is left waiting for another
 	// worker, so that a less harmful job takes the room.
-	refusedHarm = 0.03
+	refusedHarm = 0.2
 	// patience is how long a job may be left waiting for this reason.
 	patience = 15 * time.Minute
+	// longPatience is the same while other jobs of its class are started.
+	longPatience = 2 * time.Hour
 )
 
-// Packed takes the worker that is left with the least room after placement,
-// and avoids pairs that are predicted to disturb services. Harm may be nil.
+// Packed takes the first worker with room where the job is predicted not to
+// disturb services, or else the one where it disturbs them least. Harm may be
+// nil.
 type Packed struct{ Harm Harm }
 
 // Cost implements Ranker.
-func (p Packed) Cost(j *Job, size Resources, waited time.Duration, on Candidate) float64 {
-	cost := 1 - dominant(on.Capacity.Minus(on.Room).Plus(size), on.Capacity)
+func (p Packed) Cost(j *Job, _ Resources, waited time.Duration, on Candidate) float64 {
 	if p.Harm == nil {
-		return cost
+		return 0
 	}
 	harm := p.Harm.Harm(on.Worker, j.Class)
 	if harm > refusedHarm && waited < patience {
 		return math.Inf(1)
 	}
-	return cost + harmWeight*harm
+	return max(0, harm-negligibleHarm)
 }
 
 // Width implements Ranker.
 func (p Packed) Width() int { return packedWidth }
+
+// Spare implements Ranker.
+func (p Packed) Spare(worker string) bool { return p.Harm != nil && p.Harm.Spare(worker) }
