Agree on shares of slots among entries without asking per request

A Roster keeps the set of entries that share the endpoints' slots. Shares shrink at once and grow only when every other entry answered that it adopted the same set and shrank. Feeds carry announcements once and refreshes as bits.

--- a/core/endpoint/membership.go
+++ b/core/endpoint/membership.go
@@ -12,6 +12,7 @@
 	"net/netip"
 	"time"
 
+	"rosemarygap/core/clock"
 	"rosemarygap/core/status"
 	"rosemarygap/core/table"
 	"rosemarygap/core/wire"
@@ -40,6 +41,15 @@
 	State       State          `json:"state"`
 	Slots       int            `json:"slots"`
 	Connections int            `json:"connections"`
+	// Uptime is the time since the incarnation began, on the endpoint's own
+	// clock. It dates an announcement that was long under way; 0 if unknown.
+	Uptime wire.Duration `json:"uptime,omitempty"`
+}
+
+// Same reports whether a and b differ only in what every refresh changes.
+func (a Announcement) Same(b Announcement) bool {
+	a.Seq, a.Uptime = b.Seq, b.Uptime
+	return a == b
 }
 
 // Bounds of an announcement's numbers.
@@ -67,71 +77,143 @@
 	return nil
 }
 
-// Aged is an announcement with the time since the endpoint made it, as far
-// as the sender knows.
-type Aged struct {
-	Announcement Announcement  `json:"announcement"`
-	Age          wire.Duration `json:"age"`
-}
-
 type member struct {
 	latest Announcement
-	made   time.Time
-	load   *Load
+	// made is the latest time at which the newest announcement may have been
+	// made.
+	made time.Time
+	// began is the latest time at which the incarnation may have begun, and
+	// falls with each announcement that came quicker than all before.
+	began time.Time
+	load  *Load
 }
 
 // Membership is the table of known endpoints.
 type Membership struct {
 	members *table.Table[string, member]
 	ttl     time.Duration
+	gate    *Gate
+	share   func(id string, slots int) int
+}
+
+// Option changes how a Membership behaves.
+type Option func(*Membership)
+
+// WithGate makes the endpoints usable only while g is open.
+func WithGate(g *Gate) Option { return func(m *Membership) { m.gate = g } }
+
+// WithShare sets how many of an endpoint's slots this entry may use.
+func WithShare(f func(id string, slots int) int) Option {
+	return func(m *Membership) { m.share = f }
 }
 
 // NewMembership returns an empty table whose announcements count for ttl.
-func NewMembership(ttl time.Duration) *Membership {
-	return &Membership{members: table.New[string, member](), ttl: ttl}
+func NewMembership(ttl time.Duration, opts ...Option) *Membership {
+	m := &Membership{members: table.New[string, member](), ttl: ttl}
+	m.share = func(_ string, slots int) int { return slots }
+	for _, o := range opts {
+		o(m)
+	}
+	return m
 }
 
 // SetTTL changes how long announcements count.
 func (m *Membership) SetTTL(ttl time.Duration) { m.ttl = ttl }
 
-// Apply takes in an announcement that was made age before now and reports
-// whether it changed who may receive requests.
+// Apply takes in an announcement that was made age before now or earlier, and
+// reports whether it changed who may receive requests.
 func (m *Membership) Apply(a Announcement, age time.Duration, now time.Time) bool {
 	made := now.Add(-age)
+	began := made.Add(-a.Uptime.Std())
 	old := m.members.Get(a.ID)
-	if old == nil {
-		e := m.members.Put(a.ID, member{a, made, NewLoad(a.Slots)})
+	if old == nil || a.Incarnation > old.latest.Incarnation {
+		e := m.members.Put(a.ID, member{a, made, began, m.newLoad(&a)})
 		e.load.setExpires(made.Add(m.ttl))
-		return m.usable(e, now)
+		return old != nil || m.usable(e, now)
 	}
 	if !newer(&a, &old.latest) {
 		return false
 	}
-	was := m.usable(old, now)
-	load := old.load
-	if a.Incarnation != old.latest.Incarnation || a.Slots != old.latest.Slots {
-		load = NewLoad(a.Slots)
+	return m.renew(old, a, made, began, now)
+}
+
+// renew takes in a newer announcement of a known incarnation. An announcement
+// that was long under way is dated by the quickest one.
+func (m *Membership) renew(e *member, a Announcement, made, began, now time.Time) bool {
+	was := m.usable(e, now)
+	moved := a.Address != e.latest.Address || a.Slots != e.latest.Slots
+	if a.Uptime > 0 && e.latest.Uptime > 0 {
+		e.began = earlier(e.began, began)
+		made = e.began.Add(a.Uptime.Std())
+	}
+	e.latest = a
+	e.load.SetLimit(m.share(a.ID, a.Slots))
+	m.refresh(e, made)
+	return moved || was != m.usable(e, now)
+}
+
+// Refresh takes in that an incarnation was alive at made, and reports whether
+// that changed who may receive requests.
+func (m *Membership) Refresh(id string, incarnation int64, made, now time.Time) bool {
+	e := m.members.Get(id)
+	if e == nil || e.latest.Incarnation != incarnation || e.latest.State != Ready {
+		return false
+	}
+	was := m.usable(e, now)
+	m.refresh(e, made)
+	return was != m.usable(e, now)
+}
+
+func (m *Membership) refresh(e *member, made time.Time) {
+	if made.After(e.made) {
+		e.made = made
+		e.load.setExpires(made.Add(m.ttl))
 	}
-	moved := a.Address != old.latest.Address || load != old.load
-	*old = member{a, made, load}
-	load.setExpires(made.Add(m.ttl))
-	return moved || was != m.usable(old, now)
 }
 
-// newer reports whether a replaces b. Within an incarnation nothing follows
-// a leaving announcement.
-func newer(a, b *Announcement) bool {
-	if a.Incarnation != b.Incarnation {
-		return a.Incarnation > b.Incarnation
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
 	}
-	if b.State == Leaving {
+	return a
+}
+
+func (m *Membership) newLoad(a *Announcement) *Load {
+	l := NewLoad(m.share(a.ID, a.Slots))
+	l.gate = m.gate
+	return l
+}
+
+// newer reports whether a replaces b, which is of the same or a later
+// incarnation. Within an incarnation nothing follows a leaving announcement.
+func newer(a, b *Announcement) bool {
+	if a.Incarnation != b.Incarnation || b.State == Leaving {
 		return false
 	}
 	return a.State == Leaving || a.Seq > b.Seq
 }
 
 func (m *Membership) usable(e *member, now time.Time) bool {
-	return e.latest.State == Ready && now.Sub(e.made) < m.ttl
+	return e.latest.State == Ready && !clock.Passed(e.made.Add(m.ttl), now)
+}
+
+// ApplyShares brings every endpoint's limit in line with this entry's share.
+func (m *Membership) ApplyShares() {
+	for id, e := range m.members.All {
+		e.load.SetLimit(m.share(id, e.latest.Slots))
+	}
+}
+
+// Over returns the endpoints at which more requests are in progress than this
+// entry's share, because the share shrank.
+func (m *Membership) Over() []string {
+	var out []string
+	for id, e := range m.members.All {
+		if e.load.InFlight() > e.load.Limit() {
+			out = append(out, id)
+		}
+	}
+	return out
 }
 
 // Expire forgets old departures and reports whether any endpoint lapsed
@@ -139,7 +221,7 @@
 func (m *Membership) Expire(view *View, now time.Time) bool {
 	var forget []string
 	for id, e := range m.members.All {
-		if now.Sub(e.made) > tombstoneLife {
+		if clock.Elapsed(e.made, now) > tombstoneLife {
 			forget = append(forget, id)
 		}
 	}
@@ -148,15 +230,3 @@
 	}
 	return view.lapsed(now)
 }
-
-// Aged returns the announcements made within the last window, for peers.
-func (m *Membership) Aged(window time.Duration, now time.Time) []Aged {
-	var out []Aged
-	for _, e := range m.members.All {
-		age := now.Sub(e.made)
-		if age <= window {
-			out = append(out, Aged{e.latest, wire.Duration(age)})
-		}
-	}
-	return out
-}
--- a/core/endpoint/view.go
+++ b/core/endpoint/view.go
@@ -4,43 +4,9 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"time"
 )
 
-// Load counts this entry's requests in progress at one endpoint, and tells
-// how long its announcement counts. It outlives the views that share it, so
-// that a refresh needs no new view. Its methods may be called from any
-// goroutine.
-type Load struct {
-	inFlight atomic.Int64
-	expires  atomic.Int64
-	limit    int64
-}
-
-// NewLoad returns a Load that admits limit requests at a time.
-func NewLoad(limit int) *Load { return &Load{limit: int64(limit)} }
-
-// Acquire takes one slot and reports whether one was free.
-func (l *Load) Acquire() bool {
-	if l.inFlight.Add(1) <= l.limit {
-		return true
-	}
-	l.inFlight.Add(-1)
-	return false
-}
-
-// Release returns a slot taken by Acquire.
-func (l *Load) Release() { l.inFlight.Add(-1) }
-
-// Expires returns when the announcement lapses if nobody refreshes it.
-func (l *Load) Expires() time.Time { return time.Unix(0, l.expires.Load()) }
-
-func (l *Load) setExpires(t time.Time) { l.expires.Store(t.UnixNano()) }
-
-// InFlight returns the number of slots taken.
-func (l *Load) InFlight() int64 { return l.inFlight.Load() }
-
 // Candidate is an endpoint that may receive requests.
 type Candidate struct {
 	Announcement
@@ -73,7 +39,7 @@
 func (v *View) lapsed(now time.Time) bool {
 	for _, cs := range v.services {
 		for i := range cs {
-			if !now.Before(cs[i].Load.Expires()) {
+			if cs[i].Load.expires.Passed(now) {
 				return true
 			}
 		}
@@ -137,5 +103,5 @@
 }
 
 func takes(c *Candidate, now time.Time) bool {
-	return now.Before(c.Load.Expires()) && c.Load.Acquire()
+	return c.Load.Usable(now) && c.Load.Acquire()
 }
--- /dev/null
+++ b/core/peer/feed.go
@@ -0,0 +1,181 @@
+package peer
+
+import (
+	"time"
+
+	"rosemarygap/core/clock"
+	"rosemarygap/core/wire"
+)
+
+// Change is one announcement that the asker did not have, with the index that
+// later digests use for it.
+type Change[T any] struct {
+	Index int           `json:"index"`
+	Value T             `json:"value"`
+	Age   wire.Duration `json:"age"`
+}
+
+// Cursor says how much of a feed the asker has.
+type Cursor struct {
+	Generation int64 `json:"generation"`
+	Next       int   `json:"next"`
+}
+
+// Delta is what a feed has for an asker: changes since its cursor, and a
+// bitmap of the indexes that the feed's owner itself heard of within Window.
+type Delta[T any] struct {
+	Cursor  Cursor        `json:"cursor"`
+	Changes []Change[T]   `json:"changes,omitempty"`
+	Heard   []byte        `json:"heard,omitempty"`
+	Window  wire.Duration `json:"window"`
+}
+
+type feedRow[T any] struct {
+	key   string
+	value T
+	// made is when the announcement was made, as far as known.
+	made time.Time
+	// heard is when the owner itself last heard of it, not through others.
+	heard time.Time
+	live  bool
+}
+
+// Feed numbers announcements in the order in which they changed, so that
+// other entries get each change once and refreshes as one bit.
+type Feed[T any] struct {
+	generation int64
+	rows       []feedRow[T]
+	index      map[string]int
+	same       func(a, b T) bool
+}
+
+// Limits of a feed's numbering.
+const (
+	// sparse is the share of live rows, as one in sparse, under which a feed
+	// is numbered anew.
+	sparse = 4
+	// smallFeed is never numbered anew.
+	smallFeed = 64
+)
+
+// NewFeed returns an empty feed. Values that are the same differ only in what
+// each refresh changes. The generation must differ between processes.
+func NewFeed[T any](generation int64, same func(a, b T) bool) *Feed[T] {
+	return &Feed[T]{generation: generation, index: make(map[string]int), same: same}
+}
+
+// Note takes in an announcement. Direct means that it came from its own
+// sender and not through another entry.
+func (f *Feed[T]) Note(key string, v T, made, now time.Time, direct bool) {
+	i, ok := f.index[key]
+	if !ok || !f.same(f.rows[i].value, v) {
+		i = f.add(key, v, made)
+	}
+	r := &f.rows[i]
+	if made.After(r.made) {
+		r.made = made
+	}
+	if direct {
+		r.heard = now
+	}
+}
+
+func (f *Feed[T]) add(key string, v T, made time.Time) int {
+	f.Drop(key)
+	f.rows = append(f.rows, feedRow[T]{key: key, value: v, made: made, live: true})
+	f.index[key] = len(f.rows) - 1
+	return len(f.rows) - 1
+}
+
+// Drop removes an announcement.
+func (f *Feed[T]) Drop(key string) {
+	i, ok := f.index[key]
+	if !ok {
+		return
+	}
+	f.rows[i] = feedRow[T]{}
+	delete(f.index, key)
+	if len(f.rows) > smallFeed && len(f.index)*sparse < len(f.rows) {
+		f.renumber()
+	}
+}
+
+// renumber closes the gaps; askers notice the new generation and begin anew.
+func (f *Feed[T]) renumber() {
+	old := f.rows
+	f.generation++
+	f.rows = nil
+	for _, r := range old {
+		if r.live {
+			f.index[r.key] = len(f.rows)
+			f.rows = append(f.rows, r)
+		}
+	}
+}
+
+// Since returns what an asker with cursor c lacks. Changes older than keep
+// are of no use to it and are left out.
+func (f *Feed[T]) Since(c Cursor, window, keep time.Duration, now time.Time) Delta[T] {
+	if c.Generation != f.generation || c.Next > len(f.rows) || c.Next < 0 {
+		c = Cursor{}
+	}
+	d := Delta[T]{Cursor: Cursor{f.generation, len(f.rows)}, Window: wire.Duration(window)}
+	d.Heard = make([]byte, (len(f.rows)+7)/8)
+	for i := range f.rows {
+		r := &f.rows[i]
+		if !r.live {
+			continue
+		}
+		if !r.heard.IsZero() && clock.Elapsed(r.heard, now) <= window {
+			d.Heard[i/8] |= 1 << (i % 8)
+		}
+		if age := clock.Elapsed(r.made, now); i >= c.Next && age <= keep {
+			d.Changes = append(d.Changes, Change[T]{i, r.value, wire.Duration(age)})
+		}
+	}
+	return d
+}
+
+// Mirror is what one entry keeps of another entry's feed.
+type Mirror[T any] struct {
+	cursor Cursor
+	rows   []T
+	known  []bool
+}
+
+// Cursor returns what to ask for next.
+func (m *Mirror[T]) Cursor() Cursor { return m.cursor }
+
+// Absorb takes in the answer to a question asked at asked. It calls changed
+// for each new announcement and refreshed for each bit, with the latest time
+// at which the announcement may have been made: ages count from the question,
+// so an answer that was long under way extends nothing.
+func (m *Mirror[T]) Absorb(d Delta[T], asked time.Time, changed, refreshed func(v T, made time.Time)) {
+	if d.Cursor.Generation != m.cursor.Generation {
+		m.rows, m.known = nil, nil
+	}
+	if d.Cursor.Next < 0 || d.Cursor.Next > maxFeed {
+		return
+	}
+	m.cursor = d.Cursor
+	for len(m.rows) < d.Cursor.Next {
+		var zero T
+		m.rows, m.known = append(m.rows, zero), append(m.known, false)
+	}
+	for _, c := range d.Changes {
+		if c.Index < 0 || c.Index >= len(m.rows) {
+			continue
+		}
+		m.rows[c.Index], m.known[c.Index] = c.Value, true
+		changed(c.Value, asked.Add(-c.Age.Std()))
+	}
+	made := asked.Add(-d.Window.Std())
+	for i := range m.rows {
+		if m.known[i] && i/8 < len(d.Heard) && d.Heard[i/8]&(1<<(i%8)) != 0 {
+			refreshed(m.rows[i], made)
+		}
+	}
+}
+
+// maxFeed bounds the numbering that is accepted from another entry.
+const maxFeed = 1 << 20
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -1,6 +1,8 @@
 // Package peer holds what entries tell one another and how they agree on a
 // preferred entry without asking: rendezvous hashing over the same member list.
-// It owns no state.
+//
+// Invariant: what one entry tells another is idempotent, and no relay makes an
+// announcement younger. The tables here belong to the control goroutine.
 package peer
 
 import (
@@ -9,7 +11,6 @@
 
 	"rosemarygap/core/endpoint"
 	"rosemarygap/core/operator"
-	"rosemarygap/core/wire"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -20,6 +21,8 @@
 	Zone     string         `json:"zone"`
 	Address  netip.AddrPort `json:"address"`
 	Operator netip.AddrPort `json:"operator-address"`
+	// Incarnation differs between processes of the same name and rises.
+	Incarnation int64 `json:"incarnation"`
 }
 
 // Score ranks a member for a key; the highest score is preferred.
@@ -68,17 +71,29 @@
 	Incarnation int64          `json:"incarnation"`
 }
 
-// AgedWorker is a worker's announcement with its age at the sender.
-type AgedWorker struct {
-	Notice WorkerNotice  `json:"notice"`
-	Age    wire.Duration `json:"age"`
+// Exchange is a question of one entry to another: what it knows of itself and
+// how much of the other's feeds it has.
+type Exchange struct {
+	From Member `json:"from"`
+	// Revision is the configuration in force at the asker, or 0.
+	Revision int64 `json:"config-revision"`
+	// Version names the set of entries that the asker shares with.
+	Version   string `json:"version"`
+	Endpoints Cursor `json:"endpoints"`
+	Workers   Cursor `json:"workers"`
+	// Leaving are departures of endpoints that the asker heard of just now.
+	Leaving []endpoint.Announcement `json:"leaving,omitempty"`
 }
 
-// Exchange is what one entry sends to another; the answer has the same form.
-type Exchange struct {
-	From      string             `json:"from"`
-	Config    *operator.Accepted `json:"config,omitempty"`
-	Revision  int64              `json:"config-revision"`
-	Endpoints []endpoint.Aged    `json:"endpoints,omitempty"`
-	Workers   []AgedWorker       `json:"workers,omitempty"`
+// Answer is the reply to an Exchange. Ages count from the question.
+type Answer struct {
+	From     Member `json:"from"`
+	Revision int64  `json:"config-revision"`
+	// Config is left out if the asker has the revision or a higher one.
+	Config *operator.Accepted `json:"config,omitempty"`
+	Report Report             `json:"report"`
+	// Roster is left out if the asker has the same set of entries.
+	Roster    []RosterRow                  `json:"roster,omitempty"`
+	Endpoints Delta[endpoint.Announcement] `json:"endpoints"`
+	Workers   Delta[WorkerNotice]          `json:"workers"`
 }
