Exchange changes once and refreshes as bits; share slots by agreement

Every exchange carried every announcement every 500 ms. An entry now asks the others for what it lacks: changes since its cursor, one bit for each endpoint that the other heard of itself within a second. Ages count from the question, so an answer that was long under way extends nothing. Departures go to all entries at once. Announcements may carry the endpoint's uptime, which dates one that was long under way. An entry is ready only when the others have agreed to its shares.

--- a/core/endpoint/membership.go
+++ b/core/endpoint/membership.go
@@ -83,7 +83,8 @@
 	// made.
 	made time.Time
 	// began is the latest time at which the incarnation may have begun, and
-	// falls with each announcement that came quicker than all before.
+	// falls with each announcement that came quicker than all before; zero
+	// while none told its uptime.
 	began time.Time
 	load  *Load
 }
@@ -124,31 +125,40 @@
 // reports whether it changed who may receive requests.
 func (m *Membership) Apply(a Announcement, age time.Duration, now time.Time) bool {
 	made := now.Add(-age)
-	began := made.Add(-a.Uptime.Std())
 	old := m.members.Get(a.ID)
 	if old == nil || a.Incarnation > old.latest.Incarnation {
-		e := m.members.Put(a.ID, member{a, made, began, m.newLoad(&a)})
+		e := m.members.Put(a.ID, member{latest: a, made: made, load: m.newLoad(&a)})
+		e.date(made)
 		e.load.setExpires(made.Add(m.ttl))
 		return old != nil || m.usable(e, now)
 	}
 	if !newer(&a, &old.latest) {
 		return false
 	}
-	return m.renew(old, a, made, began, now)
+	return m.renew(old, a, made, now)
 }
 
-// renew takes in a newer announcement of a known incarnation. An announcement
-// that was long under way is dated by the quickest one.
-func (m *Membership) renew(e *member, a Announcement, made, began, now time.Time) bool {
+// date takes in that the latest announcement was made no later than made and
+// returns when it was made at the latest. One that was long under way is dated
+// by the quickest one of its incarnation.
+func (e *member) date(made time.Time) time.Time {
+	up := e.latest.Uptime.Std()
+	if up <= 0 {
+		return made
+	}
+	if began := made.Add(-up); e.began.IsZero() || began.Before(e.began) {
+		e.began = began
+	}
+	return e.began.Add(up)
+}
+
+// renew takes in a newer announcement of a known incarnation.
+func (m *Membership) renew(e *member, a Announcement, made, now time.Time) bool {
 	was := m.usable(e, now)
 	moved := a.Address != e.latest.Address || a.Slots != e.latest.Slots
-	if a.Uptime > 0 && e.latest.Uptime > 0 {
-		e.began = earlier(e.began, began)
-		made = e.began.Add(a.Uptime.Std())
-	}
 	e.latest = a
 	e.load.SetLimit(m.share(a.ID, a.Slots))
-	m.refresh(e, made)
+	m.refresh(e, e.date(made))
 	return moved || was != m.usable(e, now)
 }
 
@@ -171,13 +181,6 @@
 	}
 }
 
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
 func (m *Membership) newLoad(a *Announcement) *Load {
 	l := NewLoad(m.share(a.ID, a.Slots))
 	l.gate = m.gate
@@ -230,3 +233,13 @@
 	}
 	return view.lapsed(now)
 }
+
+// Latest returns the newest announcement of an endpoint and the latest time
+// at which it, or a refresh of it, may have been made.
+func (m *Membership) Latest(id string) (a Announcement, made time.Time, ok bool) {
+	e := m.members.Get(id)
+	if e == nil {
+		return a, made, false
+	}
+	return e.latest, e.made, true
+}
--- a/core/entry/snapshot.go
+++ b/core/entry/snapshot.go
@@ -22,6 +22,8 @@
 	Members []peer.Member
 	// Owners are the owners of cells by cell number.
 	Owners map[int]platform.Owner
+	// Sharing is true while this entry may use its shares of the endpoints.
+	Sharing bool
 	// Stopping is true from the start of a planned stop.
 	Stopping bool
 }
@@ -32,7 +34,7 @@
 }
 
 // Ready reports whether callers may be sent here.
-func (s *Snapshot) Ready() bool { return s.Config != nil && !s.Stopping }
+func (s *Snapshot) Ready() bool { return s.Config != nil && s.Sharing && !s.Stopping }
 
 // Revision returns the revision of the configuration in force, or 0.
 func (s *Snapshot) Revision() int64 {
--- a/core/peer/feed.go
+++ b/core/peer/feed.go
@@ -100,6 +100,15 @@
 	}
 }
 
+// Expire drops announcements made longer than keep ago.
+func (f *Feed[T]) Expire(keep time.Duration, now time.Time) {
+	for i := 0; i < len(f.rows); i++ {
+		if f.rows[i].live && clock.Elapsed(f.rows[i].made, now) > keep {
+			f.Drop(f.rows[i].key)
+		}
+	}
+}
+
 // renumber closes the gaps; askers notice the new generation and begin anew.
 func (f *Feed[T]) renumber() {
 	old := f.rows
@@ -113,9 +122,8 @@
 	}
 }
 
-// Since returns what an asker with cursor c lacks. Changes older than keep
-// are of no use to it and are left out.
-func (f *Feed[T]) Since(c Cursor, window, keep time.Duration, now time.Time) Delta[T] {
+// Since returns what an asker with cursor c lacks.
+func (f *Feed[T]) Since(c Cursor, window time.Duration, now time.Time) Delta[T] {
 	if c.Generation != f.generation || c.Next > len(f.rows) || c.Next < 0 {
 		c = Cursor{}
 	}
@@ -129,8 +137,9 @@
 		if !r.heard.IsZero() && clock.Elapsed(r.heard, now) <= window {
 			d.Heard[i/8] |= 1 << (i % 8)
 		}
-		if age := clock.Elapsed(r.made, now); i >= c.Next && age <= keep {
-			d.Changes = append(d.Changes, Change[T]{i, r.value, wire.Duration(age)})
+		if i >= c.Next {
+			age := wire.Duration(clock.Elapsed(r.made, now))
+			d.Changes = append(d.Changes, Change[T]{i, r.value, age})
 		}
 	}
 	return d
--- a/core/peer/roster.go
+++ b/core/peer/roster.go
@@ -19,7 +19,7 @@
 	Hold = 2 * time.Second
 	// Linger is how long an entry still counts after its registration ended.
 	// It covers Hold and the time in which an entry registers again.
-	Linger = 3500 * time.Millisecond
+	Linger = 4 * time.Second
 )
 
 // RosterRow is one entry as another entry knows it.
@@ -77,6 +77,8 @@
 	reports map[string]Report
 	booted  bool
 	filled  time.Time
+	// stamp rises with every change that may change a share.
+	stamp int64
 
 	ticked   time.Time
 	woke     time.Time
@@ -190,6 +192,7 @@
 	slices.Sort(names)
 	r.version, r.names, r.adopted = v, names, now
 	r.sets = append(r.sets, names)
+	r.stamp++
 	clear(r.reports)
 	return true
 }
@@ -208,13 +211,14 @@
 		r.woke = time.Time{}
 		if r.booted && len(r.reports) == 0 {
 			r.sets = [][]string{r.names}
+			r.stamp++
 		}
 	}
 	if r.shut(now) {
 		r.restart(now)
 	}
 	if !r.filled.IsZero() && clock.Elapsed(r.filled, now) >= Linger {
-		r.booted = true
+		r.boot()
 	}
 	for id, row := range r.rows {
 		if clock.Elapsed(row.since, now) > rosterMemory && !row.counts(now) {
@@ -237,9 +241,17 @@
 	r.adopt(now)
 	r.sets = [][]string{nil, r.names}
 	r.adopted = now
+	r.stamp++
 	clear(r.reports)
 }
 
+func (r *Roster) boot() {
+	if !r.booted {
+		r.booted = true
+		r.stamp++
+	}
+}
+
 // rosterMemory is how long a departed entry is remembered, so that late
 // messages do not bring it back.
 const rosterMemory = 10 * time.Minute
@@ -276,12 +288,15 @@
 	if !p.Booted {
 		return
 	}
-	r.booted = true
+	r.boot()
 	if clock.Elapsed(r.attested, now) >= Hold {
 		r.restart(now)
 	}
 	r.Attest(asked)
 	if !asked.Before(r.adopted) && p.Version == r.version && slices.Contains(r.names, id) {
+		if old, ok := r.reports[id]; !ok || !slices.Equal(old.Over, p.Over) {
+			r.stamp++
+		}
 		r.reports[id] = p
 	}
 	r.settle()
@@ -304,8 +319,9 @@
 	if asked.After(r.attested) {
 		r.attested = asked
 	}
-	if !asked.Before(r.woke) {
+	if !r.woke.IsZero() && !asked.Before(r.woke) {
 		r.woke = time.Time{}
+		r.stamp++
 	}
 }
 
@@ -326,6 +342,15 @@
 	}
 }
 
+// Stamp rises with every change that may change a share.
+func (r *Roster) Stamp() int64 { return r.stamp }
+
+// Sharing reports whether this entry has had shares agreed since it started
+// or was left out by the others.
+func (r *Roster) Sharing(now time.Time) bool {
+	return r.booted && r.sets[0] != nil && !r.OpenUntil(now).IsZero()
+}
+
 // Share returns how many of an endpoint's slots this entry may use.
 func (r *Roster) Share(endpoint string, slots int) int {
 	if r.agreed() && !r.isOver(endpoint) {
--- a/io/entry/control.go
+++ b/io/entry/control.go
@@ -22,10 +22,9 @@
 
 // Periods used before the first configuration, and sizes of queues.
 const (
-	defaultTick   = 250 * time.Millisecond
-	defaultTTL    = 2 * time.Second
-	exchangeEvery = 500 * time.Millisecond
-	mailboxSize   = 1024
+	defaultTick = 250 * time.Millisecond
+	defaultTTL  = 2 * time.Second
+	mailboxSize = 1024
 )
 
 // message is what other goroutines send to the control goroutine.
@@ -54,12 +53,11 @@
 	members   *table.Table[string, peer.Member]
 	owners    *table.Table[int, coreplatform.Owner]
 	cells     *table.Table[int, cellRun]
-	known     map[string]int64
+	peering   peering
 
 	registration registration
 	watching     bool
 	watched      int64
-	exchanged    time.Time
 	storeDown    time.Time
 	stopping     bool
 	dirty        bool
@@ -73,22 +71,23 @@
 
 func newControl(o Options, l hclog.Logger, s platform.Store) *control {
 	c := &control{
-		opts:      o,
-		log:       l,
-		store:     s,
-		peers:     iopeer.NewClient(),
-		workers:   worker.NewClient(),
-		mailbox:   make(chan message, mailboxSize),
-		results:   make(chan message, mailboxSize),
-		endpoints: endpoint.NewMembership(defaultTTL),
-		notices:   table.New[string, heardWorker](),
-		members:   table.New[string, peer.Member](),
-		owners:    table.New[int, coreplatform.Owner](),
-		cells:     table.New[int, cellRun](),
-		known:     make(map[string]int64),
+		opts:    o,
+		log:     l,
+		store:   s,
+		peers:   iopeer.NewClient(),
+		workers: worker.NewClient(),
+		mailbox: make(chan message, mailboxSize),
+		results: make(chan message, mailboxSize),
+		notices: table.New[string, heardWorker](),
+		members: table.New[string, peer.Member](),
+		owners:  table.New[int, coreplatform.Owner](),
+		cells:   table.New[int, cellRun](),
 		self: peer.Member{ID: o.ID, Zone: o.Zone, Address: o.PeerListen,
-			Operator: o.OperatorListen},
+			Operator: o.OperatorListen, Incarnation: time.Now().UnixNano()},
 	}
+	c.peering = newPeering(c.self, time.Now())
+	c.endpoints = endpoint.NewMembership(defaultTTL,
+		endpoint.WithGate(&c.peering.gate), endpoint.WithShare(c.peering.roster.Share))
 	c.published.Store(entry.Empty())
 	return c
 }
@@ -105,10 +104,10 @@
 			c.handOver(work, cancel)
 			return nil
 		case m := <-c.mailbox:
-			m.handle(c, time.Now())
+			c.handle(m)
 		case m := <-c.results:
 			c.running--
-			m.handle(c, time.Now())
+			c.handle(m)
 		case <-t.C:
 			c.tick(work, time.Now())
 			t.Reset(c.tickPeriod())
@@ -117,6 +116,14 @@
 	}
 }
 
+// handle looks at the clock before each message, so that nothing is done with
+// what was known before a pause of the process.
+func (c *control) handle(m message) {
+	now := time.Now()
+	c.tickRoster(now)
+	m.handle(c, now)
+}
+
 func (c *control) tickPeriod() time.Duration {
 	if c.config == nil {
 		return defaultTick
@@ -126,6 +133,7 @@
 
 // tick runs every system once.
 func (c *control) tick(ctx context.Context, now time.Time) {
+	c.tickRoster(now)
 	if c.endpoints.Expire(c.published.Load().Endpoints, now) {
 		c.dirty = true
 	}
@@ -163,6 +171,7 @@
 		Endpoints: c.endpoints.View(now),
 		Members:   c.memberList(),
 		Owners:    make(map[int]coreplatform.Owner, c.owners.Len()),
+		Sharing:   c.peering.sharing,
 		Stopping:  c.stopping,
 	}
 	for cell, o := range c.owners.All {
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -5,112 +5,119 @@
 	"net/netip"
 	"time"
 
+	"rosemarygap/core/clock"
 	"rosemarygap/core/endpoint"
 	"rosemarygap/core/event"
 	"rosemarygap/core/peer"
 	"rosemarygap/core/status"
-	"rosemarygap/core/wire"
 )
 
-// exchanged is the result of one exchange with another entry.
+// exchangeResult is the answer of another entry to a question.
 type exchangeResult struct {
-	to  string
-	out peer.Exchange
-	err error
+	to    string
+	asked time.Time
+	out   peer.Answer
+	err   error
 }
 
 func (c *control) tickExchange(ctx context.Context, now time.Time) {
-	if now.Sub(c.exchanged) < exchangeEvery {
+	p := &c.peering
+	to := c.exchangePeers()
+	every := exchangeEvery
+	if len(to) > manyPeers {
+		every = exchangeSlow
+	}
+	if clock.Elapsed(p.asked, now) < every {
 		return
 	}
-	c.exchanged = now
-	for id, to := range c.exchangePeers() {
-		c.exchangeWith(ctx, id, to, now)
+	p.asked = now
+	p.endpoints.Expire(forgetAfter, now)
+	p.workers.Expire(forgetAfter, now)
+	for key, a := range to {
+		c.exchangeWith(ctx, key, a, now)
 	}
+	p.leaving = nil
 }
 
-// exchangePeers returns the registered entries, and the configured ones
-// while no other entry is known.
+// exchangePeers returns the known entries, and the configured ones until an
+// entry that knows the others has answered.
 func (c *control) exchangePeers() map[string]netip.AddrPort {
 	out := make(map[string]netip.AddrPort)
-	for id, m := range c.members.All {
-		if id != c.self.ID {
-			out[id] = m.Address
-		}
+	known := make(map[netip.AddrPort]bool)
+	for _, m := range c.peering.roster.Peers() {
+		out[m.ID] = m.Address
+		known[m.Address] = true
 	}
-	if len(out) > 0 {
+	if c.peering.roster.Booted() && c.config != nil {
 		return out
 	}
 	for _, a := range c.opts.Peers {
-		if a != c.self.Address {
+		if a != c.self.Address && !known[a] {
 			out[a.String()] = a
 		}
 	}
 	return out
 }
 
-func (c *control) exchangeWith(ctx context.Context, id string, to netip.AddrPort, now time.Time) {
-	x := c.exchange(c.known[id], now)
+// exchangeWith asks one entry, unless its answer to the last question is
+// still to come and there is nothing that must be told at once.
+func (c *control) exchangeWith(ctx context.Context, key string, to netip.AddrPort, now time.Time) {
+	p := &c.peering
+	m := p.mirror(key)
+	if m.busy && len(p.leaving) == 0 {
+		return
+	}
+	m.busy = true
+	x := peer.Exchange{From: c.self, Version: p.roster.Version(), Leaving: p.leaving,
+		Endpoints: m.endpoints.Cursor(), Workers: m.workers.Cursor()}
+	if c.config != nil {
+		x.Revision = c.config.Revision
+	}
 	c.start(ctx, func(ctx context.Context) message {
 		out, err := c.peers.Exchange(ctx, to, x)
-		return exchangeResult{id, out, err}
+		return exchangeResult{key, now, out, err}
 	})
 }
 
-// exchange builds what this entry tells an entry that has revision known.
-func (c *control) exchange(known int64, now time.Time) peer.Exchange {
-	x := peer.Exchange{From: c.self.ID}
-	if c.config != nil {
-		x.Revision = c.config.Revision
-		if known < x.Revision {
-			x.Config = c.config
-		}
-	}
-	x.Endpoints = c.endpoints.Aged(defaultTTL, now)
-	for _, w := range c.notices.All {
-		age := now.Sub(w.made)
-		if age <= defaultTTL {
-			x.Workers = append(x.Workers, peer.AgedWorker{Notice: w.notice, Age: wire.Duration(age)})
+func (r exchangeResult) handle(c *control, now time.Time) {
+	m := c.peering.mirror(r.to)
+	m.busy = false
+	if r.err != nil {
+		if !m.down {
+			event.PeerUnreachable.Emit(c.log, event.Entry(r.to), event.Reason(status.CodeOf(r.err)))
 		}
-	}
-	return x
-}
-
-func (m exchangeResult) handle(c *control, now time.Time) {
-	if m.err != nil {
-		event.PeerUnreachable.Emit(c.log, event.Entry(m.to), event.Reason(status.CodeOf(m.err)))
+		m.down = true
 		return
 	}
-	c.known[m.to] = m.out.Revision
-	c.absorb(m.out, now)
-}
-
-// absorb takes in what another entry knows.
-func (c *control) absorb(x peer.Exchange, now time.Time) {
-	if x.Config != nil {
-		c.adoptConfig(x.Config)
-	}
-	for _, a := range x.Endpoints {
-		c.heardEndpoint(a.Announcement, a.Age.Std(), now)
-	}
-	for _, w := range x.Workers {
-		c.heardWorker(w.Notice, w.Age.Std(), now)
-	}
+	m.down = false
+	c.absorb(m, r, now)
 }
 
-func (c *control) heardEndpoint(a endpoint.Announcement, age time.Duration, now time.Time) {
-	if c.endpoints.Apply(a, age, now) {
-		c.dirty = true
-	}
+// absorb takes in an answer.
+func (c *control) absorb(m *mirror, r exchangeResult, now time.Time) {
+	if r.out.Config != nil {
+		c.adoptConfig(r.out.Config)
+	}
+	c.rosterChanged(c.peering.roster.Hear(r.out.From, now))
+	for _, row := range r.out.Roster {
+		c.rosterChanged(c.peering.roster.Merge(row, r.asked, now))
+	}
+	c.peering.roster.Answered(r.out.From.ID, r.out.Report, r.asked, now)
+	c.applyShares()
+	m.endpoints.Absorb(r.out.Endpoints, r.asked,
+		func(a endpoint.Announcement, made time.Time) { c.heardEndpoint(a, made, now, false) },
+		func(a endpoint.Announcement, made time.Time) { c.refreshedEndpoint(a, made, now) })
+	heard := func(n peer.WorkerNotice, made time.Time) { c.heardWorker(n, made, now, false) }
+	m.workers.Absorb(r.out.Workers, r.asked, heard, heard)
 }
 
-func (c *control) heardWorker(n peer.WorkerNotice, age time.Duration, now time.Time) {
-	made := now.Add(-age)
+func (c *control) heardWorker(n peer.WorkerNotice, made, now time.Time, direct bool) {
 	old := c.notices.Get(n.ID)
 	if old != nil && (old.notice.Incarnation > n.Incarnation || old.made.After(made)) {
 		return
 	}
 	c.notices.Put(n.ID, heardWorker{n, made})
+	c.peering.workers.Note(n.ID, n, made, now, direct)
 	if c.config == nil {
 		return
 	}
@@ -126,24 +133,53 @@
 
 // Messages of the interfaces of callers and entries.
 type (
-	endpointAnnounced struct{ a endpoint.Announcement }
-	workerAnnounced   struct{ n peer.WorkerNotice }
-	exchangeReceived  struct {
+	endpointAnnounced struct {
+		a     endpoint.Announcement
+		heard time.Time
+	}
+	workerAnnounced struct {
+		n     peer.WorkerNotice
+		heard time.Time
+	}
+	exchangeReceived struct {
 		x     peer.Exchange
-		reply chan<- peer.Exchange
+		reply chan<- peer.Answer
 	}
 )
 
 func (m endpointAnnounced) handle(c *control, now time.Time) {
-	c.heardEndpoint(m.a, 0, now)
+	c.heardEndpoint(m.a, m.heard, now, true)
 }
 
 func (m workerAnnounced) handle(c *control, now time.Time) {
-	c.heardWorker(m.n, 0, now)
+	c.heardWorker(m.n, m.heard, now, true)
 }
 
 func (m exchangeReceived) handle(c *control, now time.Time) {
-	c.known[m.x.From] = m.x.Revision
-	c.absorb(m.x, now)
-	m.reply <- c.exchange(m.x.Revision, now)
+	c.rosterChanged(c.peering.roster.Hear(m.x.From, now))
+	for _, a := range m.x.Leaving {
+		c.heardEndpoint(a, now, now, false)
+	}
+	m.reply <- c.answer(&m.x, now)
+}
+
+// answer builds what the asker of x lacks.
+func (c *control) answer(x *peer.Exchange, now time.Time) peer.Answer {
+	p := &c.peering
+	c.applyShares()
+	a := peer.Answer{From: c.self,
+		Report:    p.roster.Report(x.From.ID, c.endpoints.Over(), now),
+		Endpoints: p.endpoints.Since(x.Endpoints, heardWindow, now),
+		Workers:   p.workers.Since(x.Workers, heardWindow, now),
+	}
+	if c.config != nil {
+		a.Revision = c.config.Revision
+		if x.Revision < a.Revision {
+			a.Config = c.config
+		}
+	}
+	if x.Version != p.roster.Version() {
+		a.Roster = p.roster.Rows(now)
+	}
+	return a
 }
--- a/io/entry/jobs.go
+++ b/io/entry/jobs.go
@@ -110,17 +110,17 @@
 
 // AnnounceEndpoint takes in an endpoint's announcement.
 func (c *control) AnnounceEndpoint(ctx context.Context, a endpoint.Announcement) error {
-	return c.send(ctx, endpointAnnounced{a})
+	return c.send(ctx, endpointAnnounced{a, time.Now()})
 }
 
 // AnnounceWorker takes in a worker's announcement.
 func (c *control) AnnounceWorker(ctx context.Context, n peer.WorkerNotice) error {
-	return c.send(ctx, workerAnnounced{n})
+	return c.send(ctx, workerAnnounced{n, time.Now()})
 }
 
 // Exchange takes in what another entry knows and returns what this one knows.
-func (c *control) Exchange(ctx context.Context, x peer.Exchange) (peer.Exchange, error) {
-	reply := make(chan peer.Exchange, 1)
+func (c *control) Exchange(ctx context.Context, x peer.Exchange) (peer.Answer, error) {
+	reply := make(chan peer.Answer, 1)
 	return ask(ctx, c, reply, exchangeReceived{x, reply})
 }
 
--- a/io/entry/registration.go
+++ b/io/entry/registration.go
@@ -78,6 +78,11 @@
 	c.noteStore(m.err, now)
 	switch {
 	case m.err == nil:
+		if r.lease == m.lease {
+			c.peering.roster.Attest(m.began)
+		} else {
+			c.peering.roster.Registered(m.began, now)
+		}
 		r.lease = m.lease
 		for _, run := range c.cells.All {
 			run.cell.VerifyEnd(m.began)
@@ -131,11 +136,11 @@
 	}
 	c.watched = max(c.watched, m.changes.Revision)
 	for _, e := range m.changes.Entries {
-		c.applyEntry(e)
+		c.applyEntry(e, now)
 	}
 }
 
-func (c *control) applyEntry(e platform.Entry) {
+func (c *control) applyEntry(e platform.Entry, now time.Time) {
 	if e.Key == coreplatform.ConfigKey {
 		c.applyConfigEntry(e)
 		return
@@ -144,7 +149,7 @@
 		c.applyOwnerEntry(cell, e)
 		return
 	}
-	c.applyMemberEntry(e)
+	c.applyMemberEntry(e, now)
 }
 
 func (c *control) applyOwnerEntry(cell int, e platform.Entry) {
@@ -159,11 +164,12 @@
 	}
 }
 
-func (c *control) applyMemberEntry(e platform.Entry) {
+func (c *control) applyMemberEntry(e platform.Entry, now time.Time) {
 	id := e.Key[len(coreplatform.EntryPrefix):]
 	c.dirty = true
 	if e.Deleted {
 		c.members.Delete(id)
+		c.rosterChanged(c.peering.roster.Remove(id, e.Revision, now))
 		event.PeerRemoved.Emit(c.log, event.Entry(id))
 		return
 	}
@@ -175,4 +181,9 @@
 		event.PeerAdded.Emit(c.log, event.Entry(id), event.Address(m.Address))
 	}
 	c.members.Put(id, m)
+	if m == c.self {
+		c.peering.roster.Filled(now)
+	}
+	row := peer.RosterRow{Member: m, Revision: e.Revision}
+	c.rosterChanged(c.peering.roster.Merge(row, now, now))
 }
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -45,9 +45,9 @@
 	c.jobs.Close()
 }
 
-// Exchange sends what this entry knows and returns what the other one knows.
-func (c *Client) Exchange(ctx context.Context, to netip.AddrPort, x peer.Exchange) (peer.Exchange, error) {
-	var out peer.Exchange
+// Exchange asks another entry for what it knows that this one does not.
+func (c *Client) Exchange(ctx context.Context, to netip.AddrPort, x peer.Exchange) (peer.Answer, error) {
+	var out peer.Answer
 	err := c.exchanges.Call(ctx, http.MethodPost, to, "/peer/exchange", x, &out)
 	return out, err
 }
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -16,8 +16,8 @@
 
 // Control is what the handlers need of the control goroutine.
 type Control interface {
-	// Exchange takes in what another entry knows and returns the own.
-	Exchange(ctx context.Context, x peer.Exchange) (peer.Exchange, error)
+	// Exchange answers another entry's question.
+	Exchange(ctx context.Context, x peer.Exchange) (peer.Answer, error)
 	// Status describes this entry.
 	Status() entry.Status
 	// SubmitHere proposes a job to a cell that this entry owns and returns
