--- a/io/demo/demo.go
+++ b/io/demo/demo.go
@@ -93,7 +93,10 @@
 	go func() { jobs <- d.submitAll(ctx) }()
 	p := load.Plan{Entries: d.Entries, Service: "catalogue", Rate: d.Rate,
 		Duration: d.Duration, Deadline: 2 * time.Second, NonIdempotent: 0.3, Size: 512, Seed: d.Seed}
-	os := load.Run(ctx, p)
+	os, err := load.Run(ctx, p)
+	if err != nil {
+		return errors.WithMessage(err, "load")
+	}
 	d.line.Result = load.Summarize(os)
 	if err := <-jobs; err != nil {
 		return errors.WithMessage(err, "submit jobs")
--- a/io/httpjson/listener.go
+++ b/io/httpjson/listener.go
@@ -43,6 +43,10 @@
 	return l.net.Addr().(*net.TCPAddr).AddrPort()
 }
 
+// OnState calls f when the state of a connection changes. It must be called
+// before Serve.
+func (l *Listener) OnState(f func(net.Conn, http.ConnState)) { l.server.ConnState = f }
+
 // Serve serves until Stop.
 func (l *Listener) Serve() error {
 	err := l.server.Serve(l.net)
--- a/io/load/driver.go
+++ b/io/load/driver.go
@@ -26,24 +26,10 @@
 	"github.com/pkg/errors"
 )
 
-// Plan describes one run.
-type Plan struct {
-	Entries []netip.AddrPort
-	Service string
-	// Rate is the mean number of arrivals a second.
-	Rate     float64
-	Duration time.Duration
-	Deadline time.Duration
-	// NonIdempotent is the share of arrivals marked so, 0 to 1.
-	NonIdempotent float64
-	// Size is the length of the asked answer beyond its first line, in bytes.
-	Size int
-	Seed uint64
-}
-
 // Observation is what one arrival met.
 type Observation struct {
 	ID         string
+	Class      string
 	Idempotent bool
 	Outcome    caller.Outcome
 	Code       status.Code
@@ -59,6 +45,7 @@
 // arrival is one scheduled request.
 type arrival struct {
 	id         string
+	class      *Class
 	at         time.Duration
 	idempotent bool
 	entry      int
@@ -67,6 +54,7 @@
 // schedule draws all arrivals of a plan.
 func schedule(p Plan) []arrival {
 	rng := rand.New(rand.NewPCG(p.Seed, p.Seed))
+	classes := p.classes()
 	var out []arrival
 	var at time.Duration
 	for {
@@ -74,20 +62,46 @@
 		if at >= p.Duration {
 			return out
 		}
+		class := draw(classes, rng.Float64())
 		out = append(out, arrival{
 			id:         fmt.Sprintf("load-%d-%06d", p.Seed, len(out)),
+			class:      class,
 			at:         at,
-			idempotent: rng.Float64() >= p.NonIdempotent,
+			idempotent: rng.Float64() >= class.NonIdempotent,
 			entry:      rng.IntN(len(p.Entries)),
 		})
 	}
 }
 
-// Run drives the plan and returns one observation for each arrival.
-func Run(ctx context.Context, p Plan) []Observation {
+// Run drives the plan and returns one observation for each arrival. An error
+// means that the plan's fault was not set.
+func Run(ctx context.Context, p Plan) ([]Observation, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	fault := make(chan error, 1)
+	if p.Fault != nil {
+		go func() { fault <- p.Fault.send(ctx) }()
+	} else {
+		fault <- nil
+	}
+	b := startBalancer(ctx, &p)
+	out := p.drive(ctx, b)
+	var err error
+	select {
+	case err = <-fault:
+		cancel()
+	default:
+		cancel()
+		err = <-fault
+	}
+	<-b.ended
+	return out, err
+}
+
+// drive sends each arrival at its time.
+func (p Plan) drive(ctx context.Context, b *balancer) []Observation {
 	arrivals := schedule(p)
 	out := make([]Observation, len(arrivals))
-	client := newClient(p)
+	client := newClient()
 	defer client.CloseIdleConnections()
 	began := time.Now()
 	var wg sync.WaitGroup
@@ -100,7 +114,7 @@
 			break
 		}
 		wg.Go(func() {
-			out[i] = p.one(ctx, client, a)
+			out[i] = p.one(ctx, client, b, a)
 			out[i].Latency = time.Since(began) - a.at
 			out[i].Sent = a.at
 		})
@@ -112,18 +126,19 @@
 // slack is how long an answer may come after the deadline.
 const slack = 2 * time.Second
 
-func newClient(p Plan) *http.Client {
+func newClient() *http.Client {
 	t := &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}
-	return &http.Client{Transport: t, Timeout: p.Deadline + slack}
+	return &http.Client{Transport: t}
 }
 
 // one sends an arrival; like a balancer it turns to the next entry only if
 // the connection was refused, so that nothing was sent.
-func (p Plan) one(ctx context.Context, c *http.Client, a arrival) Observation {
-	o := Observation{ID: a.id, Idempotent: a.idempotent, Outcome: caller.Unknown, NoAnswer: true}
-	for i := range p.Entries {
-		to := p.Entries[(a.entry+i)%len(p.Entries)]
-		w, err := p.send(ctx, c, a, to)
+func (p Plan) one(ctx context.Context, c *http.Client, b *balancer, a arrival) Observation {
+	ctx, cancel := context.WithTimeout(ctx, a.class.Deadline+slack)
+	defer cancel()
+	o := Observation{ID: a.id, Class: a.class.Name, Idempotent: a.idempotent, Outcome: caller.Unknown, NoAnswer: true}
+	for _, i := range b.order(a.entry) {
+		w, err := p.send(ctx, c, a, p.Entries[i])
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			o.Outcome = caller.NotRun
 			continue
@@ -138,7 +153,10 @@
 }
 
 func (p Plan) send(ctx context.Context, c *http.Client, a arrival, to netip.AddrPort) (*http.Response, error) {
-	url := fmt.Sprintf("http://%s/services/%s/enquiry?size=%d", to, p.Service, p.Size)
+	url := fmt.Sprintf("http://%s/services/%s%s", to, a.class.Service, a.class.Path)
+	if p.Size > 0 {
+		url += "?size=" + strconv.Itoa(p.Size)
+	}
 	// A POST is never repeated by the transport on its own.
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader([]byte("enquiry")))
 	if err != nil {
@@ -147,7 +165,7 @@
 	r.GetBody = nil
 	r.Header.Set(iocaller.HeaderRequestID, a.id)
 	r.Header.Set(iocaller.HeaderIdempotent, strconv.FormatBool(a.idempotent))
-	r.Header.Set(iocaller.HeaderDeadline, p.Deadline.String())
+	r.Header.Set(iocaller.HeaderDeadline, a.class.Deadline.String())
 	return c.Do(r)
 }
 
@@ -161,6 +179,10 @@
 		return o
 	}
 	o.NoAnswer = false
+	if p.AnyAnswer {
+		o.Whole = w.StatusCode < http.StatusInternalServerError
+		return o
+	}
 	first := "request " + o.ID + " body 7\n"
 	o.Whole = w.StatusCode == http.StatusOK && strings.HasPrefix(string(body), first) &&
 		len(body) == len(first)+p.Size
--- a/io/load/result.go
+++ b/io/load/result.go
@@ -8,6 +8,12 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
+// ClassResult is the result of one class.
+type ClassResult struct {
+	Class string `json:"class"`
+	Result
+}
+
 // Result sums a run up; times are in milliseconds.
 type Result struct {
 	Requests     int     `json:"requests"`
@@ -46,6 +52,23 @@
 	return r
 }
 
+// SummarizeClasses returns the result of each class, in order of first use.
+func SummarizeClasses(os []Observation) []ClassResult {
+	byClass := make(map[string][]Observation)
+	var names []string
+	for _, o := range os {
+		if byClass[o.Class] == nil {
+			names = append(names, o.Class)
+		}
+		byClass[o.Class] = append(byClass[o.Class], o)
+	}
+	out := make([]ClassResult, 0, len(names))
+	for _, n := range names {
+		out = append(out, ClassResult{n, Summarize(byClass[n])})
+	}
+	return out
+}
+
 func (r *Result) count(o Observation) {
 	switch {
 	case o.NoAnswer:
--- a/io/standin/commandline/commandline.go
+++ b/io/standin/commandline/commandline.go
@@ -76,7 +76,12 @@
 	a := endpoint.Announcement{ID: c.ID, Service: c.Service, Zone: c.Zone,
 		Address: c.Listen, Slots: c.Slots, Connections: c.Connections}
 	s := standinendpoint.NewServer(a, c.Mean, c.Seed)
-	return serve(c.Listen, s.Handler(), func(ctx context.Context) error {
+	l, err := httpjson.Listen(c.Listen, s.Handler())
+	if err != nil {
+		return err
+	}
+	l.OnState(s.Connected)
+	return serveOn(l, func(ctx context.Context) error {
 		err := s.Announce(ctx, c.Entry)
 		limit, cancel := context.WithTimeout(context.Background(), stopLimit)
 		defer cancel()
@@ -90,6 +95,10 @@
 	if err != nil {
 		return err
 	}
+	return serveOn(l, announce)
+}
+
+func serveOn(l *httpjson.Listener, announce func(context.Context) error) error {
 	left := make(chan struct{})
 	var g run.Group
 	process.AddSignals(&g)
--- a/io/standin/deployment/deployment.go
+++ b/io/standin/deployment/deployment.go
@@ -77,6 +77,14 @@
 	client  *httpjson.Client
 	Store   *Standin
 	Entries []*Entry
+	started []*Process
+}
+
+// KillAll ends every process at once, for a test that has seen enough.
+func (d *Deployment) KillAll() {
+	for _, p := range d.started {
+		p.Kill()
+	}
 }
 
 // New starts the key-value service's stand-in and as many entries as given,
@@ -127,6 +135,7 @@
 		p.err = p.cmd.Wait()
 		close(p.ended)
 	}()
+	d.started = append(d.started, p)
 	d.t.Cleanup(func() { p.finish() })
 	return p
 }
--- /dev/null
+++ b/io/standin/deployment/endpoints_test.go
@@ -0,0 +1,184 @@
+package deployment
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"rosemarygap/core/endpoint"
+	"rosemarygap/io/load"
+	standin "rosemarygap/io/standin/endpoint"
+
+	"github.com/matryer/is"
+)
+
+const config = "../../../examples/kettle-valley.json"
+
+// Promises of the interface, from the brief.
+const (
+	leaveLimit = 3 * time.Second
+	slotLimit  = 8
+	// connectionLimit leaves out the connection of the test itself.
+	connectionLimit = 64 + 1
+)
+
+// serving starts entries and endpoints and waits until every entry answers.
+func serving(t *testing.T, entries, endpoints int, flags ...string) (*Deployment, []*Standin) {
+	t.Helper()
+	d := New(t, entries)
+	d.Apply(ReadConfig(t, config), "first")
+	var es []*Standin
+	for i := range endpoints {
+		es = append(es, d.StartEndpoint(fmt.Sprintf("endpoint-%d", i), "catalogue", "kelowna", flags...))
+	}
+	for _, e := range d.Entries {
+		d.ready(e)
+		d.Eventually("answer of "+e.ID, readyWait, func() bool {
+			return d.Call(http.MethodGet, e.Caller, "/services/catalogue/ping", nil, nil) == nil
+		})
+	}
+	return d, es
+}
+
+func (d *Deployment) ready(e *Entry) {
+	d.t.Helper()
+	d.Eventually("ready "+e.ID, readyWait, func() bool {
+		return d.Call(http.MethodGet, e.Admin, "/ready", nil, nil) == nil
+	})
+}
+
+// drive runs a load in the background; the result waits for its end.
+func (d *Deployment) drive(rate float64, long time.Duration) func() load.Result {
+	p := load.Plan{Service: "catalogue", Rate: rate, Duration: long, Deadline: 2 * time.Second, Seed: 1}
+	for _, e := range d.Entries {
+		p.Entries = append(p.Entries, e.Caller)
+		p.Ready = append(p.Ready, e.Admin)
+	}
+	out := make(chan load.Result, 1)
+	go func() {
+		os, _ := load.Run(context.Background(), p)
+		out <- load.Summarize(os)
+	}()
+	return func() load.Result { return <-out }
+}
+
+func (d *Deployment) peak(s *Standin) (p standin.Peak) {
+	d.t.Helper()
+	if err := d.Call(http.MethodGet, s.Address, "/control/peak", nil, &p); err != nil {
+		d.t.Fatal(err)
+	}
+	return p
+}
+
+// announceTo sends an announcement straight to an entry.
+func (d *Deployment) announceTo(to netip.AddrPort, a endpoint.Announcement) {
+	_ = d.Call(http.MethodPost, to, "/announcements/endpoints", a, nil)
+}
+
+// An endpoint that leaves gets no new request after 3 s, although one entry
+// was frozen, heard nothing and wakes later, and old announcements come late.
+func TestLeavingEndpointGetsNoNewRequest(t *testing.T) {
+	is := is.New(t)
+	d, es := serving(t, 3, 3)
+	defer d.KillAll()
+	frozen, gone := d.Entries[2], es[0]
+	var old endpoint.Announcement
+	is.NoErr(d.Call(http.MethodGet, gone.Address, "/control/announcement", nil, &old))
+	wait := d.drive(300, 13*time.Second)
+	time.Sleep(time.Second)
+	is.True(d.peak(gone).LastAge.Std() < time.Second) // it serves before
+
+	frozen.Freeze()
+	d.Fault(gone.Address, "/control/faults", standin.Faults{Leaving: true})
+	began := time.Now()
+	time.Sleep(time.Second)
+	d.Fault(gone.Address, "/control/faults", standin.Faults{Silent: true})
+	time.Sleep(time.Until(began.Add(leaveLimit)))
+	quiet := time.Now()
+	time.Sleep(2 * time.Second)
+	frozen.Wake()
+	d.announceTo(frozen.Caller, old)
+	for _, e := range d.Entries {
+		old.Seq += 1000
+		d.announceTo(e.Caller, old)
+	}
+	wait()
+	is.True(d.peak(gone).LastAge.Std() >= time.Since(quiet)) // no request after the limit
+}
+
+// An endpoint that vanishes without a word is out of use within its time to
+// live, and a new one gets work within 2 s.
+func TestVanishedAndNewEndpoints(t *testing.T) {
+	is := is.New(t)
+	d, es := serving(t, 2, 2)
+	defer d.KillAll()
+	ttl := ReadConfig(t, config).Timings.AnnouncementTTL.Std()
+	wait := d.drive(300, 8*time.Second)
+	d.Fault(es[0].Address, "/control/faults", standin.Faults{Silent: true})
+	time.Sleep(ttl + 500*time.Millisecond)
+	quiet := time.Now()
+	fresh := d.StartEndpoint("endpoint-new", "catalogue", "vernon")
+	began := time.Now()
+	d.Eventually("work for the new endpoint", 2*time.Second, func() bool { return d.peak(fresh).Requests > 0 })
+	t.Logf("new endpoint got work after %v", time.Since(began))
+	wait()
+	is.True(d.peak(es[0]).LastAge.Std() >= time.Since(quiet))
+}
+
+// A rolling replacement of every entry and every endpoint fails no request.
+func TestRollingReplacementFailsNothing(t *testing.T) {
+	is := is.New(t)
+	d, es := serving(t, 3, 4)
+	defer d.KillAll()
+	wait := d.drive(200, 14*time.Second)
+	var wg sync.WaitGroup
+	for i, e := range es {
+		d.StartEndpoint(fmt.Sprintf("next-%d", i), "catalogue", "vernon")
+		wg.Go(func() {
+			time.Sleep(time.Duration(1+i) * time.Second)
+			e.BeginStop()
+		})
+	}
+	for _, e := range d.Entries {
+		is.NoErr(e.Stop())
+		d.RestartEntry(e)
+		d.ready(e)
+	}
+	wg.Wait()
+	r := wait()
+	t.Logf("%+v", r)
+	is.Equal(r.WholeAnswers, r.Requests)
+}
+
+// An endpoint's slots and connections hold with all entries together while
+// one joins, one is frozen and wakes, and one is killed.
+func TestSlotsHoldAcrossEntries(t *testing.T) {
+	is := is.New(t)
+	d, es := serving(t, 3, 2, "--service-time", "40ms")
+	defer d.KillAll()
+	wait := d.drive(600, 16*time.Second)
+	time.Sleep(time.Second)
+	steady := d.peak(es[0])
+	is.Equal(steady.Requests, slotLimit) // all slots are in use
+	d.StartEntry()
+	waitNew := d.drive(200, 13*time.Second)
+	time.Sleep(2 * time.Second)
+	d.Entries[1].Freeze()
+	time.Sleep(11 * time.Second / 2)
+	d.Entries[1].Wake()
+	time.Sleep(2 * time.Second)
+	d.Entries[0].Kill()
+	wait()
+	waitNew()
+	for _, e := range es {
+		p := d.peak(e)
+		t.Logf("%+v", p)
+		is.Equal(p.Refused, 0)
+		is.True(p.Requests <= slotLimit)
+		is.True(p.Connections <= connectionLimit)
+	}
+}
--- a/io/standin/endpoint/server.go
+++ b/io/standin/endpoint/server.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"rosemarygap/core/endpoint"
+	"rosemarygap/core/wire"
 	"rosemarygap/io/httpjson"
 
 	"github.com/labstack/echo/v4"
@@ -38,20 +39,39 @@
 	Fail bool `json:"fail"`
 	// CutAnswers breaks the connection within every answer.
 	CutAnswers bool `json:"cut-answers"`
+	// Leaving announces that the endpoint leaves while it goes on serving.
+	Leaving bool `json:"leaving"`
 	// Silent stops the announcements.
 	Silent bool `json:"silent"`
 }
 
+// Peak is the most that the stand-in met at one time.
+type Peak struct {
+	Requests    int `json:"requests"`
+	Connections int `json:"connections"`
+	// Refused counts requests that came when all slots were taken.
+	Refused int `json:"refused"`
+	// LastID is the newest request, and LastAge the time since it came.
+	LastID  string        `json:"last-id"`
+	LastAge wire.Duration `json:"last-age"`
+}
+
 // Server pretends to be one endpoint.
 type Server struct {
 	mean  time.Duration
 	slots chan struct{}
+	began time.Time
 
 	mu       sync.Mutex
 	announce endpoint.Announcement
 	faults   Faults
 	ran      map[string]int
 	rng      *rand.Rand
+	peak     Peak
+	last     time.Time
+	requests int
+	// connections counts those that are open.
+	connections int
 }
 
 // NewServer returns the endpoint that a announces; a request takes mean on
@@ -61,6 +81,7 @@
 	a.State = endpoint.Ready
 	return &Server{
 		mean:     mean,
+		began:    time.Now(),
 		slots:    make(chan struct{}, a.Slots),
 		announce: a,
 		ran:      make(map[string]int),
@@ -72,6 +93,8 @@
 func (s *Server) Handler() http.Handler {
 	e := httpjson.NewServer()
 	e.GET("/control/ran", s.listRan)
+	e.GET("/control/peak", s.showPeak)
+	e.GET("/control/announcement", s.showAnnouncement)
 	e.POST("/control/faults", s.setFaults)
 	e.Any("/*", s.serve)
 	return e
@@ -108,10 +131,12 @@
 func (s *Server) serve(c echo.Context) error {
 	r, w := c.Request(), c.Response()
 	id := r.Header.Get(HeaderRequestID)
+	defer s.enter(id)()
 	select {
 	case s.slots <- struct{}{}:
 		defer func() { <-s.slots }()
 	default:
+		s.refused()
 		w.Header().Set(HeaderNotRun, "slots-full")
 		return c.NoContent(http.StatusServiceUnavailable)
 	}
@@ -166,6 +191,10 @@
 func (s *Server) announceOnce(ctx context.Context, c *httpjson.Client, to netip.AddrPort) {
 	s.mu.Lock()
 	s.announce.Seq++
+	if s.faults.Leaving {
+		s.announce.State = endpoint.Leaving
+	}
+	s.announce.Uptime = wire.Duration(time.Since(s.began))
 	a, silent := s.announce, s.faults.Silent
 	s.mu.Unlock()
 	if !silent {
