Count an entry that is heard although its registration ended

With the store down for an hour, a watch that was already under way told each entry that the others' leases had lapsed; they turned one another away and every entry refused all requests:

outage_test.go:166: 0 22s entry-b ready=false open=false sharing=false

The end of a registration now only makes hearing from the entry decide. Shares still grow only when all that are heard agree on the same set.

--- a/core/peer/roster.go
+++ b/core/peer/roster.go
@@ -28,9 +28,11 @@
 	// Revision is the store's revision of the registration or of its end; 0
 	// if the entry is known only from its messages.
 	Revision int64 `json:"revision"`
-	// Removed means that the registration ended.
+	// Removed means that the registration ended; the entry counts as long as
+	// it is heard of.
 	Removed bool `json:"removed,omitempty"`
-	// Age is the time since the entry was last heard of.
+	// Age is the time since the entry was last heard of, or its registration
+	// ended.
 	Age wire.Duration `json:"age"`
 }
 
@@ -49,8 +51,6 @@
 	// Over lists endpoints at which it still has more requests in progress
 	// than its share.
 	Over []string `json:"over,omitempty"`
-	// Counted means that it counts the asker as an entry.
-	Counted bool `json:"counted"`
 	// Booted means that it knows the entries from the store or from another
 	// entry that does, and was not just paused; the word of one that does not
 	// is worth nothing.
@@ -83,7 +83,6 @@
 	ticked   time.Time
 	woke     time.Time
 	attested time.Time
-	denied   time.Time
 }
 
 // NewRoster returns a roster that knows only its own entry and allows no
@@ -97,8 +96,8 @@
 
 // Filled says that the roster has been filled from the store, with this
 // entry's own registration in it. After an outage others may register later,
-// so that alone counts only after a while; an answer of a booted entry that
-// counts this one counts at once.
+// so that alone counts only after a while; an answer of a booted entry counts
+// at once.
 func (r *Roster) Filled(now time.Time) {
 	if r.filled.IsZero() {
 		r.filled = now
@@ -116,9 +115,6 @@
 		return false
 	}
 	since := asked.Add(-n.Age.Std())
-	if n.Removed {
-		since = now
-	}
 	row := &rosterRow{n.Member, n.Revision, n.Removed, since}
 	old := r.rows[n.Member.ID]
 	switch {
@@ -127,7 +123,7 @@
 	case n.Member.Incarnation < old.member.Incarnation:
 	case n.Revision > old.revision:
 		r.rows[n.Member.ID] = row
-	case n.Revision == 0 && !old.removed && since.After(old.since):
+	case since.After(old.since):
 		old.since = since
 	}
 	return r.adopt(now)
@@ -207,16 +203,13 @@
 		r.restart(now)
 	}
 	r.ticked = now
-	if !r.woke.IsZero() && clock.Elapsed(r.woke, now) >= Linger && !r.denied.After(r.woke) {
+	if !r.woke.IsZero() && clock.Elapsed(r.woke, now) >= Linger {
 		r.woke = time.Time{}
 		if r.booted && len(r.reports) == 0 {
 			r.sets = [][]string{r.names}
 			r.stamp++
 		}
 	}
-	if r.shut(now) {
-		r.restart(now)
-	}
 	if !r.filled.IsZero() && clock.Elapsed(r.filled, now) >= Linger {
 		r.boot()
 	}
@@ -234,7 +227,7 @@
 // that were unheard for too long may just not have been heard here.
 func (r *Roster) restart(now time.Time) {
 	for _, row := range r.rows {
-		if row.revision == 0 {
+		if row.revision == 0 || row.removed {
 			row.since = now
 		}
 	}
@@ -272,19 +265,9 @@
 	return out
 }
 
-// Counts reports whether this entry counts the entry id.
-func (r *Roster) Counts(id string, now time.Time) bool {
-	row := r.rows[id]
-	return row != nil && !row.removed && row.counts(now)
-}
-
 // Answered takes in the report of another entry in its answer to a question
 // asked at asked.
 func (r *Roster) Answered(id string, p Report, asked, now time.Time) {
-	if !p.Counted {
-		r.denied = asked
-		return
-	}
 	if !p.Booted {
 		return
 	}
@@ -346,7 +329,7 @@
 func (r *Roster) Stamp() int64 { return r.stamp }
 
 // Sharing reports whether this entry has had shares agreed since it started
-// or was left out by the others.
+// or was paused.
 func (r *Roster) Sharing(now time.Time) bool {
 	return r.booted && r.sets[0] != nil && !r.OpenUntil(now).IsZero()
 }
@@ -372,27 +355,20 @@
 	return false
 }
 
-// shut reports whether another entry said that it does not count this one,
-// and none has counted it for as long as a share is held.
-func (r *Roster) shut(now time.Time) bool {
-	return r.denied.After(r.attested) && clock.Elapsed(r.attested, now) >= Hold
-}
-
 // OpenUntil returns until when this entry may use its shares if its control
 // goroutine does not run again, or the zero time if it may not. An entry that
-// was paused waits for the store or another entry to count it; one that is
-// told that it does not count stops. Where neither answers it goes on, since
-// the store may be down and the others gone.
+// was paused waits for the store or another entry to answer. Where neither
+// does it goes on, since the store may be down and the others gone.
 func (r *Roster) OpenUntil(now time.Time) time.Time {
-	if r.shut(now) || !r.woke.IsZero() {
+	if !r.woke.IsZero() {
 		return time.Time{}
 	}
 	return now.Add(Hold)
 }
 
-// Report returns what the answer to the entry asker says of shares. Over lists
-// the endpoints at which more requests are in progress than the share allows,
-// and must be read after the shares were brought in line with Share.
-func (r *Roster) Report(asker string, over []string, now time.Time) Report {
-	return Report{Version: r.version, Over: over, Counted: r.Counts(asker, now), Booted: r.booted && r.woke.IsZero()}
+// Report returns what an answer says of shares. Over lists the endpoints at
+// which more requests are in progress than the share allows, and must be read
+// after the shares were brought in line with Share.
+func (r *Roster) Report(over []string) Report {
+	return Report{Version: r.version, Over: over, Booted: r.booted && r.woke.IsZero()}
 }
--- a/core/peer/roster_test.go
+++ b/core/peer/roster_test.go
@@ -115,13 +115,13 @@
 
 func (e *simEntry) applyShares() { e.load.limit = e.roster.Share("endpoint", simSlots) }
 
-func (e *simEntry) report(asker string, now time.Time) Report {
+func (e *simEntry) report() Report {
 	e.applyShares()
 	var over []string
 	if e.load.inFlight > e.load.limit {
 		over = []string{"endpoint"}
 	}
-	return e.roster.Report(asker, over, now)
+	return e.roster.Report(over)
 }
 
 // ask sends a question that may be lost; its answer may come late or never.
@@ -134,7 +134,7 @@
 		// The control goroutine looks at the clock before each message.
 		p.roster.Tick(s.now)
 		p.roster.Hear(e.self, s.now)
-		rep, rows := p.report(e.self.ID, s.now), p.roster.Rows(s.now)
+		rep, rows := p.report(), p.roster.Rows(s.now)
 		answer := func() {
 			if e.dead || e.frozen {
 				return
--- a/io/entry/control.go
+++ b/io/entry/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -34,11 +35,13 @@
 
 // control owns all control state of an entry.
 type control struct {
-	opts    Options
-	log     hclog.Logger
-	store   platform.Store
-	peers   *iopeer.Client
-	workers *worker.Client
+	opts  Options
+	log   hclog.Logger
+	store platform.Store
+	peers *iopeer.Client
+	// exchange asks another entry for what it knows.
+	exchange func(context.Context, netip.AddrPort, peer.Exchange) (peer.Answer, error)
+	workers  *worker.Client
 
 	mailbox chan message
 	results chan message
@@ -85,6 +88,7 @@
 		self: peer.Member{ID: o.ID, Zone: o.Zone, Address: o.PeerListen,
 			Operator: o.OperatorListen, Incarnation: time.Now().UnixNano()},
 	}
+	c.exchange = c.peers.Exchange
 	c.peering = newPeering(c.self, time.Now())
 	c.endpoints = endpoint.NewMembership(defaultTTL,
 		endpoint.WithGate(&c.peering.gate), endpoint.WithShare(c.peering.roster.Share))
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -74,7 +74,7 @@
 		x.Revision = c.config.Revision
 	}
 	c.start(ctx, func(ctx context.Context) message {
-		out, err := c.peers.Exchange(ctx, to, x)
+		out, err := c.exchange(ctx, to, x)
 		return exchangeResult{key, now, out, err}
 	})
 }
@@ -168,7 +168,7 @@
 	p := &c.peering
 	c.applyShares()
 	a := peer.Answer{From: c.self,
-		Report:    p.roster.Report(x.From.ID, c.endpoints.Over(), now),
+		Report:    p.roster.Report(c.endpoints.Over()),
 		Endpoints: p.endpoints.Since(x.Endpoints, heardWindow, now),
 		Workers:   p.workers.Since(x.Workers, heardWindow, now),
 	}
