--- /dev/null
+++ b/core/endpoint/balanced.go
@@ -0,0 +1,254 @@
+package endpoint
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"rosemarygap/core/caller"
+)
+
+// Balanced picks by the expected time of one more request: a decaying estimate
+// of the endpoint's latency, weighed by the slots in use. It compares two
+// random endpoints of its own availability zone with one from anywhere, so it
+// takes a detour only if that gains more than it costs. Outliers, slow or
+// failing, get only probes; a fast failure is no latency and attracts nothing.
+// Its methods may be called from any goroutine.
+type Balanced struct {
+	zone   string
+	detour float64
+	intN   func(n int) int
+
+	mu       sync.Mutex
+	known    map[string]*estimate
+	services map[string]*serviceState
+	swept    time.Time
+}
+
+// serviceState is what Balanced keeps for one service.
+type serviceState struct {
+	// first and count identify the view that local was built from.
+	first    *Candidate
+	count    int
+	local    []int
+	median   float64
+	reviewed time.Time
+	outliers int
+}
+
+// Times of the upkeep of Balanced.
+const (
+	reviewEvery = 100 * time.Millisecond
+	sweepEvery  = time.Minute
+	// forgetUnused is how long the estimate of an unused endpoint is kept.
+	forgetUnused = 10 * time.Minute
+)
+
+// Draws of candidates to compare.
+const (
+	localDraws = 2
+	otherDraws = 1
+)
+
+// maxOutliers is the largest share of a service's endpoints that are outliers
+// at a time: one in maxOutliers.
+const maxOutliers = 2
+
+// BalancedOption changes how a Balanced policy chooses.
+type BalancedOption func(*Balanced)
+
+// WithZone prefers an availability zone; another one costs detour more.
+func WithZone(zone string, detour time.Duration) BalancedOption {
+	return func(p *Balanced) { p.zone, p.detour = zone, detour.Seconds() }
+}
+
+// WithIntN draws random numbers under n from f, which is called by one
+// goroutine at a time.
+func WithIntN(f func(n int) int) BalancedOption { return func(p *Balanced) { p.intN = f } }
+
+// NewBalanced returns a policy that knows nothing yet.
+func NewBalanced(opts ...BalancedOption) *Balanced {
+	p := &Balanced{known: make(map[string]*estimate), services: make(map[string]*serviceState),
+		intN: rand.IntN}
+	for _, o := range opts {
+		o(p)
+	}
+	return p
+}
+
+// Observe takes in how an attempt at an endpoint ended. An attempt that the
+// caller itself cancelled says nothing of the endpoint and is not observed.
+func (p *Balanced) Observe(id string, d time.Duration, r caller.Result, httpStatus int, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.known[id]
+	if e == nil {
+		return
+	}
+	limit := 0.0
+	for _, s := range p.services {
+		limit = max(limit, slowFactor*s.median)
+	}
+	e.observe(d, failedAttempt(r, httpStatus), limit, now)
+}
+
+// Pick implements Policy.
+func (p *Balanced) Pick(cs []Candidate, now time.Time) *Candidate {
+	if len(cs) == 0 {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.service(cs, now)
+	if c := p.probe(s, cs, now); c != nil {
+		return c
+	}
+	if c := p.draw(s, cs, now); c != nil && takes(c, now) {
+		return c
+	}
+	return p.scan(cs, now)
+}
+
+// service returns the state of the candidates' service, reviewed if due.
+func (p *Balanced) service(cs []Candidate, now time.Time) *serviceState {
+	s := p.services[cs[0].Service]
+	if s == nil {
+		s = &serviceState{}
+		p.services[cs[0].Service] = s
+	}
+	if s.first != &cs[0] || s.count != len(cs) {
+		s.first, s.count, s.local = &cs[0], len(cs), nil
+		for i := range cs {
+			if cs[i].Zone == p.zone {
+				s.local = append(s.local, i)
+			}
+		}
+		s.reviewed = time.Time{}
+	}
+	if now.Sub(s.reviewed) >= reviewEvery {
+		s.reviewed = now
+		p.review(s, cs, now)
+	}
+	p.sweep(now)
+	return s
+}
+
+// estimate returns what is known of a candidate.
+func (p *Balanced) estimate(c *Candidate, now time.Time) *estimate {
+	e := p.known[c.ID]
+	if e == nil || e.load != c.Load {
+		e = &estimate{load: c.Load, born: now}
+		p.known[c.ID] = e
+	}
+	return e
+}
+
+// review computes the median latency and marks the worst outliers.
+func (p *Balanced) review(s *serviceState, cs []Candidate, now time.Time) {
+	var means []float64
+	s.outliers = 0
+	for i := range cs {
+		e := p.estimate(&cs[i], now)
+		e.used = now
+		if e.ejected {
+			s.outliers++
+		} else if e.samples >= enough {
+			means = append(means, e.mean)
+		}
+	}
+	if len(means) > 0 {
+		slices.Sort(means)
+		s.median = means[(len(means)-1)/2]
+	}
+	for s.outliers < len(cs)/maxOutliers {
+		worst := p.worst(s, cs, now)
+		if worst == nil {
+			return
+		}
+		worst.eject(now)
+		s.outliers++
+	}
+}
+
+func (p *Balanced) worst(s *serviceState, cs []Candidate, now time.Time) *estimate {
+	var worst *estimate
+	most := 0.0
+	for i := range cs {
+		e := p.estimate(&cs[i], now)
+		if bad := e.outlier(s.median); !e.ejected && bad > most {
+			worst, most = e, bad
+		}
+	}
+	return worst
+}
+
+// probe takes an outlier whose next probe is due, or returns nil.
+func (p *Balanced) probe(s *serviceState, cs []Candidate, now time.Time) *Candidate {
+	if s.outliers == 0 {
+		return nil
+	}
+	for i := range cs {
+		e := p.estimate(&cs[i], now)
+		if e.ejected && !e.probing && !now.Before(e.probe) && takes(&cs[i], now) {
+			e.probing = true
+			return &cs[i]
+		}
+	}
+	return nil
+}
+
+// draw returns the cheapest of a few random candidates.
+func (p *Balanced) draw(s *serviceState, cs []Candidate, now time.Time) *Candidate {
+	var best *Candidate
+	var least float64
+	consider := func(c *Candidate) {
+		e := p.estimate(c, now)
+		if e.ejected || !free(c, now) {
+			return
+		}
+		cost := e.cost(c, s.median, now)
+		if c.Zone != p.zone {
+			cost += p.detour
+		}
+		if best == nil || cost < least {
+			best, least = c, cost
+		}
+	}
+	others := otherDraws
+	if len(s.local) == 0 {
+		others += localDraws
+	}
+	for range min(localDraws, localDraws*len(s.local)) {
+		consider(&cs[s.local[p.intN(len(s.local))]])
+	}
+	for range others {
+		consider(&cs[p.intN(len(cs))])
+	}
+	return best
+}
+
+// scan takes any candidate with a free slot that is no outlier.
+func (p *Balanced) scan(cs []Candidate, now time.Time) *Candidate {
+	start := p.intN(len(cs))
+	for i := range cs {
+		c := &cs[(start+i)%len(cs)]
+		if !p.estimate(c, now).ejected && takes(c, now) {
+			return c
+		}
+	}
+	return nil
+}
+
+// sweep forgets endpoints that are gone.
+func (p *Balanced) sweep(now time.Time) {
+	if now.Sub(p.swept) < sweepEvery {
+		return
+	}
+	p.swept = now
+	for id, e := range p.known {
+		if now.Sub(e.used) > forgetUnused {
+			delete(p.known, id)
+		}
+	}
+}
--- a/core/endpoint/view.go
+++ b/core/endpoint/view.go
@@ -1,7 +1,6 @@
 package endpoint
 
 import (
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -62,46 +61,3 @@
 	}
 	return v
 }
-
-// Policy picks the endpoint for the next dispatch and takes one of its slots.
-// It returns nil if no candidate has a free slot.
-type Policy interface {
-	Pick(cs []Candidate, now time.Time) *Candidate
-}
-
-// TwoChoices picks the less loaded of two random candidates.
-type TwoChoices struct{}
-
-// Pick implements Policy.
-func (TwoChoices) Pick(cs []Candidate, now time.Time) *Candidate {
-	if len(cs) == 0 {
-		return nil
-	}
-	a := &cs[rand.IntN(len(cs))]
-	b := &cs[rand.IntN(len(cs))]
-	if b.Load.InFlight() < a.Load.InFlight() {
-		a, b = b, a
-	}
-	if takes(a, now) {
-		return a
-	}
-	if takes(b, now) {
-		return b
-	}
-	return firstFree(cs, now)
-}
-
-func firstFree(cs []Candidate, now time.Time) *Candidate {
-	start := rand.IntN(len(cs))
-	for i := range cs {
-		c := &cs[(start+i)%len(cs)]
-		if takes(c, now) {
-			return c
-		}
-	}
-	return nil
-}
-
-func takes(c *Candidate, now time.Time) bool {
-	return c.Load.Usable(now) && c.Load.Acquire()
-}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -6,6 +6,7 @@
 	"os"
 	"time"
 
+	coreendpoint "rosemarygap/core/endpoint"
 	"rosemarygap/core/event"
 	iocaller "rosemarygap/io/caller"
 	"rosemarygap/io/endpoint"
@@ -19,7 +20,13 @@
 )
 
 // connectionsPerEndpoint bounds the connections of this entry to one endpoint.
-const connectionsPerEndpoint = 16
+// It is an eighth of an endpoint's 64, so that even entries that were just
+// left out of the shares, and still have connections open, exceed nothing.
+const connectionsPerEndpoint = 8
+
+// zoneDetour is the time that a request to another availability zone costs
+// beside one in the entry's own, before its latency is known.
+const zoneDetour = 2 * time.Millisecond
 
 // Entry is the process on an entry VM.
 type Entry struct {
@@ -76,7 +83,8 @@
 // stop ends them: callers are sent elsewhere first, and the interface
 // between entries goes last.
 func (e *Entry) addActors(g *run.Group) error {
-	callers := iocaller.NewServer(e.control, e.client, e.log)
+	policy := coreendpoint.NewBalanced(coreendpoint.WithZone(e.opts.Zone, zoneDetour))
+	callers := iocaller.NewServer(e.control, e.client, e.log, iocaller.WithPolicy(policy))
 	operators := operator.NewServer(e.control, e.store, e.log, e.opts.OperatorToken)
 	listeners := []listenerSpec{
 		{e.opts.CallerListen, callers.Handler()},
--- a/io/standin/deployment/endpoints_test.go
+++ b/io/standin/deployment/endpoints_test.go
@@ -102,6 +102,7 @@
 	time.Sleep(2 * time.Second)
 	frozen.Wake()
 	d.announceTo(frozen.Caller, old)
+	old.Uptime = 0 // as from an endpoint that does not tell it
 	for _, e := range d.Entries {
 		old.Seq += 1000
 		d.announceTo(e.Caller, old)
