--- a/core/endpoint/balanced.go
+++ b/core/endpoint/balanced.go
@@ -35,6 +35,7 @@
 	median   float64
 	reviewed time.Time
 	outliers int
+	slow     int
 }
 
 // Times of the upkeep of Balanced.
@@ -51,9 +52,12 @@
 	otherDraws = 1
 )
 
-// maxOutliers is the largest share of a service's endpoints that are outliers
-// at a time: one in maxOutliers.
-const maxOutliers = 2
+// Shares of a service's endpoints that may be outliers at a time, as one in so
+// many. A slow endpoint still answers, so that fewer of them are given up.
+const (
+	maxOutliers = 2
+	maxSlow     = 4
+)
 
 // BalancedOption changes how a Balanced policy chooses.
 type BalancedOption func(*Balanced)
@@ -147,12 +151,12 @@
 // review computes the median latency and marks the worst outliers.
 func (p *Balanced) review(s *serviceState, cs []Candidate, now time.Time) {
 	var means []float64
-	s.outliers = 0
+	s.outliers, s.slow = 0, 0
 	for i := range cs {
 		e := p.estimate(&cs[i], now)
 		e.used = now
 		if e.ejected {
-			s.outliers++
+			s.admit(e)
 		} else if e.samples >= enough {
 			means = append(means, e.mean)
 		}
@@ -167,7 +171,15 @@
 			return
 		}
 		worst.eject(now)
-		s.outliers++
+		s.admit(worst)
+	}
+}
+
+// admit counts an outlier.
+func (s *serviceState) admit(e *estimate) {
+	s.outliers++
+	if e.slow {
+		s.slow++
 	}
 }
 
@@ -176,7 +188,10 @@
 	most := 0.0
 	for i := range cs {
 		e := p.estimate(&cs[i], now)
-		if bad := e.outlier(s.median); !e.ejected && bad > most {
+		if e.ejected || !e.fails() && s.slow >= max(1, len(cs)/maxSlow) {
+			continue
+		}
+		if bad := e.outlier(s.median); bad > most {
 			worst, most = e, bad
 		}
 	}
--- a/core/endpoint/estimate.go
+++ b/core/endpoint/estimate.go
@@ -15,7 +15,7 @@
 	enough = 5
 	// slowFactor is how many times slower than the median of the service an
 	// outlier is, and failShare how many of its requests fail.
-	slowFactor = 3
+	slowFactor = 5
 	failShare  = 0.5
 	// goodProbes is how many probes in a row must go well before an outlier
 	// is used again.
@@ -27,6 +27,9 @@
 	// times as much down to its own cost.
 	slowStart    = 2 * time.Second
 	newcomerCost = 4
+	// unknownMean stands for the mean latency while nothing was observed, in
+	// seconds.
+	unknownMean = 0.005
 )
 
 // estimate is what an entry learned about one endpoint.
@@ -43,6 +46,8 @@
 	tries   int
 
 	ejected bool
+	// slow tells a slow outlier from a failing one.
+	slow    bool
 	probing bool
 	good    int
 	wait    time.Duration
@@ -85,14 +90,18 @@
 
 func (e *estimate) eject(now time.Time) {
 	e.ejected, e.probing, e.good = true, false, 0
+	e.slow = !e.fails()
 	e.wait = max(e.wait, probeAfter)
 	e.probe = now.Add(e.wait)
 }
 
+// fails reports whether most requests fail.
+func (e *estimate) fails() bool { return e.tries >= enough && e.failing > failShare }
+
 // outlier reports how bad an endpoint is beside the median latency of its
 // service, in seconds; 0 means that it is no outlier.
 func (e *estimate) outlier(median float64) float64 {
-	if e.tries >= enough && e.failing > failShare {
+	if e.fails() {
 		return slowFactor * (1 + e.failing)
 	}
 	if e.samples >= enough && median > 0 && e.mean > slowFactor*median {
@@ -104,6 +113,9 @@
 // cost is the expected time of one more request, in seconds.
 func (e *estimate) cost(c *Candidate, median float64, now time.Time) float64 {
 	mean := median
+	if mean == 0 {
+		mean = unknownMean
+	}
 	if e.samples >= enough {
 		mean = e.mean
 	}
