--- a/core/endpoint/balanced.go
+++ b/core/endpoint/balanced.go
@@ -10,8 +10,8 @@
 )
 
 // Balanced picks by the expected time of one more request: a decaying estimate
-// of the endpoint's latency, weighed by the slots in use. It compares two
-// random endpoints of its own availability zone with one from anywhere, so it
+// of the endpoint's latency, weighed by the slots in use. It compares a
+// few random endpoints of its own availability zone with some from anywhere, so it
 // takes a detour only if that gains more than it costs. Outliers, slow or
 // failing, get only probes; a fast failure is no latency and attracts nothing.
 // Its methods may be called from any goroutine.
@@ -46,10 +46,12 @@
 	forgetUnused = 10 * time.Minute
 )
 
-// Draws of candidates to compare.
+// Draws of candidates to compare where a service has more than compareAll; a
+// share of an endpoint is a few slots, so that many draws meet a full one.
 const (
-	localDraws = 2
-	otherDraws = 1
+	compareAll = 32
+	localDraws = 8
+	otherDraws = 4
 )
 
 // Shares of a service's endpoints that may be outliers at a time, as one in so
@@ -213,7 +215,8 @@
 	return nil
 }
 
-// draw returns the cheapest of a few random candidates.
+// draw returns the cheapest of a few random candidates, or of all of them if
+// they are few.
 func (p *Balanced) draw(s *serviceState, cs []Candidate, now time.Time) *Candidate {
 	var best *Candidate
 	var least float64
@@ -230,6 +233,13 @@
 			best, least = c, cost
 		}
 	}
+	if len(cs) <= compareAll {
+		start := p.intN(len(cs))
+		for i := range cs {
+			consider(&cs[(start+i)%len(cs)])
+		}
+		return best
+	}
 	others := otherDraws
 	if len(s.local) == 0 {
 		others += localDraws
--- a/core/endpoint/estimate.go
+++ b/core/endpoint/estimate.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"math"
 	"time"
 
 	"rosemarygap/core/caller"
@@ -27,6 +28,9 @@
 	// times as much down to its own cost.
 	slowStart    = 2 * time.Second
 	newcomerCost = 4
+	// fade is the time constant with which an estimate that is not fed
+	// returns to the median.
+	fade = 500 * time.Millisecond
 	// unknownMean stands for the mean latency while nothing was observed, in
 	// seconds.
 	unknownMean = 0.005
@@ -41,6 +45,8 @@
 	// mean is the decaying mean of the latency of whole answers, in seconds.
 	mean    float64
 	samples int
+	// sampled is when the mean was last fed.
+	sampled time.Time
 	// failing is the decaying share of requests without a whole answer.
 	failing float64
 	tries   int
@@ -68,6 +74,7 @@
 	}
 	e.failing -= w * e.failing
 	e.samples++
+	e.sampled = now
 	e.mean += max(weight, 1/float64(e.samples)) * (d.Seconds() - e.mean)
 }
 
@@ -117,7 +124,9 @@
 		mean = unknownMean
 	}
 	if e.samples >= enough {
-		mean = e.mean
+		// An endpoint that is avoided is not measured; its estimate fades.
+		fresh := math.Exp(-now.Sub(e.sampled).Seconds() / fade.Seconds())
+		mean += (e.mean - mean) * fresh
 	}
 	busy := float64(c.Load.InFlight()+1) / float64(max(1, c.Load.Limit()))
 	cost := mean * (1 + busy) / max(1-e.failing, weight)
