Date the bits of a digest by the announcement, not by its arrival

An announcement that was long under way set the bit of its endpoint for a second from its arrival, and every entry that asked took the endpoint for alive. TestNoMessageKeepsAnEndpointAlive with the arrival:

feed_test.go:117: entry 2 uses the endpoint 2s after it stopped

A bit now says how old the announcement is, whoever passed it on.

--- a/core/peer/feed.go
+++ b/core/peer/feed.go
@@ -22,7 +22,8 @@
 }
 
 // Delta is what a feed has for an asker: changes since its cursor, and a
-// bitmap of the indexes that the feed's owner itself heard of within Window.
+// bitmap of the indexes whose announcements are at most Window old. The asker
+// takes them for that old, so passing a bit on makes nothing younger.
 type Delta[T any] struct {
 	Cursor  Cursor        `json:"cursor"`
 	Changes []Change[T]   `json:"changes,omitempty"`
@@ -35,9 +36,7 @@
 	value T
 	// made is when the announcement was made, as far as known.
 	made time.Time
-	// heard is when the owner itself last heard of it, not through others.
-	heard time.Time
-	live  bool
+	live bool
 }
 
 // Feed numbers announcements in the order in which they changed, so that
@@ -64,9 +63,8 @@
 	return &Feed[T]{generation: generation, index: make(map[string]int), same: same}
 }
 
-// Note takes in an announcement. Direct means that it came from its own
-// sender and not through another entry.
-func (f *Feed[T]) Note(key string, v T, made, now time.Time, direct bool) {
+// Note takes in an announcement that was made at made at the latest.
+func (f *Feed[T]) Note(key string, v T, made time.Time) {
 	i, ok := f.index[key]
 	if !ok || !f.same(f.rows[i].value, v) {
 		i = f.add(key, v, made)
@@ -75,9 +73,6 @@
 	if made.After(r.made) {
 		r.made = made
 	}
-	if direct {
-		r.heard = now
-	}
 }
 
 func (f *Feed[T]) add(key string, v T, made time.Time) int {
@@ -134,12 +129,12 @@
 		if !r.live {
 			continue
 		}
-		if !r.heard.IsZero() && clock.Elapsed(r.heard, now) <= window {
+		age := clock.Elapsed(r.made, now)
+		if age <= window {
 			d.Heard[i/8] |= 1 << (i % 8)
 		}
 		if i >= c.Next {
-			age := wire.Duration(clock.Elapsed(r.made, now))
-			d.Changes = append(d.Changes, Change[T]{i, r.value, age})
+			d.Changes = append(d.Changes, Change[T]{i, r.value, wire.Duration(age)})
 		}
 	}
 	return d
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -107,17 +107,17 @@
 	m.endpoints.Absorb(r.out.Endpoints, r.asked,
 		func(a endpoint.Announcement, made time.Time) { c.heardEndpoint(a, made, now, false) },
 		func(a endpoint.Announcement, made time.Time) { c.refreshedEndpoint(a, made, now) })
-	heard := func(n peer.WorkerNotice, made time.Time) { c.heardWorker(n, made, now, false) }
+	heard := func(n peer.WorkerNotice, made time.Time) { c.heardWorker(n, made, now) }
 	m.workers.Absorb(r.out.Workers, r.asked, heard, heard)
 }
 
-func (c *control) heardWorker(n peer.WorkerNotice, made, now time.Time, direct bool) {
+func (c *control) heardWorker(n peer.WorkerNotice, made, now time.Time) {
 	old := c.notices.Get(n.ID)
 	if old != nil && (old.notice.Incarnation > n.Incarnation || old.made.After(made)) {
 		return
 	}
 	c.notices.Put(n.ID, heardWorker{n, made})
-	c.peering.workers.Note(n.ID, n, made, now, direct)
+	c.peering.workers.Note(n.ID, n, made)
 	if c.config == nil {
 		return
 	}
@@ -152,7 +152,7 @@
 }
 
 func (m workerAnnounced) handle(c *control, now time.Time) {
-	c.heardWorker(m.n, m.heard, now, true)
+	c.heardWorker(m.n, m.heard, now)
 }
 
 func (m exchangeReceived) handle(c *control, now time.Time) {
--- a/io/entry/peering.go
+++ b/io/entry/peering.go
@@ -121,17 +121,17 @@
 	}
 	if latest, made, ok := c.endpoints.Latest(a.ID); ok {
 		latest.Uptime = 0
-		c.peering.endpoints.Note(a.ID, latest, made, now, direct)
+		c.peering.endpoints.Note(a.ID, latest, made)
 	}
 }
 
-// refreshedEndpoint takes in that another entry itself heard of an endpoint.
+// refreshedEndpoint takes in that another entry heard of an endpoint.
 func (c *control) refreshedEndpoint(a endpoint.Announcement, made, now time.Time) {
 	if c.endpoints.Refresh(a.ID, a.Incarnation, made, now) {
 		c.dirty = true
 	}
 	if latest, made, ok := c.endpoints.Latest(a.ID); ok {
 		latest.Uptime = 0
-		c.peering.endpoints.Note(a.ID, latest, made, now, false)
+		c.peering.endpoints.Note(a.ID, latest, made)
 	}
 }
--- a/io/standin/deployment/endpoints_test.go
+++ b/io/standin/deployment/endpoints_test.go
@@ -82,6 +82,7 @@
 // An endpoint that leaves gets no new request after 3 s, although one entry
 // was frozen, heard nothing and wakes later, and old announcements come late.
 func TestLeavingEndpointGetsNoNewRequest(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	d, es := serving(t, 3, 3)
 	defer d.KillAll()
@@ -114,6 +115,7 @@
 // An endpoint that vanishes without a word is out of use within its time to
 // live, and a new one gets work within 2 s.
 func TestVanishedAndNewEndpoints(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	d, es := serving(t, 2, 2)
 	defer d.KillAll()
@@ -132,6 +134,7 @@
 
 // A rolling replacement of every entry and every endpoint fails no request.
 func TestRollingReplacementFailsNothing(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	d, es := serving(t, 3, 4)
 	defer d.KillAll()
@@ -158,6 +161,7 @@
 // An endpoint's slots and connections hold with all entries together while
 // one joins, one is frozen and wakes, and one is killed.
 func TestSlotsHoldAcrossEntries(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	d, es := serving(t, 3, 2, "--service-time", "40ms")
 	defer d.KillAll()
