--- /dev/null
+++ b/core/peer/bench_test.go
@@ -0,0 +1,87 @@
+package peer
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"rosemarygap/core/endpoint"
+)
+
+func benchFeed(n int, now time.Time) *Feed[endpoint.Announcement] {
+	f := NewFeed(1, func(a, b endpoint.Announcement) bool { return a.Same(b) })
+	for i := range n {
+		a := endpoint.Announcement{ID: fmt.Sprintf("endpoint-%04d", i), Service: "catalogue",
+			Zone: "kelowna", Address: netip.MustParseAddrPort("10.0.0.1:9001"),
+			Incarnation: 1767225600000000000 + int64(i), Seq: 1, State: endpoint.Ready, Slots: 8, Connections: 64}
+		f.Note(a.ID, a, now.Add(-time.Duration(i%10)*100*time.Millisecond))
+	}
+	return f
+}
+
+func heapBytes() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// BenchmarkExchange measures one question and its answer between two entries
+// that know the same endpoints: building and encoding at one, decoding and
+// absorbing at the other. It reports the bytes of the whole list, of whole
+// announcements of those refreshed within the window, and of the digest.
+func BenchmarkExchange(b *testing.B) {
+	for _, n := range []int{100, 800, 3200} {
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			now := time.Now()
+			before := heapBytes()
+			f := benchFeed(n, now)
+			feedBytes := heapBytes() - before
+			var m Mirror[endpoint.Announcement]
+			changed := func(a endpoint.Announcement, _ time.Time) Key { return Key{a.ID, a.Incarnation} }
+			none := func(Key, time.Time) {}
+			whole := f.Since(Cursor{}, time.Second, now)
+			m.Absorb(whole, now, changed, none)
+			mirrorBytes := heapBytes() - before - feedBytes
+			full, _ := json.Marshal(whole)
+			half, _ := json.Marshal(whole.Changes[:n/2])
+			var digest []byte
+			for b.Loop() {
+				digest, _ = json.Marshal(f.Since(m.Cursor(), time.Second, now))
+				var d Delta[endpoint.Announcement]
+				if err := json.Unmarshal(digest, &d); err != nil {
+					b.Fatal(err)
+				}
+				m.Absorb(d, now, changed, none)
+			}
+			b.ReportMetric(float64(len(full)), "full-B")
+			b.ReportMetric(float64(len(half)), "deltas-B")
+			b.ReportMetric(float64(len(digest)), "digest-B")
+			b.ReportMetric(feedBytes/float64(n), "feed-B/endpoint")
+			b.ReportMetric(mirrorBytes/float64(n), "mirror-B/endpoint")
+			runtime.KeepAlive(f)
+			runtime.KeepAlive(&m)
+		})
+	}
+}
+
+// BenchmarkShares measures the shares of 3,200 endpoints after a change of the
+// set of entries.
+func BenchmarkShares(b *testing.B) {
+	for _, entries := range []int{3, 12, 24} {
+		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
+			var names []string
+			for i := range entries {
+				names = append(names, fmt.Sprintf("entry-%02d", i))
+			}
+			for b.Loop() {
+				for i := range 3200 {
+					Share(fmt.Sprintf("endpoint-%04d", i), 8, names[0], names)
+				}
+			}
+		})
+	}
+}
--- a/core/peer/feed.go
+++ b/core/peer/feed.go
@@ -140,43 +140,48 @@
 	return d
 }
 
-// Mirror is what one entry keeps of another entry's feed.
+// Key names one incarnation of an endpoint or worker.
+type Key struct {
+	ID          string
+	Incarnation int64
+}
+
+// Mirror is what one entry keeps of another entry's feed: what each index
+// stands for. A Key whose ID is shared with the receiver's table keeps it small.
 type Mirror[T any] struct {
 	cursor Cursor
-	rows   []T
-	known  []bool
+	keys   []Key
 }
 
 // Cursor returns what to ask for next.
 func (m *Mirror[T]) Cursor() Cursor { return m.cursor }
 
 // Absorb takes in the answer to a question asked at asked. It calls changed
-// for each new announcement and refreshed for each bit, with the latest time
-// at which the announcement may have been made: ages count from the question,
-// so an answer that was long under way extends nothing.
-func (m *Mirror[T]) Absorb(d Delta[T], asked time.Time, changed, refreshed func(v T, made time.Time)) {
+// for each new announcement, which returns its key, and refreshed for each bit,
+// with the latest time at which the announcement may have been made: ages
+// count from the question, so an answer that was long under way extends
+// nothing.
+func (m *Mirror[T]) Absorb(d Delta[T], asked time.Time, changed func(v T, made time.Time) Key,
+	refreshed func(k Key, made time.Time)) {
 	if d.Cursor.Generation != m.cursor.Generation {
-		m.rows, m.known = nil, nil
+		m.keys = nil
 	}
 	if d.Cursor.Next < 0 || d.Cursor.Next > maxFeed {
 		return
 	}
 	m.cursor = d.Cursor
-	for len(m.rows) < d.Cursor.Next {
-		var zero T
-		m.rows, m.known = append(m.rows, zero), append(m.known, false)
+	if grow := d.Cursor.Next - len(m.keys); grow > 0 {
+		m.keys = append(m.keys, make([]Key, grow)...)
 	}
 	for _, c := range d.Changes {
-		if c.Index < 0 || c.Index >= len(m.rows) {
-			continue
+		if c.Index >= 0 && c.Index < len(m.keys) {
+			m.keys[c.Index] = changed(c.Value, asked.Add(-c.Age.Std()))
 		}
-		m.rows[c.Index], m.known[c.Index] = c.Value, true
-		changed(c.Value, asked.Add(-c.Age.Std()))
 	}
 	made := asked.Add(-d.Window.Std())
-	for i := range m.rows {
-		if m.known[i] && i/8 < len(d.Heard) && d.Heard[i/8]&(1<<(i%8)) != 0 {
-			refreshed(m.rows[i], made)
+	for i, k := range m.keys {
+		if k.ID != "" && i/8 < len(d.Heard) && d.Heard[i/8]&(1<<(i%8)) != 0 {
+			refreshed(k, made)
 		}
 	}
 }
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -105,10 +105,25 @@
 	c.peering.roster.Answered(r.out.From.ID, r.out.Report, r.asked, now)
 	c.applyShares()
 	m.endpoints.Absorb(r.out.Endpoints, r.asked,
-		func(a endpoint.Announcement, made time.Time) { c.heardEndpoint(a, made, now, false) },
-		func(a endpoint.Announcement, made time.Time) { c.refreshedEndpoint(a, made, now) })
-	heard := func(n peer.WorkerNotice, made time.Time) { c.heardWorker(n, made, now) }
-	m.workers.Absorb(r.out.Workers, r.asked, heard, heard)
+		func(a endpoint.Announcement, made time.Time) peer.Key {
+			c.heardEndpoint(a, made, now, false)
+			latest, _, _ := c.endpoints.Latest(a.ID)
+			return peer.Key{ID: latest.ID, Incarnation: a.Incarnation}
+		},
+		func(k peer.Key, made time.Time) { c.refreshedEndpoint(k, made, now) })
+	m.workers.Absorb(r.out.Workers, r.asked,
+		func(n peer.WorkerNotice, made time.Time) peer.Key {
+			c.heardWorker(n, made, now)
+			return peer.Key{ID: c.notices.Get(n.ID).notice.ID, Incarnation: n.Incarnation}
+		},
+		func(k peer.Key, made time.Time) { c.refreshedWorker(k, made, now) })
+}
+
+// refreshedWorker takes in that another entry heard of a worker.
+func (c *control) refreshedWorker(k peer.Key, made, now time.Time) {
+	if w := c.notices.Get(k.ID); w != nil && w.notice.Incarnation == k.Incarnation {
+		c.heardWorker(w.notice, made, now)
+	}
 }
 
 func (c *control) heardWorker(n peer.WorkerNotice, made, now time.Time) {
--- a/io/entry/peering.go
+++ b/io/entry/peering.go
@@ -126,12 +126,12 @@
 }
 
 // refreshedEndpoint takes in that another entry heard of an endpoint.
-func (c *control) refreshedEndpoint(a endpoint.Announcement, made, now time.Time) {
-	if c.endpoints.Refresh(a.ID, a.Incarnation, made, now) {
+func (c *control) refreshedEndpoint(k peer.Key, made, now time.Time) {
+	if c.endpoints.Refresh(k.ID, k.Incarnation, made, now) {
 		c.dirty = true
 	}
-	if latest, made, ok := c.endpoints.Latest(a.ID); ok {
+	if latest, made, ok := c.endpoints.Latest(k.ID); ok {
 		latest.Uptime = 0
-		c.peering.endpoints.Note(a.ID, latest, made)
+		c.peering.endpoints.Note(k.ID, latest, made)
 	}
 }
--- /dev/null
+++ b/io/peer/bench_test.go
@@ -0,0 +1,98 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"rosemarygap/core/endpoint"
+	"rosemarygap/core/peer"
+)
+
+// answering is the control goroutine of another entry with some endpoints.
+type answering struct {
+	Control
+	feed *peer.Feed[endpoint.Announcement]
+}
+
+func (c answering) Exchange(_ context.Context, x peer.Exchange) (peer.Answer, error) {
+	return peer.Answer{From: peer.Member{ID: "b"},
+		Endpoints: c.feed.Since(x.Endpoints, time.Second, time.Now())}, nil
+}
+
+// countingConn counts the bytes of a connection in both directions.
+type countingConn struct {
+	net.Conn
+	n *atomic.Int64
+}
+
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+type countingListener struct {
+	net.Listener
+	n *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return countingConn{c, l.n}, err
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkExchangeOverHTTP measures one question and answer between entries
+// over loopback: bytes with all headers, and processor time of both sides.
+func BenchmarkExchangeOverHTTP(b *testing.B) {
+	for _, n := range []int{0, 100, 800, 3200} {
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			feed := peer.NewFeed(1, func(a, b endpoint.Announcement) bool { return a.Same(b) })
+			for i := range n {
+				a := endpoint.Announcement{ID: fmt.Sprintf("endpoint-%04d", i), Incarnation: 1, Slots: 8}
+				feed.Note(a.ID, a, time.Now())
+			}
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			var bytes atomic.Int64
+			s := &http.Server{Handler: NewHandler(answering{feed: feed})}
+			ended := make(chan error, 1)
+			go func() { ended <- s.Serve(countingListener{l, &bytes}) }()
+			c := NewClient()
+			to := l.Addr().(*net.TCPAddr).AddrPort()
+			cursor := feed.Since(peer.Cursor{}, 0, time.Now()).Cursor
+			x := peer.Exchange{From: peer.Member{ID: "a", Zone: "kelowna", Address: to,
+				Operator: to, Incarnation: time.Now().UnixNano()}, Version: "1z141z4", Endpoints: cursor}
+			began := processorTime()
+			for b.Loop() {
+				if _, err := c.Exchange(context.Background(), to, x); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(bytes.Load())/float64(b.N), "wire-B/exchange")
+			b.ReportMetric(float64((processorTime()-began).Microseconds())/float64(b.N), "cpu-us/exchange")
+			c.Close()
+			_ = s.Close()
+			<-ended
+		})
+	}
+}
