--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -11,6 +11,7 @@
 
 	"rosemarygap/core/endpoint"
 	"rosemarygap/core/operator"
+	"rosemarygap/core/worker"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -83,6 +84,9 @@
 	Workers   Cursor `json:"workers"`
 	// Leaving are departures of endpoints that the asker heard of just now.
 	Leaving []endpoint.Announcement `json:"leaving,omitempty"`
+	// Transfers and Wants of the sender's cells move quota between cells.
+	Transfers []worker.Transfer `json:"quota-transfers,omitempty"`
+	Wants     []worker.Want     `json:"quota-wants,omitempty"`
 }
 
 // Answer is the reply to an Exchange. Ages count from the question.
@@ -96,4 +100,7 @@
 	Roster    []RosterRow                  `json:"roster,omitempty"`
 	Endpoints Delta[endpoint.Announcement] `json:"endpoints"`
 	Workers   Delta[WorkerNotice]          `json:"workers"`
+	// Transfers and Wants of the sender's cells move quota between cells.
+	Transfers []worker.Transfer `json:"quota-transfers,omitempty"`
+	Wants     []worker.Want     `json:"quota-wants,omitempty"`
 }
--- a/io/entry/control.go
+++ b/io/entry/control.go
@@ -9,6 +9,7 @@
 	"rosemarygap/core/endpoint"
 	"rosemarygap/core/entry"
 	"rosemarygap/core/event"
+	"rosemarygap/core/latency"
 	"rosemarygap/core/operator"
 	"rosemarygap/core/peer"
 	coreplatform "rosemarygap/core/platform"
@@ -18,6 +19,7 @@
 	"rosemarygap/io/platform"
 	"rosemarygap/io/worker"
 
+	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 )
 
@@ -42,6 +44,7 @@
 	// exchange asks another entry for what it knows.
 	exchange func(context.Context, netip.AddrPort, peer.Exchange) (peer.Answer, error)
 	workers  *worker.Client
+	latency  *latency.Recorder
 
 	mailbox chan message
 	results chan message
@@ -49,7 +52,9 @@
 	running   int
 	published atomic.Pointer[entry.Snapshot]
 
-	self      peer.Member
+	self peer.Member
+	// instance tells this process from an earlier one of the same name.
+	instance  string
 	config    *operator.Accepted
 	endpoints *endpoint.Membership
 	notices   *table.Table[string, heardWorker]
@@ -74,17 +79,19 @@
 
 func newControl(o Options, l hclog.Logger, s platform.Store) *control {
 	c := &control{
-		opts:    o,
-		log:     l,
-		store:   s,
-		peers:   iopeer.NewClient(),
-		workers: worker.NewClient(),
-		mailbox: make(chan message, mailboxSize),
-		results: make(chan message, mailboxSize),
-		notices: table.New[string, heardWorker](),
-		members: table.New[string, peer.Member](),
-		owners:  table.New[int, coreplatform.Owner](),
-		cells:   table.New[int, cellRun](),
+		opts:     o,
+		log:      l,
+		store:    s,
+		peers:    iopeer.NewClient(),
+		workers:  worker.NewClient(),
+		latency:  latency.NewRecorder(),
+		mailbox:  make(chan message, mailboxSize),
+		results:  make(chan message, mailboxSize),
+		notices:  table.New[string, heardWorker](),
+		members:  table.New[string, peer.Member](),
+		owners:   table.New[int, coreplatform.Owner](),
+		cells:    table.New[int, cellRun](),
+		instance: uuid.NewString(),
 		self: peer.Member{ID: o.ID, Zone: o.Zone, Address: o.PeerListen,
 			Operator: o.OperatorListen, Incarnation: time.Now().UnixNano()},
 	}
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -10,6 +10,7 @@
 	"rosemarygap/core/event"
 	"rosemarygap/core/peer"
 	"rosemarygap/core/status"
+	"rosemarygap/core/worker"
 )
 
 // exchangeResult is the answer of another entry to a question.
@@ -73,6 +74,7 @@
 	if c.config != nil {
 		x.Revision = c.config.Revision
 	}
+	x.Transfers, x.Wants = c.quotas()
 	c.start(ctx, func(ctx context.Context) message {
 		out, err := c.exchange(ctx, to, x)
 		return exchangeResult{key, now, out, err}
@@ -117,6 +119,7 @@
 			return peer.Key{ID: c.notices.Get(n.ID).notice.ID, Incarnation: n.Incarnation}
 		},
 		func(k peer.Key, made time.Time) { c.refreshedWorker(k, made, now) })
+	c.hearQuotas(r.out.Transfers, r.out.Wants)
 }
 
 // refreshedWorker takes in that another entry heard of a worker.
@@ -126,6 +129,26 @@
 	}
 }
 
+// quotas returns what the cells owned here lend and want.
+func (c *control) quotas() (ts []worker.Transfer, ws []worker.Want) {
+	for _, run := range c.cells.All {
+		if run.owned {
+			ts = append(ts, run.driver.Cell.Transfers()...)
+			ws = append(ws, run.driver.Cell.Wants()...)
+		}
+	}
+	return ts, ws
+}
+
+// hearQuotas tells the cells owned here what other cells lent and want.
+func (c *control) hearQuotas(ts []worker.Transfer, ws []worker.Want) {
+	for _, run := range c.cells.All {
+		if run.owned {
+			run.driver.Cell.Hear(ts, ws)
+		}
+	}
+}
+
 func (c *control) heardWorker(n peer.WorkerNotice, made, now time.Time) {
 	old := c.notices.Get(n.ID)
 	if old != nil && (old.notice.Incarnation > n.Incarnation || old.made.After(made)) {
@@ -138,10 +161,10 @@
 	}
 	cell := peer.CellOfWorker(n.ID, c.config.Document.Cells)
 	run := c.cells.Get(cell)
-	if run == nil {
+	if run == nil || !run.owned {
 		return
 	}
-	if run.cell.Announce(n.ID, n.Zone, n.Rack, n.Address) {
+	if run.driver.Cell.Announce(n.ID, n.Zone, n.Rack, n.Address) {
 		event.WorkerAdded.Emit(c.log, event.Worker(n.ID), event.Cell(cell), event.Address(n.Address))
 	}
 }
@@ -175,6 +198,7 @@
 	for _, a := range m.x.Leaving {
 		c.heardEndpoint(a, now, now, false)
 	}
+	c.hearQuotas(m.x.Transfers, m.x.Wants)
 	m.reply <- c.answer(&m.x, now)
 }
 
@@ -196,5 +220,6 @@
 	if x.Version != p.roster.Version() {
 		a.Roster = p.roster.Rows(now)
 	}
+	a.Transfers, a.Wants = c.quotas()
 	return a
 }
--- a/io/standin/endpoint/server.go
+++ b/io/standin/endpoint/server.go
@@ -132,6 +132,7 @@
 	r, w := c.Request(), c.Response()
 	id := r.Header.Get(HeaderRequestID)
 	defer s.enter(id)()
+	w.Header().Set(HeaderRequestID, id)
 	select {
 	case s.slots <- struct{}{}:
 		defer func() { <-s.slots }()
@@ -146,7 +147,6 @@
 		return c.NoContent(http.StatusBadRequest)
 	}
 	f, d := s.begin(id)
-	w.Header().Set(HeaderRequestID, id)
 	if f.Fail {
 		return c.NoContent(http.StatusInternalServerError)
 	}
