--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,4 @@
 # The long runs of the property tests.
 soak:
 	go test ./io/caller -count=1 -timeout 30m -run TestOutcomesAreTrue -rapid.checks=100000
+	ROSEMARYGAP_SOAK=1 go test ./core/peer -count=1 -timeout 30m -run 'TestEntries|TestNoMessage' -rapid.checks=20000
