--- a/io/entry/outage_test.go
+++ b/io/entry/outage_test.go
@@ -57,13 +57,15 @@
 	mu    sync.Mutex
 	at    map[netip.AddrPort]*control
 	ended chan error
+	// cut is true while no entry reaches another.
+	cut bool
 }
 
 func (n *cluster) exchange(ctx context.Context, to netip.AddrPort, x peer.Exchange) (peer.Answer, error) {
 	n.mu.Lock()
-	c := n.at[to]
+	c, cut := n.at[to], n.cut
 	n.mu.Unlock()
-	if c == nil {
+	if c == nil || cut {
 		return peer.Answer{}, status.ErrUnreachable
 	}
 	return c.Exchange(ctx, x)
