--- a/core/endpoint/membership.go
+++ b/core/endpoint/membership.go
@@ -162,16 +162,16 @@
 	return moved || was != m.usable(e, now)
 }
 
-// Refresh takes in that an incarnation was alive at made, and reports whether
-// that changed who may receive requests.
-func (m *Membership) Refresh(id string, incarnation int64, made, now time.Time) bool {
+// Refresh takes in that an incarnation was alive at made. It reports whether
+// that is news, and whether it changed who may receive requests.
+func (m *Membership) Refresh(id string, incarnation int64, made, now time.Time) (news, changed bool) {
 	e := m.members.Get(id)
-	if e == nil || e.latest.Incarnation != incarnation || e.latest.State != Ready {
-		return false
+	if e == nil || !made.After(e.made) || e.latest.Incarnation != incarnation || e.latest.State != Ready {
+		return false, false
 	}
 	was := m.usable(e, now)
 	m.refresh(e, made)
-	return was != m.usable(e, now)
+	return true, was != m.usable(e, now)
 }
 
 func (m *Membership) refresh(e *member, made time.Time) {
--- a/core/peer/roster.go
+++ b/core/peer/roster.go
@@ -81,6 +81,7 @@
 	stamp int64
 
 	ticked   time.Time
+	checked  time.Time
 	woke     time.Time
 	attested time.Time
 }
@@ -218,11 +219,18 @@
 			delete(r.rows, id)
 		}
 	}
+	if clock.Elapsed(r.checked, now) < checkEvery {
+		return false
+	}
+	r.checked = now
 	changed := r.adopt(now)
 	r.settle()
 	return changed
 }
 
+// checkEvery is how often the roster looks for entries that ended to count.
+const checkEvery = 50 * time.Millisecond
+
 // restart gives up all shares until every other entry agrees again. Entries
 // that were unheard for too long may just not have been heard here.
 func (r *Roster) restart(now time.Time) {
--- a/io/entry/peering.go
+++ b/io/entry/peering.go
@@ -127,9 +127,11 @@
 
 // refreshedEndpoint takes in that another entry heard of an endpoint.
 func (c *control) refreshedEndpoint(k peer.Key, made, now time.Time) {
-	if c.endpoints.Refresh(k.ID, k.Incarnation, made, now) {
-		c.dirty = true
+	news, changed := c.endpoints.Refresh(k.ID, k.Incarnation, made, now)
+	if !news {
+		return
 	}
+	c.dirty = c.dirty || changed
 	if latest, made, ok := c.endpoints.Latest(k.ID); ok {
 		latest.Uptime = 0
 		c.peering.endpoints.Note(k.ID, latest, made)
