--- a/io/load/plan.go
+++ b/io/load/plan.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"rosemarygap/core/status"
@@ -69,9 +70,9 @@
 	case len(p.Entries) == 0:
 		return status.At(status.ErrBadSetting, "--entry", "")
 	case len(p.Ready) > 0 && len(p.Ready) != len(p.Entries):
-		return status.At(status.ErrBadSetting, "--ready", "count")
+		return status.At(status.ErrBadSetting, "--ready", strconv.Itoa(len(p.Ready)))
 	case p.Rate <= 0 || p.Rate > MaxRate:
-		return status.At(status.ErrBadSetting, "--rate", "")
+		return status.At(status.ErrBadSetting, "--rate", strconv.FormatFloat(p.Rate, 'g', -1, 64))
 	case p.Duration <= 0 || p.Duration > MaxDuration:
 		return status.At(status.ErrBadSetting, "--duration", p.Duration.String())
 	}
