--- a/core/entry/snapshot.go
+++ b/core/entry/snapshot.go
@@ -28,6 +28,8 @@
 	Owners map[int]platform.Owner
 	// Advice weighs endpoints by the interference on their VMs.
 	Advice *interference.Advised
+	// Sharing is true while this entry may use its shares of the endpoints.
+	Sharing bool
 	// Stopping is true from the start of a planned stop.
 	Stopping bool
 }
@@ -38,7 +40,7 @@
 }
 
 // Ready reports whether callers may be sent here.
-func (s *Snapshot) Ready() bool { return s.Config != nil && !s.Stopping }
+func (s *Snapshot) Ready() bool { return s.Config != nil && s.Sharing && !s.Stopping }
 
 // Revision returns the revision of the configuration in force, or 0.
 func (s *Snapshot) Revision() int64 {
--- a/io/entry/control.go
+++ b/io/entry/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -24,10 +25,9 @@
 
 // Periods used before the first configuration, and sizes of queues.
 const (
-	defaultTick   = 250 * time.Millisecond
-	defaultTTL    = 2 * time.Second
-	exchangeEvery = 500 * time.Millisecond
-	mailboxSize   = 1024
+	defaultTick = 250 * time.Millisecond
+	defaultTTL  = 2 * time.Second
+	mailboxSize = 1024
 )
 
 // message is what other goroutines send to the control goroutine.
@@ -37,13 +37,15 @@
 
 // control owns all control state of an entry.
 type control struct {
-	opts    Options
-	log     hclog.Logger
-	store   platform.Store
-	peers   *iopeer.Client
-	workers *worker.Client
-	latency *latency.Recorder
-	judge   *latency.Judge
+	opts  Options
+	log   hclog.Logger
+	store platform.Store
+	peers *iopeer.Client
+	// exchange asks another entry for what it knows.
+	exchange func(context.Context, netip.AddrPort, peer.Exchange) (peer.Answer, error)
+	workers  *worker.Client
+	latency  *latency.Recorder
+	judge    *latency.Judge
 
 	mailbox chan message
 	results chan message
@@ -65,13 +67,12 @@
 	members   *table.Table[string, peer.Member]
 	owners    *table.Table[int, coreplatform.Owner]
 	cells     *table.Table[int, cellRun]
-	known     map[string]int64
+	peering   peering
 
 	interference interferenceState
 	registration registration
 	watching     bool
 	watched      int64
-	exchanged    time.Time
 	storeDown    time.Time
 	stopping     bool
 	dirty        bool
@@ -85,28 +86,30 @@
 
 func newControl(o Options, l hclog.Logger, s platform.Store) *control {
 	c := &control{
-		opts:      o,
-		log:       l,
-		store:     s,
-		peers:     iopeer.NewClient(),
-		workers:   worker.NewClient(),
-		latency:   latency.NewRecorder(),
-		judge:     latency.NewJudge(),
-		mailbox:   make(chan message, mailboxSize),
-		results:   make(chan message, mailboxSize),
-		ended:     make(chan struct{}),
-		endpoints: endpoint.NewMembership(defaultTTL),
-		notices:   table.New[string, heardWorker](),
-		members:   table.New[string, peer.Member](),
-		owners:    table.New[int, coreplatform.Owner](),
-		cells:     table.New[int, cellRun](),
-		known:     make(map[string]int64),
+		opts:     o,
+		log:      l,
+		store:    s,
+		peers:    iopeer.NewClient(),
+		workers:  worker.NewClient(),
+		latency:  latency.NewRecorder(),
+		judge:    latency.NewJudge(),
+		mailbox:  make(chan message, mailboxSize),
+		results:  make(chan message, mailboxSize),
+		ended:    make(chan struct{}),
+		notices:  table.New[string, heardWorker](),
+		members:  table.New[string, peer.Member](),
+		owners:   table.New[int, coreplatform.Owner](),
+		cells:    table.New[int, cellRun](),
+		instance: uuid.NewString(),
 
 		interference: newInterferenceState(),
-		instance:     uuid.NewString(),
 		self: peer.Member{ID: o.ID, Zone: o.Zone, Address: o.PeerListen,
-			Operator: o.OperatorListen},
+			Operator: o.OperatorListen, Incarnation: time.Now().UnixNano()},
 	}
+	c.exchange = c.peers.Exchange
+	c.peering = newPeering(c.self, time.Now())
+	c.endpoints = endpoint.NewMembership(defaultTTL,
+		endpoint.WithGate(&c.peering.gate), endpoint.WithShare(c.peering.roster.Share))
 	c.published.Store(entry.Empty())
 	return c
 }
@@ -124,10 +127,10 @@
 			close(c.ended)
 			return nil
 		case m := <-c.mailbox:
-			m.handle(c, time.Now())
+			c.handle(m)
 		case m := <-c.results:
 			c.running--
-			m.handle(c, time.Now())
+			c.handle(m)
 		case <-t.C:
 			c.tick(work, time.Now())
 			t.Reset(c.tickPeriod())
@@ -136,6 +139,14 @@
 	}
 }
 
+// handle looks at the clock before each message, so that nothing is done with
+// what was known before a pause of the process.
+func (c *control) handle(m message) {
+	now := time.Now()
+	c.tickRoster(now)
+	m.handle(c, now)
+}
+
 func (c *control) tickPeriod() time.Duration {
 	if c.config == nil {
 		return defaultTick
@@ -145,6 +156,7 @@
 
 // tick runs every system once.
 func (c *control) tick(ctx context.Context, now time.Time) {
+	c.tickRoster(now)
 	if c.endpoints.Expire(c.published.Load().Endpoints, now) {
 		c.dirty = true
 	}
@@ -184,6 +196,7 @@
 		Endpoints: c.endpoints.View(now),
 		Members:   c.memberList(),
 		Owners:    make(map[int]coreplatform.Owner, c.owners.Len()),
+		Sharing:   c.peering.sharing,
 		Stopping:  c.stopping,
 		Advice:    c.interference.advised,
 	}
--- a/io/entry/interference.go
+++ b/io/entry/interference.go
@@ -11,6 +11,7 @@
 	"rosemarygap/core/interference"
 	"rosemarygap/core/wire"
 	"rosemarygap/core/worker"
+	iocaller "rosemarygap/io/caller"
 )
 
 // Periods of the policy of interference.
@@ -228,6 +229,21 @@
 	c.interference.heard[from] = heardAdvice{g.Advice, now}
 }
 
+// advisedWeight returns the weight that the policy advises for an endpoint.
+func (c *control) advisedWeight(id string) float64 {
+	return c.Snapshot().Advice.Weight(id)
+}
+
+// observerList tells several observers of each dispatch.
+type observerList []iocaller.Observer
+
+// Observe implements the callers' observer.
+func (l observerList) Observe(id string, d time.Duration, result caller.Result, httpStatus int, now time.Time) {
+	for _, o := range l {
+		o.Observe(id, d, result, httpStatus, now)
+	}
+}
+
 // dispatchRecorder measures each dispatch by the endpoint that answered it.
 type dispatchRecorder struct {
 	recorder *interference.Recorder
--- a/io/entry/interference_test.go
+++ b/io/entry/interference_test.go
@@ -45,8 +45,7 @@
 	s.owner.cells.Put(0, cellRun{owned: true, driver: s.driver})
 	for i := range 3 {
 		id := fmt.Sprint("w", i)
-		s.owner.heardWorker(peer.WorkerNotice{ID: id, Address: address, VM: fmt.Sprint("vm", i)}, 0, s.now)
-		cell.Announce(id, "z", "r", address)
+		s.owner.heardWorker(peer.WorkerNotice{ID: id, Address: address, VM: fmt.Sprint("vm", i)}, s.now, s.now)
 	}
 	return s
 }
@@ -68,7 +67,7 @@
 		for i := range 3 {
 			id := fmt.Sprint("e", i)
 			c.heardEndpoint(endpoint.Announcement{ID: id, Service: "catalogue", Seq: seq, State: endpoint.Ready,
-				Slots: 8, Connections: 8, VM: fmt.Sprint("vm", i)}, 0, s.now)
+				Slots: 8, Connections: 8, VM: fmt.Sprint("vm", i)}, s.now, s.now, false)
 			d := 30*time.Millisecond + slower[fmt.Sprint("w", i)]
 			for range requests {
 				c.interference.recorder.Record("catalogue", id, 8, d+time.Duration(rand.IntN(1000))*time.Microsecond)
@@ -76,6 +75,9 @@
 		}
 		c.tickInterference(s.now)
 	}
+	for i := range 3 {
+		s.driver.Cell.Announce(fmt.Sprint("w", i), "z", "r", netip.MustParseAddrPort("127.0.0.1:1"), s.now)
+	}
 	s.other.hearGossip("owner", s.owner.gossip(s.now), s.now)
 	s.owner.hearGossip("other", s.other.gossip(s.now), s.now)
 	s.driver.Cell.VerifyBegin()
