Decide on repeated ids with one home entry each, through churn and outages

Each id has a home by rendezvous hashing; a claim has two copies; while views of the members may differ, all members are asked; in an outage of the store all members of the last view must consent. Property test: up to four entries with skewed clocks, kills, planned stops, freezes, cuts between entries and from the store, outages, late readings, repeats through any entry.

--- /dev/null
+++ b/core/caller/homes.go
@@ -0,0 +1,350 @@
+package caller
+
+import (
+	"slices"
+	"time"
+
+	"rosemarygap/core/peer"
+)
+
+// record is what this entry knows of the claims of one id. There may be more
+// than one while entries disagree; at most one of them was granted.
+type record struct {
+	tokens []string
+	until  time.Time
+}
+
+// Homes is one entry's part in the rule that a caller's id is dispatched
+// once. Each id has a home, by rendezvous hashing over the registered
+// entries, that grants its only claim. Its owner serialises calls.
+//
+// Invariant: a claim is granted only while every other entry that could grant
+// one either knows of it, is asked, or can grant none any more; and two
+// entries know of it.
+type Homes struct {
+	self Member
+	// validFor is how long a verified view of the members may be acted on
+	// alone; it is shorter than the lease of a member.
+	validFor time.Duration
+	// hold is how long after its last verification an entry may still act
+	// with the consent of all members that it knew.
+	hold time.Duration
+
+	view     []Member
+	verified time.Time
+	changed  time.Time
+	changes  int64
+	joined   time.Time
+	// entering is true from a registration to the first reading after it.
+	entering bool
+	// contact is true once no entry that lost sight of the store before
+	// this one joined can still act without asking this one.
+	contact bool
+	known   Knowledge
+	claims  map[string]record
+	expiry  []expiring
+	// left is true from the start of a planned stop; inherited are the
+	// members whose claims this entry took over when they left.
+	left      bool
+	inherited map[Member]bool
+}
+
+// expiring is the end of a record, in the order of their ends.
+type expiring struct {
+	key   string
+	until time.Time
+}
+
+// NewHomes returns the part of entry self, which may not grant claims yet.
+func NewHomes(self Member, validFor, hold time.Duration) *Homes {
+	return &Homes{self: self, validFor: validFor, hold: hold, claims: make(map[string]record),
+		inherited: make(map[Member]bool)}
+}
+
+// SetHold changes the hold.
+func (h *Homes) SetHold(d time.Duration) { h.hold = d }
+
+// Join notes that this entry was registered, anew or for the first time.
+// changes is the number of the latest Change, read after the registration; 0
+// means that no entry was registered before.
+func (h *Homes) Join(changes int64, now time.Time) {
+	h.contact = changes == 0 || h.contact && changes == h.changes
+	if changes != h.changes {
+		// Entries may have come and gone unseen.
+		h.known.Since = now
+	}
+	h.joined, h.changed, h.changes, h.entering = now, now, changes, true
+}
+
+// Change is what the store keeps of the members that entries act on: an entry
+// replaces it before it acts on another set of members.
+type Change struct {
+	// Seq rises by one with each replacement; 0 means none yet.
+	Seq int64 `json:"seq"`
+	// View identifies the set of members.
+	View uint64 `json:"view"`
+}
+
+// Next returns the change that this entry must write to the store before it
+// acts on members, and must then read the members once more; false if it need
+// not.
+func (h *Homes) Next(members []Member, latest Change) (Change, bool) {
+	d := digest(members)
+	return Change{latest.Seq + 1, d}, d != digest(h.view) && d != latest.View
+}
+
+// Reading is what an entry read of the members in the store.
+type Reading struct {
+	Members []Member
+	// Before is the number of the change that the entry found, and Changes
+	// the number after it wrote its own, if it did.
+	Before, Changes int64
+	// Begun is when the reading began.
+	Begun time.Time
+}
+
+// Verify takes in the registered members.
+func (h *Homes) Verify(r Reading, now time.Time) {
+	members := r.Members
+	if !slices.Contains(members, h.self) || h.joined.IsZero() {
+		return
+	}
+	h.known.forget(now)
+	if len(h.view) > 0 && r.Begun.Sub(h.verified) > h.validFor && r.Before != h.changes {
+		h.known.Since = now
+	}
+	if len(members) == 2 && h.entering {
+		// The other one may have granted claims that it alone knew.
+		h.known.Alone = h.joined
+	}
+	h.entering = false
+	if digest(members) != digest(h.view) {
+		h.changed = now
+		for _, m := range h.view {
+			if !slices.Contains(members, m) && !h.inherited[m] {
+				h.known.departed(Departure{m, now})
+			}
+		}
+		h.view = slices.Clone(members)
+	}
+	h.verified, h.changes = r.Begun, r.Changes
+}
+
+// Begin notes at the dispatching entry that it claims c, and returns the
+// verdict if it is known without asking, else Granted.
+func (h *Homes) Begin(c Claim, now time.Time) Verdict {
+	if !h.acceptable(c.ID, now) {
+		return Unsure
+	}
+	return h.note(c, now)
+}
+
+// acceptable reports whether the time that an id tells, if it does, is
+// neither ahead of the clock nor older than what is remembered.
+func (h *Homes) acceptable(id string, now time.Time) bool {
+	made, ok := idTime(id)
+	return !ok || !made.After(now.Add(ClockSkew)) && now.Sub(made) < Memory-time.Minute
+}
+
+// note records c unless another claim of its id is known.
+func (h *Homes) note(c Claim, now time.Time) Verdict {
+	h.expire(now)
+	for _, t := range h.claims[c.key()].tokens {
+		if t != c.Token {
+			return Repeated
+		}
+	}
+	h.remember(c.key(), c.Token, now)
+	return Granted
+}
+
+func (h *Homes) remember(key, token string, now time.Time) {
+	r, ok := h.claims[key]
+	if !ok {
+		r.until = now.Add(Memory)
+		h.expiry = append(h.expiry, expiring{key, r.until})
+	}
+	if !slices.Contains(r.tokens, token) {
+		r.tokens = append(r.tokens, token)
+	}
+	h.claims[key] = r
+}
+
+func (h *Homes) expire(now time.Time) {
+	n := 0
+	for n < len(h.expiry) && now.After(h.expiry[n].until) {
+		if r := h.claims[h.expiry[n].key]; !r.until.After(h.expiry[n].until) {
+			delete(h.claims, h.expiry[n].key)
+		}
+		n++
+	}
+	h.expiry = h.expiry[n:]
+}
+
+// Release forgets c, whose request was not run.
+func (h *Homes) Release(c Claim) {
+	r, ok := h.claims[c.key()]
+	if !ok {
+		return
+	}
+	r.tokens = slices.DeleteFunc(r.tokens, func(t string) bool { return t == c.Token })
+	h.claims[c.key()] = r
+	if len(r.tokens) == 0 {
+		delete(h.claims, c.key())
+	}
+}
+
+// Home returns the member that decides on c, as far as this entry knows.
+func (h *Homes) Home(c Claim) (Member, bool) {
+	ids := make([]string, len(h.view))
+	for i, m := range h.view {
+		ids[i] = m.ID
+	}
+	id := peer.Preferred("claim/"+c.key(), ids)
+	i := slices.IndexFunc(h.view, func(m Member) bool { return m.ID == id })
+	if i < 0 {
+		return Member{}, false
+	}
+	return h.view[i], true
+}
+
+// Plan is what a home must do before it may grant a claim.
+type Plan struct {
+	// Verdict is final unless it is Granted.
+	Verdict Verdict
+	Home    Member
+	// Ask are the members to send a note to.
+	Ask []Member
+	// All tells that each of them must consent; else one is enough.
+	All bool
+
+	sameView bool
+}
+
+// Decide returns what this entry must do to grant c as its home.
+func (h *Homes) Decide(c Claim, now time.Time) Plan {
+	home, ok := h.Home(c)
+	if !ok || h.left || elapsed(h.verified, now) >= h.hold {
+		return Plan{Verdict: Unsure}
+	}
+	h.contact = h.contact || elapsed(h.joined, now) >= h.hold
+	if home != h.self {
+		return Plan{Verdict: Elsewhere, Home: home}
+	}
+	if !h.acceptable(c.ID, now) {
+		return Plan{Verdict: Unsure}
+	}
+	if v := h.note(c, now); v != Granted {
+		return Plan{Verdict: v}
+	}
+	others := slices.DeleteFunc(slices.Clone(h.view), func(m Member) bool { return m == h.self })
+	p := Plan{Verdict: Granted, Home: h.self, Ask: others, All: true,
+		sameView: elapsed(h.verified, now) >= h.validFor}
+	if h.contact && !p.sameView && h.settled(c, now) {
+		p.All = false
+		if slices.Contains(others, c.From) {
+			p.Ask = nil
+		}
+	}
+	return p
+}
+
+// elapsed returns the time since t by whichever of the monotonic and the wall
+// clock moved further: one of them may stand still while a VM is paused.
+func elapsed(t, now time.Time) time.Duration {
+	return max(now.Sub(t), now.Round(0).Sub(t.Round(0)))
+}
+
+// settled reports whether no other entry can have granted c under an earlier
+// view of the members.
+func (h *Homes) settled(c Claim, now time.Time) bool {
+	quiet := h.changed.Add(h.validFor + 2*ClockSkew)
+	if made, ok := idTime(c.ID); ok {
+		return made.After(quiet)
+	}
+	return now.After(quiet.Add(Memory))
+}
+
+// Consent is a member's answer to a note.
+type Consent struct {
+	Verdict Verdict `json:"verdict"`
+	// View identifies the set of members that the answering entry knows.
+	View    uint64    `json:"view"`
+	Contact bool      `json:"contact"`
+	Known   Knowledge `json:"known"`
+}
+
+// Note takes in another entry's claim, addressed to the run to of this entry.
+func (h *Homes) Note(c Claim, to Member, now time.Time) Consent {
+	if to != h.self {
+		return Consent{Verdict: Unsure}
+	}
+	a := h.Greet(to)
+	if a.Verdict == Granted {
+		a.Verdict = h.note(c, now)
+	}
+	return a
+}
+
+// Settle returns the final verdict on c after the consents to its plan; a
+// member that did not answer counts as Unsure. Unless it is Granted, the
+// claim is forgotten here.
+func (h *Homes) Settle(c Claim, p Plan, consents []Consent, now time.Time) Verdict {
+	v := h.settle(c, p, consents, now)
+	if v != Granted {
+		h.Release(c)
+	}
+	return v
+}
+
+func (h *Homes) settle(c Claim, p Plan, consents []Consent, now time.Time) Verdict {
+	granted := 0
+	for _, a := range consents {
+		if a.Verdict == Repeated {
+			return Repeated
+		}
+		if a.Verdict != Granted {
+			continue
+		}
+		if p.sameView && a.View != digest(h.view) {
+			return Unsure
+		}
+		granted++
+		h.Meet(a)
+	}
+	if p.All && granted < len(p.Ask) || !p.All && len(p.Ask) > 0 && granted == 0 {
+		return Unsure
+	}
+	if !h.contact || h.maybeLost(c, now) {
+		return Unsure
+	}
+	return Granted
+}
+
+// maybeLost reports whether an earlier claim of c's id may have been known to
+// departed entries alone.
+func (h *Homes) maybeLost(c Claim, now time.Time) bool {
+	gone := Knowledge{Since: h.known.Since, Alone: h.known.Alone}
+	for _, d := range h.known.Departures {
+		if !slices.Contains(h.view, d.Member) {
+			gone.departed(d)
+		}
+	}
+	lost := gone.lostBefore()
+	if lost.IsZero() {
+		return false
+	}
+	lost = lost.Add(h.validFor + 2*ClockSkew)
+	if made, ok := idTime(c.ID); ok {
+		return !made.After(lost)
+	}
+	return now.Before(lost.Add(Memory))
+}
+
+// RetryIn returns when an unsure claim of id makes sense again.
+func (h *Homes) RetryIn(id string, now time.Time) time.Duration {
+	if made, ok := idTime(id); ok && made.After(now) {
+		return made.Sub(now)
+	}
+	return h.validFor
+}
