--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,4 @@
 # The long runs of the property tests.
 soak:
 	go test ./io/caller -count=1 -timeout 30m -run TestOutcomesAreTrue -rapid.checks=100000
+	go test ./core/caller -count=1 -timeout 30m -run TestAnID -rapid.checks=100000
--- a/core/caller/claim.go
+++ b/core/caller/claim.go
@@ -74,8 +74,8 @@
 // A zero Since means that nothing came before.
 type Knowledge struct {
 	Since time.Time `json:"since"`
-	// Alone is the latest time at which an entry may have begun to grant
-	// claims that no other entry knows.
+	// Alone is the latest time at which an entry granted a claim that no
+	// other entry knew.
 	Alone      time.Time   `json:"alone"`
 	Departures []Departure `json:"departures,omitempty"`
 }
--- a/core/caller/homes.go
+++ b/core/caller/homes.go
@@ -37,6 +37,8 @@
 	joined   time.Time
 	// entering is true from a registration to the first reading after it.
 	entering bool
+	// unmet is set while the only other member may still act alone.
+	unmet time.Time
 	// contact is true once no entry that lost sight of the store before
 	// this one joined can still act without asking this one.
 	contact bool
@@ -114,8 +116,9 @@
 		h.known.Since = now
 	}
 	if len(members) == 2 && h.entering {
-		// The other one may have granted claims that it alone knew.
-		h.known.Alone = h.joined
+		// The other one may grant claims that it alone knows, until it
+		// shows that it acts on the same members.
+		h.unmet = h.joined
 	}
 	h.entering = false
 	if digest(members) != digest(h.view) {
@@ -249,6 +252,9 @@
 	return p
 }
 
+// quiet returns when all entries that act alone act on the present members.
+func (h *Homes) quiet() time.Time { return h.changed.Add(h.validFor + 2*ClockSkew) }
+
 // elapsed returns the time since t by whichever of the monotonic and the wall
 // clock moved further: one of them may stand still while a VM is paused.
 func elapsed(t, now time.Time) time.Duration {
@@ -258,7 +264,7 @@
 // settled reports whether no other entry can have granted c under an earlier
 // view of the members.
 func (h *Homes) settled(c Claim, now time.Time) bool {
-	quiet := h.changed.Add(h.validFor + 2*ClockSkew)
+	quiet := h.quiet()
 	if made, ok := idTime(c.ID); ok {
 		return made.After(quiet)
 	}
@@ -267,6 +273,7 @@
 
 // Consent is a member's answer to a note.
 type Consent struct {
+	From    Member  `json:"from"`
 	Verdict Verdict `json:"verdict"`
 	// View identifies the set of members that the answering entry knows.
 	View    uint64    `json:"view"`
@@ -298,7 +305,7 @@
 }
 
 func (h *Homes) settle(c Claim, p Plan, consents []Consent, now time.Time) Verdict {
-	granted := 0
+	missing := slices.Clone(p.Ask)
 	for _, a := range consents {
 		if a.Verdict == Repeated {
 			return Repeated
@@ -309,27 +316,51 @@
 		if p.sameView && a.View != digest(h.view) {
 			return Unsure
 		}
-		granted++
+		missing = slices.DeleteFunc(missing, func(m Member) bool { return m == a.From })
 		h.Meet(a)
 	}
-	if p.All && granted < len(p.Ask) || !p.All && len(p.Ask) > 0 && granted == 0 {
+	granted := len(p.Ask) - len(missing)
+	switch {
+	case !p.All && len(p.Ask) > 0 && granted == 0:
+		return Unsure
+	case p.All && len(missing) > 0 && !h.mayMiss(c, p, len(missing), granted, now):
 		return Unsure
+	case !p.All:
+		missing = nil
 	}
-	if !h.contact || h.maybeLost(c, now) {
+	if !h.contact || h.maybeLost(c, missing, now) {
 		return Unsure
 	}
+	if len(h.view) == 1 {
+		h.known.Alone = now
+	}
 	return Granted
 }
 
+// mayMiss reports whether a claim may be granted although one member did not
+// answer. Whatever that member granted under the present members has a copy
+// at another one, so it must be the only one, nobody may act on earlier
+// members any more, and the new claim needs two copies as well.
+func (h *Homes) mayMiss(c Claim, p Plan, missing, granted int, now time.Time) bool {
+	copies := granted > 0 || c.From != h.self && slices.Contains(h.view, c.From)
+	return missing == 1 && copies && !p.sameView && h.contact && now.After(h.quiet())
+}
+
 // maybeLost reports whether an earlier claim of c's id may have been known to
-// departed entries alone.
-func (h *Homes) maybeLost(c Claim, now time.Time) bool {
+// departed entries alone; the missing ones may have departed just now.
+func (h *Homes) maybeLost(c Claim, missing []Member, now time.Time) bool {
 	gone := Knowledge{Since: h.known.Since, Alone: h.known.Alone}
+	if h.unmet.After(gone.Alone) {
+		gone.Alone = h.unmet
+	}
 	for _, d := range h.known.Departures {
 		if !slices.Contains(h.view, d.Member) {
 			gone.departed(d)
 		}
 	}
+	for _, m := range missing {
+		gone.departed(Departure{m, now})
+	}
 	lost := gone.lostBefore()
 	if lost.IsZero() {
 		return false
--- a/core/caller/meeting.go
+++ b/core/caller/meeting.go
@@ -8,7 +8,7 @@
 // Unacquainted returns the members to greet: those whose consent tells whether
 // this entry may act, and what came before it. There are none in the end.
 func (h *Homes) Unacquainted() []Member {
-	if h.contact && h.known.Since.IsZero() {
+	if h.contact && h.known.Since.IsZero() && h.unmet.IsZero() {
 		return nil
 	}
 	return slices.DeleteFunc(slices.Clone(h.view), func(m Member) bool { return m == h.self })
@@ -19,7 +19,7 @@
 	if to != h.self || h.left {
 		return Consent{Verdict: Unsure}
 	}
-	return Consent{Verdict: Granted, View: digest(h.view), Contact: h.contact, Known: h.known}
+	return Consent{From: h.self, Verdict: Granted, View: digest(h.view), Contact: h.contact, Known: h.known}
 }
 
 // Meet takes in what another entry told of itself.
@@ -28,7 +28,10 @@
 		return
 	}
 	h.known.merge(a.Known)
-	h.contact = h.contact || a.Contact && a.View == digest(h.view)
+	if a.View == digest(h.view) {
+		h.contact = h.contact || a.Contact
+		h.unmet = time.Time{}
+	}
 }
 
 // Remembered is a claim that a leaving entry hands over.
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -16,10 +16,13 @@
 
 // Member is one entry as registered in the platform's store.
 type Member struct {
-	ID       string         `json:"id"`
-	Zone     string         `json:"zone"`
-	Address  netip.AddrPort `json:"address"`
-	Operator netip.AddrPort `json:"operator-address"`
+	ID string `json:"id"`
+	// Incarnation is the time at which the process started, in nanoseconds
+	// since 1970.
+	Incarnation int64          `json:"incarnation"`
+	Zone        string         `json:"zone"`
+	Address     netip.AddrPort `json:"address"`
+	Operator    netip.AddrPort `json:"operator-address"`
 }
 
 // Score ranks a member for a key; the highest score is preferred.
--- a/core/platform/platform.go
+++ b/core/platform/platform.go
@@ -24,6 +24,10 @@
 	OwnerPrefix = ControlPrefix + "owners/"
 )
 
+// ChangeKey holds the latest caller.Change of the members that decide on
+// callers' ids. Nobody watches it.
+const ChangeKey = "claims/change"
+
 // EntryKey returns the key that registers an entry.
 func EntryKey(id string) string { return EntryPrefix + id }
 
--- a/io/entry/config.go
+++ b/io/entry/config.go
@@ -24,6 +24,7 @@
 	}
 	c.config = a
 	c.dirty = true
+	c.claims.SetHold(a.Document.Timings.OutageHold.Std())
 	c.endpoints.SetTTL(a.Document.Timings.AnnouncementTTL.Std())
 	for _, run := range c.cells.All {
 		c.configureCell(run.cell)
--- a/io/entry/control.go
+++ b/io/entry/control.go
@@ -40,6 +40,7 @@
 	store   platform.Store
 	peers   *iopeer.Client
 	workers *worker.Client
+	claims  *iopeer.Claims
 
 	mailbox chan message
 	results chan message
@@ -86,9 +87,10 @@
 		owners:    table.New[int, coreplatform.Owner](),
 		cells:     table.New[int, cellRun](),
 		known:     make(map[string]int64),
-		self: peer.Member{ID: o.ID, Zone: o.Zone, Address: o.PeerListen,
-			Operator: o.OperatorListen},
+		self: peer.Member{ID: o.ID, Incarnation: time.Now().UnixNano(), Zone: o.Zone,
+			Address: o.PeerListen, Operator: o.OperatorListen},
 	}
+	c.claims = iopeer.NewClaims(c.self, s, o.LeaseTTL)
 	c.published.Store(entry.Empty())
 	return c
 }
@@ -233,6 +235,7 @@
 	c.settleAppends()
 	if c.registration.lease != "" {
 		limit, done := context.WithTimeout(work, time.Second)
+		c.claims.Leave(limit)
 		_ = c.store.Revoke(limit, c.registration.lease)
 		done()
 	}
@@ -244,6 +247,7 @@
 	}
 	c.peers.Close()
 	c.workers.Close()
+	c.claims.Close()
 }
 
 // settleLimit bounds the wait for journal writes at a planned stop.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -76,12 +76,12 @@
 // stop ends them: callers are sent elsewhere first, and the interface
 // between entries goes last.
 func (e *Entry) addActors(g *run.Group) error {
-	callers := iocaller.NewServer(e.control, e.client, e.log)
+	callers := iocaller.NewServer(e.control, e.client, e.log, iocaller.WithClaims(e.control.claims))
 	operators := operator.NewServer(e.control, e.store, e.log, e.opts.OperatorToken)
 	listeners := []listenerSpec{
 		{e.opts.CallerListen, callers.Handler()},
 		{e.opts.OperatorListen, operators.Handler()},
-		{e.opts.PeerListen, iopeer.NewHandler(e.control)},
+		{e.opts.PeerListen, iopeer.NewHandler(e.control, e.control.claims)},
 		{e.opts.AdminListen, newAdminHandler(e.control)},
 	}
 	bound, err := bindAll(listeners)
@@ -91,6 +91,7 @@
 	e.addLeave(g)
 	process.AddListener(g, bound[0], e.opts.StopLimit)
 	process.AddListener(g, bound[1], e.opts.StopLimit)
+	addWaiting(g, e.control.claims.Run)
 	addWaiting(g, e.control.run)
 	process.AddListener(g, bound[2], e.opts.StopLimit)
 	process.AddListener(g, bound[3], e.opts.StopLimit)
--- a/io/entry/registration.go
+++ b/io/entry/registration.go
@@ -17,6 +17,9 @@
 // keepAlivesPerTTL is how often the lease is kept alive within its time.
 const keepAlivesPerTTL = 3
 
+// readRetry is the delay before the members are read again.
+const readRetry = 200 * time.Millisecond
+
 // registration is this entry's lease in the platform's store.
 type registration struct {
 	lease string
@@ -29,6 +32,9 @@
 	lease string
 	began time.Time
 	err   error
+	// unread tells why the members could not be read; the registration
+	// stands nevertheless.
+	unread error
 }
 
 func (c *control) tickRegistration(ctx context.Context, now time.Time) {
@@ -48,6 +54,9 @@
 		} else {
 			m.err = c.store.KeepAlive(ctx, lease)
 		}
+		if m.err == nil {
+			m.unread = c.claims.Verify(ctx, now, lease == "")
+		}
 		return m
 	})
 }
@@ -76,6 +85,9 @@
 	r.busy = false
 	r.due = now.Add(c.opts.LeaseTTL / keepAlivesPerTTL)
 	c.noteStore(m.err, now)
+	if m.unread != nil {
+		r.due = now.Add(readRetry)
+	}
 	switch {
 	case m.err == nil:
 		r.lease = m.lease
@@ -162,6 +174,7 @@
 func (c *control) applyMemberEntry(e platform.Entry) {
 	id := e.Key[len(coreplatform.EntryPrefix):]
 	c.dirty = true
+	c.registration.due = time.Time{}
 	if e.Deleted {
 		c.members.Delete(id)
 		event.PeerRemoved.Emit(c.log, event.Entry(id))
--- /dev/null
+++ b/io/peer/claims.go
@@ -0,0 +1,224 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"rosemarygap/core/caller"
+	"rosemarygap/core/peer"
+	"rosemarygap/core/status"
+	"rosemarygap/io/httpjson"
+	"rosemarygap/io/platform"
+
+	"github.com/google/uuid"
+)
+
+// Limits of a claim.
+const (
+	// claimLimit bounds the search for an entry that decides.
+	claimLimit = time.Second
+	// claimPause is the mean pause between two tries.
+	claimPause = 50 * time.Millisecond
+	// maxHops bounds how often one entry may name another as the home.
+	maxHops = 3
+	// maxReleases bounds the releases that wait to be sent. One that is
+	// dropped only makes a repeat of that id be refused for a while.
+	maxReleases = 4096
+	// defaultHold applies before the first configuration.
+	defaultHold = time.Hour
+)
+
+// Claims is this entry's part in deciding on callers' ids. It is safe for
+// concurrent use; its lock is never held during a call.
+type Claims struct {
+	self     caller.Member
+	store    platform.Store
+	client   *claimClient
+	releases chan caller.Claim
+	// joining is true from a registration to the first reading after it. It
+	// belongs to Verify.
+	joining bool
+
+	mu        sync.Mutex
+	homes     *caller.Homes
+	addresses map[caller.Member]netip.AddrPort
+}
+
+// NewClaims returns the part of entry self, whose registration lapses after
+// ttl.
+func NewClaims(self peer.Member, s platform.Store, ttl time.Duration) *Claims {
+	m := caller.Member{ID: self.ID, Incarnation: self.Incarnation}
+	return &Claims{
+		self:      m,
+		store:     s,
+		client:    &claimClient{httpjson.NewClient(claimTimeout)},
+		releases:  make(chan caller.Claim, maxReleases),
+		homes:     caller.NewHomes(m, ttl*4/5, defaultHold),
+		addresses: make(map[caller.Member]netip.AddrPort),
+	}
+}
+
+// SetHold sets how long after it last reached the store this entry may decide
+// with the consent of all others.
+func (s *Claims) SetHold(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.homes.SetHold(d)
+}
+
+// Close ends idle connections.
+func (s *Claims) Close() { s.client.http.Close() }
+
+// Claim implements the callers' interface.
+func (s *Claims) Claim(ctx context.Context, service, id string) (func(), error) {
+	c := caller.Claim{Service: service, ID: id, Token: uuid.NewString(), From: s.self}
+	s.mu.Lock()
+	v := s.homes.Begin(c, time.Now())
+	s.mu.Unlock()
+	if v == caller.Granted {
+		v = s.search(ctx, c)
+	}
+	if v == caller.Granted {
+		return func() { s.giveUp(c) }, nil
+	}
+	s.giveUp(c)
+	if v == caller.Repeated {
+		return nil, status.ErrRepeatedRequest
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return nil, status.RetryIn(status.ErrRepeatUnsure, caller.RetryAfter(s.homes.RetryIn(id, time.Now())))
+}
+
+// search asks the home of c, and again while there is none that is sure.
+func (s *Claims) search(ctx context.Context, c caller.Claim) caller.Verdict {
+	ctx, cancel := context.WithTimeout(ctx, claimLimit)
+	defer cancel()
+	for {
+		if v := s.askHome(ctx, c); v == caller.Granted || v == caller.Repeated {
+			return v
+		}
+		t := time.NewTimer(claimPause/2 + rand.N(claimPause))
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return caller.Unsure
+		}
+	}
+}
+
+// askHome asks the home of c, following at most maxHops entries that name
+// another one.
+func (s *Claims) askHome(ctx context.Context, c caller.Claim) caller.Verdict {
+	s.mu.Lock()
+	home, ok := s.homes.Home(c)
+	s.mu.Unlock()
+	if !ok {
+		return caller.Unsure
+	}
+	a := ClaimAnswer{Verdict: caller.Elsewhere, Home: home}
+	for range maxHops {
+		if a.Home == s.self {
+			a = s.decide(ctx, c)
+		} else {
+			var err error
+			if a, err = s.client.ask(ctx, s.address(a.Home), c); err != nil {
+				return caller.Unsure
+			}
+		}
+		if a.Verdict != caller.Elsewhere {
+			return a.Verdict
+		}
+	}
+	return caller.Unsure
+}
+
+func (s *Claims) address(m caller.Member) netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.addresses[m]
+}
+
+// decide grants or refuses a claim as its home.
+func (s *Claims) decide(ctx context.Context, c caller.Claim) ClaimAnswer {
+	s.mu.Lock()
+	p := s.homes.Decide(c, time.Now())
+	s.mu.Unlock()
+	if p.Verdict != caller.Granted {
+		return ClaimAnswer{p.Verdict, p.Home}
+	}
+	consents := s.consents(ctx, Note{Claim: &c}, p)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return ClaimAnswer{Verdict: s.homes.Settle(c, p, consents, time.Now())}
+}
+
+// consents asks all members of a plan at once, or one after the other until
+// one consents.
+func (s *Claims) consents(ctx context.Context, n Note, p caller.Plan) []caller.Consent {
+	if p.All {
+		return s.tellAll(ctx, n, p.Ask)
+	}
+	for _, m := range p.Ask {
+		n.To = m
+		a, err := s.client.note(ctx, s.address(m), n)
+		if err == nil && a.Verdict != caller.Unsure {
+			return []caller.Consent{a}
+		}
+	}
+	return nil
+}
+
+// tellAll sends a note to each member and returns the answers that came.
+func (s *Claims) tellAll(ctx context.Context, n Note, to []caller.Member) []caller.Consent {
+	answers := make(chan caller.Consent, len(to))
+	for _, m := range to {
+		go func() {
+			a, err := s.client.note(ctx, s.address(m), Note{To: m, Claim: n.Claim})
+			if err != nil {
+				a = caller.Consent{Verdict: caller.Unsure}
+			}
+			answers <- a
+		}()
+	}
+	out := make([]caller.Consent, 0, len(to))
+	for range to {
+		out = append(out, <-answers)
+	}
+	return out
+}
+
+// noted answers a note or a greeting.
+func (s *Claims) noted(n Note) caller.Consent {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n.Claim == nil {
+		return s.homes.Greet(n.To)
+	}
+	return s.homes.Note(*n.Claim, n.To, time.Now())
+}
+
+func (s *Claims) forget(c caller.Claim) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.homes.Release(c)
+}
+
+func (s *Claims) inherit(l caller.Legacy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.homes.Inherit(l, time.Now())
+}
+
+// giveUp forgets a claim here and lets the others know.
+func (s *Claims) giveUp(c caller.Claim) {
+	s.forget(c)
+	select {
+	case s.releases <- c:
+	default:
+	}
+}
--- /dev/null
+++ b/io/peer/membership.go
@@ -0,0 +1,155 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"rosemarygap/core/caller"
+	"rosemarygap/core/peer"
+	coreplatform "rosemarygap/core/platform"
+	"rosemarygap/core/status"
+	"rosemarygap/io/platform"
+
+	"github.com/pkg/errors"
+)
+
+// Run sends releases until ctx ends.
+func (s *Claims) Run(ctx context.Context) error {
+	for {
+		select {
+		case c := <-s.releases:
+			for _, to := range s.others() {
+				_ = s.client.release(ctx, to, c)
+			}
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// others returns the addresses of the other members.
+func (s *Claims) others() []netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []netip.AddrPort
+	for m, a := range s.addresses {
+		if m != s.self {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// Verify reads the members after this entry registered, anew if joined is
+// true, or kept its registration alive; begun is when that began. Calls must
+// not overlap.
+func (s *Claims) Verify(ctx context.Context, begun time.Time, joined bool) error {
+	s.joining = s.joining || joined
+	latest, revision, err := s.latestChange(ctx)
+	if err != nil {
+		return err
+	}
+	if s.joining {
+		s.mu.Lock()
+		s.homes.Join(latest.Seq, begun)
+		s.mu.Unlock()
+		s.joining = false
+	}
+	r := caller.Reading{Before: latest.Seq, Changes: latest.Seq, Begun: begun}
+	if r.Members, err = s.readMembers(ctx); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	next, needed := s.homes.Next(r.Members, latest)
+	s.mu.Unlock()
+	if needed {
+		if err := s.writeChange(ctx, next, revision); err != nil {
+			return err
+		}
+		r.Changes = next.Seq
+		if r.Members, err = s.readMembers(ctx); err != nil {
+			return err
+		}
+	}
+	s.adopt(ctx, r, needed, next)
+	return nil
+}
+
+// adopt acts on a reading, unless the members changed while a change was
+// written: the next reading tells then.
+func (s *Claims) adopt(ctx context.Context, r caller.Reading, written bool, c caller.Change) {
+	s.mu.Lock()
+	if again, differs := s.homes.Next(r.Members, c); written && differs && again.View != c.View {
+		s.mu.Unlock()
+		return
+	}
+	s.homes.Verify(r, time.Now())
+	greet := s.homes.Unacquainted()
+	s.mu.Unlock()
+	for _, a := range s.tellAll(ctx, Note{}, greet) {
+		s.mu.Lock()
+		s.homes.Meet(a)
+		s.mu.Unlock()
+	}
+}
+
+func (s *Claims) latestChange(ctx context.Context) (caller.Change, int64, error) {
+	var c caller.Change
+	e, err := s.store.Get(ctx, coreplatform.ChangeKey)
+	if errors.Is(err, status.ErrNotFound) {
+		return c, 0, nil
+	}
+	if err != nil {
+		return c, 0, err
+	}
+	return c, e.Revision, errors.Wrap(json.Unmarshal(e.Value, &c), "decode change")
+}
+
+// writeChange replaces the latest change. If another entry was faster, or the
+// answer was lost, the next reading tells.
+func (s *Claims) writeChange(ctx context.Context, c caller.Change, expect int64) error {
+	v, err := json.Marshal(c)
+	if err != nil {
+		return errors.Wrap(err, "encode change")
+	}
+	_, err = s.store.Put(ctx, platform.Write{Key: coreplatform.ChangeKey, Value: v, Expect: expect})
+	return err
+}
+
+func (s *Claims) readMembers(ctx context.Context) ([]caller.Member, error) {
+	ch, err := s.store.List(ctx, coreplatform.EntryPrefix)
+	if err != nil {
+		return nil, err
+	}
+	var members []caller.Member
+	addresses := make(map[caller.Member]netip.AddrPort)
+	for _, e := range ch.Entries {
+		var m peer.Member
+		if err := json.Unmarshal(e.Value, &m); err != nil {
+			return nil, errors.Wrap(err, "decode member")
+		}
+		k := caller.Member{ID: m.ID, Incarnation: m.Incarnation}
+		members = append(members, k)
+		addresses[k] = m.Address
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.addresses = addresses
+	return members, nil
+}
+
+// Leave hands this entry's claims over to the others before a planned stop.
+func (s *Claims) Leave(ctx context.Context) {
+	s.mu.Lock()
+	legacy := s.homes.Leave()
+	s.mu.Unlock()
+	for _, to := range s.others() {
+		for _, l := range legacy {
+			if s.client.legacy(ctx, to, l) != nil {
+				break
+			}
+		}
+	}
+}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -29,17 +29,21 @@
 	JobsHere(ctx context.Context, cell int) ([]worker.JobRow, error)
 }
 
-type server struct{ control Control }
+type server struct {
+	control Control
+	claims  *Claims
+}
 
 // NewHandler returns the interface between entries.
-func NewHandler(ctl Control) http.Handler {
-	s := &server{control: ctl}
+func NewHandler(ctl Control, claims *Claims) http.Handler {
+	s := &server{control: ctl, claims: claims}
 	e := httpjson.NewServer()
 	e.POST("/peer/exchange", s.exchange)
 	e.GET("/peer/status", s.status)
 	e.POST("/peer/jobs", s.submit)
 	e.GET("/peer/jobs", s.jobs)
 	e.DELETE("/peer/jobs/:id", s.cancel)
+	s.addClaims(e)
 	return e
 }
 
