Prove with real processes that repeated bookings run once

300 bookings, each sent three times through three entries in turn, while one entry freezes and another is killed.

--- /dev/null
+++ b/io/standin/deployment/repeats_test.go
@@ -0,0 +1,144 @@
+package deployment
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"rosemarygap/core/caller"
+	iocaller "rosemarygap/io/caller"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+)
+
+// book sends one booking and returns the outcome that its caller was told;
+// "" if the connection broke or was refused.
+func book(c *http.Client, to netip.AddrPort, id string) (o caller.Outcome, code string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2500*time.Millisecond)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.String()+"/services/catalogue/booking",
+		io.NopCloser(bytes.NewReader([]byte("booking"))))
+	if err != nil {
+		return "", ""
+	}
+	r.Header.Set(iocaller.HeaderRequestID, id)
+	r.Header.Set(iocaller.HeaderIdempotent, "false")
+	w, err := c.Do(r)
+	if err != nil {
+		return "", ""
+	}
+	defer w.Body.Close()
+	if _, err := io.ReadAll(w.Body); err != nil {
+		return "", ""
+	}
+	o = caller.Outcome(w.Header.Get(iocaller.HeaderOutcome))
+	return o, w.Header.Get(iocaller.HeaderCode)
+}
+
+// bookings sends every id several times through all entries in turn, as a
+// caller or balancer does that gets no answer in time.
+type bookings struct {
+	mu   sync.Mutex
+	told map[string][]caller.Outcome
+	// codes are those of the first answers.
+	codes map[string]string
+	wg   sync.WaitGroup
+}
+
+func (b *bookings) send(d *Deployment, c *http.Client, id string, first int) {
+	b.wg.Go(func() {
+		for i := range 3 {
+			o, code := book(c, d.Entries[(first+i)%len(d.Entries)].Caller, id)
+			b.mu.Lock()
+			b.told[id] = append(b.told[id], o)
+			if i == 0 {
+				b.codes[id] = code
+			}
+			b.mu.Unlock()
+			time.Sleep(150 * time.Millisecond)
+		}
+	})
+}
+
+// A booking whose id is repeated through several entries runs at most once,
+// and is told not-run only if it did not run, while one entry is killed and
+// another one freezes and wakes.
+func TestRepeatedBookingsRunOnce(t *testing.T) {
+	is := is.New(t)
+	d := New(t, 3)
+	d.Apply(ReadConfig(t, "../../../examples/kettle-valley.json"), "first")
+	var ends []*Standin
+	for i := range 2 {
+		ends = append(ends, d.StartEndpoint(fmt.Sprint("endpoint-", i), "catalogue", "kelowna",
+			"--service-time", "30ms", "--seed", fmt.Sprint(i+1)))
+	}
+	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	defer c.CloseIdleConnections()
+	for _, e := range d.Entries {
+		d.Eventually("a first booking at "+e.ID, 10*time.Second, func() bool {
+			o, _ := book(c, e.Caller, uuid.Must(uuid.NewV7()).String())
+			return o == caller.Answered
+		})
+	}
+	// The entries' views of one another settle: lease and clock skew.
+	time.Sleep(9 * time.Second)
+	// healthy is how many bookings are sent well before the first fault.
+	const healthy = 85
+	var early []string
+	b := &bookings{told: map[string][]caller.Outcome{}, codes: map[string]string{}}
+	for i := range 300 {
+		switch i {
+		case 100:
+			d.Entries[1].Freeze()
+		case 160:
+			d.Entries[0].Kill()
+		case 240:
+			d.Entries[1].Wake()
+		}
+		id := uuid.Must(uuid.NewV7()).String()
+		if i%2 == 0 {
+			id = fmt.Sprint("booking-", i)
+		}
+		if i < healthy {
+			early = append(early, id)
+		}
+		b.send(d, c, id, i)
+		time.Sleep(15 * time.Millisecond)
+	}
+	b.wg.Wait()
+	ran := map[string]int{}
+	for _, e := range ends {
+		var journal map[string]int
+		is.NoErr(d.Call(http.MethodGet, e.Address, "/control/ran", nil, &journal))
+		for id, n := range journal {
+			ran[id] += n
+		}
+		e.Kill()
+	}
+	answered := 0
+	for id, told := range b.told {
+		if ran[id] > 1 {
+			t.Errorf("%s ran %d times, told %v", id, ran[id], told)
+		}
+		if ran[id] > 0 && told[len(told)-1] == caller.NotRun {
+			t.Errorf("%s ran and was told not-run: %v", id, told)
+		}
+		if slices.Contains(told, caller.Answered) {
+			answered++
+		}
+	}
+	t.Logf("%d of %d bookings were answered", answered, len(b.told))
+	for _, id := range early {
+		if b.told[id][0] != caller.Answered {
+			t.Errorf("%s with all entries healthy: %v %s", id, b.told[id], b.codes[id])
+		}
+	}
+}
