--- /dev/null
+++ b/io/caller/headers_test.go
@@ -0,0 +1,95 @@
+package caller
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rosemarygap/core/caller"
+	"rosemarygap/core/operator"
+	"rosemarygap/core/status"
+	"rosemarygap/core/wire"
+
+	"github.com/matryer/is"
+)
+
+// A malformed request gets a code and not-run, and reaches no endpoint.
+func TestMalformedRequestsAreNotRun(t *testing.T) {
+	tests := []struct {
+		name   string
+		header http.Header
+		body   int
+		code   status.Code
+	}{
+		{"two ids", http.Header{HeaderRequestID: {"a", "b"}}, 0, "duplicate-header"},
+		{"two equal marks", http.Header{HeaderIdempotent: {"true", "true"}}, 0, "duplicate-header"},
+		{"two deadlines", http.Header{HeaderDeadline: {"1s", "2s"}}, 0, "duplicate-header"},
+		{"long id", http.Header{HeaderRequestID: {strings.Repeat("x", 129)}}, 0, "out-of-range"},
+		{"id with a space", http.Header{HeaderRequestID: {"a b"}}, 0, "bad-name"},
+		{"id beyond ASCII", http.Header{HeaderRequestID: {"zug-ü"}}, 0, "bad-name"},
+		{"unknown mark", http.Header{HeaderIdempotent: {"perhaps"}}, 0, "out-of-range"},
+		{"deadline without a unit", http.Header{HeaderDeadline: {"5"}}, 0, "wrong-unit"},
+		{"negative deadline", http.Header{HeaderDeadline: {"-1s"}}, 0, "out-of-range"},
+		{"deadline of an age", http.Header{HeaderDeadline: {"2000h"}}, 0, "out-of-range"},
+		{"deadline beyond all numbers", http.Header{HeaderDeadline: {strings.Repeat("9", 400) + "h"}}, 0, "wrong-unit"},
+		{"large body", http.Header{}, 1<<16 + 1, "body-too-large"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newSite(1, 1, nil)
+				r := httptest.NewRequest("POST", "/services/catalogue/list", strings.NewReader(strings.Repeat("b", tt.body)))
+				r.Header = tt.header
+				w := httptest.NewRecorder()
+				s.server.Handler().ServeHTTP(w, r)
+				s.close()
+				is.Equal(w.Header().Get(HeaderOutcome), string(caller.NotRun))
+				is.Equal(w.Header().Get(HeaderCode), string(tt.code))
+				is.True(len(w.Header().Get(HeaderRequestID)) <= maxRequestID)
+				is.Equal(len(s.end.ran), 0)
+			})
+		})
+	}
+}
+
+// Whatever the headers hold, parsing ends in a request within its bounds or in
+// a coded refusal.
+func FuzzHeaders(f *testing.F) {
+	f.Add("booking-1", "false", "250ms", false)
+	f.Add("", "", "", false)
+	f.Add("0190b7a4-0000-7000-8000-000000000000", "true", "10m", true)
+	f.Add(strings.Repeat("x", 200), "TRUE", "1e9h", false)
+	f.Add("a\x00b", "0", "-0s", true)
+	svc := &operator.Service{Name: "catalogue", Deadline: wire.Duration(time.Second)}
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	f.Fuzz(func(t *testing.T, id, idempotent, deadline string, twice bool) {
+		r := httptest.NewRequest("POST", "/services/catalogue/list", nil)
+		r.Header = http.Header{HeaderRequestID: {id}, HeaderIdempotent: {idempotent}, HeaderDeadline: {deadline}}
+		if twice {
+			r.Header.Add(HeaderDeadline, deadline)
+		}
+		var q caller.Request
+		err := parseIdentity(r, &q)
+		if err == nil {
+			err = parseLimits(r, svc, now, &q)
+		}
+		left := q.Deadline.Sub(now)
+		switch {
+		case err != nil && status.CodeOf(err) == status.ErrInternal.Code():
+			t.Fatalf("refused without a code: %v", err)
+		case err != nil:
+			return
+		case twice:
+			t.Fatal("took one of two deadlines")
+		case len(q.ID) > maxRequestID || strings.ContainsAny(q.ID, " \r\n\x00"):
+			t.Fatalf("took the id %q", q.ID)
+		case left <= 0 || left > operator.MaxDeadline:
+			t.Fatal(fmt.Sprint("took the deadline ", left))
+		}
+	})
+}
--- a/io/standin/deployment/repeats_test.go
+++ b/io/standin/deployment/repeats_test.go
@@ -50,7 +50,7 @@
 	told map[string][]caller.Outcome
 	// codes are those of the first answers.
 	codes map[string]string
-	wg   sync.WaitGroup
+	wg    sync.WaitGroup
 }
 
 func (b *bookings) send(d *Deployment, c *http.Client, id string, first int) {
