Add the optional guard beside an endpoint

It announces on the endpoint's behalf, calls a request not run when it is full, leaves or cannot reach the endpoint, and passes a non-idempotent id on once.

--- a/core/caller/homes.go
+++ b/core/caller/homes.go
@@ -7,13 +7,6 @@
 	"rosemarygap/core/peer"
 )
 
-// record is what this entry knows of the claims of one id. There may be more
-// than one while entries disagree; at most one of them was granted.
-type record struct {
-	tokens []string
-	until  time.Time
-}
-
 // Homes is one entry's part in the rule that a caller's id is dispatched
 // once. Each id has a home, by rendezvous hashing over the registered
 // entries, that grants its only claim. Its owner serialises calls.
@@ -43,23 +36,16 @@
 	// this one joined can still act without asking this one.
 	contact bool
 	known   Knowledge
-	claims  map[string]record
-	expiry  []expiring
+	ledger  *Ledger
 	// left is true from the start of a planned stop; inherited are the
 	// members whose claims this entry took over when they left.
 	left      bool
 	inherited map[Member]bool
 }
 
-// expiring is the end of a record, in the order of their ends.
-type expiring struct {
-	key   string
-	until time.Time
-}
-
 // NewHomes returns the part of entry self, which may not grant claims yet.
 func NewHomes(self Member, validFor, hold time.Duration) *Homes {
-	return &Homes{self: self, validFor: validFor, hold: hold, claims: make(map[string]record),
+	return &Homes{self: self, validFor: validFor, hold: hold, ledger: NewLedger(),
 		inherited: make(map[Member]bool)}
 }
 
@@ -139,7 +125,7 @@
 	if !h.acceptable(c.ID, now) {
 		return Unsure
 	}
-	return h.note(c, now)
+	return h.ledger.Note(c, now)
 }
 
 // acceptable reports whether the time that an id tells, if it does, is
@@ -149,53 +135,8 @@
 	return !ok || !made.After(now.Add(ClockSkew)) && now.Sub(made) < Memory-time.Minute
 }
 
-// note records c unless another claim of its id is known.
-func (h *Homes) note(c Claim, now time.Time) Verdict {
-	h.expire(now)
-	for _, t := range h.claims[c.key()].tokens {
-		if t != c.Token {
-			return Repeated
-		}
-	}
-	h.remember(c.key(), c.Token, now)
-	return Granted
-}
-
-func (h *Homes) remember(key, token string, now time.Time) {
-	r, ok := h.claims[key]
-	if !ok {
-		r.until = now.Add(Memory)
-		h.expiry = append(h.expiry, expiring{key, r.until})
-	}
-	if !slices.Contains(r.tokens, token) {
-		r.tokens = append(r.tokens, token)
-	}
-	h.claims[key] = r
-}
-
-func (h *Homes) expire(now time.Time) {
-	n := 0
-	for n < len(h.expiry) && now.After(h.expiry[n].until) {
-		if r := h.claims[h.expiry[n].key]; !r.until.After(h.expiry[n].until) {
-			delete(h.claims, h.expiry[n].key)
-		}
-		n++
-	}
-	h.expiry = h.expiry[n:]
-}
-
 // Release forgets c, whose request was not run.
-func (h *Homes) Release(c Claim) {
-	r, ok := h.claims[c.key()]
-	if !ok {
-		return
-	}
-	r.tokens = slices.DeleteFunc(r.tokens, func(t string) bool { return t == c.Token })
-	h.claims[c.key()] = r
-	if len(r.tokens) == 0 {
-		delete(h.claims, c.key())
-	}
-}
+func (h *Homes) Release(c Claim) { h.ledger.Release(c) }
 
 // Home returns the member that decides on c, as far as this entry knows.
 func (h *Homes) Home(c Claim) (Member, bool) {
@@ -237,7 +178,7 @@
 	if !h.acceptable(c.ID, now) {
 		return Plan{Verdict: Unsure}
 	}
-	if v := h.note(c, now); v != Granted {
+	if v := h.ledger.Note(c, now); v != Granted {
 		return Plan{Verdict: v}
 	}
 	others := slices.DeleteFunc(slices.Clone(h.view), func(m Member) bool { return m == h.self })
@@ -288,7 +229,7 @@
 	}
 	a := h.Greet(to)
 	if a.Verdict == Granted {
-		a.Verdict = h.note(c, now)
+		a.Verdict = h.ledger.Note(c, now)
 	}
 	return a
 }
--- a/core/caller/meeting.go
+++ b/core/caller/meeting.go
@@ -57,7 +57,7 @@
 func (h *Homes) Leave() []Legacy {
 	h.left = true
 	var all []Remembered
-	for k, r := range h.claims {
+	for k, r := range h.ledger.claims {
 		for _, t := range r.tokens {
 			all = append(all, Remembered{k, t})
 		}
@@ -72,7 +72,7 @@
 // Inherit takes in a part of another entry's legacy.
 func (h *Homes) Inherit(l Legacy, now time.Time) {
 	for _, r := range l.Claims {
-		h.remember(r.Key, r.Token, now)
+		h.ledger.remember(r.Key, r.Token, now)
 	}
 	if l.Last {
 		h.inherited[l.From] = true
--- a/core/event/caller.go
+++ b/core/event/caller.go
@@ -20,4 +20,22 @@
 		"None; if it lasts, check that the entries reach one another and the key-value service."}
 )
 
-var callerEvents = []Event{RequestRouted, RequestEnded, AnswerDropped, ClaimDenied}
+// Events of a guard, 1100 to 1199.
+var (
+	GuardStarted = Event{1101, "guard-started", hclog.Info,
+		[]string{"endpoint", "address"},
+		"A guard began to announce its endpoint.", "None."}
+	GuardStopped = Event{1102, "guard-stopped", hclog.Info,
+		[]string{"endpoint"},
+		"A guard ended; its endpoint has left.", "None."}
+	AnnouncementFailed = Event{1103, "announcement-failed", hclog.Warn,
+		[]string{"endpoint", "address", "reason"},
+		"An entry did not take a guard's announcement.",
+		"Check the network to the entries if it lasts."}
+	RepeatDropped = Event{1104, "repeat-dropped", hclog.Warn,
+		[]string{"request", "endpoint"},
+		"A guard dropped a non-idempotent request whose id it had passed on before.", "None."}
+)
+
+var callerEvents = []Event{RequestRouted, RequestEnded, AnswerDropped, ClaimDenied,
+	GuardStarted, GuardStopped, AnnouncementFailed, RepeatDropped}
--- a/io/caller/answer.go
+++ b/io/caller/answer.go
@@ -30,7 +30,7 @@
 // cannot take it for a whole one.
 func (s *Server) answer(x *exchange, a *endpoint.Answer) error {
 	w := x.c.Response()
-	copyHeader(w.Header(), a.Header)
+	endpoint.CopyHeader(w.Header(), a.Header)
 	w.Header().Set(HeaderRequestID, x.q.ID)
 	w.Header().Set(HeaderOutcome, string(caller.Answered))
 	w.Header().Set(HeaderEndpoint, x.last)
@@ -61,12 +61,6 @@
 	return nil
 }
 
-func copyHeader(to, from http.Header) {
-	for name, values := range forwardHeader(from) {
-		to[name] = values
-	}
-}
-
 // refuseReleased gives up the claim of a request that was not run, so that
 // the caller may repeat it, and refuses the request.
 func (s *Server) refuseReleased(x *exchange, err error, release func()) error {
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -75,7 +75,7 @@
 		ID:         x.q.ID,
 		Method:     r.Method,
 		Path:       forwardPath(r, x.q.Service),
-		Header:     forwardHeader(r.Header),
+		Header:     endpoint.ForwardHeader(r.Header),
 		Body:       body,
 		Idempotent: x.q.Idempotent,
 	}, nil
@@ -135,29 +135,3 @@
 	}
 	return p
 }
-
-// hopHeaders apply to one connection only (RFC 9110, section 7.6.1).
-var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect"}
-
-// ownPrefix begins the name of each header that rosemarygap itself sets.
-const ownPrefix = "Rosemarygap-"
-
-// forwardHeader returns the headers that pass through an entry either way.
-func forwardHeader(h http.Header) http.Header {
-	out := h.Clone()
-	for _, f := range h.Values("Connection") {
-		for name := range strings.SplitSeq(f, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		out.Del(name)
-	}
-	for name := range h {
-		if strings.HasPrefix(name, ownPrefix) {
-			delete(out, name)
-		}
-	}
-	return out
-}
--- a/io/commandline/commandline.go
+++ b/io/commandline/commandline.go
@@ -17,6 +17,7 @@
 // Program is the command line of rosemarygap.
 type Program struct {
 	Entry  *EntryCommand  `arg:"subcommand:entry" help:"serve callers and schedule batch work on an entry VM"`
+	Guard  *GuardCommand  `arg:"subcommand:guard" help:"announce an endpoint and pass its requests on, beside it"`
 	Check  *CheckCommand  `arg:"subcommand:check" help:"check a configuration document offline"`
 	Apply  *ApplyCommand  `arg:"subcommand:apply" help:"make a configuration document take effect"`
 	Show   *ShowCommand   `arg:"subcommand:show" help:"show the configuration and the revision in force at each entry"`
@@ -46,6 +47,8 @@
 	switch {
 	case p.Entry != nil:
 		return p.Entry
+	case p.Guard != nil:
+		return p.Guard
 	case p.Check != nil:
 		return p.Check
 	case p.Apply != nil:
--- a/io/endpoint/answer.go
+++ b/io/endpoint/answer.go
@@ -20,6 +20,9 @@
 	if w.Header.Get(HeaderNotRun) != "" {
 		return caller.Refused, status.ErrEndpointRefused
 	}
+	if w.Header.Get(HeaderRepeated) != "" {
+		return caller.Lost, status.ErrRepeatedRequest
+	}
 	if w.StatusCode == http.StatusSwitchingProtocols {
 		return caller.Lost, errors.WithMessage(status.ErrEndpointFailed, "unasked change of protocol")
 	}
--- a/io/endpoint/client.go
+++ b/io/endpoint/client.go
@@ -31,6 +31,9 @@
 	HeaderDeadline   = "Rosemarygap-Deadline"
 	// HeaderNotRun is set by an endpoint that truly did not run a request.
 	HeaderNotRun = "Rosemarygap-Not-Run"
+	// HeaderRepeated is set by a guard that dropped a non-idempotent
+	// request because its id had been passed on before.
+	HeaderRepeated = "Rosemarygap-Repeated"
 )
 
 // Limits of connections and of buffered answers.
--- /dev/null
+++ b/io/guard/server.go
@@ -0,0 +1,129 @@
+package guard
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"rosemarygap/core/caller"
+	core "rosemarygap/core/endpoint"
+	"rosemarygap/core/event"
+	"rosemarygap/core/operator"
+	"rosemarygap/core/status"
+	"rosemarygap/io/endpoint"
+	"rosemarygap/io/httpjson"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+)
+
+// Server passes requests on to the endpoint.
+type Server struct {
+	options Options
+	log     hclog.Logger
+	client  *endpoint.Client
+	load    *core.Load
+	leaving atomic.Bool
+
+	mu     sync.Mutex
+	ledger *caller.Ledger
+}
+
+// NewServer returns the guard of one endpoint.
+func NewServer(o Options, l hclog.Logger, opts ...endpoint.Option) *Server {
+	return &Server{options: o, log: l, client: endpoint.NewClient(o.Connections, opts...),
+		load: core.NewLoad(o.Slots), ledger: caller.NewLedger()}
+}
+
+// Handler returns the entries' side of the guard.
+func (s *Server) Handler() http.Handler {
+	e := httpjson.NewServer()
+	e.Any("/*", s.serve)
+	return e
+}
+
+func (s *Server) serve(c echo.Context) error {
+	r, w := c.Request(), c.Response()
+	id := r.Header.Get(endpoint.HeaderRequestID)
+	w.Header().Set(endpoint.HeaderRequestID, id)
+	if s.leaving.Load() {
+		return s.notRun(c, status.ErrStopping)
+	}
+	if !s.load.Acquire() {
+		return s.notRun(c, status.ErrQueueFull)
+	}
+	defer s.load.Release()
+	m, err := message(r)
+	if err != nil {
+		return s.notRun(c, err)
+	}
+	claim := caller.Claim{Service: s.options.Service, ID: id, Token: uuid.NewString()}
+	if !m.Idempotent && id != "" && s.note(claim) == caller.Repeated {
+		event.RepeatDropped.Emit(s.log, event.Request(id), event.Endpoint(s.options.ID))
+		w.Header().Set(endpoint.HeaderRepeated, "true")
+		return c.NoContent(http.StatusConflict)
+	}
+	return s.pass(c, m, claim)
+}
+
+// pass sends the request to the endpoint and its answer back.
+func (s *Server) pass(c echo.Context, m *endpoint.Message, claim caller.Claim) error {
+	to := &core.Candidate{Announcement: core.Announcement{ID: s.options.ID, Address: s.options.Endpoint}}
+	a, result, err := s.client.Dispatch(c.Request().Context(), to, m)
+	switch {
+	case err != nil && (result == caller.NotSent || result == caller.Refused):
+		s.mu.Lock()
+		s.ledger.Release(claim)
+		s.mu.Unlock()
+		return s.notRun(c, err)
+	case err != nil:
+		// The entry must not take this for the endpoint's answer.
+		panic(http.ErrAbortHandler)
+	}
+	w := c.Response()
+	endpoint.CopyHeader(w.Header(), a.Header)
+	w.WriteHeader(a.Status)
+	if _, err := w.Write(a.Body); err != nil || a.Rest == nil {
+		return nil
+	}
+	defer a.Rest.Close()
+	if _, err := io.Copy(w, a.Rest); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	return nil
+}
+
+func (s *Server) note(c caller.Claim) caller.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ledger.Note(c, time.Now())
+}
+
+// notRun tells the entry that the request was not run.
+func (s *Server) notRun(c echo.Context, err error) error {
+	c.Response().Header().Set(endpoint.HeaderNotRun, string(status.CodeOf(err)))
+	return c.NoContent(http.StatusServiceUnavailable)
+}
+
+// message reads a request of an entry.
+func message(r *http.Request) (*endpoint.Message, error) {
+	b, err := io.ReadAll(io.LimitReader(r.Body, operator.MaxBody+1))
+	if err != nil {
+		return nil, errors.WithMessage(status.ErrCallerCancelled, err.Error())
+	}
+	if len(b) > operator.MaxBody {
+		return nil, status.ErrBodyTooLarge
+	}
+	return &endpoint.Message{
+		ID:         r.Header.Get(endpoint.HeaderRequestID),
+		Method:     r.Method,
+		Path:       r.URL.RequestURI(),
+		Header:     endpoint.ForwardHeader(r.Header),
+		Body:       b,
+		Idempotent: r.Header.Get(endpoint.HeaderIdempotent) == "true",
+	}, nil
+}
