Prove that large bodies pass whole or break visibly

Real connections, bodies up to 8 MiB either way, buffered and streamed, with and without a length. With the abort of a broken stream replaced by a plain return, the streamed answer without a length looks whole (chunked 8388608 fails).

--- /dev/null
+++ b/io/caller/large_test.go
@@ -0,0 +1,76 @@
+package caller
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"time"
+
+	"rosemarygap/core/caller"
+	coreendpoint "rosemarygap/core/endpoint"
+	"rosemarygap/io/endpoint"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/matryer/is"
+)
+
+// mirror answers with the request's body; an asked break ends the answer
+// after as many bytes, whatever its frame.
+func mirror(w http.ResponseWriter, r *http.Request) {
+	b, _ := io.ReadAll(r.Body)
+	w.Header().Set(HeaderRequestID, r.Header.Get(HeaderRequestID))
+	if r.URL.Query().Get("frame") == "length" {
+		w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+	}
+	if n, err := strconv.Atoi(r.URL.Query().Get("break")); err == nil {
+		_, _ = w.Write(b[:n])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(b)
+}
+
+// Bodies pass whole either way over real connections, buffered or streamed,
+// and one that breaks off never looks whole.
+func TestLargeBodiesPassWholeOrBreakVisibly(t *testing.T) {
+	end := httptest.NewServer(http.HandlerFunc(mirror))
+	defer end.Close()
+	m := coreendpoint.NewMembership(time.Hour)
+	m.Apply(coreendpoint.Announcement{ID: "endpoint-0", Service: "catalogue",
+		Address: end.Listener.Addr().(*net.TCPAddr).AddrPort(), Incarnation: 1, Seq: 1,
+		State: coreendpoint.Ready, Slots: 8, Connections: 64}, 0, time.Now())
+	f := newFixed(0, 1, 8, time.Now())
+	f.snap.Endpoints = m.View(time.Now())
+	f.snap.Config.Document.Services[0].MaxBody = 8 << 20
+	c := endpoint.NewClient(8)
+	defer c.Close()
+	entry := httptest.NewServer(NewServer(f, c, hclog.NewNullLogger()).Handler())
+	defer entry.Close()
+	for _, size := range []int{1, 1<<20 - 1, 1 << 20, 1<<20 + 1, 8 << 20} {
+		for _, frame := range []string{"length", "chunked"} {
+			t.Run(fmt.Sprint(frame, " ", size), func(t *testing.T) {
+				is := is.New(t)
+				body := bytes.Repeat([]byte("0123456789abcdef"), size/16+1)[:size]
+				send := func(query string) (string, []byte, error) {
+					w, err := http.Post(entry.URL+"/services/catalogue/x?frame="+frame+query, "text/plain", bytes.NewReader(body))
+					is.NoErr(err)
+					defer w.Body.Close()
+					b, err := io.ReadAll(w.Body)
+					return w.Header.Get(HeaderOutcome), b, err
+				}
+				outcome, got, err := send("")
+				is.NoErr(err)
+				is.Equal(outcome, string(caller.Answered))
+				is.Equal(sha256.Sum256(got), sha256.Sum256(body))
+				outcome, _, err = send("&break=" + strconv.Itoa(size/2))
+				is.True(err != nil || outcome == string(caller.Unknown)) // looked whole
+			})
+		}
+	}
+}
