--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,14 @@
 # Both targets need Go alone; they fetch the declared modules.
-.PHONY: demo test check generate soak
+.PHONY: demo up test check generate soak
 
 # The main job: a small deployment that survives three faults.
 demo:
 	./scripts/demo.sh
 
+# A deployment to try things on, until Ctrl-C.
+up:
+	./scripts/up.sh
+
 # All tests, as CI runs them.
 test:
 	go test -count=1 ./...
@@ -19,6 +23,16 @@
 generate:
 	go test ./io/commandline ./core/event ./core/operator -run Golden -update
 
+# What an entry spends on control at several sizes of the fleet.
+.PHONY: capacity
+capacity:
+	go test ./io/standin/deployment -run '^$$' -bench Capacity -benchtime 1x -timeout 20m
+
+# Fuzzes the decoders for a while each; make test runs their seeds.
+.PHONY: fuzz
+fuzz:
+	go test ./core/worker -run '^$$' -fuzz FuzzJob -fuzztime 20s
+	go test ./core/operator -run '^$$' -fuzz FuzzDocument -fuzztime 20s
 # The long runs of the property tests.
 soak:
 	go test ./io/caller -count=1 -timeout 30m -run TestOutcomesAreTrue -rapid.checks=100000
--- a/core/event/caller.go
+++ b/core/event/caller.go
@@ -34,7 +34,8 @@
 		"Check the network to the entries if it lasts."}
 	RepeatDropped = Event{1104, "repeat-dropped", hclog.Warn,
 		[]string{"request", "endpoint"},
-		"A guard dropped a non-idempotent request whose id it had passed on before.", "None."}
+		"A guard dropped a non-idempotent request whose id it had passed on before.",
+		"Find the caller or balancer that repeats; if the entries let it through, look at their claims."}
 )
 
 var callerEvents = []Event{RequestRouted, RequestEnded, AnswerDropped, ClaimDenied,
--- a/io/entry/control.go
+++ b/io/entry/control.go
@@ -8,6 +8,7 @@
 	"rosemarygap/core/endpoint"
 	"rosemarygap/core/entry"
 	"rosemarygap/core/event"
+	"rosemarygap/core/latency"
 	"rosemarygap/core/operator"
 	"rosemarygap/core/peer"
 	coreplatform "rosemarygap/core/platform"
@@ -17,6 +18,7 @@
 	"rosemarygap/io/platform"
 	"rosemarygap/io/worker"
 
+	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 )
 
@@ -41,6 +43,7 @@
 	peers   *iopeer.Client
 	workers *worker.Client
 	claims  *iopeer.Claims
+	latency *latency.Recorder
 
 	mailbox chan message
 	results chan message
@@ -48,7 +51,9 @@
 	running   int
 	published atomic.Pointer[entry.Snapshot]
 
-	self      peer.Member
+	self peer.Member
+	// instance tells this process from an earlier one of the same name.
+	instance  string
 	config    *operator.Accepted
 	endpoints *endpoint.Membership
 	notices   *table.Table[string, heardWorker]
@@ -58,6 +63,7 @@
 	known     map[string]int64
 
 	registration registration
+	reading      reading
 	watching     bool
 	watched      int64
 	exchanged    time.Time
@@ -79,6 +85,7 @@
 		store:     s,
 		peers:     iopeer.NewClient(),
 		workers:   worker.NewClient(),
+		latency:   latency.NewRecorder(),
 		mailbox:   make(chan message, mailboxSize),
 		results:   make(chan message, mailboxSize),
 		endpoints: endpoint.NewMembership(defaultTTL),
@@ -87,6 +94,7 @@
 		owners:    table.New[int, coreplatform.Owner](),
 		cells:     table.New[int, cellRun](),
 		known:     make(map[string]int64),
+		instance:  uuid.NewString(),
 		self: peer.Member{ID: o.ID, Incarnation: time.Now().UnixNano(), Zone: o.Zone,
 			Address: o.PeerListen, Operator: o.OperatorListen},
 	}
@@ -132,6 +140,7 @@
 		c.dirty = true
 	}
 	c.tickRegistration(ctx, now)
+	c.tickReading(ctx)
 	c.tickWatch(ctx)
 	c.tickExchange(ctx, now)
 	c.tickOwnership(ctx, now)
