--- /dev/null
+++ b/core/caller/homes_test.go
@@ -0,0 +1,178 @@
+package caller
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// TestMain gives the property tests a fixed seed and their usual number of
+// cases, unless the command line says otherwise.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "3000", "rapid.nofailfile": "true"} {
+		if !given[name] {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// act makes one drawn thing happen.
+func (w *world) act(t *rapid.T) {
+	i := rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node")
+	n := w.nodes[i]
+	defer func() {
+		w.log = append(w.log, fmt.Sprintf("%v at %d: up %v frozen %v cutstore %v down %v cut %v leases %v", w.now.Format("15:04:05.000"), i, n.up, n.frozen, n.cutFromStore, w.down, w.cut, w.leases))
+	}()
+	switch rapid.SampledFrom([]string{"new", "new", "repeat", "repeat", "repeat", "untimed", "wait", "wait", "wait", "long",
+		"kill", "leave", "start", "freeze", "wake", "cut", "heal", "cut-store", "heal-store", "down", "up", "slow"}).Draw(t, "act") {
+	case "new":
+		ahead := time.Duration(rapid.IntRange(-1000, 1000).Draw(t, "ahead-ms")) * time.Millisecond
+		w.ids = append(w.ids, w.newTimedID(w.now.Add(ahead)))
+		w.request(w.ids[len(w.ids)-1], i)
+	case "untimed":
+		w.serial++
+		w.ids = append(w.ids, fmt.Sprint("booking-", w.serial))
+		w.request(w.ids[len(w.ids)-1], i)
+	case "repeat":
+		if len(w.ids) > 0 {
+			w.request(w.ids[len(w.ids)-1-rapid.IntRange(0, min(3, len(w.ids)-1)).Draw(t, "which")], i)
+		}
+	case "wait":
+		w.advance(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+	case "long":
+		w.advance(time.Duration(rapid.SampledFrom([]int{8, 30, 300, 900, 4000}).Draw(t, "s")) * time.Second)
+	case "kill":
+		n.up = false
+	case "start":
+		if !n.up {
+			w.start(i)
+		}
+	case "leave":
+		w.leave(n)
+	case "freeze", "wake":
+		n.frozen = !n.frozen
+	case "cut", "heal":
+		j := rapid.IntRange(0, len(w.nodes)-1).Draw(t, "other")
+		k := [2]int{min(i, j), max(i, j)}
+		w.cut[k] = !w.cut[k] && i != j
+	case "cut-store", "heal-store":
+		n.cutFromStore = !n.cutFromStore
+	case "down":
+		w.down = rapid.Bool().Draw(t, "is-down")
+	case "slow":
+		n.slow = true
+	case "up":
+		w.down = false
+	}
+}
+
+// twice reports whether an id was dispatched twice. A repeat without a time in
+// its id is recognised for the longest deadline only.
+func twice(id string, arrivals []time.Time) bool {
+	_, timed := idTime(id)
+	slices.SortFunc(arrivals, time.Time.Compare)
+	for i := 1; i < len(arrivals); i++ {
+		if timed || arrivals[i].Sub(arrivals[i-1]) < testLimit {
+			return true
+		}
+	}
+	return false
+}
+
+// Whatever happens to entries, the store and the network between them, an id
+// is dispatched at most once.
+func TestAnIDIsDispatchedOnceThroughChurn(t *testing.T) {
+	granted := 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.IntRange(1, 4).Draw(t, "entries"))
+		for _, n := range w.nodes {
+			n.offset = time.Duration(rapid.IntRange(-900, 900).Draw(t, "clock-ms")) * time.Millisecond
+		}
+		for range rapid.IntRange(5, 60).Draw(t, "acts") {
+			w.act(t)
+			for range rapid.IntRange(0, 12).Draw(t, "steps") {
+				if len(w.tries) > 0 {
+					w.step(rapid.IntRange(0, len(w.tries)-1).Draw(t, "try"))
+				}
+			}
+		}
+		for id, arrivals := range w.ran {
+			if twice(id, arrivals) {
+				t.Fatalf("%s was dispatched for requests of %v\n%s", id, arrivals, strings.Join(w.log, "\n"))
+			}
+		}
+		granted += len(w.ran)
+	})
+	if granted == 0 {
+		t.Fatal("nothing was ever dispatched")
+	}
+	t.Logf("%d ids dispatched", granted)
+}
+
+// finish runs all tries to their end.
+func (w *world) finish() {
+	for len(w.tries) > 0 {
+		w.step(len(w.tries) - 1)
+	}
+}
+
+// While entries are healthy, and while they are replaced one at a time, no
+// first request with an id is refused; nor in an outage of the store that all
+// entries see.
+func TestFirstRequestsAreGrantedWhileEntriesAreHealthy(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(3)
+	ask := func(what string) {
+		t.Helper()
+		for i := range w.nodes {
+			if !w.nodes[i].up {
+				continue
+			}
+			w.serial++
+			w.request(w.newTimedID(w.now), i)
+			w.request(fmt.Sprint("booking-", w.serial), i)
+			w.finish()
+		}
+		if len(w.denied) > 0 {
+			t.Fatalf("%s: %v", what, w.denied)
+		}
+	}
+	w.advance(testVerify)
+	ask("at the start")
+	w.advance(2 * Memory)
+	for i := range 3 {
+		w.leave(w.nodes[i])
+		w.advance(testVerify)
+		ask("after a planned stop")
+		w.start(i)
+		ask("right after a start, before the others see it")
+		w.advance(testVerify)
+		ask("after a start")
+	}
+	w.nodes[0].up = false
+	w.advance(2 * testLease)
+	ask("after a kill")
+	w.start(0)
+	ask("after a restart")
+	w.advance(testVerify)
+	w.down = true
+	for range 10 {
+		w.advance(5 * time.Minute)
+		ask("in an outage of the store")
+	}
+	w.down = false
+	w.advance(30 * testVerify)
+	ask("after an outage of the store")
+	is.True(len(w.ran) > 50)
+}
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -12,40 +12,19 @@
 	"rosemarygap/core/endpoint"
 	"rosemarygap/core/interference"
 	"rosemarygap/core/operator"
+	"rosemarygap/core/rendezvous"
 	"rosemarygap/core/worker"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Member is one entry as registered in the platform's store.
 type Member struct {
-	ID       string         `json:"id"`
-	Zone     string         `json:"zone"`
-	Address  netip.AddrPort `json:"address"`
-	Operator netip.AddrPort `json:"operator-address"`
-	// Incarnation differs between processes of the same name and rises.
-	Incarnation int64 `json:"incarnation"`
-}
-
-// Score ranks a member for a key; the highest score is preferred.
-func Score(key, member string) uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(key)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(member)
-	return d.Sum64()
-}
-
-// Preferred returns the member with the highest score for key, or "" if
-// there are no members.
-func Preferred(key string, members []string) string {
-	best, bestScore := "", uint64(0)
-	for _, m := range members {
-		if s := Score(key, m); best == "" || s > bestScore {
-			best, bestScore = m, s
-		}
-	}
-	return best
+	ID string `json:"id"`
+	// Incarnation is the time at which the process started, in nanoseconds
+	// since 1970.
+	Incarnation int64          `json:"incarnation"`
+	Zone        string         `json:"zone"`
+	Address     netip.AddrPort `json:"address"`
+	Operator    netip.AddrPort `json:"operator-address"`
 }
 
 // CellOfJob maps a job to the cell that keeps it.
@@ -57,7 +36,7 @@
 func cellOf(key string, cells int) int {
 	best, bestScore := 0, uint64(0)
 	for i := range cells {
-		if s := Score(key, strconv.Itoa(i)); i == 0 || s > bestScore {
+		if s := rendezvous.Score(key, strconv.Itoa(i)); i == 0 || s > bestScore {
 			best, bestScore = i, s
 		}
 	}
--- a/core/peer/share.go
+++ b/core/peer/share.go
@@ -1,5 +1,7 @@
 package peer
 
+import "rosemarygap/core/rendezvous"
+
 // Share returns how many of an endpoint's slots the entry self may use when
 // the given entries share them: an equal part each, and one of what is left
 // over to each of the entries that rank highest for the endpoint. With more
@@ -20,9 +22,9 @@
 // rank returns how many members come before self for an endpoint.
 func rank(endpoint, self string, members []string) int {
 	key := "slots/" + endpoint
-	own, before := Score(key, self), 0
+	own, before := rendezvous.Score(key, self), 0
 	for _, m := range members {
-		s := Score(key, m)
+		s := rendezvous.Score(key, m)
 		if s > own || s == own && m < self {
 			before++
 		}
--- a/io/commandline/commandline.go
+++ b/io/commandline/commandline.go
@@ -21,6 +21,7 @@
 // Program is the command line of rosemarygap.
 type Program struct {
 	Entry  *EntryCommand  `arg:"subcommand:entry" help:"serve callers and schedule batch work on an entry VM"`
+	Guard  *GuardCommand  `arg:"subcommand:guard" help:"announce an endpoint and pass its requests on, beside it"`
 	Check  *CheckCommand  `arg:"subcommand:check" help:"check a configuration document offline"`
 	Schema *SchemaCommand `arg:"subcommand:schema" help:"print the JSON Schema of configuration documents"`
 	Apply  *ApplyCommand  `arg:"subcommand:apply" help:"make a configuration document take effect"`
--- a/io/entry/config.go
+++ b/io/entry/config.go
@@ -63,6 +63,7 @@
 	}
 	c.config = a
 	c.dirty = true
+	c.claims.SetHold(a.Document.Timings.OutageHold.Std())
 	metrics.GetOrCreateGauge("rosemarygap_config_revision", nil).Set(float64(a.Revision))
 	c.endpoints.SetTTL(a.Document.Timings.AnnouncementTTL.Std())
 	for _, run := range c.cells.All {
--- a/io/entry/control.go
+++ b/io/entry/control.go
@@ -46,6 +46,7 @@
 	workers  *worker.Client
 	latency  *latency.Recorder
 	judge    *latency.Judge
+	claims   *iopeer.Claims
 
 	mailbox chan message
 	results chan message
@@ -71,6 +72,7 @@
 
 	interference interferenceState
 	registration registration
+	reading      reading
 	watching     bool
 	watched      int64
 	storeDown    time.Time
@@ -110,6 +112,7 @@
 	c.peering = newPeering(c.self, time.Now())
 	c.endpoints = endpoint.NewMembership(defaultTTL,
 		endpoint.WithGate(&c.peering.gate), endpoint.WithShare(c.peering.roster.Share))
+	c.claims = iopeer.NewClaims(c.self, s, o.LeaseTTL)
 	c.published.Store(entry.Empty())
 	return c
 }
@@ -161,6 +164,7 @@
 		c.dirty = true
 	}
 	c.tickRegistration(ctx, now)
+	c.tickReading(ctx)
 	c.tickWatch(ctx)
 	c.tickExchange(ctx, now)
 	c.tickOwnership(ctx, now)
@@ -268,6 +272,7 @@
 	c.settleAppends()
 	if c.registration.lease != "" {
 		limit, done := context.WithTimeout(work, time.Second)
+		c.claims.Leave(limit)
 		_ = c.store.Revoke(limit, c.registration.lease)
 		done()
 	}
@@ -280,6 +285,7 @@
 	}
 	c.peers.Close()
 	c.workers.Close()
+	c.claims.Close()
 }
 
 // settleLimit bounds the wait for journal writes at a planned stop.
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -89,13 +89,14 @@
 		coreendpoint.WithWeights(e.control.advisedWeight))
 	observers := observerList{policy, dispatchRecorder{e.control.interference.recorder, e.control.Snapshot}}
 	callers := iocaller.NewServer(e.control, e.client, e.log,
-		iocaller.WithPolicy(policy), iocaller.WithObserver(observers))
+		iocaller.WithPolicy(policy), iocaller.WithObserver(observers),
+		iocaller.WithClaims(e.control.claims))
 	operators := operator.NewServer(e.control, e.store, e.log,
 		operator.WithToken(e.opts.OperatorToken), operator.WithRecent(e.recent))
 	listeners := []listenerSpec{
 		{"caller", e.opts.CallerListen, observeLatency(callers.Handler(), e.control.latency, e.control.Snapshot)},
 		{"operator", e.opts.OperatorListen, operators.Handler()},
-		{"peer", e.opts.PeerListen, iopeer.NewHandler(e.control)},
+		{"peer", e.opts.PeerListen, iopeer.NewHandler(e.control, e.control.claims)},
 		{"admin", e.opts.AdminListen, newAdminHandler(e.control)},
 	}
 	bound, err := bindAll(listeners)
@@ -105,6 +106,7 @@
 	e.addLeave(g)
 	process.AddListener(g, bound[0], e.opts.StopLimit)
 	process.AddListener(g, bound[1], e.opts.StopLimit)
+	addWaiting(g, e.control.claims.Run)
 	addWaiting(g, e.control.run)
 	process.AddListener(g, bound[2], e.opts.StopLimit)
 	process.AddListener(g, bound[3], e.opts.StopLimit)
--- a/io/entry/ownership.go
+++ b/io/entry/ownership.go
@@ -9,6 +9,7 @@
 	"rosemarygap/core/interference"
 	"rosemarygap/core/peer"
 	coreplatform "rosemarygap/core/platform"
+	"rosemarygap/core/rendezvous"
 	"rosemarygap/core/status"
 	"rosemarygap/core/worker"
 	"rosemarygap/io/platform"
@@ -82,7 +83,7 @@
 	for id := range c.members.All {
 		ids = append(ids, id)
 	}
-	if peer.Preferred("cell/"+strconv.Itoa(run.id), ids) == c.self.ID {
+	if rendezvous.Preferred("cell/"+strconv.Itoa(run.id), ids) == c.self.ID {
 		return true
 	}
 	return now.Sub(run.free) > othersWait
--- a/io/entry/registration.go
+++ b/io/entry/registration.go
@@ -92,6 +92,7 @@
 	c.noteStore(m.err, now)
 	switch {
 	case m.err == nil:
+		c.reading.registered(m.began, r.lease == "")
 		if r.lease == m.lease {
 			c.peering.roster.Attest(m.began)
 		} else {
@@ -200,6 +201,7 @@
 func (c *control) applyMemberEntry(e platform.Entry, now time.Time) {
 	id := e.Key[len(coreplatform.EntryPrefix):]
 	c.dirty = true
+	c.registration.due = time.Time{}
 	if e.Deleted {
 		c.members.Delete(id)
 		c.rosterChanged(c.peering.roster.Remove(id, e.Revision, now))
--- a/io/peer/bench_test.go
+++ b/io/peer/bench_test.go
@@ -74,7 +74,7 @@
 				b.Fatal(err)
 			}
 			var bytes atomic.Int64
-			s := &http.Server{Handler: NewHandler(answering{feed: feed})}
+			s := &http.Server{Handler: NewHandler(answering{feed: feed}, nil)}
 			ended := make(chan error, 1)
 			go func() { ended <- s.Serve(countingListener{l, &bytes}) }()
 			c := NewClient()
