Let the demo's faults come one at a time, once the load has started

Cause: with a grant of 15 s the worker was killed and then the owner of its cell within that time; a new owner then waits out the outage hold, as designed, and 16 of 24 jobs finished. The outage that followed at once also delayed the end of the killed entry's lease: 231 requests were told repeat-unsure.

--- a/io/demo/demo.go
+++ b/io/demo/demo.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"os"
 	"time"
 
 	"rosemarygap/core/entry"
@@ -31,6 +32,7 @@
 	Endpoints []netip.AddrPort `arg:"--endpoint,required" help:"addresses of the endpoint stand-ins"`
 	Workers   []netip.AddrPort `arg:"--worker" help:"addresses of the worker stand-ins that survive"`
 	Config    string           `arg:"--config,required" help:"path of the first configuration"`
+	Started   string           `arg:"--started" help:"path of a file to create when the load starts"`
 	Jobs      int              `arg:"--jobs" default:"24" help:"batch jobs to submit"`
 	Rate      float64          `arg:"--rate" default:"150" help:"requests a second"`
 	Duration  time.Duration    `arg:"--duration" default:"20s" help:"time of the load"`
@@ -89,6 +91,9 @@
 	if err := d.waitFor(ctx, settleLimit, d.serving); err != nil {
 		return errors.WithMessage(err, "first request")
 	}
+	if err := d.markStarted(); err != nil {
+		return err
+	}
 	jobs := make(chan error, 1)
 	go func() { jobs <- d.submitAll(ctx) }()
 	p := load.Plan{Entries: d.Entries, Service: "catalogue", Rate: d.Rate,
@@ -110,6 +115,14 @@
 	return err
 }
 
+// markStarted tells the script that the faults may begin.
+func (d *demo) markStarted() error {
+	if d.Started == "" {
+		return nil
+	}
+	return errors.Wrap(os.WriteFile(d.Started, nil, 0o644), "mark the start")
+}
+
 // passed reports whether every promise held. A request without an answer is
 // an entry's kill; it is not counted against the promises, which the audit
 // checks for it as for all others.
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -49,20 +49,22 @@
     --zone ${zones[$((i % 3))]} --rack rack-$((i / 3)) --entry "${entries[@]}"
 done
 
+# One fault at a time: the next one comes when the last one is over.
 faults() {
-  sleep 6
-  kill -KILL $pid_worker_3
-  sleep 4
+  until [ -e "$run/load-started" ]; do sleep 0.1; done
+  sleep 3
   kill -KILL $pid_entry_0
-  sleep 4
-  bin/rosemarygap-standin fault --at $platform '{"down":true}' 
+  sleep 8
+  kill -KILL $pid_worker_3
+  sleep 3
+  bin/rosemarygap-standin fault --at $platform '{"down":true}'
   sleep 5
-  bin/rosemarygap-standin fault --at $platform '{"down":false}' 
+  bin/rosemarygap-standin fault --at $platform '{"down":false}'
 }
 faults >"$run/faults.log" 2>&1 &
 pids+=($!)
 
 bin/rosemarygap-demo --entry "${entries[@]}" --operator "${operators[@]}" \
   --endpoint "${endpoints[@]}" --worker "${workers[@]}" \
-  --config examples/kettle-valley.json | tee "$run/line.json"
+  --started "$run/load-started" --config examples/kettle-valley.json | tee "$run/line.json"
 exit "${PIPESTATUS[0]}"
