--- a/io/standin/deployment/endpoints_test.go
+++ b/io/standin/deployment/endpoints_test.go
@@ -26,10 +26,16 @@
 	connectionLimit = 64 + 1
 )
 
+// entryFlags let the registration of a dead entry lapse soon.
+var entryFlags = []string{"--lease-ttl", "1s"}
+
 // serving starts entries and endpoints and waits until every entry answers.
 func serving(t *testing.T, entries, endpoints int, flags ...string) (*Deployment, []*Standin) {
 	t.Helper()
-	d := New(t, entries)
+	d := New(t, 0)
+	for range entries {
+		d.StartEntry(entryFlags...)
+	}
 	d.Apply(ReadConfig(t, config), "first")
 	var es []*Standin
 	for i := range endpoints {
@@ -150,7 +156,7 @@
 	}
 	for _, e := range d.Entries {
 		is.NoErr(e.Stop())
-		d.RestartEntry(e)
+		d.RestartEntry(e, entryFlags...)
 		d.ready(e)
 	}
 	wg.Wait()
@@ -166,25 +172,36 @@
 	is := is.New(t)
 	d, es := serving(t, 3, 2, "--service-time", "40ms")
 	defer d.KillAll()
-	wait := d.drive(600, 16*time.Second)
+	wait := d.drive(600, 15*time.Second)
 	time.Sleep(time.Second)
-	steady := d.peak(es[0])
-	is.Equal(steady.Requests, slotLimit) // all slots are in use
-	d.StartEntry()
-	waitNew := d.drive(200, 13*time.Second)
+	is.Equal(d.holds(es), len(es)*slotLimit) // all slots are in use
+	d.StartEntry(entryFlags...)
+	waitNew := d.drive(200, 12*time.Second)
 	time.Sleep(2 * time.Second)
 	d.Entries[1].Freeze()
-	time.Sleep(11 * time.Second / 2)
+	time.Sleep(7 * time.Second)
+	d.holds(es)
+	time.Sleep(time.Second)
+	is.Equal(d.holds(es), len(es)*slotLimit) // the others use the frozen one's share
 	d.Entries[1].Wake()
 	time.Sleep(2 * time.Second)
 	d.Entries[0].Kill()
 	wait()
 	waitNew()
+	d.holds(es)
+}
+
+// holds fails the test if an endpoint met more than its limits since the last
+// call, and returns the sum of the peaks of requests.
+func (d *Deployment) holds(es []*Standin) int {
+	d.t.Helper()
+	total := 0
 	for _, e := range es {
 		p := d.peak(e)
-		t.Logf("%+v", p)
-		is.Equal(p.Refused, 0)
-		is.True(p.Requests <= slotLimit)
-		is.True(p.Connections <= connectionLimit)
+		total += p.Requests
+		if p.Requests > slotLimit || p.Refused > 0 || p.Connections > connectionLimit {
+			d.t.Fatalf("%s met %+v", e.ID, p)
+		}
 	}
+	return total
 }
