--- a/core/endpoint/balanced.go
+++ b/core/endpoint/balanced.go
@@ -18,6 +18,7 @@
 type Balanced struct {
 	zone   string
 	detour float64
+	weight func(id string) float64
 	intN   func(n int) int
 
 	mu       sync.Mutex
@@ -69,6 +70,12 @@
 	return func(p *Balanced) { p.zone, p.detour = zone, detour.Seconds() }
 }
 
+// WithWeights sends an endpoint less work the lower its weight is, over 0 and
+// up to 1. weight may be called from any goroutine.
+func WithWeights(weight func(id string) float64) BalancedOption {
+	return func(p *Balanced) { p.weight = weight }
+}
+
 // WithIntN draws random numbers under n from f, which is called by one
 // goroutine at a time.
 func WithIntN(f func(n int) int) BalancedOption { return func(p *Balanced) { p.intN = f } }
@@ -76,7 +83,7 @@
 // NewBalanced returns a policy that knows nothing yet.
 func NewBalanced(opts ...BalancedOption) *Balanced {
 	p := &Balanced{known: make(map[string]*estimate), services: make(map[string]*serviceState),
-		intN: rand.IntN}
+		intN: rand.IntN, weight: func(string) float64 { return 1 }}
 	for _, o := range opts {
 		o(p)
 	}
@@ -225,7 +232,7 @@
 		if e.ejected || !free(c, now) {
 			return
 		}
-		cost := e.cost(c, s.median, now)
+		cost := e.cost(c, s.median, now) / p.weight(c.ID)
 		if c.Zone != p.zone {
 			cost += p.detour
 		}
--- a/core/endpoint/membership.go
+++ b/core/endpoint/membership.go
@@ -41,6 +41,8 @@
 	State       State          `json:"state"`
 	Slots       int            `json:"slots"`
 	Connections int            `json:"connections"`
+	// VM names the VM, if it cannot be told by the IP address.
+	VM string `json:"vm,omitempty"`
 	// Uptime is the time since the incarnation began, on the endpoint's own
 	// clock. It dates an announcement that was long under way; 0 if unknown.
 	Uptime wire.Duration `json:"uptime,omitempty"`
--- a/core/entry/snapshot.go
+++ b/core/entry/snapshot.go
@@ -6,7 +6,10 @@
 package entry
 
 import (
+	"net/netip"
+
 	"rosemarygap/core/endpoint"
+	"rosemarygap/core/interference"
 	"rosemarygap/core/latency"
 	"rosemarygap/core/operator"
 	"rosemarygap/core/peer"
@@ -23,6 +26,8 @@
 	Members []peer.Member
 	// Owners are the owners of cells by cell number.
 	Owners map[int]platform.Owner
+	// Advice weighs endpoints by the interference on their VMs.
+	Advice *interference.Advised
 	// Sharing is true while this entry may use its shares of the endpoints.
 	Sharing bool
 	// Stopping is true from the start of a planned stop.
@@ -62,6 +67,8 @@
 	Revision int64  `json:"config-revision"`
 	Cells    []int  `json:"cells"`
 	Ready    bool   `json:"ready"`
+	// Operator is where this entry serves operators.
+	Operator netip.AddrPort `json:"operator-address,omitzero"`
 	// Services is the latency that callers of this entry saw.
 	Services []latency.Service `json:"services,omitempty"`
 	// Code is set instead of the other values if the entry did not answer.
--- a/core/operator/edit.go
+++ b/core/operator/edit.go
@@ -72,12 +72,25 @@
 	if now.Revision != e.Revision {
 		return Conflict, nil, nil
 	}
+	if err := CheckEdit(now, &e.Document); err != nil {
+		return Conflict, nil, err
+	}
 	next := &Accepted{Revision: now.Revision + 1, ChangeID: e.ChangeID, Document: e.Document}
 	next.Recent = append(next.Recent, Change{e.ChangeID, next.Revision, digest})
 	next.Recent = append(next.Recent, now.Recent[:min(len(now.Recent), maxRecent-1)]...)
 	return Write, next, nil
 }
 
+// CheckEdit refuses a change that the work in progress would not survive. The
+// number of cells decides which journal keeps a job and which owner a worker
+// obeys, so it stays as it was first accepted.
+func CheckEdit(now *Accepted, next *Document) error {
+	if now.Revision > 0 && now.Document.Cells != next.Cells {
+		return status.At(status.ErrCellsFixed, "cells", strconv.Itoa(next.Cells))
+	}
+	return nil
+}
+
 // Includes reports whether the change with this id is among the latest ones.
 func (a *Accepted) Includes(changeID string) bool {
 	return slices.ContainsFunc(a.Recent, func(c Change) bool { return c.ID == changeID })
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -10,6 +10,7 @@
 	"strconv"
 
 	"rosemarygap/core/endpoint"
+	"rosemarygap/core/interference"
 	"rosemarygap/core/operator"
 	"rosemarygap/core/worker"
 
@@ -70,6 +71,8 @@
 	Rack        string         `json:"rack"`
 	Address     netip.AddrPort `json:"address"`
 	Incarnation int64          `json:"incarnation"`
+	// VM names the VM, if it cannot be told by the IP address.
+	VM string `json:"vm,omitempty"`
 }
 
 // Exchange is a question of one entry to another: what it knows of itself and
@@ -87,6 +90,8 @@
 	// Transfers and Wants of the sender's cells move quota between cells.
 	Transfers []worker.Transfer `json:"quota-transfers,omitempty"`
 	Wants     []worker.Want     `json:"quota-wants,omitempty"`
+	// Interference is what the sender measured and advises.
+	Interference interference.Gossip `json:"interference,omitzero"`
 }
 
 // Answer is the reply to an Exchange. Ages count from the question.
--- a/core/status/codes.go
+++ b/core/status/codes.go
@@ -59,11 +59,13 @@
 	ErrWorkerFull      = &Error{"worker-full", http.StatusConflict}
 	ErrConfigConflict  = &Error{"config-conflict", http.StatusConflict}
 	ErrConfigInvalid   = &Error{"config-invalid", http.StatusUnprocessableEntity}
+	ErrCellsFixed      = &Error{"cells-fixed", http.StatusConflict}
 	ErrNoConfiguration = &Error{"no-configuration", http.StatusServiceUnavailable}
 	ErrUnauthorized    = &Error{"unauthorized", http.StatusUnauthorized}
 	ErrContradiction   = &Error{"contradiction", http.StatusUnprocessableEntity}
 	ErrAboveCapacity   = &Error{"above-capacity", http.StatusUnprocessableEntity}
 	ErrChangeIDReused  = &Error{"change-id-reused", http.StatusConflict}
+	ErrConfigUnusable  = &Error{"config-unusable", http.StatusInternalServerError}
 	ErrJobNotFinished  = &Error{"job-not-finished", http.StatusConflict}
 	ErrCrossOrigin     = &Error{"cross-origin", http.StatusForbidden}
 )
@@ -81,8 +83,8 @@
 		ErrStoreUnavailable, ErrStoreConflict, ErrLeaseExpired, ErrNoOwner,
 		ErrNotOwner, ErrStaleEpoch, ErrStaleEcho, ErrJobConflict,
 		ErrUnknownJob, ErrImpossibleJob, ErrWorkerFull, ErrConfigConflict,
-		ErrConfigInvalid, ErrNoConfiguration, ErrUnauthorized,
+		ErrConfigInvalid, ErrCellsFixed, ErrNoConfiguration, ErrUnauthorized,
 		ErrWrongType, ErrDuplicateKey, ErrContradiction, ErrAboveCapacity,
-		ErrChangeIDReused, ErrCrossOrigin, ErrJobNotFinished,
+		ErrChangeIDReused, ErrCrossOrigin, ErrJobNotFinished, ErrConfigUnusable,
 	}
 }
--- a/core/worker/cell.go
+++ b/core/worker/cell.go
@@ -60,6 +60,10 @@
 	excess Resources
 	// changed is true if a throttle or stop was decided since the last lease.
 	changed bool
+	// announced is the time of the latest announcement, misses the number
+	// of messages without an answer since the newest report.
+	announced time.Time
+	misses    int
 }
 
 func newWorkerRow(id string) workerRow {
@@ -215,9 +219,10 @@
 func (c *Cell) SetDraining(ids []string) { c.drained = ids }
 
 // Announce takes in the address of a worker and reports whether it is new.
-func (c *Cell) Announce(id, zone, rack string, a netip.AddrPort) bool {
+func (c *Cell) Announce(id, zone, rack string, a netip.AddrPort, now time.Time) bool {
 	w := c.worker(id)
 	isNew := !w.address.IsValid()
+	w.announced = now
 	w.zone, w.rack, w.address = zone, rack, a
 	return isNew
 }
--- a/io/entry/control.go
+++ b/io/entry/control.go
@@ -45,17 +45,23 @@
 	exchange func(context.Context, netip.AddrPort, peer.Exchange) (peer.Answer, error)
 	workers  *worker.Client
 	latency  *latency.Recorder
+	judge    *latency.Judge
 
 	mailbox chan message
 	results chan message
+	// ended is closed when the control goroutine takes no more messages.
+	ended chan struct{}
 	// running counts the goroutines that still owe a result.
 	running   int
 	published atomic.Pointer[entry.Snapshot]
 
 	self peer.Member
 	// instance tells this process from an earlier one of the same name.
-	instance  string
-	config    *operator.Accepted
+	instance string
+	config   *operator.Accepted
+	// unusable is the revision that was refused last; every exchange offers
+	// it again.
+	unusable  int64
 	endpoints *endpoint.Membership
 	notices   *table.Table[string, heardWorker]
 	members   *table.Table[string, peer.Member]
@@ -63,6 +69,7 @@
 	cells     *table.Table[int, cellRun]
 	peering   peering
 
+	interference interferenceState
 	registration registration
 	watching     bool
 	watched      int64
@@ -85,13 +92,17 @@
 		peers:    iopeer.NewClient(),
 		workers:  worker.NewClient(),
 		latency:  latency.NewRecorder(),
+		judge:    latency.NewJudge(),
 		mailbox:  make(chan message, mailboxSize),
 		results:  make(chan message, mailboxSize),
+		ended:    make(chan struct{}),
 		notices:  table.New[string, heardWorker](),
 		members:  table.New[string, peer.Member](),
 		owners:   table.New[int, coreplatform.Owner](),
 		cells:    table.New[int, cellRun](),
 		instance: uuid.NewString(),
+
+		interference: newInterferenceState(),
 		self: peer.Member{ID: o.ID, Zone: o.Zone, Address: o.PeerListen,
 			Operator: o.OperatorListen, Incarnation: time.Now().UnixNano()},
 	}
@@ -113,6 +124,7 @@
 		select {
 		case <-ctx.Done():
 			c.handOver(work, cancel)
+			close(c.ended)
 			return nil
 		case m := <-c.mailbox:
 			c.handle(m)
@@ -152,7 +164,9 @@
 	c.tickWatch(ctx)
 	c.tickExchange(ctx, now)
 	c.tickOwnership(ctx, now)
+	c.tickInterference(now)
 	c.tickCells(ctx, now)
+	c.tickTargets(now)
 }
 
 // start runs f in a goroutine whose result the control goroutine handles.
@@ -184,6 +198,7 @@
 		Owners:    make(map[int]coreplatform.Owner, c.owners.Len()),
 		Sharing:   c.peering.sharing,
 		Stopping:  c.stopping,
+		Advice:    c.interference.advised,
 	}
 	for cell, o := range c.owners.All {
 		s.Owners[cell] = *o
@@ -256,6 +271,7 @@
 		_ = c.store.Revoke(limit, c.registration.lease)
 		done()
 	}
+	c.closeCells()
 	cancel()
 	for c.running > 0 {
 		m := <-c.results
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -85,9 +85,11 @@
 // stop ends them: callers are sent elsewhere first, and the interface
 // between entries goes last.
 func (e *Entry) addActors(g *run.Group) error {
-	policy := coreendpoint.NewBalanced(coreendpoint.WithZone(e.opts.Zone, zoneDetour))
+	policy := coreendpoint.NewBalanced(coreendpoint.WithZone(e.opts.Zone, zoneDetour),
+		coreendpoint.WithWeights(e.control.advisedWeight))
+	observers := observerList{policy, dispatchRecorder{e.control.interference.recorder, e.control.Snapshot}}
 	callers := iocaller.NewServer(e.control, e.client, e.log,
-		iocaller.WithPolicy(policy), iocaller.WithObserver(policy))
+		iocaller.WithPolicy(policy), iocaller.WithObserver(observers))
 	operators := operator.NewServer(e.control, e.store, e.log,
 		operator.WithToken(e.opts.OperatorToken), operator.WithRecent(e.recent))
 	listeners := []listenerSpec{
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -75,6 +75,7 @@
 		x.Revision = c.config.Revision
 	}
 	x.Transfers, x.Wants = c.quotas()
+	x.Interference = c.gossip(now)
 	c.start(ctx, func(ctx context.Context) message {
 		out, err := c.exchange(ctx, to, x)
 		return exchangeResult{key, now, out, err}
@@ -164,7 +165,7 @@
 	if run == nil || !run.owned {
 		return
 	}
-	if run.driver.Cell.Announce(n.ID, n.Zone, n.Rack, n.Address) {
+	if run.driver.Cell.Announce(n.ID, n.Zone, n.Rack, n.Address, made) {
 		event.WorkerAdded.Emit(c.log, event.Worker(n.ID), event.Cell(cell), event.Address(n.Address))
 	}
 }
@@ -199,6 +200,7 @@
 		c.heardEndpoint(a, now, now, false)
 	}
 	c.hearQuotas(m.x.Transfers, m.x.Wants)
+	c.hearGossip(m.x.From.ID, m.x.Interference, now)
 	m.reply <- c.answer(&m.x, now)
 }
 
--- a/io/standin/deployment/walk_test.go
+++ b/io/standin/deployment/walk_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"html"
 	"io"
+	"net"
 	"net/http"
 	"net/http/cookiejar"
 	"net/netip"
@@ -15,6 +17,7 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -33,6 +36,10 @@
 	// operatorOffset is from the store's port to the first operator port.
 	operatorOffset = 20
 	outage         = 1500 * time.Millisecond
+	// Ranges of ports for scripts/up.sh, below those that the system gives.
+	firstOfUp  = 22000
+	portRanges = 60
+	portsOfUp  = 80
 )
 
 // walk follows docs/OPERATING.md with a command line and a
@@ -55,7 +62,7 @@
 	}
 	defer out.Close()
 	up := exec.Command("scripts/up.sh")
-	port := 22000 + os.Getpid()%60*100
+	port := freePorts(t)
 	up.Env = append(os.Environ(), "UP_DIR="+dir, "UP_PORT="+strconv.Itoa(port), "ROSEMARYGAP_OPERATOR_TOKEN="+walkToken)
 	up.Dir, up.Stdout, up.Stderr = root, out, out
 	if err := up.Start(); err != nil {
@@ -74,6 +81,25 @@
 	return w, up
 }
 
+// freePorts returns the first of a range of ports that nothing listens on.
+func freePorts(t *testing.T) int {
+	for i := range portRanges {
+		first := firstOfUp + (os.Getpid()+i)%portRanges*portsOfUp
+		free := true
+		for p := first; p < first+portsOfUp && free; p++ {
+			l, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(p))
+			if free = err == nil; free {
+				l.Close()
+			}
+		}
+		if free {
+			return first
+		}
+	}
+	t.Fatal("no free range of ports")
+	return 0
+}
+
 func (w *walk) output() string {
 	b, _ := os.ReadFile(w.log)
 	return string(b)
@@ -104,6 +130,29 @@
 	return out
 }
 
+// follow starts a command that follows accepted changes at all entries. It
+// returns a function that ends the command and returns its output.
+func (w *walk) follow() func() string {
+	w.t.Helper()
+	c := exec.Command("bin/rosemarygap", "events", "--all", "--follow", "--event", "5001", "--entry", w.operator)
+	c.Dir = root
+	var out bytes.Buffer
+	c.Stdout = &out
+	if err := c.Start(); err != nil {
+		w.t.Fatal(err)
+	}
+	end := sync.OnceFunc(func() {
+		time.Sleep(time.Second) // the period of following, twice
+		_ = c.Process.Kill()
+		_ = c.Wait()
+	})
+	w.t.Cleanup(end)
+	return func() string {
+		end()
+		return out.String()
+	}
+}
+
 // config returns the configuration in force.
 func (w *walk) config() operator.Accepted {
 	w.t.Helper()
@@ -142,7 +191,7 @@
 	form := url.Values{}
 	for _, m := range inputForm.FindAllStringSubmatch(page, -1) {
 		if !strings.Contains(m[0], "checkbox") || m[3] != "" {
-			form.Set(m[1], m[2])
+			form.Set(m[1], html.UnescapeString(m[2]))
 		}
 	}
 	form.Del("action")
@@ -163,6 +212,7 @@
 func TestWalkThroughOperatingPage(t *testing.T) {
 	is := is.New(t)
 	w, up := startWalk(t)
+	followed := w.follow()
 
 	// Change a quota in the console, after the login.
 	code, _ := w.page("/login", url.Values{"token": {walkToken}})
@@ -206,6 +256,9 @@
 	w.applyInOutage(is, file)
 	w.drainWorker(is)
 
+	// The command that followed the events has seen all of these changes.
+	is.True(strings.Count(followed(), " config-accepted ") >= 5)
+
 	// Ctrl-C.
 	is.NoErr(up.Process.Signal(syscall.SIGINT))
 	is.NoErr(up.Wait())
@@ -261,6 +314,6 @@
 	is.NoErr(json.Unmarshal([]byte(out), &done))
 	is.Equal(done.Document.Draining, []string{row.Worker})
 	w.must("submit", "examples/job.json", "--wait", "--wait-limit", "20s")
-	events := w.must("events", "--event", "5001")
-	is.True(strings.Contains(events, "config-accepted"))
+	events := w.must("events", "--all", "--job", row.ID)
+	is.True(strings.Contains(events, "job-accepted") && strings.Contains(events, "task-finished"))
 }
