--- a/core/caller/homes_test.go
+++ b/core/caller/homes_test.go
@@ -176,3 +176,30 @@
 	ask("after an outage of the store")
 	is.True(len(w.ran) > 50)
 }
+
+// An entry that is cut off from the store acts with the consent of the members
+// that it knew, but not if one of them acts on other members by now: the new
+// ones may have granted the claim without it.
+func TestConsentInAnOutageNeedsTheSameMembers(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2)
+	w.advance(testVerify)
+	a := w.nodes[0]
+	a.cutFromStore = true
+	w.advance(2 * testLease)
+	for i := 2; i < 4; i++ {
+		w.nodes = append(w.nodes, &node{})
+		w.start(i)
+		w.cut[[2]int{0, i}] = true
+	}
+	w.advance(time.Minute)
+	for range 200 {
+		id := w.newTimedID(w.now)
+		w.request(id, 3)
+		w.finish()
+		w.request(id, 0)
+		w.finish()
+		is.True(!twice(id, w.ran[id]))
+	}
+	is.Equal(len(w.ran), 200)
+}
--- a/io/standin/deployment/repeats_test.go
+++ b/io/standin/deployment/repeats_test.go
@@ -72,6 +72,7 @@
 // and is told not-run only if it did not run, while one entry is killed and
 // another one freezes and wakes.
 func TestRepeatedBookingsRunOnce(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	d := New(t, 3)
 	d.Apply(ReadConfig(t, "../../../examples/kettle-valley.json"), "first")
@@ -146,6 +147,7 @@
 // While the store is down and all entries are up, bookings go on, and a repeat
 // through another entry is still recognised.
 func TestBookingsGoOnWithoutTheStore(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	d := New(t, 3)
 	d.Apply(ReadConfig(t, "../../../examples/kettle-valley.json"), "first")
