Let the first entry after a planned stop of all act at once

It waited for the hold, since it could not know that no entry was left. The last one to stop now notes it in the store. Without the note TestFirstRequestsAreGrantedWhileEntriesAreHealthy fails: the request is denied. 10,000 cases of the churn test pass with it, 15.6 s.

--- a/core/caller/homes.go
+++ b/core/caller/homes.go
@@ -53,10 +53,11 @@
 func (h *Homes) SetHold(d time.Duration) { h.hold = d }
 
 // Join notes that this entry was registered, anew or for the first time.
-// changes is the number of the latest Change, read after the registration; 0
-// means that no entry was registered before.
-func (h *Homes) Join(changes int64, now time.Time) {
-	h.contact = changes == 0 || h.contact && changes == h.changes
+// latest is the Change read after the registration; its zero value means that
+// no entry was registered before.
+func (h *Homes) Join(latest Change, now time.Time) {
+	changes := latest.Seq
+	h.contact = changes == 0 || latest.Closed || h.contact && changes == h.changes
 	if changes != h.changes {
 		// Entries may have come and gone unseen.
 		h.known.Since = now
@@ -71,6 +72,9 @@
 	Seq int64 `json:"seq"`
 	// View identifies the set of members.
 	View uint64 `json:"view"`
+	// Closed tells that the last member stopped as planned, so that no entry
+	// acts on any members.
+	Closed bool `json:"closed,omitempty"`
 }
 
 // Next returns the change that this entry must write to the store before it
@@ -78,7 +82,7 @@
 // not.
 func (h *Homes) Next(members []Member, latest Change) (Change, bool) {
 	d := digest(members)
-	return Change{latest.Seq + 1, d}, d != digest(h.view) && d != latest.View
+	return Change{Seq: latest.Seq + 1, View: d}, d != digest(h.view) && d != latest.View
 }
 
 // Reading is what an entry read of the members in the store.
--- a/core/caller/homes_test.go
+++ b/core/caller/homes_test.go
@@ -174,6 +174,17 @@
 	w.down = false
 	w.advance(30 * testVerify)
 	ask("after an outage of the store")
+	for _, n := range w.nodes {
+		w.advance(testVerify)
+		w.leave(n)
+	}
+	w.advance(time.Minute)
+	w.start(0)
+	w.advance(10 * testVerify)
+	w.serial++
+	w.request(w.newTimedID(w.now), 0)
+	w.finish()
+	is.Equal(len(w.denied), 0) // after all were stopped as planned
 	is.True(len(w.ran) > 50)
 }
 
--- a/core/caller/meeting.go
+++ b/core/caller/meeting.go
@@ -69,6 +69,14 @@
 	return append(out, Legacy{From: h.self, Last: true})
 }
 
+// Close returns the change that this entry must write at the end of a planned
+// stop, given the latest one; false unless it is the last member.
+func (h *Homes) Close(latest Change, now time.Time) (Change, bool) {
+	last := h.left && h.contact && len(h.view) == 1 && latest.Seq == h.changes &&
+		elapsed(h.verified, now) < h.validFor
+	return Change{Seq: latest.Seq + 1, Closed: true}, last
+}
+
 // Inherit takes in a part of another entry's legacy.
 func (h *Homes) Inherit(l Legacy, now time.Time) {
 	for _, r := range l.Claims {
--- a/core/caller/world_test.go
+++ b/core/caller/world_test.go
@@ -106,7 +106,7 @@
 	_, registered := w.leases[n.member]
 	w.leases[n.member] = w.now.Add(testLease)
 	if !registered {
-		n.homes.Join(w.latest.Seq, w.clock(n))
+		n.homes.Join(w.latest, w.clock(n))
 	}
 	r := Reading{Members: w.members(), Before: w.latest.Seq, Begun: w.clock(n)}
 	if c, ok := n.homes.Next(r.Members, w.latest); ok {
@@ -287,6 +287,9 @@
 	}
 	n.up = false
 	if !n.cutFromStore && !w.down {
+		if c, ok := n.homes.Close(w.latest, w.clock(n)); ok {
+			w.latest = c
+		}
 		delete(w.leases, n.member)
 	}
 }
--- a/io/peer/membership.go
+++ b/io/peer/membership.go
@@ -53,7 +53,7 @@
 	}
 	if s.joining {
 		s.mu.Lock()
-		s.homes.Join(latest.Seq, begun)
+		s.homes.Join(latest, begun)
 		s.mu.Unlock()
 		s.joining = false
 	}
@@ -152,4 +152,20 @@
 			}
 		}
 	}
+	s.closeLast(ctx)
+}
+
+// closeLast notes in the store that the last entry stopped as planned. Without
+// the note, the next one waits for the hold.
+func (s *Claims) closeLast(ctx context.Context) {
+	latest, revision, err := s.latestChange(ctx)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	c, last := s.homes.Close(latest, time.Now())
+	s.mu.Unlock()
+	if last {
+		_ = s.writeChange(ctx, c, revision)
+	}
 }
