--- a/io/trial/result.go
+++ b/io/trial/result.go
@@ -15,8 +15,9 @@
 	Scenario string `json:"scenario"`
 	Policy   string `json:"policy"`
 	Seed     uint64 `json:"seed"`
-	// Breaches is the share of intervals beyond the target, per service.
+	// Services and Classes are in the scenario's order.
 	Services []ServiceResult `json:"services"`
+	Classes  []ClassResult   `json:"batch-classes"`
 	// Work is the batch progress made, in seconds of undisturbed run time.
 	Work      float64 `json:"work-seconds"`
 	Finished  int     `json:"finished"`
@@ -27,9 +28,16 @@
 	Score      float64 `json:"score,omitempty"`
 }
 
+// ClassResult is the progress that one run made with a batch class.
+type ClassResult struct {
+	Class string  `json:"batch-class"`
+	Work  float64 `json:"work-seconds"`
+}
+
 // ServiceResult is what one run measured for a service.
 type ServiceResult struct {
-	Service  string  `json:"service"`
+	Service string `json:"service"`
+	// Breaches is the share of intervals beyond the target.
 	Breaches float64 `json:"breached-intervals"`
 	// P99 is the median of the intervals' 99th percentiles over the target,
 	// Worst their largest.
@@ -47,6 +55,16 @@
 			float64(q.breaches) / float64(q.intervals),
 			percentile(q.p99s, 0.5) / target, q.p99s[len(q.p99s)-1] / target})
 	}
+	for _, c := range r.scenario.Classes {
+		res.Classes = append(res.Classes, ClassResult{Class: c.Name})
+	}
+	done := make([]time.Duration, len(res.Classes))
+	for _, j := range r.jobs {
+		done[j.class] += j.done
+	}
+	for i, d := range done {
+		res.Classes[i].Work = d.Seconds()
+	}
 	for _, v := range r.vms {
 		res.Evictions += v.stops
 	}
