Give every policy of the trial the same jobs on one seed

The lateness of measurements drew from the random numbers of the jobs, and how many measurements there are depends on the policy, so the policies ran on different jobs.

--- a/io/trial/run.go
+++ b/io/trial/run.go
@@ -29,16 +29,19 @@
 type run struct {
 	scenario *Scenario
 	policy   Policy
-	random   *rand.Rand
-	cell     *worker.Cell
-	learner  *interference.Policy
-	vms      []*fakeVM
-	queues   []*queue
-	jobs     map[string]*truth
-	started  map[string]time.Time
-	pending  []late
-	nextJob  float64
-	result   Result
+	// random draws jobs and delays draws how late measurements are, apart, so
+	// that every policy gets the same jobs.
+	random  *rand.Rand
+	delays  *rand.Rand
+	cell    *worker.Cell
+	learner *interference.Policy
+	vms     []*fakeVM
+	queues  []*queue
+	jobs    map[string]*truth
+	started map[string]time.Time
+	pending []late
+	nextJob float64
+	result  Result
 }
 
 // Run runs one scenario under a policy for a time.
@@ -51,7 +54,7 @@
 }
 
 func newRun(s *Scenario, p Policy, seed uint64) *run {
-	r := &run{scenario: s, policy: p, random: rand.New(rand.NewPCG(seed, 1)),
+	r := &run{scenario: s, policy: p, random: rand.New(rand.NewPCG(seed, 1)), delays: rand.New(rand.NewPCG(seed, 99)),
 		jobs: make(map[string]*truth), started: make(map[string]time.Time)}
 	r.cell = worker.NewCell(0, worker.Timings{Grant: 6 * time.Second, Hold: time.Hour})
 	urgent := make(map[string]bool)
@@ -171,7 +174,7 @@
 func (r *run) measure(end time.Time) {
 	for _, q := range r.queues {
 		for _, m := range q.measure(end) {
-			delay := r.scenario.MinDelay + time.Duration(r.random.Int64N(int64(r.scenario.MaxDelay-r.scenario.MinDelay)))
+			delay := r.scenario.MinDelay + time.Duration(r.delays.Int64N(int64(r.scenario.MaxDelay-r.scenario.MinDelay)))
 			r.pending = append(r.pending, late{m, end.Add(delay)})
 		}
 	}
--- a/io/trial/trial_test.go
+++ b/io/trial/trial_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 )
@@ -92,3 +93,24 @@
 		}
 	}
 }
+
+// Every policy gets the same jobs on one seed.
+func TestPoliciesGetTheSameJobs(t *testing.T) {
+	jobs := func(p Policy) map[string]time.Duration {
+		s, totals := KettleValley(), make(map[string]time.Duration)
+		r := newRun(&s, p, 1)
+		for at := time.Duration(0); at < 20*time.Minute; at += step {
+			r.tick(at)
+		}
+		for id, j := range r.jobs {
+			totals[id] = j.total
+		}
+		return totals
+	}
+	want := jobs(Policies()[0])
+	for _, p := range Policies()[1:] {
+		if !maps.Equal(want, jobs(p)) {
+			t.Errorf("%s got other jobs than %s", p.Name, Policies()[0].Name)
+		}
+	}
+}
