Log the last answer when a change is not accepted in time

TestConfigurationThroughFaults failed in 1 of 42 runs, at its first change on a busy machine (load average 37): config_test.go:157: not within 6s: accepted It passed in the 36 runs after that (three processes at a time, 8 runs each, and 12 alone). Not ruled out: another test's process on the same port, since a free port is chosen before it is bound; a store that was too slow. The answer was not logged, so the cause is open; it is logged now.

--- a/io/standin/deployment/config_test.go
+++ b/io/standin/deployment/config_test.go
@@ -137,7 +137,16 @@
 // accepted sends one change until it is accepted.
 func (d *editor) accepted(e *Entry) {
 	d.t.Helper()
-	d.Eventually("accepted", inForceLimit, func() bool { _, err := d.put(e); return err == nil })
+	var last error
+	d.t.Cleanup(func() {
+		if last != nil && d.t.Failed() {
+			d.t.Logf("the last answer of %s: %v", e.ID, last)
+		}
+	})
+	d.Eventually("accepted", inForceLimit, func() bool {
+		_, last = d.put(e)
+		return last == nil
+	})
 }
 
 func (d *editor) faults(f platform.Faults) { d.Fault(d.Store.Address, "/faults", f) }
