--- a/core/entry/snapshot.go
+++ b/core/entry/snapshot.go
@@ -9,6 +9,7 @@
 	"net/netip"
 
 	"rosemarygap/core/endpoint"
+	"rosemarygap/core/interference"
 	"rosemarygap/core/latency"
 	"rosemarygap/core/operator"
 	"rosemarygap/core/peer"
@@ -25,6 +26,10 @@
 	Members []peer.Member
 	// Owners are the owners of cells by cell number.
 	Owners map[int]platform.Owner
+	// Advice weighs endpoints by the interference on their VMs.
+	Advice *interference.Advised
+	// Sharing is true while this entry may use its shares of the endpoints.
+	Sharing bool
 	// Stopping is true from the start of a planned stop.
 	Stopping bool
 }
@@ -35,7 +40,7 @@
 }
 
 // Ready reports whether callers may be sent here.
-func (s *Snapshot) Ready() bool { return s.Config != nil && !s.Stopping }
+func (s *Snapshot) Ready() bool { return s.Config != nil && s.Sharing && !s.Stopping }
 
 // Revision returns the revision of the configuration in force, or 0.
 func (s *Snapshot) Revision() int64 {
--- a/core/interference/route.go
+++ b/core/interference/route.go
@@ -62,8 +62,8 @@
 func (p *Policy) routeService(service string, sites []*site, keeping map[string]bool, w *Weights) {
 	need := p.needed(service, sites)
 	for _, s := range sites {
-		s.rank = p.outlookAt(s, "")
-		if s.kept {
+		s.rank = max(s.predicted, p.outlookAt(s, ""))
+		if s.kept && s.rank <= p.margin() {
 			s.rank -= sticky
 		}
 		if keeping[s.vm] {
@@ -99,11 +99,11 @@
 }
 
 // missSlope is how sharply requests begin to miss the target around it.
-const missSlope = 6
+const missSlope = 12
 
 // avoidedHarm is the part of harm that counts on a VM whose endpoint is
 // routed away from: it might be needed again.
-const avoidedHarm = 0.05
+const avoidedHarm = 0.005
 
 // Harm predicts the share of requests that one more task of class on a VM
 // makes miss their target at the usual peak of load.
@@ -124,6 +124,21 @@
 	return harm
 }
 
+// Spare reports whether no service needs its endpoint on vm, and at least one
+// has such an endpoint.
+func (p *Policy) Spare(vm string) bool {
+	spare := false
+	for _, service := range p.services {
+		if s := p.sites[siteKey{service, vm}]; s != nil {
+			if s.kept {
+				return false
+			}
+			spare = true
+		}
+	}
+	return spare
+}
+
 // outlookAt predicts a site at its peak of load with one more task of class,
 // or with none if class is empty.
 func (p *Policy) outlookAt(s *site, class string) float64 {
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -1,6 +1,8 @@
 // Package peer holds what entries tell one another and how they agree on a
 // preferred entry without asking: rendezvous hashing over the same member list.
-// It owns no state.
+//
+// Invariant: what one entry tells another is idempotent, and no relay makes an
+// announcement younger. The tables here belong to the control goroutine.
 package peer
 
 import (
@@ -8,40 +10,21 @@
 	"strconv"
 
 	"rosemarygap/core/endpoint"
+	"rosemarygap/core/interference"
 	"rosemarygap/core/operator"
-	"rosemarygap/core/wire"
+	"rosemarygap/core/rendezvous"
 	"rosemarygap/core/worker"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Member is one entry as registered in the platform's store.
 type Member struct {
-	ID       string         `json:"id"`
-	Zone     string         `json:"zone"`
-	Address  netip.AddrPort `json:"address"`
-	Operator netip.AddrPort `json:"operator-address"`
-}
-
-// Score ranks a member for a key; the highest score is preferred.
-func Score(key, member string) uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(key)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(member)
-	return d.Sum64()
-}
-
-// Preferred returns the member with the highest score for key, or "" if
-// there are no members.
-func Preferred(key string, members []string) string {
-	best, bestScore := "", uint64(0)
-	for _, m := range members {
-		if s := Score(key, m); best == "" || s > bestScore {
-			best, bestScore = m, s
-		}
-	}
-	return best
+	ID string `json:"id"`
+	// Incarnation is the time at which the process started, in nanoseconds
+	// since 1970.
+	Incarnation int64          `json:"incarnation"`
+	Zone        string         `json:"zone"`
+	Address     netip.AddrPort `json:"address"`
+	Operator    netip.AddrPort `json:"operator-address"`
 }
 
 // CellOfJob maps a job to the cell that keeps it.
@@ -53,7 +36,7 @@
 func cellOf(key string, cells int) int {
 	best, bestScore := 0, uint64(0)
 	for i := range cells {
-		if s := Score(key, strconv.Itoa(i)); i == 0 || s > bestScore {
+		if s := rendezvous.Score(key, strconv.Itoa(i)); i == 0 || s > bestScore {
 			best, bestScore = i, s
 		}
 	}
@@ -67,21 +50,40 @@
 	Rack        string         `json:"rack"`
 	Address     netip.AddrPort `json:"address"`
 	Incarnation int64          `json:"incarnation"`
+	// VM names the VM, if it cannot be told by the IP address.
+	VM string `json:"vm,omitempty"`
 }
 
-// AgedWorker is a worker's announcement with its age at the sender.
-type AgedWorker struct {
-	Notice WorkerNotice  `json:"notice"`
-	Age    wire.Duration `json:"age"`
+// Exchange is a question of one entry to another: what it knows of itself and
+// how much of the other's feeds it has.
+type Exchange struct {
+	From Member `json:"from"`
+	// Revision is the configuration in force at the asker, or 0.
+	Revision int64 `json:"config-revision"`
+	// Version names the set of entries that the asker shares with.
+	Version   string `json:"version"`
+	Endpoints Cursor `json:"endpoints"`
+	Workers   Cursor `json:"workers"`
+	// Leaving are departures of endpoints that the asker heard of just now.
+	Leaving []endpoint.Announcement `json:"leaving,omitempty"`
+	// Transfers and Wants of the sender's cells move quota between cells.
+	Transfers []worker.Transfer `json:"quota-transfers,omitempty"`
+	Wants     []worker.Want     `json:"quota-wants,omitempty"`
+	// Interference is what the sender measured and advises.
+	Interference interference.Gossip `json:"interference,omitzero"`
 }
 
-// Exchange is what one entry sends to another; the answer has the same form.
-type Exchange struct {
-	From      string             `json:"from"`
-	Config    *operator.Accepted `json:"config,omitempty"`
-	Revision  int64              `json:"config-revision"`
-	Endpoints []endpoint.Aged    `json:"endpoints,omitempty"`
-	Workers   []AgedWorker       `json:"workers,omitempty"`
+// Answer is the reply to an Exchange. Ages count from the question.
+type Answer struct {
+	From     Member `json:"from"`
+	Revision int64  `json:"config-revision"`
+	// Config is left out if the asker has the revision or a higher one.
+	Config *operator.Accepted `json:"config,omitempty"`
+	Report Report             `json:"report"`
+	// Roster is left out if the asker has the same set of entries.
+	Roster    []RosterRow                  `json:"roster,omitempty"`
+	Endpoints Delta[endpoint.Announcement] `json:"endpoints"`
+	Workers   Delta[WorkerNotice]          `json:"workers"`
 	// Transfers and Wants of the sender's cells move quota between cells.
 	Transfers []worker.Transfer `json:"quota-transfers,omitempty"`
 	Wants     []worker.Want     `json:"quota-wants,omitempty"`
--- a/core/worker/place_fleet_test.go
+++ b/core/worker/place_fleet_test.go
@@ -73,7 +73,7 @@
 func (f *fleet) addVM(cell int, capacity Resources) string {
 	id := fmt.Sprintf("vm-%d-%04d", cell, len(f.vms))
 	f.vms[id] = &fakeVM{capacity, f.now, map[string]*fakeTask{}}
-	f.cells[cell].Announce(id, "z", "r", netip.MustParseAddrPort("127.0.0.1:1"))
+	f.cells[cell].Announce(id, "z", "r", netip.MustParseAddrPort("127.0.0.1:1"), f.now)
 	return id
 }
 
@@ -89,6 +89,9 @@
 func (f *fleet) step() {
 	f.now = f.now.Add(tick)
 	for _, c := range f.cells {
+		for _, w := range c.workers.All {
+			w.announced = f.now
+		}
 		f.exchange(c)
 		rs := c.Plan(f.now)
 		c.Committed(rs)
--- a/io/entry/ownership.go
+++ b/io/entry/ownership.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"rosemarygap/core/event"
+	"rosemarygap/core/interference"
 	"rosemarygap/core/peer"
 	coreplatform "rosemarygap/core/platform"
+	"rosemarygap/core/rendezvous"
 	"rosemarygap/core/status"
 	"rosemarygap/core/worker"
 	"rosemarygap/io/platform"
@@ -30,6 +32,8 @@
 	id      int
 	driver  *worker.Driver
 	journal *journal
+	// policy is what the owner learnt about interference in the cell.
+	policy *interference.Policy
 	// owned is true once the epoch was opened in the journal.
 	owned bool
 	// lease is the registration that the ownership is bound to.
@@ -79,7 +83,7 @@
 	for id := range c.members.All {
 		ids = append(ids, id)
 	}
-	if peer.Preferred("cell/"+strconv.Itoa(run.id), ids) == c.self.ID {
+	if rendezvous.Preferred("cell/"+strconv.Itoa(run.id), ids) == c.self.ID {
 		return true
 	}
 	return now.Sub(run.free) > othersWait
@@ -88,7 +92,7 @@
 func (c *control) acquire(ctx context.Context, run *cellRun) {
 	owner := coreplatform.Owner{Entry: c.self.ID, Instance: c.instance, Address: c.self.Address.String()}
 	next := &cellRun{id: run.id, lease: c.registration.lease}
-	next.journal = platform.NewJournal[worker.Record, worker.Saved](c.store, run.id)
+	next.journal = platform.NewJournal[worker.Record, worker.Saved](c.store, run.id, coreplatform.LogSlots)
 	timings := c.timings()
 	build := func() *worker.Driver {
 		return worker.NewDriver(worker.NewCell(run.id, timings), owner.Entry, uuid.NewString)
@@ -128,7 +132,7 @@
 func (c *control) introduceWorkers(run *cellRun) {
 	for id, w := range c.notices.All {
 		if peer.CellOfWorker(id, c.config.Document.Cells) == run.id {
-			run.driver.Cell.Announce(id, w.notice.Zone, w.notice.Rack, w.notice.Address)
+			run.driver.Cell.Announce(id, w.notice.Zone, w.notice.Rack, w.notice.Address, w.made)
 		}
 	}
 }
@@ -142,3 +146,12 @@
 	}
 	c.cells.Delete(run.id)
 }
+
+// closeCells answers all who wait for a cell, once the registration is gone.
+func (c *control) closeCells() {
+	for _, run := range c.cells.All {
+		if run.owned {
+			run.driver.Close(status.RetryIn(status.ErrNotOwner, acquireRetry))
+		}
+	}
+}
--- a/io/standin/deployment/deployment.go
+++ b/io/standin/deployment/deployment.go
@@ -15,6 +15,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -77,6 +78,14 @@
 	client  *httpjson.Client
 	Store   *Standin
 	Entries []*Entry
+	started []*Process
+}
+
+// KillAll ends every process at once, for a test that has seen enough.
+func (d *Deployment) KillAll() {
+	for _, p := range d.started {
+		p.Kill()
+	}
 }
 
 // New starts the key-value service's stand-in and as many entries as given,
@@ -99,15 +108,34 @@
 	return d
 }
 
-// FreeAddress returns a loopback address that nothing listens on.
+// Ports for tests lie below those that the system gives to outgoing
+// connections, which could take a port between its choice and its use.
+const (
+	firstPort = 10000
+	lastPort  = 20000
+)
+
+// nextPort is the last port that was handed out; each test process starts at
+// another one.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(os.Getpid()) * 61) }
+
+// FreeAddress returns a loopback address that nothing listens on and that no
+// other call in this process returned lately.
 func FreeAddress(t testing.TB) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range lastPort - firstPort {
+		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+		a := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(port))
+		l, err := net.Listen("tcp", a.String())
+		if err == nil {
+			l.Close()
+			return a
+		}
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).AddrPort()
+	t.Fatal("no free port")
+	return netip.AddrPort{}
 }
 
 func (d *Deployment) start(name, program string, args ...string) *Process {
@@ -127,6 +155,7 @@
 		p.err = p.cmd.Wait()
 		close(p.ended)
 	}()
+	d.started = append(d.started, p)
 	d.t.Cleanup(func() { p.finish() })
 	return p
 }
--- a/io/standin/deployment/walk_test.go
+++ b/io/standin/deployment/walk_test.go
@@ -37,7 +37,7 @@
 	operatorOffset = 20
 	outage         = 1500 * time.Millisecond
 	// Ranges of ports for scripts/up.sh, below those that the system gives.
-	firstPort  = 22000
+	firstOfUp  = 22000
 	portRanges = 60
 	portsOfUp  = 80
 )
@@ -84,7 +84,7 @@
 // freePorts returns the first of a range of ports that nothing listens on.
 func freePorts(t *testing.T) int {
 	for i := range portRanges {
-		first := firstPort + (os.Getpid()+i)%portRanges*portsOfUp
+		first := firstOfUp + (os.Getpid()+i)%portRanges*portsOfUp
 		free := true
 		for p := first; p < first+portsOfUp && free; p++ {
 			l, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(p))
