Notice a task's end within 1.5 s whatever the grant; spare the store after three misses

The store is now spared after three calls in a row, and a call that its caller gave up does not count.

Renewals come every quarter of the grant, at most every 1.5 s, so that a longer grant does not delay the notice of a finished task.

--- a/core/worker/lease.go
+++ b/core/worker/lease.go
@@ -11,6 +11,15 @@
 // renewalsPerGrant is how often a lease is renewed within one grant.
 const renewalsPerGrant = 4
 
+// maxRenewal bounds the time between two messages to a worker, and with it
+// how late the end of a task is noticed.
+const maxRenewal = 1500 * time.Millisecond
+
+// renewEvery is the time between two messages to a worker in order.
+func (t Timings) renewEvery() time.Duration {
+	return min(t.Grant/renewalsPerGrant, maxRenewal)
+}
+
 const (
 	// announcedFor is how long an idle worker is asked after its last
 	// announcement.
@@ -62,13 +71,13 @@
 	if len(w.tasks) == 0 && now.Sub(w.announced) > announcedFor {
 		return false
 	}
-	if w.misses > 0 && now.Sub(w.sent) < backoffFor(missBase, c.timings.Grant/renewalsPerGrant, w.misses) {
+	if w.misses > 0 && now.Sub(w.sent) < backoffFor(missBase, c.timings.renewEvery(), w.misses) {
 		return false
 	}
 	if c.unsettled(w) {
 		return true
 	}
-	return now.Sub(w.sent) >= c.timings.Grant/renewalsPerGrant
+	return now.Sub(w.sent) >= c.timings.renewEvery()
 }
 
 // unsettled reports whether the worker's tasks differ from the desired ones.
--- a/io/platform/limited.go
+++ b/io/platform/limited.go
@@ -23,13 +23,16 @@
 	// at random around its mean.
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = 3 * time.Second
+	// spareAfter is how many calls in a row stay without an answer before
+	// the service is spared.
+	spareAfter = 3
 )
 
 // Limited is a Store that keeps calls below a limit and spares a service that
 // does not answer.
 //
-// Invariant: after a call without an answer, no other call leaves until the
-// backoff has passed, and then one alone until one is answered. A call that
+// Invariant: after a few calls in a row without an answer, no other call leaves
+// until the backoff has passed, and then one alone until one is answered. A call that
 // is held back fails with status.ErrStoreUnavailable and has no effect.
 type Limited struct {
 	store Store
@@ -39,7 +42,7 @@
 
 	mu      sync.Mutex
 	backoff *backoff.ExponentialBackOff
-	failing bool
+	missed  int
 	probing bool
 	until   time.Time
 }
@@ -68,7 +71,7 @@
 		return status.ErrStoreUnavailable
 	}
 	if err := l.limit.Wait(ctx); err != nil {
-		l.done(status.ErrStoreUnavailable)
+		l.withdraw()
 		return status.ErrStoreUnavailable
 	}
 	l.count.Inc()
@@ -79,7 +82,7 @@
 func (l *Limited) open() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.failing {
+	if l.missed < spareAfter {
 		return true
 	}
 	if l.probing || time.Now().Before(l.until) {
@@ -92,23 +95,32 @@
 func (l *Limited) spared() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.failing
+	return l.missed >= spareAfter
 }
 
-// done takes in the result of a call that left.
-func (l *Limited) done(err error) {
+// done takes in the result of a call that left. A call that its caller gave
+// up tells nothing about the service.
+func (l *Limited) done(ctx context.Context, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.probing = false
-	if !errors.Is(err, status.ErrStoreUnavailable) {
-		l.failing = false
+	switch {
+	case !errors.Is(err, status.ErrStoreUnavailable):
+		l.missed = 0
 		l.backoff.Reset()
-		return
+	case ctx.Err() == nil:
+		l.missed++
+		if now := time.Now(); l.missed >= spareAfter && !now.Before(l.until) {
+			l.until = now.Add(l.backoff.NextBackOff())
+		}
 	}
-	if now := time.Now(); !l.failing || !now.Before(l.until) {
-		l.until = now.Add(l.backoff.NextBackOff())
-	}
-	l.failing = true
+}
+
+// withdraw takes back a call that was admitted and did not leave.
+func (l *Limited) withdraw() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.probing = false
 }
 
 // limited makes one call within the limits.
@@ -118,7 +130,7 @@
 		return none, err
 	}
 	v, err := call()
-	l.done(err)
+	l.done(ctx, err)
 	return v, err
 }
 
@@ -173,6 +185,6 @@
 		return err
 	}
 	err := call()
-	l.done(err)
+	l.done(ctx, err)
 	return err
 }
