--- a/io/standin/deployment/deployment.go
+++ b/io/standin/deployment/deployment.go
@@ -102,9 +102,9 @@
 
 // Ports that tests listen on lie below those that the kernel gives to
 // outgoing connections, one of which may else take a port before its process
-// listens.
+// listens, and above those of the demo.
 const (
-	firstPort = 10_000
+	firstPort = 22_000
 	lastPort  = 32_000
 )
 
