--- a/core/worker/cell.go
+++ b/core/worker/cell.go
@@ -291,7 +291,7 @@
 // Split divides a saved state into parts whose JSON form has about limit
 // bytes at most. Load adds them up again.
 func (s Saved) Split(limit int) []Saved {
-	parts := []Saved{{Workers: s.Workers, Wait: s.Wait}}
+	parts := []Saved{{Workers: s.Workers, Wait: s.Wait, Transfers: s.Transfers}}
 	size := jsonSize(parts[0])
 	for _, j := range s.Jobs {
 		n := jsonSize(j)
