Let an owner remember the ends of leases when it claims its cell again

Cause: an owner whose registration lapses in an outage of the store claims its cell anew, and a new ownership waits out the outage hold (an hour) for each worker that it cannot reach. A worker that died within a lease of an outage so held its tasks for an hour although the owner knew better.

--- a/core/worker/cell.go
+++ b/core/worker/cell.go
@@ -96,6 +96,9 @@
 	placer
 	// lastVerified is the owner's time of the latest proof of ownership.
 	lastVerified time.Time
+	// newest is the epoch of the newest ownership in the journal, prior that
+	// of the one before this ownership.
+	newest, prior int64
 	// earliest is when leases granted by earlier owners have certainly ended.
 	earliest time.Time
 }
@@ -119,6 +122,8 @@
 	Jobs    []JobRow      `json:"jobs,omitempty"`
 	Workers []Health      `json:"workers,omitempty"`
 	Wait    wire.Duration `json:"wait,omitzero"`
+	// Epoch is that of the newest ownership.
+	Epoch int64 `json:"epoch,omitempty"`
 	// Transfers are the parts of quotas given and taken, in total.
 	Transfers []Transfer `json:"transfers,omitempty"`
 }
@@ -126,7 +131,7 @@
 // Save returns the durable part of the cell.
 func (c *Cell) Save() Saved {
 	s := Saved{Jobs: make([]JobRow, 0, c.jobs.Len()), Wait: wire.Duration(c.wait),
-		Transfers: c.savedTransfers()}
+		Epoch: c.newest, Transfers: c.savedTransfers()}
 	for _, j := range c.jobs.All {
 		s.Jobs = append(s.Jobs, *j)
 	}
@@ -143,6 +148,7 @@
 // Load adds a saved state, or a part of one, to the cell.
 func (c *Cell) Load(s Saved) {
 	c.wait = max(c.wait, s.Wait.Std())
+	c.newest = max(c.newest, s.Epoch)
 	for _, h := range s.Workers {
 		c.worker(h.Worker).health = h
 	}
@@ -190,6 +196,24 @@
 	}
 }
 
+// Inherit takes over what the same process knows of leases from its previous
+// ownership of the cell, which sends nothing any more. Without it a lapse of
+// the registration in an outage would cost the wait of a new owner for each
+// worker that cannot be reached. It does nothing if another owner came between.
+func (c *Cell) Inherit(old *Cell) {
+	if c.prior != old.epoch {
+		return
+	}
+	c.earliest = old.earliest
+	for _, w := range c.workers.All {
+		w.bound, w.priorBound = old.earliest, old.earliest
+	}
+	for id, w := range old.workers.All {
+		n := c.worker(id)
+		n.bound, n.priorBound = w.bound, w.priorBound
+	}
+}
+
 // Epoch returns the epoch of this ownership.
 func (c *Cell) Epoch() int64 { return c.epoch }
 
@@ -291,7 +315,7 @@
 // Split divides a saved state into parts whose JSON form has about limit
 // bytes at most. Load adds them up again.
 func (s Saved) Split(limit int) []Saved {
-	parts := []Saved{{Workers: s.Workers, Wait: s.Wait, Transfers: s.Transfers}}
+	parts := []Saved{{Workers: s.Workers, Wait: s.Wait, Epoch: s.Epoch, Transfers: s.Transfers}}
 	size := jsonSize(parts[0])
 	for _, j := range s.Jobs {
 		n := jsonSize(j)
--- a/core/worker/driver.go
+++ b/core/worker/driver.go
@@ -66,6 +66,8 @@
 // applies it: it counts once it is durable, or the driver is dropped.
 func (d *Driver) Opening(epoch int64, now time.Time) Batch {
 	r := d.Cell.OpenRecord(now)
+	r.Epoch = epoch
+	d.Cell.prior = d.Cell.newest
 	d.Cell.Apply(r)
 	return Batch{Epoch: epoch, Owner: d.owner, Nonce: d.nonce(), Records: []Record{r}}
 }
--- a/core/worker/record.go
+++ b/core/worker/record.go
@@ -46,6 +46,8 @@
 	VM          netip.Addr  `json:"vm,omitzero"`
 	Checkpoint  string      `json:"checkpoint,omitempty"`
 	Reason      status.Code `json:"reason,omitempty"`
+	// Epoch is the one that an opening record opens.
+	Epoch int64 `json:"epoch,omitempty"`
 	// Wait is how long a new owner waits for a worker that it cannot reach.
 	Wait  wire.Duration `json:"wait,omitzero"`
 	Limit Resources     `json:"limit,omitzero"`
@@ -72,6 +74,7 @@
 	switch r.Kind {
 	case KindOpened, KindTimings:
 		c.wait = r.Wait.Std()
+		c.newest = max(c.newest, r.Epoch)
 	case KindSubmitted:
 		c.jobs.Put(r.Job.ID, JobRow{Job: *r.Job, State: Queued, Submitted: r.At})
 	case KindForgotten:
--- a/core/worker/saved_test.go
+++ b/core/worker/saved_test.go
@@ -28,3 +28,34 @@
 	is.Equal(jsonSize(back.Save()), jsonSize(c.Save()))
 	is.Equal(back.Save().Transfers, c.Save().Transfers)
 }
+
+// A process inherits the ends of leases only from the ownership that directly
+// precedes its own in the journal.
+func TestInheritOnlyFromPrecedingOwnership(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		between   bool
+		inherited bool
+	}{{"same process again", false, true}, {"another owner came between", true, false}} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			timings := Timings{Grant: 10 * time.Second, Hold: time.Hour}
+			old := NewDriver(NewCell(0, timings), "a", func() string { return "n" })
+			journal := old.Opening(1, now).Records
+			old.Cell.Open(1, now)
+			old.Cell.worker("worker-1").bound = now.Add(10 * time.Second)
+			if tt.between {
+				journal = append(journal, Record{Kind: KindOpened, Epoch: 2})
+			}
+			next := NewDriver(NewCell(0, timings), "a", func() string { return "n" })
+			for _, r := range journal {
+				next.Cell.Apply(r)
+			}
+			next.Opening(3, now)
+			next.Cell.Open(3, now)
+			next.Cell.Inherit(old.Cell)
+			is.Equal(next.Cell.certainlyEnded(next.Cell.worker("worker-1"), now.Add(time.Minute)), tt.inherited)
+		})
+	}
+}
--- a/io/entry/ownership.go
+++ b/io/entry/ownership.go
@@ -117,6 +117,7 @@
 		return
 	}
 	if m.run.owned {
+		m.next.driver.Cell.Inherit(m.run.driver.Cell)
 		c.stepDown(m.run, status.ErrLeaseExpired.Code())
 	}
 	c.cells.Delete(m.run.id)
--- a/io/standin/history/owner.go
+++ b/io/standin/history/owner.go
@@ -152,6 +152,9 @@
 				o.failed()
 				return
 			}
+			if o.driver != nil {
+				d.Cell.Inherit(o.driver.Cell)
+			}
 			o.stepDown()
 			o.acquiring = false
 			o.driver, o.journal, o.bound = d, j, lease
