Leave a cell to its latest owner while that one is heard of

After an outage all registrations have lapsed and any entry may claim a cell; one that is not its latest owner does not know the ends of leases.

--- a/io/entry/control.go
+++ b/io/entry/control.go
@@ -67,8 +67,10 @@
 	notices   *table.Table[string, heardWorker]
 	members   *table.Table[string, peer.Member]
 	owners    *table.Table[int, coreplatform.Owner]
-	cells     *table.Table[int, cellRun]
-	peering   peering
+	// lapsed are the latest owners of cells whose registration lapsed.
+	lapsed  *table.Table[int, coreplatform.Owner]
+	cells   *table.Table[int, cellRun]
+	peering peering
 
 	interference interferenceState
 	registration registration
@@ -101,6 +103,7 @@
 		notices:  table.New[string, heardWorker](),
 		members:  table.New[string, peer.Member](),
 		owners:   table.New[int, coreplatform.Owner](),
+		lapsed:   table.New[int, coreplatform.Owner](),
 		cells:    table.New[int, cellRun](),
 		instance: uuid.NewString(),
 
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -93,6 +93,7 @@
 		return
 	}
 	m.down = false
+	m.answered = now
 	c.absorb(m, r, now)
 }
 
--- a/io/entry/ownership.go
+++ b/io/entry/ownership.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"rosemarygap/core/clock"
 	"rosemarygap/core/event"
 	"rosemarygap/core/interference"
 	"rosemarygap/core/peer"
@@ -21,6 +22,10 @@
 const (
 	// othersWait is how long an entry leaves a cell to the preferred one.
 	othersWait = 2 * time.Second
+	// yieldLimit is how long a cell is left to its latest owner if that one
+	// answered within yieldHeard.
+	yieldLimit = 4 * time.Second
+	yieldHeard = 2 * time.Second
 	// acquireRetry is the delay after a failed try.
 	acquireRetry = time.Second
 )
@@ -79,6 +84,9 @@
 	if run.owned {
 		return run.lease != c.registration.lease
 	}
+	if c.yields(run, now) {
+		return false
+	}
 	ids := make([]string, 0, c.members.Len())
 	for id := range c.members.All {
 		ids = append(ids, id)
@@ -89,6 +97,18 @@
 	return now.Sub(run.free) > othersWait
 }
 
+// yields reports whether run should be left to its latest owner, which lost
+// its registration but is heard of: it knows how long each lease lasts, and a
+// new owner would have to wait out the outage hold for lost workers.
+func (c *control) yields(run *cellRun, now time.Time) bool {
+	o := c.lapsed.Get(run.id)
+	if o == nil || o.Entry == c.self.ID || now.Sub(run.free) > yieldLimit {
+		return false
+	}
+	m := c.peering.mirrors[o.Entry]
+	return m != nil && clock.Elapsed(m.answered, now) < yieldHeard
+}
+
 func (c *control) acquire(ctx context.Context, run *cellRun) {
 	owner := coreplatform.Owner{Entry: c.self.ID, Instance: c.instance, Address: c.self.Address.String()}
 	next := &cellRun{id: run.id, lease: c.registration.lease}
--- a/io/entry/peering.go
+++ b/io/entry/peering.go
@@ -46,6 +46,8 @@
 type mirror struct {
 	endpoints peer.Mirror[endpoint.Announcement]
 	workers   peer.Mirror[peer.WorkerNotice]
+	// answered is the time of the latest answer.
+	answered time.Time
 	// busy is true while a question is under way.
 	busy, down bool
 }
--- a/io/entry/registration.go
+++ b/io/entry/registration.go
@@ -184,6 +184,9 @@
 func (c *control) applyOwnerEntry(cell int, e platform.Entry) {
 	c.dirty = true
 	if e.Deleted {
+		if o := c.owners.Get(cell); o != nil {
+			c.lapsed.Put(cell, *o)
+		}
 		c.owners.Delete(cell)
 		return
 	}
@@ -193,6 +196,10 @@
 	}
 	c.owners.Put(cell, o)
 	run := c.cells.Get(cell)
+	if run != nil && !run.owned && !run.acquiring && o.Entry != c.self.ID {
+		c.cells.Delete(cell)
+		return
+	}
 	if run != nil && run.owned && o.Epoch > run.driver.Cell.Epoch() && o.Entry != c.self.ID {
 		c.stepDown(run, status.ErrNotOwner.Code())
 	}
