Fix the seeds of property tests in one place, and keep one maximum of resources

The same TestMain stood in eight packages, in four variants; two of them ignored a seed given on the command line. The larger of two amounts stood twice as Max and most. No case count changes but where none was set: the library's own stays.

--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 soak:
 	go test ./io/caller -count=1 -timeout 30m -run TestOutcomesAreTrue -rapid.checks=100000
 	go test ./core/caller -count=1 -timeout 30m -run TestAnID -rapid.checks=100000
-	ROSEMARYGAP_SOAK=1 go test ./core/peer -count=1 -timeout 30m -run 'TestEntries|TestNoMessage' -rapid.checks=20000
+	go test ./core/peer -count=1 -timeout 30m -run 'TestEntries|TestNoMessage' -rapid.checks=20000
 	go test ./io/operator ./core/operator -count=1 -timeout 30m -run 'TestEdits|TestForm|TestEvery|TestMerge' -rapid.checks=20000
 	for s in 101 102 103 104; do \
 		go test -count=1 -timeout 30m ./io/standin/history -run 'TestHistories|TestTwoOwners' \
--- a/core/caller/homes_test.go
+++ b/core/caller/homes_test.go
@@ -1,9 +1,7 @@
 package caller
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -11,21 +9,13 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	"rosemarygap/io/golden"
 )
 
 // TestMain gives the property tests a fixed seed and their usual number of
 // cases, unless the command line says otherwise.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "3000", "rapid.nofailfile": "true"} {
-		if !given[name] {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { golden.FixSeed(m, "3000") }
 
 // act makes one drawn thing happen.
 func (w *world) act(t *rapid.T) {
--- a/core/interference/policy_test.go
+++ b/core/interference/policy_test.go
@@ -1,25 +1,18 @@
 package interference
 
 import (
-	"flag"
 	"fmt"
 	"math"
-	"os"
 	"testing"
 	"time"
 
 	"rosemarygap/core/wire"
+	"rosemarygap/io/golden"
 
 	"pgregory.net/rapid"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "1")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { golden.FixSeed(m, "") }
 
 const target = 100 * time.Millisecond
 
--- a/core/peer/roster_test.go
+++ b/core/peer/roster_test.go
@@ -1,22 +1,16 @@
 package peer
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"rosemarygap/io/golden"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if os.Getenv("ROSEMARYGAP_SOAK") == "" {
-		_ = flag.Set("rapid.seed", "1")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { golden.FixSeed(m, "") }
 
 const (
 	simStep  = 100 * time.Millisecond
--- a/core/worker/place_fleet_test.go
+++ b/core/worker/place_fleet_test.go
@@ -1,23 +1,16 @@
 package worker
 
 import (
-	"flag"
 	"fmt"
 	"net/netip"
-	"os"
 	"testing"
 	"time"
 
 	"rosemarygap/core/wire"
+	"rosemarygap/io/golden"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "1")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { golden.FixSeed(m, "") }
 
 const tick = 250 * time.Millisecond
 
--- a/core/worker/place_quota.go
+++ b/core/worker/place_quota.go
@@ -114,7 +114,7 @@
 	if q.teams == nil {
 		return Resources{}, true
 	}
-	missing := held.Plus(size).Minus(q.own(team)).most(Resources{})
+	missing := held.Plus(size).Minus(q.own(team)).Max(Resources{})
 	missing.Slots = 0
 	return missing, missing == Resources{}
 }
@@ -179,7 +179,7 @@
 		if !ok {
 			old = q.taken[k]
 		}
-		latest[k] = old.most(t.Sum)
+		latest[k] = old.Max(t.Sum)
 	}
 	q.offers = q.offers[:0]
 	for _, t := range transfers(latest, func(l lending, sum Resources) Transfer {
@@ -206,7 +206,7 @@
 			continue
 		}
 		idle := q.own(w.Team).Minus(p.held[w.Team]).Minus(given[w.Team])
-		gift := w.Missing.least(idle).most(Resources{})
+		gift := w.Missing.least(idle).Max(Resources{})
 		if gift == (Resources{}) {
 			continue
 		}
--- a/core/worker/place_room.go
+++ b/core/worker/place_room.go
@@ -37,17 +37,11 @@
 		}
 	}
 	for n := x.width - 1; n > 0; n-- {
-		x.nodes[n] = x.nodes[2*n].most(x.nodes[2*n+1])
+		x.nodes[n] = x.nodes[2*n].Max(x.nodes[2*n+1])
 	}
 	return x
 }
 
-// most returns the larger value of each dimension.
-func (r Resources) most(o Resources) Resources {
-	return Resources{max(r.Processors, o.Processors), max(r.Memory, o.Memory),
-		max(r.Accelerators, o.Accelerators), max(r.Slots, o.Slots)}
-}
-
 // least returns the smaller value of each dimension.
 func (r Resources) least(o Resources) Resources {
 	return Resources{min(r.Processors, o.Processors), min(r.Memory, o.Memory),
@@ -60,7 +54,7 @@
 	n := x.width + leaf
 	x.nodes[n] = x.leaves[leaf].room
 	for n /= 2; n > 0; n /= 2 {
-		x.nodes[n] = x.nodes[2*n].most(x.nodes[2*n+1])
+		x.nodes[n] = x.nodes[2*n].Max(x.nodes[2*n+1])
 	}
 }
 
--- a/core/worker/place_size.go
+++ b/core/worker/place_size.go
@@ -20,7 +20,7 @@
 		used := Resources{Processors: t.Usage.Processors, Memory: t.Usage.Memory}
 		c.sizes[j.Class] = learnt(c.sizes[j.Class], used)
 		if w.tasks[t.Job] && j.Attempt == t.Attempt {
-			w.excess = w.excess.Plus(used.Minus(j.Size).most(Resources{}))
+			w.excess = w.excess.Plus(used.Minus(j.Size).Max(Resources{}))
 		}
 	}
 }
@@ -42,8 +42,8 @@
 	s = s.least(c.quotas.limit(j.Team))
 	size := j.Need
 	for _, shape := range c.shapes {
-		if larger := j.Need.most(s.least(shape)); larger.Fits(shape) {
-			size = size.most(larger)
+		if larger := j.Need.Max(s.least(shape)); larger.Fits(shape) {
+			size = size.Max(larger)
 			break
 		}
 	}
--- a/io/caller/faults_test.go
+++ b/io/caller/faults_test.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -17,6 +15,7 @@
 
 	"rosemarygap/core/caller"
 	"rosemarygap/io/endpoint"
+	"rosemarygap/io/golden"
 
 	"github.com/hashicorp/go-hclog"
 	"pgregory.net/rapid"
@@ -24,17 +23,7 @@
 
 // TestMain gives the property tests a fixed seed and their usual number of
 // cases, unless the command line says otherwise.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "3000", "rapid.nofailfile": "true"} {
-		if !given[name] {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { golden.FixSeed(m, "3000") }
 
 // call is one request of a case.
 type call struct {
--- a/io/operator/edit_test.go
+++ b/io/operator/edit_test.go
@@ -3,14 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"flag"
-	"os"
 	"strconv"
 	"testing"
 
 	core "rosemarygap/core/operator"
 	coreplatform "rosemarygap/core/platform"
 	"rosemarygap/core/status"
+	"rosemarygap/io/golden"
 	"rosemarygap/io/platform"
 	standin "rosemarygap/io/standin/platform"
 
@@ -20,13 +19,7 @@
 )
 
 // TestMain fixes the seed, so that a verdict is the same in every run.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { golden.FixSeed(m, "") }
 
 // fault is what happens to one call of the store.
 type fault string
--- a/io/standin/history/history_test.go
+++ b/io/standin/history/history_test.go
@@ -1,14 +1,13 @@
 package history
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"time"
 
 	core "rosemarygap/core/worker"
+	"rosemarygap/io/golden"
 	"rosemarygap/io/standin/worker"
 
 	"pgregory.net/rapid"
@@ -16,17 +15,7 @@
 
 // TestMain fixes the seed, so that CI gives the same verdict every run; soak
 // runs choose theirs.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "200"} {
-		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
-			if err := flag.Set(name, value); err != nil {
-				panic(err)
-			}
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { golden.FixSeed(m, "200") }
 
 // durable checks a record against the world's own tables when it becomes
 // durable, and applies it.
