--- a/io/standin/deployment/capacity_test.go
+++ b/io/standin/deployment/capacity_test.go
@@ -27,7 +27,7 @@
 // changes, at several sizes of the fleet, and what a start costs in the
 // store. docs/CAPACITY.md works its slopes out.
 func BenchmarkCapacity(b *testing.B) {
-	for _, workers := range []int{30, 60, 120, 240} {
+	for _, workers := range []int{0, 30, 60, 120, 240} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
 			for range b.N {
 				measureCapacity(b, workers, workers*3)
@@ -40,7 +40,9 @@
 	d := New(b, capacityEntries)
 	services := max(1, endpoints/endpointsPerPair)
 	d.Apply(fleetDocument(b, services), "capacity")
-	d.startHerd(workers, endpoints, services)
+	if workers > 0 {
+		d.startHerd(workers, endpoints, services)
+	}
 	time.Sleep(settleTime)
 	jobs := workers * tasksPerWorker
 	before := d.Sample()
@@ -59,13 +61,16 @@
 	for _, name := range []string{"caller", "peer", "worker", "platform"} {
 		b.ReportMetric(perEntry(last.Bytes[name]-first.Bytes[name])/1000, name+"-kB/s/entry")
 	}
-	b.ReportMetric((last.Bytes["worker"]-first.Bytes["worker"])/seconds/float64(workers)/1000, "kB/s/worker")
 	b.ReportMetric(float64(last.Store.Writes-first.Store.Writes)/seconds, "store-writes/s")
 	b.ReportMetric(float64(last.Store.Reads-first.Store.Reads)/seconds, "store-reads/s")
+	b.ReportMetric(0, "ns/op")
+	if workers == 0 {
+		return
+	}
+	b.ReportMetric((last.Bytes["worker"]-first.Bytes["worker"])/seconds/float64(workers)/1000, "kB/s/worker")
 	b.ReportMetric(float64(started.Store.Bytes-before.Store.Bytes)/float64(jobs), "store-B/start")
 	b.ReportMetric(float64(started.Store.Writes-before.Store.Writes)/float64(jobs), "store-writes/start")
 	b.ReportMetric(float64(jobs)/started.At.Sub(before.At).Seconds(), "starts/s")
-	b.ReportMetric(0, "ns/op")
 }
 
 // fleetDocument returns a configuration with the given number of services.
