--- a/Makefile
+++ b/Makefile
@@ -46,3 +46,5 @@
 fuzz:
 	go test ./core/worker -run '^$$' -fuzz FuzzJob -fuzztime 20s
 	go test ./core/operator -run '^$$' -fuzz FuzzDocument -fuzztime 20s
+	go test ./core/peer -run '^$$' -fuzz FuzzMessages -fuzztime 20s
+	go test ./io/caller -run '^$$' -fuzz FuzzHeaders -fuzztime 20s
