Find an endpoint by its id without a search, and drop codes nobody sends

Cause: the recorder of latencies sorted the names of all services and walked all endpoints for each dispatch, on the path of every request. The view now has an index by id, built once with the view. Four sentinels (not-home, stale-echo, impossible-job, worker-full) were never returned; the reason impossible-job of a parked job stays where it is used.

--- a/core/endpoint/view.go
+++ b/core/endpoint/view.go
@@ -17,6 +17,7 @@
 // View is an immutable set of candidates for each service.
 type View struct {
 	services map[string][]Candidate
+	byID     map[string]*Candidate
 }
 
 // EmptyView returns a view without candidates.
@@ -26,6 +27,9 @@
 // slice must not be changed.
 func (v *View) Candidates(service string) []Candidate { return v.services[service] }
 
+// Find returns the candidate with the given id, or nil. It must not be changed.
+func (v *View) Find(id string) *Candidate { return v.byID[id] }
+
 // Services returns the names of the services that have candidates, sorted.
 func (v *View) Services() []string {
 	names := make([]string, 0, len(v.services))
@@ -49,7 +53,7 @@
 
 // View builds the set of usable endpoints at now.
 func (m *Membership) View(now time.Time) *View {
-	v := &View{services: make(map[string][]Candidate)}
+	v := &View{services: make(map[string][]Candidate), byID: make(map[string]*Candidate)}
 	for _, e := range m.members.All {
 		if !m.usable(e, now) {
 			continue
@@ -59,6 +63,9 @@
 	}
 	for _, cs := range v.services {
 		slices.SortFunc(cs, func(a, b Candidate) int { return strings.Compare(a.ID, b.ID) })
+		for i := range cs {
+			v.byID[cs[i].ID] = &cs[i]
+		}
 	}
 	return v
 }
--- a/core/status/codes.go
+++ b/core/status/codes.go
@@ -36,7 +36,6 @@
 	ErrStopping         = &Error{"stopping", http.StatusServiceUnavailable}
 	ErrRepeatedRequest  = &Error{"repeated-request", http.StatusConflict}
 	ErrRepeatUnsure     = &Error{"repeat-unsure", http.StatusServiceUnavailable}
-	ErrNotHome          = &Error{"not-home", http.StatusServiceUnavailable}
 	ErrDuplicateHeader  = &Error{"duplicate-header", http.StatusBadRequest}
 )
 
@@ -52,11 +51,8 @@
 	ErrNoOwner         = &Error{"no-cell-owner", http.StatusServiceUnavailable}
 	ErrNotOwner        = &Error{"not-cell-owner", http.StatusServiceUnavailable}
 	ErrStaleEpoch      = &Error{"stale-epoch", http.StatusConflict}
-	ErrStaleEcho       = &Error{"stale-echo", http.StatusConflict}
 	ErrJobConflict     = &Error{"job-conflict", http.StatusConflict}
 	ErrUnknownJob      = &Error{"unknown-job", http.StatusNotFound}
-	ErrImpossibleJob   = &Error{"impossible-job", http.StatusUnprocessableEntity}
-	ErrWorkerFull      = &Error{"worker-full", http.StatusConflict}
 	ErrConfigConflict  = &Error{"config-conflict", http.StatusConflict}
 	ErrConfigInvalid   = &Error{"config-invalid", http.StatusUnprocessableEntity}
 	ErrCellsFixed      = &Error{"cells-fixed", http.StatusConflict}
@@ -79,10 +75,10 @@
 		ErrBadSetting, ErrUnreachable, ErrMethodNotServed, ErrUnknownService, ErrNoEndpoint,
 		ErrQueueFull, ErrDeadlineExceeded, ErrEndpointRefused,
 		ErrEndpointFailed, ErrForeignAnswer, ErrCallerCancelled, ErrStopping,
-		ErrRepeatedRequest, ErrRepeatUnsure, ErrNotHome, ErrDuplicateHeader,
+		ErrRepeatedRequest, ErrRepeatUnsure, ErrDuplicateHeader,
 		ErrStoreUnavailable, ErrStoreConflict, ErrLeaseExpired, ErrNoOwner,
-		ErrNotOwner, ErrStaleEpoch, ErrStaleEcho, ErrJobConflict,
-		ErrUnknownJob, ErrImpossibleJob, ErrWorkerFull, ErrConfigConflict,
+		ErrNotOwner, ErrStaleEpoch, ErrJobConflict,
+		ErrUnknownJob, ErrConfigConflict,
 		ErrConfigInvalid, ErrCellsFixed, ErrNoConfiguration, ErrUnauthorized,
 		ErrWrongType, ErrDuplicateKey, ErrContradiction, ErrAboveCapacity,
 		ErrChangeIDReused, ErrCrossOrigin, ErrJobNotFinished, ErrConfigUnusable,
--- a/io/entry/interference.go
+++ b/io/entry/interference.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"rosemarygap/core/caller"
-	"rosemarygap/core/endpoint"
 	"rosemarygap/core/entry"
 	"rosemarygap/core/event"
 	"rosemarygap/core/interference"
@@ -255,19 +254,7 @@
 	if result != caller.Whole {
 		return
 	}
-	if e := find(r.snapshot().Endpoints, id); e != nil {
+	if e := r.snapshot().Endpoints.Find(id); e != nil {
 		r.recorder.Record(e.Service, id, e.Slots, d)
 	}
 }
-
-func find(v *endpoint.View, id string) *endpoint.Candidate {
-	for _, s := range v.Services() {
-		cs := v.Candidates(s)
-		for i := range cs {
-			if cs[i].ID == id {
-				return &cs[i]
-			}
-		}
-	}
-	return nil
-}
