--- a/core/event/event.go
+++ b/core/event/event.go
@@ -55,7 +55,7 @@
 // Catalogue returns every event by rising number.
 func Catalogue() []Event {
 	all := slices.Concat(callerEvents, endpointEvents, workerEvents,
-		platformEvents, operatorEvents, processEvents)
+		platformEvents, operatorEvents, processEvents, jobEvents)
 	slices.SortFunc(all, func(a, b Event) int { return int(a.Number - b.Number) })
 	return all
 }
--- a/core/event/fields.go
+++ b/core/event/fields.go
@@ -69,3 +69,21 @@
 
 // Throttle gives a share of processors in thousandths; 0 means no limit.
 func Throttle(milli int) Field { return Field{"throttle", milli} }
+
+// Queue names a queue of jobs by its host and prefix.
+func Queue(id string) Field { return Field{"queue", id} }
+
+// Task names one task of a job.
+func Task(name string) Field { return Field{"task", name} }
+
+// Decision names what was decided.
+func Decision(s string) Field { return Field{"decision", s} }
+
+// Age gives how old the input of a decision was.
+func Age(d time.Duration) Field { return Field{"age", d} }
+
+// Dependency names a peer that a process depends on.
+func Dependency(name string) Field { return Field{"dependency", name} }
+
+// Incarnation tells the lives of a worker apart.
+func Incarnation(n int64) Field { return Field{"incarnation", n} }
--- /dev/null
+++ b/core/job/keys.go
@@ -0,0 +1,99 @@
+package job
+
+import (
+	"net/netip"
+	"strings"
+)
+
+// Keys of the scheduler in the platform's store.
+const (
+	// KeyRoot is the prefix of all keys of the scheduler.
+	KeyRoot = "rosemarygap/"
+	// KeyOwner holds the Ownership.
+	KeyOwner = KeyRoot + "owner"
+	// KeyJournal numbers the owner's writes: each one requires the one before
+	// it, so a write that was given up cannot take effect after a later one.
+	KeyJournal = KeyRoot + "journal"
+	// KeyAlive exists while the owner renews its lease.
+	KeyAlive = KeyRoot + "alive"
+
+	keyJobs      = KeyRoot + "job/"
+	keyProgress  = KeyRoot + "progress/"
+	keyCancelled = KeyRoot + "cancelled/"
+	keyFinal     = KeyRoot + "final/"
+	keyAgents    = KeyRoot + "agent/"
+	keyEntries   = KeyRoot + "entry/"
+)
+
+// JobKey holds a live Job; it is never changed.
+func JobKey(id string) string { return keyJobs + id }
+
+// ProgressKey holds the Progress of a live job.
+func ProgressKey(id string) string { return keyProgress + id }
+
+// CancelledKey exists once a live job's cancellation is durable.
+func CancelledKey(id string) string { return keyCancelled + id }
+
+// FinalKey holds the Final of a job that has ended.
+func FinalKey(id string) string { return keyFinal + id }
+
+// AgentKey exists for each agent that may have received orders.
+func AgentKey(agent string) string { return keyAgents + agent }
+
+// EntryKey holds the peer address of an entry; it has a lease.
+func EntryKey(entry string) string { return keyEntries + entry }
+
+// KeyKind tells what a key holds.
+type KeyKind int
+
+// Kinds of keys.
+const (
+	KeyOther KeyKind = iota
+	KeyOfOwner
+	KeyOfAlive
+	KeyOfJob
+	KeyOfProgress
+	KeyOfCancelled
+	KeyOfFinal
+	KeyOfAgent
+	KeyOfEntry
+)
+
+// SplitKey returns what a key holds and the id or name in it.
+func SplitKey(key string) (KeyKind, string) {
+	switch key {
+	case KeyOwner:
+		return KeyOfOwner, ""
+	case KeyAlive:
+		return KeyOfAlive, ""
+	}
+	for _, k := range []struct {
+		prefix string
+		kind   KeyKind
+	}{
+		{keyJobs, KeyOfJob}, {keyProgress, KeyOfProgress}, {keyCancelled, KeyOfCancelled},
+		{keyFinal, KeyOfFinal}, {keyAgents, KeyOfAgent}, {keyEntries, KeyOfEntry},
+	} {
+		if id, ok := strings.CutPrefix(key, k.prefix); ok {
+			return k.kind, id
+		}
+	}
+	return KeyOther, ""
+}
+
+// Ownership names who schedules.
+type Ownership struct {
+	// Epoch rises with each ownership; it is the fencing token.
+	Epoch  int64  `json:"epoch"`
+	Holder string `json:"holder"`
+	// Process tells the lives of a holder apart.
+	Process int64 `json:"process"`
+	// Address is where agents report.
+	Address netip.AddrPort `json:"address"`
+}
+
+// JournalMark is the value of KeyJournal.
+type JournalMark struct {
+	Epoch  int64 `json:"epoch"`
+	Number int64 `json:"number"`
+}
--- /dev/null
+++ b/core/job/progress.go
@@ -0,0 +1,172 @@
+package job
+
+import (
+	"encoding/hex"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"rosemarygap/core/status"
+)
+
+// Progress is the durable state of a live job beside its content.
+type Progress struct {
+	Started bool `json:"started,omitempty"`
+	// Completed are the occurrences that are done, but for those below Next
+	// that appear in Done.
+	Next int `json:"next,omitempty"`
+	// Done has a bitmap of done tasks for each step of an open occurrence,
+	// under "OCCURRENCE.STEP".
+	Done map[string]string `json:"done,omitempty"`
+	// Failures counts failed runs under "OCCURRENCE.STEP.INDEX".
+	Failures map[string]Failure `json:"failures,omitempty"`
+	// Checkpoints are where tasks resume, under the same names.
+	Checkpoints map[string]string `json:"checkpoints,omitempty"`
+}
+
+// Failure counts the failed runs of a task up to a run.
+type Failure struct {
+	Count int   `json:"count"`
+	Run   int64 `json:"run"`
+}
+
+// Final is the durable state of a job that has ended.
+type Final struct {
+	ID    string    `json:"id"`
+	Queue string    `json:"queue"`
+	State State     `json:"state"`
+	Ended time.Time `json:"ended"`
+}
+
+func (j *jobRow) progress() Progress {
+	p := Progress{Started: j.started, Next: j.next, Done: map[string]string{},
+		Failures: map[string]Failure{}, Checkpoints: map[string]string{}}
+	for _, o := range j.occurrences {
+		for i := range o.steps {
+			s := &o.steps[i]
+			if s.done > 0 || j.Schedule.Times > 0 {
+				p.Done[fmt.Sprintf("%d.%d", o.number, i)] = s.bitmap()
+			}
+			for n := range s.tasks {
+				t := &s.tasks[n]
+				key := fmt.Sprintf("%d.%d.%d", o.number, i, n)
+				if t.failures > 0 {
+					p.Failures[key] = Failure{t.failures, t.failedRun}
+				}
+				if t.checkpoint != "" && t.state != taskDone {
+					p.Checkpoints[key] = t.checkpoint
+				}
+			}
+		}
+	}
+	return p
+}
+
+func (s *stepRow) bitmap() string {
+	b := make([]byte, (len(s.tasks)+7)/8)
+	for i := range s.tasks {
+		if s.tasks[i].state == taskDone {
+			b[i/8] |= 1 << (i % 8)
+		}
+	}
+	return hex.EncodeToString(b)
+}
+
+// restore brings the row to durable progress.
+func (j *jobRow) restore(p Progress) error {
+	j.started = p.Started
+	j.next = p.Next
+	if j.Schedule.Times > 0 {
+		for _, key := range slices.Sorted(maps.Keys(p.Done)) {
+			n, err := parseInts(key, 2)
+			if err != nil {
+				return err
+			}
+			if j.occurrence(n[0]) == nil {
+				j.open(n[0])
+			}
+		}
+	}
+	for key, bitmap := range p.Done {
+		if err := j.restoreStep(key, bitmap); err != nil {
+			return err
+		}
+	}
+	for key, f := range p.Failures {
+		t, err := j.restoredTask(key)
+		if err != nil {
+			return err
+		}
+		t.failures, t.failedRun = f.Count, f.Run
+	}
+	for key, checkpoint := range p.Checkpoints {
+		t, err := j.restoredTask(key)
+		if err != nil {
+			return err
+		}
+		t.checkpoint = checkpoint
+	}
+	return nil
+}
+
+func (j *jobRow) restoreStep(key, bitmap string) error {
+	n, err := parseInts(key, 2)
+	if err != nil {
+		return err
+	}
+	b, err := hex.DecodeString(bitmap)
+	o := j.occurrence(n[0])
+	if err != nil || o == nil || n[1] >= len(o.steps) {
+		return status.At(status.ErrOutOfRange, "progress.done", key)
+	}
+	s := &o.steps[n[1]]
+	for i := range s.tasks {
+		if i/8 < len(b) && b[i/8]&(1<<(i%8)) != 0 {
+			s.finish(&s.tasks[i])
+		}
+	}
+	return nil
+}
+
+func (j *jobRow) restoredTask(key string) (*taskRow, error) {
+	n, err := parseInts(key, 3)
+	if err != nil {
+		return nil, err
+	}
+	_, t := j.task(Task{j.ID, n[0], n[1], n[2]})
+	if t == nil {
+		return nil, status.At(status.ErrOutOfRange, "progress", key)
+	}
+	return t, nil
+}
+
+// finish marks a waiting or assigned task done.
+func (s *stepRow) finish(t *taskRow) {
+	if t.state == taskDone {
+		return
+	}
+	if t.state == taskWaiting {
+		s.waiting--
+	}
+	t.state = taskDone
+	s.done++
+}
+
+func parseInts(key string, n int) ([]int, error) {
+	parts := strings.Split(key, ".")
+	if len(parts) != n {
+		return nil, status.At(status.ErrOutOfRange, "progress", key)
+	}
+	out := make([]int, n)
+	for i, p := range parts {
+		v, err := strconv.Atoi(p)
+		if err != nil || v < 0 {
+			return nil, status.At(status.ErrOutOfRange, "progress", key)
+		}
+		out[i] = v
+	}
+	return out, nil
+}
--- /dev/null
+++ b/core/job/report.go
@@ -0,0 +1,368 @@
+package job
+
+import (
+	"time"
+)
+
+// Receive takes in an agent's report. It returns whether a later owner is
+// known to the agent.
+func (c *Cell) Receive(r *Report, now time.Time) (deposed bool) {
+	if r.Epoch > c.epoch {
+		return true
+	}
+	w := c.workers.Get(r.Agent)
+	if r.Worker == nil {
+		return false
+	}
+	if w == nil {
+		w = c.workers.Put(r.Agent, workerRow{agent: r.Agent, Worker: *r.Worker, process: r.Process,
+			tasks: map[Task]*taskRow{}})
+		c.note(EventWorker, nil, w, "joined", now)
+	}
+	if r.Process < w.process {
+		return false
+	}
+	w.heard = now
+	if r.Process > w.process {
+		w.process = r.Process
+		w.resend()
+	}
+	c.receiveWorker(w, r, now)
+	if r.Epoch == c.epoch {
+		w.drop(r.Applied)
+	}
+	if r.Wait {
+		return false
+	}
+	w.unreachable, w.left = r.Unreachable, r.Left
+	w.clock = max(w.clock, r.Clock)
+	if r.LeaseEnded || r.Left {
+		c.resolve(r.Agent)
+		if !w.ended {
+			c.lose(w, "worker-ended", now)
+		}
+		w.ended = true
+		return false
+	}
+	w.ended = false
+	if r.Listed && r.Epoch == c.epoch {
+		c.receiveLists(w, r, now)
+	}
+	return false
+}
+
+// resolve notes that nothing unknown can run on the agent's worker.
+func (c *Cell) resolve(agent string) {
+	if r, ok := c.roster[agent]; ok && !r.resolved {
+		r.resolved = true
+		c.roster[agent] = r
+	}
+}
+
+// resend makes all orders pending again for a new process of the agent: a
+// worker takes a repeated order as done.
+func (w *workerRow) resend() {
+	w.pending, w.recheck = nil, true
+	for _, t := range w.sorted() {
+		if t.stopping {
+			w.order(Order{Kind: OrderStop, Task: t.name.String(), Run: t.run})
+		}
+	}
+}
+
+// drop forgets the orders that the agent has received.
+func (w *workerRow) drop(applied int64) {
+	n := 0
+	for n < len(w.pending) && w.pending[n].Sequence <= applied {
+		n++
+	}
+	w.pending = w.pending[n:]
+}
+
+// receiveWorker takes in the heartbeat that a report passes on.
+func (c *Cell) receiveWorker(w *workerRow, r *Report, now time.Time) {
+	if r.Worker.ID == w.ID && r.Worker.Incarnation == w.Incarnation {
+		if r.Worker.Sequence >= w.Sequence {
+			w.Worker = *r.Worker
+		}
+		return
+	}
+	if r.Worker.Incarnation < w.Incarnation {
+		return
+	}
+	// The agent reached the new incarnation only after the old one ended.
+	c.lose(w, "worker-restarted", now)
+	w.Worker = *r.Worker
+	w.listed, w.processed, w.durable, w.unsettled = false, 0, 0, nil
+	w.clock, w.foreign, w.health = r.Clock, 0, health{}
+}
+
+// receiveLists takes in what runs and ended on a worker.
+func (c *Cell) receiveLists(w *workerRow, r *Report, now time.Time) {
+	first := !w.listed
+	w.listed = true
+	for i := range r.Ended {
+		c.receiveEnd(w, &r.Ended[i], now)
+	}
+	for _, a := range r.Absent {
+		c.receiveAbsent(w, a, now)
+	}
+	w.foreign = 0
+	for i := range r.Running {
+		c.receiveRunning(w, &r.Running[i], now)
+	}
+	if first {
+		c.resolve(r.Agent)
+	}
+	if w.recheck {
+		w.recheck = false
+		c.restart(w, r)
+	}
+	c.settle(w)
+}
+
+// restart repeats the orders to start of which the agent's new process knows
+// nothing. The run number is the same, so a worker starts it once.
+func (c *Cell) restart(w *workerRow, r *Report) {
+	listed := make(map[string]bool, len(r.Running))
+	for i := range r.Running {
+		listed[r.Running[i].Task] = true
+	}
+	for _, t := range w.sorted() {
+		if name := t.name.String(); !t.stopping && !listed[name] {
+			j, s, _ := c.find(name)
+			w.orderStart(j, s, t)
+		}
+	}
+}
+
+// orderStart orders the current run of t.
+func (w *workerRow) orderStart(j *jobRow, s *stepRow, t *taskRow) {
+	w.order(Order{Kind: OrderStart, Task: t.name.String(), Run: t.run, Payload: j.Payload,
+		Checkpoint: t.checkpoint, Ticket: t.ticket, Traits: Traits{s.spec.Fills, s.spec.TailTarget}})
+}
+
+// receiveEnd takes in one end, once.
+func (c *Cell) receiveEnd(w *workerRow, e *End, now time.Time) {
+	if e.Number <= w.processed {
+		return
+	}
+	w.processed = e.Number
+	j, s, t := c.find(e.Task)
+	if t == nil {
+		w.unsettled = append(w.unsettled, settlement{e.Number, ""})
+		return
+	}
+	w.unsettled = append(w.unsettled, settlement{e.Number, j.ID})
+	assigned := t.state == taskAssigned && t.worker == w && t.run == e.Run
+	c.note(EventEnd, t, w, string(e.How), now)
+	if e.Checkpoint != "" && t.state != taskDone {
+		t.checkpoint = e.Checkpoint
+		j.dirty = true
+	}
+	if assigned {
+		c.rates.observe(j, s, t, e.How, now)
+		c.release(s, t)
+	}
+	switch e.How {
+	case EndDone:
+		c.finishTask(j, s, t, now)
+	case EndFailed:
+		c.failTask(j, s, t, w, e.Run, now)
+	}
+	c.judge(w, t, e.How, now)
+}
+
+// find returns the rows of a task by its name; t is nil if there is none.
+func (c *Cell) find(name string) (j *jobRow, s *stepRow, t *taskRow) {
+	n, err := ParseTask(name)
+	if err != nil {
+		return nil, nil, nil
+	}
+	if j = c.jobs.Get(n.Job); j == nil {
+		return nil, nil, nil
+	}
+	s, t = j.task(n)
+	return j, s, t
+}
+
+func (c *Cell) finishTask(j *jobRow, s *stepRow, t *taskRow, now time.Time) {
+	if s.spec.Lasting || t.state == taskDone {
+		return
+	}
+	o := j.occurrence(t.name.Occurrence)
+	finish := func(t *taskRow) {
+		if t.state == taskAssigned {
+			// A copy that is still at work elsewhere must end.
+			c.stop(t, "done-elsewhere", now)
+			return
+		}
+		s.finish(t)
+	}
+	if s.spec.Gang {
+		for i := range s.tasks {
+			finish(&s.tasks[i])
+		}
+	} else {
+		finish(t)
+	}
+	j.dirty, j.urgent = true, true
+	if o.complete() {
+		c.complete(j, o, now)
+	}
+}
+
+// complete closes an occurrence, and with the last one the job.
+func (c *Cell) complete(j *jobRow, o *occurrenceRow, now time.Time) {
+	if j.Schedule.Times > 0 {
+		for i, other := range j.occurrences {
+			if other == o {
+				j.occurrences = append(j.occurrences[:i], j.occurrences[i+1:]...)
+				break
+			}
+		}
+	}
+	if j.Schedule.Times == 0 || j.next >= j.Schedule.Times && len(j.occurrences) == 0 {
+		c.end(j, Done, now)
+	}
+}
+
+// failTask counts a failed run, and fails the job after the last one.
+func (c *Cell) failTask(j *jobRow, s *stepRow, t *taskRow, w *workerRow, run int64, now time.Time) {
+	if run <= t.failedRun || t.state == taskDone {
+		return
+	}
+	if s.spec.Gang {
+		// The members of a gang fail together, as one run.
+		for i := range s.tasks {
+			if run <= s.tasks[i].failedRun {
+				return
+			}
+		}
+	}
+	t.failedOn = append(t.failedOn, w.ID)
+	members := []*taskRow{t}
+	if s.spec.Gang {
+		members = members[:0]
+		for i := range s.tasks {
+			members = append(members, &s.tasks[i])
+		}
+	}
+	for _, m := range members {
+		m.failures++
+		m.failedRun = run
+	}
+	j.dirty, j.urgent = true, true
+	if q := c.queues[j.Queue]; q != nil && q.MaxFailures > 0 && !s.spec.Lasting && t.failures >= q.MaxFailures {
+		c.end(j, Failed, now)
+	}
+}
+
+// refusedDelay is how long a refused task waits before its next start; it
+// exceeds the time of one report.
+const refusedDelay = 100 * time.Millisecond
+
+// receiveAbsent takes in that a run is not on w and never will be.
+func (c *Cell) receiveAbsent(w *workerRow, a Absent, now time.Time) {
+	_, s, t := c.find(a.Task)
+	if t == nil || t.state != taskAssigned || t.worker != w || t.run != a.Run {
+		return
+	}
+	c.note(EventAbsent, t, w, a.Reason, now)
+	c.release(s, t)
+	if !t.stopping {
+		t.notBefore = now.Add(refusedDelay)
+		w.health.refused(now)
+	}
+}
+
+// receiveRunning takes in a listed run.
+func (c *Cell) receiveRunning(w *workerRow, r *Run, now time.Time) {
+	j, s, t := c.find(r.Task)
+	if t == nil {
+		// Its job is over or unknown; until it has ended, its room is unknown.
+		w.foreign++
+		c.stopForeign(w, r, now)
+		return
+	}
+	if t.state == taskAssigned && t.worker == w && t.run == r.Run {
+		c.observeRun(s, t, r, now)
+		return
+	}
+	if t.state == taskWaiting && !j.state.Final() && !j.fresh && r.Run > t.failedRun {
+		c.place(s, t, w, r.Run, now)
+		c.observeRun(s, t, r, now)
+		c.note(EventStart, t, w, "adopted", now)
+		if !j.started {
+			j.started, j.dirty, j.state = true, true, Running
+		}
+		return
+	}
+	c.note(EventUnusual, t, w, "unexpected-run", now)
+	w.foreign++
+	c.stopForeign(w, r, now)
+}
+
+func (c *Cell) observeRun(s *stepRow, t *taskRow, r *Run, now time.Time) {
+	if !t.running {
+		t.running = true
+	}
+	if r.Percent > t.percent {
+		t.percent, t.moved = r.Percent, now
+	}
+	if r.Checkpoint != "" {
+		t.checkpoint = r.Checkpoint
+	}
+	t.load = r.Load
+	if s.spec.TailTarget > 0 && time.Duration(r.Load)*time.Millisecond > s.spec.TailTarget*7/10 {
+		t.worker.strained = now
+	}
+}
+
+// stopForeign orders the end of a run that should not be, once at a time.
+func (c *Cell) stopForeign(w *workerRow, r *Run, _ time.Time) {
+	for _, o := range w.pending {
+		if o.Task == r.Task && o.Run == r.Run {
+			return
+		}
+	}
+	w.order(Order{Kind: OrderStop, Task: r.Task, Run: r.Run})
+}
+
+// Reply returns the answer to a report of the agent.
+func (c *Cell) Reply(r *Report) Reply {
+	out := Reply{Epoch: c.epoch}
+	w := c.workers.Get(r.Agent)
+	if w == nil {
+		return out
+	}
+	out.Worker, out.Incarnation = w.ID, w.Incarnation
+	out.Acknowledged = w.durable
+	if w.proved.incarnation == w.Incarnation && w.proved.clock > 0 {
+		out.LeaseUntil = w.proved.clock + hold
+	}
+	if c.roster[r.Agent].durable {
+		out.Orders = w.pending
+	}
+	for i := range r.Running {
+		c.addTraits(&out, r.Running[i].Task)
+	}
+	return out
+}
+
+func (c *Cell) addTraits(out *Reply, name string) {
+	_, s, t := c.find(name)
+	if t == nil || !s.spec.Fills && s.spec.TailTarget == 0 {
+		return
+	}
+	if out.Traits == nil {
+		out.Traits = map[string]Traits{}
+	}
+	out.Traits[name] = Traits{s.spec.Fills, s.spec.TailTarget}
+}
+
+// HasOrders reports whether orders wait for the agent.
+func (c *Cell) HasOrders(agent string) bool {
+	w := c.workers.Get(agent)
+	return w != nil && len(w.pending) > 0 && c.roster[agent].durable
+}
--- /dev/null
+++ b/io/agent/agent.go
@@ -0,0 +1,269 @@
+// Package agent is the process beside a worker: it takes the worker's
+// heartbeats, carries out the owner's orders at the worker, keeps the
+// worker's lease, and throttles filling tasks beside serving ones.
+//
+// Invariant: the agent starts nothing that the owner of the newest known epoch
+// did not order, and nothing after it acknowledged that the worker drains. It
+// keeps no state beyond its process; what runs is read from the worker.
+package agent
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"rosemarygap/core/event"
+	"rosemarygap/core/status"
+	"rosemarygap/io/httpjson"
+	"rosemarygap/io/process"
+	"rosemarygap/platform"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/oklog/run"
+)
+
+// Periods and limits of the agent.
+const (
+	// leaseLength is how long runs go on without their agent; it covers the
+	// longest restart of an agent on the sheets, 4 s.
+	leaseLength = 5 * time.Second
+	// leaseSlack covers the delay of an answer.
+	leaseSlack = 100 * time.Millisecond
+	// driftDivisor gives the share by which the worker's clock may be slow.
+	driftDivisor = 32
+	// silentAfter is how long a worker may owe an answer before it gets no
+	// more work.
+	silentAfter = 900 * time.Millisecond
+	// idleWait, busyWait and sharingWait are how long a renewal waits for an
+	// end; the last one gives the interval of looks at tail latencies.
+	idleWait    = 2 * time.Second
+	busyWait    = time.Second
+	sharingWait = 400 * time.Millisecond
+	// acknowledgeWait bounds the pause for the acknowledgement of ends, in
+	// which a renewal would return at once.
+	acknowledgeWait = 60 * time.Millisecond
+	// callLimit is how long a call to the worker beside may take.
+	callLimit = 400 * time.Millisecond
+	// retryPause separates failed calls.
+	retryPause = 100 * time.Millisecond
+	// startTries is how often a start without an answer is repeated.
+	startTries = 3
+	// unansweredFor is how long a call without an answer may still take
+	// effect; the platform's sheet says 12 s.
+	unansweredFor = 15 * time.Second
+	// parallelOrders bounds the calls to the worker at a time; a worker has
+	// 64 connections.
+	parallelOrders = 8
+	// reportEvery is how often the owner hears of an unchanged worker.
+	reportEvery = 500 * time.Millisecond
+	// reportLimit is how long the owner may take to answer a report.
+	reportLimit = 500 * time.Millisecond
+	// ordersWait is how long the owner holds a request for orders.
+	ordersWait = time.Second
+	// stopLimit bounds a planned stop, which waits for nothing but calls.
+	stopLimit = 500 * time.Millisecond
+)
+
+// Agent is the process beside a worker.
+type Agent struct {
+	cfg     platform.Settings
+	log     hclog.Logger
+	worker  *platform.Worker
+	store   *platform.Store
+	reports *httpjson.Client
+	orders  *httpjson.Client
+	state   *state
+	// changed wakes the reporter, kick the quick renewals, acknowledged the
+	// waiting renewals.
+	changed, kick, acknowledged chan struct{}
+	slots                       chan struct{}
+	owner                       *ownerView
+	workerHealth, ownerHealth   *process.Dependency
+}
+
+// New returns an agent with the given settings.
+func New(cfg platform.Settings, l hclog.Logger) *Agent {
+	a := &Agent{
+		cfg: cfg, log: l,
+		worker:       platform.NewWorker(platform.NewHTTPClient(), cfg.Worker),
+		store:        platform.NewStore(platform.NewHTTPClient(), cfg.Store),
+		reports:      httpjson.NewClient(reportLimit),
+		orders:       httpjson.NewClient(ordersWait + reportLimit),
+		state:        newState(time.Now().UnixNano()),
+		changed:      make(chan struct{}, 1),
+		kick:         make(chan struct{}, 1),
+		acknowledged: make(chan struct{}, 1),
+		owner:        newOwnerView(cfg.Seeds, cfg.PeerPort),
+		slots:        make(chan struct{}, parallelOrders),
+		workerHealth: process.NewDependency("worker", l),
+		ownerHealth:  process.NewDependency("owner", l),
+	}
+	return a
+}
+
+// Run serves until a stop signal.
+func Run(cfg platform.Settings, l hclog.Logger) error {
+	if !cfg.Worker.IsValid() || !cfg.Control.IsValid() {
+		return status.At(status.ErrBadSetting, "app, listen.control", cfg.Worker.String()+", "+cfg.Control.String())
+	}
+	a := New(cfg, l)
+	bound, err := httpjson.Listen(cfg.Control, a.Handler())
+	if err != nil {
+		return err
+	}
+	metricsAt, err := httpjson.Listen(netip.AddrPortFrom(cfg.IP, process.MetricsPort), process.MetricsHandler())
+	if err != nil {
+		return err
+	}
+	var g run.Group
+	process.AddSignals(&g)
+	process.AddListener(&g, bound, stopLimit)
+	process.AddListener(&g, metricsAt, stopLimit)
+	for _, f := range []func(context.Context) error{a.renewals, a.quickRenewals, a.reporting, a.polling, a.following} {
+		process.AddActor(&g, f)
+	}
+	event.ProcessStarted.Emit(l, event.Entry(cfg.Name), event.Address(cfg.Control))
+	err = g.Run()
+	a.lastRenewal()
+	event.ProcessStopped.Emit(l, event.Entry(cfg.Name), event.Reason(process.StopReason(err)))
+	return err
+}
+
+// lastRenewal leaves the worker the longest lease that is granted, for the
+// time until the next process has started.
+func (a *Agent) lastRenewal() {
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	a.renew(ctx, 0)
+}
+
+// signal wakes the reader of c, without waiting for it.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// pause waits for d, or until ctx ends or wake is signalled.
+func pause(ctx context.Context, d time.Duration, wake <-chan struct{}) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-wake:
+	}
+}
+
+// renewals keeps one renewal waiting at the worker.
+func (a *Agent) renewals(ctx context.Context) error {
+	for ctx.Err() == nil {
+		r, ok := a.state.nextRenewal()
+		switch {
+		case !ok:
+			pause(ctx, retryPause, nil)
+			continue
+		case r.unacknowledged:
+			pause(ctx, acknowledgeWait, a.acknowledged)
+		}
+		if !a.renew(ctx, waitFor(r)) {
+			pause(ctx, retryPause, nil)
+		}
+	}
+	return nil
+}
+
+func waitFor(r renewal) time.Duration {
+	switch {
+	case r.sharing:
+		return sharingWait
+	case r.busy:
+		return busyWait
+	default:
+		return idleWait
+	}
+}
+
+// quickRenewals asks for the lists at once when something depends on them.
+func (a *Agent) quickRenewals(ctx context.Context) error {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-a.kick:
+		}
+		for ctx.Err() == nil && !a.renew(ctx, 0) {
+			pause(ctx, retryPause, nil)
+			if _, ok := a.state.nextRenewal(); !ok {
+				break
+			}
+		}
+	}
+	return nil
+}
+
+// renew makes one renewal and takes in the answer.
+func (a *Agent) renew(ctx context.Context, wait time.Duration) bool {
+	r, ok := a.state.nextRenewal()
+	if !ok {
+		return false
+	}
+	limited, cancel := context.WithTimeout(ctx, wait+callLimit)
+	defer cancel()
+	asked := time.Now()
+	runs, err := a.worker.Renew(limited, platform.Renewal{Worker: r.worker, LeaseUntil: r.lease,
+		Token: r.epoch, Acknowledged: r.acknowledged, Wait: wait})
+	if ctx.Err() != nil {
+		return false
+	}
+	a.workerHealth.Observe(err)
+	if err != nil {
+		signal(a.changed)
+		return false
+	}
+	if a.state.listed(r, runs, asked, time.Now()) {
+		signal(a.changed)
+	}
+	a.forgetUnanswered(ctx, r)
+	a.throttleFilling(ctx, r)
+	return true
+}
+
+// forgetUnanswered makes sure that starts without an answer cannot take
+// effect on a later incarnation.
+func (a *Agent) forgetUnanswered(ctx context.Context, r renewal) {
+	for _, k := range a.state.overdue(r, time.Now()) {
+		limited, cancel := context.WithTimeout(ctx, callLimit)
+		_, err := a.worker.Stop(limited, r.worker, k.task, k.run, r.epoch)
+		cancel()
+		a.workerHealth.Observe(err)
+		if err == nil {
+			a.state.settle(k)
+		}
+	}
+}
+
+// throttleFilling tells filling tasks their share.
+func (a *Agent) throttleFilling(ctx context.Context, r renewal) {
+	commands := a.state.look(r.worker, time.Now())
+	if len(commands) == 0 {
+		return
+	}
+	event.TasksThrottled.Emit(a.log, event.Worker(r.worker), event.Count(len(commands)), event.Throttle(commands[0].share))
+	for _, c := range commands {
+		a.slots <- struct{}{}
+		go func() {
+			defer func() { <-a.slots }()
+			limited, cancel := context.WithTimeout(ctx, callLimit)
+			defer cancel()
+			if _, err := a.worker.Throttle(limited, r.worker, c.task, c.run, r.epoch, c.share); err != nil {
+				a.state.untold(c.runKey)
+			}
+		}()
+	}
+}
+
+// Handler serves the worker's heartbeats.
+func (a *Agent) Handler() http.Handler { return a.newServer() }
--- a/io/commandline/commandline.go
+++ b/io/commandline/commandline.go
@@ -20,17 +20,19 @@
 
 // Program is the command line of rosemarygap.
 type Program struct {
-	Entry  *EntryCommand  `arg:"subcommand:entry" help:"serve callers and schedule batch work on an entry VM"`
-	Guard  *GuardCommand  `arg:"subcommand:guard" help:"announce an endpoint and pass its requests on, beside it"`
-	Check  *CheckCommand  `arg:"subcommand:check" help:"check a configuration document offline"`
-	Schema *SchemaCommand `arg:"subcommand:schema" help:"print the JSON Schema of configuration documents"`
-	Apply  *ApplyCommand  `arg:"subcommand:apply" help:"make a configuration document take effect"`
-	Show   *ShowCommand   `arg:"subcommand:show" help:"show the configuration and the revision in force at each entry"`
-	Submit *SubmitCommand `arg:"subcommand:submit" help:"submit a batch job"`
-	Cancel *CancelCommand `arg:"subcommand:cancel" help:"cancel a batch job"`
-	Jobs   *JobsCommand   `arg:"subcommand:jobs" help:"list batch jobs"`
-	Drain  *DrainCommand  `arg:"subcommand:drain" help:"keep further batch work off a worker"`
-	Events *EventsCommand `arg:"subcommand:events" help:"show recent events"`
+	Entry     *EntryCommand     `arg:"subcommand:entry" help:"serve callers and schedule batch work on an entry VM"`
+	Guard     *GuardCommand     `arg:"subcommand:guard" help:"announce an endpoint and pass its requests on, beside it"`
+	Scheduler *SchedulerCommand `arg:"subcommand:scheduler" help:"take jobs and schedule their tasks on the users' platform, on an entry VM"`
+	Agent     *AgentCommand     `arg:"subcommand:agent" help:"carry out the scheduler's orders on the users' platform, beside a worker"`
+	Check     *CheckCommand     `arg:"subcommand:check" help:"check a configuration document offline"`
+	Schema    *SchemaCommand    `arg:"subcommand:schema" help:"print the JSON Schema of configuration documents"`
+	Apply     *ApplyCommand     `arg:"subcommand:apply" help:"make a configuration document take effect"`
+	Show      *ShowCommand      `arg:"subcommand:show" help:"show the configuration and the revision in force at each entry"`
+	Submit    *SubmitCommand    `arg:"subcommand:submit" help:"submit a batch job"`
+	Cancel    *CancelCommand    `arg:"subcommand:cancel" help:"cancel a batch job"`
+	Jobs      *JobsCommand      `arg:"subcommand:jobs" help:"list batch jobs"`
+	Drain     *DrainCommand     `arg:"subcommand:drain" help:"keep further batch work off a worker"`
+	Events    *EventsCommand    `arg:"subcommand:events" help:"show recent events"`
 }
 
 // Description is shown by --help.
--- /dev/null
+++ b/io/process/writer.go
@@ -0,0 +1,71 @@
+package process
+
+import (
+	"io"
+	"sync/atomic"
+	"time"
+)
+
+// logBacklog is how many lines wait for a slow reader before lines are
+// dropped; a line has about 300 bytes.
+const logBacklog = 2048
+
+// Limits of the volume of logs. The burst covers the decisions about the
+// tasks of a few hundred jobs that arrive at once.
+const (
+	logLinesPerSecond = 600
+	logBurst          = 3000
+)
+
+// BoundedWriter writes whole lines in the background. It never blocks: lines
+// beyond its backlog or its rate are dropped and counted.
+type BoundedWriter struct {
+	lines   chan []byte
+	dropped atomic.Int64
+	done    chan struct{}
+	allowed float64
+	last    time.Time
+}
+
+// NewBoundedWriter returns a writer to w. The caller ends it with Close.
+func NewBoundedWriter(w io.Writer) *BoundedWriter {
+	b := &BoundedWriter{lines: make(chan []byte, logBacklog), done: make(chan struct{}),
+		allowed: logBurst, last: time.Now()}
+	go func() {
+		defer close(b.done)
+		for line := range b.lines {
+			if _, err := w.Write(line); err != nil {
+				b.dropped.Add(1)
+			}
+		}
+	}()
+	return b
+}
+
+// Write queues one line. The logger calls it from one goroutine at a time.
+func (b *BoundedWriter) Write(line []byte) (int, error) {
+	now := time.Now()
+	b.allowed = min(logBurst, b.allowed+now.Sub(b.last).Seconds()*logLinesPerSecond)
+	b.last = now
+	if b.allowed < 1 {
+		b.dropped.Add(1)
+		return len(line), nil
+	}
+	b.allowed--
+	select {
+	case b.lines <- append([]byte(nil), line...):
+	default:
+		b.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns how many lines were dropped.
+func (b *BoundedWriter) Dropped() int64 { return b.dropped.Load() }
+
+// Close waits until the queued lines are written. Nothing may be written
+// after it.
+func (b *BoundedWriter) Close() {
+	close(b.lines)
+	<-b.done
+}
