--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -80,8 +80,13 @@
 
 // Add adds a job that was accepted in this ownership. A known one is left.
 func (c *Cell) Add(j Job, now time.Time) {
-	if c.jobs.Get(j.ID) == nil && !c.over[j.ID] {
-		c.add(j, now).fresh = true
+	if c.jobs.Get(j.ID) != nil || c.over[j.ID] {
+		return
+	}
+	c.add(j, now).fresh = true
+	if c.cancelled[j.ID] {
+		delete(c.cancelled, j.ID)
+		c.Cancel(j.ID, now)
 	}
 }
 
@@ -110,9 +115,15 @@
 	return true
 }
 
-// Cancel notes that the job's cancellation is durable.
+// Cancel notes that the job's cancellation is durable. A job that is not
+// known yet is cancelled once it is: after a compaction of the store's history
+// the two may arrive in either order.
 func (c *Cell) Cancel(id string, now time.Time) {
-	if j := c.jobs.Get(id); j != nil && !j.cancelled {
+	j := c.jobs.Get(id)
+	switch {
+	case j == nil && !c.over[id]:
+		c.cancelled[id] = true
+	case j != nil && !j.cancelled:
 		j.cancelled = true
 		c.end(j, Cancelled, now)
 	}
--- /dev/null
+++ b/core/job/cell_test.go
@@ -0,0 +1,122 @@
+package job
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// world is a cell with workers that do what it orders, at once.
+type world struct {
+	*Cell
+	is    *is.I
+	now   time.Time
+	hosts map[string]*host
+}
+
+// host is a worker with its agent.
+type host struct {
+	report  Report
+	durable int64
+	orders  []Order
+	ends    int64
+}
+
+const testQueue = "host/queue/"
+
+func newWorld(t *testing.T, workers int) *world {
+	w := &world{is: is.New(t), now: time.Unix(1000, 0), hosts: map[string]*host{}}
+	w.Cell = New(1, w.now, Limits{LeaseMax: 10 * time.Second, FarFactor: 1.5})
+	w.SetConfiguration(&Configuration{Version: 1, Queues: []Queue{
+		{Host: "host", Prefix: "/queue/", Service: "svc", Priority: 2, MaxFailures: 2, Stretch: 2, Target: time.Second},
+		{Host: "host", Prefix: "/urgent/", Service: "svc", Priority: 0, MaxFailures: 4, Stretch: 1.5, Target: 250 * time.Millisecond},
+	}})
+	for i := range workers {
+		w.join(fmt.Sprintf("agent-%d", i))
+	}
+	return w
+}
+
+// join adds a worker with 16 processors.
+func (w *world) join(agent string) *host {
+	h := &host{report: Report{Agent: agent, Process: 1, Epoch: w.Epoch(), Listed: true, Clock: time.Second,
+		Worker: &Worker{ID: "i-" + agent, Incarnation: 1, Service: "svc", Labels: []string{"a", "r1"},
+			Capacity: Resources{Processors: 16000, Memory: 64000}}}}
+	w.hosts[agent] = h
+	w.send(agent)
+	return h
+}
+
+// send delivers the host's report, and takes in the orders of the reply.
+func (w *world) send(agent string) {
+	h := w.hosts[agent]
+	r := h.report
+	w.is.True(!w.Receive(&r, w.now))
+	w.Step(w.now)
+	w.write()
+	reply := w.Reply(&r)
+	for _, o := range reply.Orders {
+		if o.Sequence > h.report.Applied {
+			h.report.Applied = o.Sequence
+			h.orders = append(h.orders, o)
+			h.obey(o)
+		}
+	}
+	h.durable = reply.Acknowledged
+}
+
+// obey starts or stops a run as a worker does.
+func (h *host) obey(o Order) {
+	if o.Kind == OrderStart {
+		h.report.Running = append(h.report.Running, Run{Task: o.Task, Run: o.Run})
+		return
+	}
+	h.end(o.Task, EndStopped)
+}
+
+// end ends the run of a task.
+func (h *host) end(task string, how How) {
+	for i, r := range h.report.Running {
+		if r.Task == task {
+			h.report.Running = append(h.report.Running[:i:i], h.report.Running[i+1:]...)
+			h.ends++
+			h.report.Ended = append(h.report.Ended, End{Number: h.ends, Task: task, Run: r.Run, How: how})
+			return
+		}
+	}
+}
+
+// write makes everything durable that is due.
+func (w *world) write() Writes {
+	d := w.Due(w.now, 30)
+	w.Committed(&d)
+	return d
+}
+
+// round delivers all reports.
+func (w *world) round() {
+	w.now = w.now.Add(20 * time.Millisecond)
+	for agent := range w.hosts {
+		w.send(agent)
+	}
+}
+
+func testJob(n int, steps ...Step) Job {
+	return Job{ID: fmt.Sprintf("%016x", n), Queue: testQueue, Steps: steps, Accepted: time.Unix(1000, 0)}
+}
+
+func step(tasks int, processors int, after ...int) Step {
+	return Step{Tasks: tasks, Need: Resources{Processors: processors, Memory: 100}, Estimate: time.Second, After: after}
+}
+
+// A cancellation that arrives before its job, as after a compaction of the
+// store's history, holds.
+func TestCancelledBeforeKnown(t *testing.T) {
+	w := newWorld(t, 1)
+	w.Cancel(testJob(1).ID, w.now)
+	w.Add(testJob(1, step(2, 100)), w.now)
+	w.round()
+	w.is.Equal(len(w.hosts["agent-0"].orders), 0) // nothing of a cancelled job starts
+}
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -225,9 +225,11 @@
 	forget []string
 	// over are the jobs that ended in this ownership, so that late news of
 	// them adds nothing.
-	over  map[string]bool
-	log   []Event
-	rates rates
+	over map[string]bool
+	// cancelled are cancellations of jobs that are not known yet.
+	cancelled map[string]bool
+	log       []Event
+	rates     rates
 }
 
 // rosterRow is an agent that an earlier owner may have sent orders to.
@@ -258,7 +260,7 @@
 func New(epoch int64, now time.Time, l Limits) *Cell {
 	return &Cell{epoch: epoch, opened: now, limits: l, queues: map[string]*Queue{},
 		jobs: table.New[string, jobRow](), workers: table.New[string, workerRow](),
-		roster: map[string]rosterRow{}, over: map[string]bool{}, rates: newRates()}
+		roster: map[string]rosterRow{}, over: map[string]bool{}, cancelled: map[string]bool{}, rates: newRates()}
 }
 
 // Epoch returns the number of this ownership, its fencing token.
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -90,7 +90,7 @@
 		store:        platform.NewStore(platform.NewHTTPClient(), cfg.Store),
 		reports:      httpjson.NewClient(reportLimit),
 		orders:       httpjson.NewClient(ordersWait + reportLimit),
-		state:        newState(time.Now().UnixNano()),
+		state:        newState(time.Now().UnixNano(), cfg.Bounds.LeaseMax),
 		changed:      make(chan struct{}, 1),
 		kick:         make(chan struct{}, 1),
 		acknowledged: make(chan struct{}, 1),
@@ -103,7 +103,7 @@
 }
 
 // Run serves until a stop signal.
-func Run(cfg platform.Settings, l hclog.Logger) error {
+func Run(cfg platform.Settings, l hclog.Logger, reload process.Actor) error {
 	if !cfg.Worker.IsValid() || !cfg.Control.IsValid() {
 		return status.At(status.ErrBadSetting, "app, listen.control", cfg.Worker.String()+", "+cfg.Control.String())
 	}
@@ -120,7 +120,7 @@
 	process.AddSignals(&g)
 	process.AddListener(&g, bound, stopLimit)
 	process.AddListener(&g, metricsAt, stopLimit)
-	for _, f := range []func(context.Context) error{a.renewals, a.quickRenewals, a.reporting, a.polling, a.following} {
+	for _, f := range []func(context.Context) error{a.renewals, a.quickRenewals, a.reporting, a.polling, a.following, reload} {
 		process.AddActor(&g, f)
 	}
 	event.ProcessStarted.Emit(l, event.Entry(cfg.Name), event.Address(cfg.Control))
--- a/io/agent/state.go
+++ b/io/agent/state.go
@@ -48,6 +48,8 @@
 type state struct {
 	mu      sync.Mutex
 	process int64
+	// leaseMax is the longest lease that a worker takes.
+	leaseMax time.Duration
 	worker  *job.Worker
 	left    bool
 	epoch   int64
@@ -73,8 +75,8 @@
 	reportedAt time.Time
 }
 
-func newState(process int64) *state {
-	return &state{process: process, runs: map[runKey]*localRun{}, traits: map[string]job.Traits{},
+func newState(process int64, leaseMax time.Duration) *state {
+	return &state{process: process, leaseMax: leaseMax, runs: map[runKey]*localRun{}, traits: map[string]job.Traits{},
 		unanswered: map[runKey]unanswered{}, throttle: newThrottle()}
 }
 
@@ -299,6 +301,10 @@
 	if runs.Incarnation != 0 && runs.Incarnation != s.worker.Incarnation {
 		return s.reborn(runs)
 	}
+	if s.answered.IsZero() {
+		// A former process may have given the longest lease.
+		s.deadline = max(s.deadline, runs.Clock+s.leaseMax)
+	}
 	s.clock, s.answered = max(s.clock, runs.Clock), now
 	if runs.Clock < s.lists.Clock || r.epoch != s.epoch {
 		return false
--- a/io/scheduler/control.go
+++ b/io/scheduler/control.go
@@ -178,6 +178,8 @@
 		return
 	}
 	switch x.kind {
+	case job.KeyOfOwner:
+		c.succeeded(x)
 	case job.KeyOfJob:
 		var j job.Job
 		if err := json.Unmarshal(x.value, &j); err != nil {
@@ -190,6 +192,20 @@
 	}
 }
 
+// succeeded ends this ownership at once when the store tells of a later one:
+// what follows in the store may have been acted on by the successor.
+func (c *control) succeeded(x change) {
+	var o job.Ownership
+	if err := json.Unmarshal(x.value, &o); err != nil {
+		c.refuse(job.KeyOwner, err)
+		return
+	}
+	if o.Epoch > c.cell.Epoch() {
+		c.s.suspect()
+		c.end(lost{c.tenure, errDeposed})
+	}
+}
+
 func (c *control) refuse(key string, err error) {
 	event.MessageRefused.Emit(c.log, event.Dependency("store"), event.Reason(status.Code(key+": "+err.Error())))
 }
@@ -245,10 +261,11 @@
 	}
 	c.loadJobs(cell, x, now)
 	c.cell, c.loaded, c.mark, c.writing = cell, x.revision, 0, false
-	for _, e := range c.early {
+	early := c.early
+	c.early = nil
+	for _, e := range early {
 		c.change(e)
 	}
-	c.early = nil
 	event.OwnershipTaken.Emit(c.log, event.Entry(c.s.cfg.Name), event.Epoch(cell.Epoch()), event.Count(cell.Len()))
 }
 
--- a/io/scheduler/mirror.go
+++ b/io/scheduler/mirror.go
@@ -178,8 +178,17 @@
 	m.jobs = map[string]*jobView{}
 	m.alive = false
 	m.mu.Unlock()
+	// The owner comes first: an owner that was replaced must not see jobs that
+	// its successor may have started.
 	for _, i := range items {
-		m.apply(ctx, i)
+		if i.Key == job.KeyOwner {
+			m.apply(ctx, i)
+		}
+	}
+	for _, i := range items {
+		if i.Key != job.KeyOwner {
+			m.apply(ctx, i)
+		}
 	}
 	m.synced.Store(true)
 	return revision, nil
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -66,7 +66,7 @@
 }
 
 // Run serves until a stop signal.
-func Run(cfg platform.Settings, l hclog.Logger) error {
+func Run(cfg platform.Settings, l hclog.Logger, reload process.Actor) error {
 	if !cfg.Caller.IsValid() || !cfg.Readiness.IsValid() {
 		return status.At(status.ErrBadSetting, "listen.front, listen.readiness", cfg.Caller.String()+", "+cfg.Readiness.String())
 	}
@@ -94,7 +94,7 @@
 	}
 	c := newControl(s)
 	for _, f := range []func(context.Context) error{c.run, s.mirror.follow, s.mirror.followConfiguration,
-		s.mirror.checkConfiguration, s.campaign} {
+		s.mirror.checkConfiguration, s.campaign, reload} {
 		process.AddActor(&g, f)
 	}
 	event.ProcessStarted.Emit(l, event.Entry(cfg.Name), event.Address(cfg.Caller))
