Learn which filling images strain which serving ones, and throttle by image

A trial without any throttling showed that few pairs of images do the harm (tails of 2 to 14 times the target) and most do none.

--- a/core/job/message.go
+++ b/core/job/message.go
@@ -132,6 +132,8 @@
 	Fills bool `json:"fills,omitempty"`
 	// TailTarget is the tail latency that a serving task must stay below.
 	TailTarget time.Duration `json:"tail-target-ns,omitempty"`
+	// Image names what the task runs; tasks of one image behave alike.
+	Image string `json:"image,omitempty"`
 }
 
 // Reply is the owner's answer to a report.
@@ -145,6 +147,9 @@
 	// LeaseUntil bounds the worker's lease on the worker's own clock.
 	LeaseUntil time.Duration `json:"lease-until-ns,omitempty"`
 	Orders     []Order       `json:"orders,omitempty"`
+	// Pressures tells, for each image of filling tasks on the worker, how much
+	// of its target one processor of it adds to the worst tail there.
+	Pressures map[string]float64 `json:"pressures,omitempty"`
 	// Traits tells of runs that a former process of the agent started.
 	Traits map[string]Traits `json:"traits,omitempty"`
 }
--- a/core/job/place.go
+++ b/core/job/place.go
@@ -137,7 +137,7 @@
 		if !c.usable(w, k, now) || !w.fits(k.step.spec) || !w.spreads(k.step.spec, t.name) {
 			continue
 		}
-		if s := c.score(w, k, t, now); best == nil || s > bestScore {
+		if s := c.score(w, k, t); best == nil || s > bestScore {
 			best, bestScore = w, s
 		}
 	}
@@ -159,8 +159,8 @@
 }
 
 // servingUse is the share of their reserved processors, in percent, that
-// serving tasks are taken to use; the sheet's load is 48% and swings by half.
-const servingUse = 70
+// serving tasks are taken to use; the sheets give 48%.
+const servingUse = 50
 
 // leftover returns the processors that no task of w is taken to use.
 func (w *workerRow) leftover() int {
@@ -201,23 +201,37 @@
 	farPenalty = 1 << 20
 	// failedPenalty keeps a task off the worker that it failed on.
 	failedPenalty = 1 << 21
-	// servingPenalty keeps filling tasks off workers with serving tasks while
-	// others have room.
-	servingPenalty = 1 << 16
+	// strainPenalty keeps filling tasks off workers whose serving tasks would
+	// miss their tail target.
+	strainPenalty = 1 << 19
+	// pressureWeight is what a tail longer by its target costs: as much as
+	// four processors.
+	pressureWeight = 4000
+	// imageWeight brings serving tasks of one image together, so that filling
+	// tasks find workers whose serving images they do not disturb.
+	imageWeight = 1 << 15
 )
 
 // score ranks workers that a task fits on; the highest is best.
-func (c *Cell) score(w *workerRow, k *candidate, t *taskRow, now time.Time) int {
+func (c *Cell) score(w *workerRow, k *candidate, t *taskRow) int {
 	s := k.step.spec
 	score := w.leftover()
 	switch {
 	case s.TailTarget > 0:
-		// Serving tasks share few workers, so that filling tasks find others.
+		serving, _ := w.images(c)
 		score = w.serving - w.filling
+		for image, n := range serving {
+			if image == s.Image {
+				score += n * imageWeight
+			} else {
+				score -= n * imageWeight
+			}
+		}
 	case s.Fills && w.serving > 0:
-		score -= servingPenalty
-		if now.Sub(w.strained) < time.Second {
-			score -= servingPenalty
+		worst, added := c.strain(w, s)
+		score -= int(added * pressureWeight)
+		if worst > tailLimit && added > slightPressure {
+			score -= strainPenalty
 		}
 	}
 	if s.Rack != "" && !slices.Contains(w.Labels, s.Rack) {
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -114,6 +114,7 @@
 	if first {
 		c.resolve(r.Agent)
 	}
+	c.learn(w, r)
 	if w.recheck {
 		w.recheck = false
 		c.restart(w, r)
@@ -139,7 +140,7 @@
 // orderStart orders the current run of t.
 func (w *workerRow) orderStart(j *jobRow, s *stepRow, t *taskRow) {
 	w.order(Order{Kind: OrderStart, Task: t.name.String(), Run: t.run, Payload: j.Payload,
-		Checkpoint: t.checkpoint, Ticket: t.ticket, Traits: Traits{s.spec.Fills, s.spec.TailTarget}})
+		Checkpoint: t.checkpoint, Ticket: t.ticket, Traits: s.spec.traits()})
 }
 
 // receiveEnd takes in one end, once.
@@ -286,12 +287,12 @@
 		return
 	}
 	if t.state == taskAssigned && t.worker == w && t.run == r.Run {
-		c.observeRun(s, t, r, now)
+		c.observeRun(t, r, now)
 		return
 	}
 	if t.state == taskWaiting && !j.state.Final() && !j.fresh && r.Run > t.failedRun {
 		c.place(s, t, w, r.Run, now)
-		c.observeRun(s, t, r, now)
+		c.observeRun(t, r, now)
 		c.note(EventStart, t, w, "adopted", now)
 		if !j.started {
 			j.started, j.dirty, j.state = true, true, Running
@@ -303,7 +304,7 @@
 	c.stopForeign(w, r, now)
 }
 
-func (c *Cell) observeRun(s *stepRow, t *taskRow, r *Run, now time.Time) {
+func (c *Cell) observeRun(t *taskRow, r *Run, now time.Time) {
 	if !t.running {
 		t.running = true
 	}
@@ -314,9 +315,6 @@
 		t.checkpoint = r.Checkpoint
 	}
 	t.load = r.Load
-	if s.spec.TailTarget > 0 && time.Duration(r.Load)*time.Millisecond > s.spec.TailTarget*7/10 {
-		t.worker.strained = now
-	}
 }
 
 // stopForeign orders the end of a run that should not be, once at a time.
@@ -344,12 +342,16 @@
 	if c.roster[r.Agent].durable {
 		out.Orders = w.pending
 	}
+	out.Pressures = c.pressures(w)
 	for i := range r.Running {
 		c.addTraits(&out, r.Running[i].Task)
 	}
 	return out
 }
 
+// traits returns what an agent must know of the step's tasks.
+func (s *Step) traits() Traits { return Traits{s.Fills, s.TailTarget, s.Image} }
+
 func (c *Cell) addTraits(out *Reply, name string) {
 	_, s, t := c.find(name)
 	if t == nil || !s.spec.Fills && s.spec.TailTarget == 0 {
@@ -358,7 +360,7 @@
 	if out.Traits == nil {
 		out.Traits = map[string]Traits{}
 	}
-	out.Traits[name] = Traits{s.spec.Fills, s.spec.TailTarget}
+	out.Traits[name] = s.spec.traits()
 }
 
 // HasOrders reports whether orders wait for the agent.
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -192,8 +192,6 @@
 	// unsettled are the ends whose job's progress is not durable yet.
 	unsettled []settlement
 	health    health
-	// strained is when a serving task was last near its tail target.
-	strained time.Time
 }
 
 // echo is a point in a worker's own time.
@@ -230,6 +228,7 @@
 	cancelled map[string]bool
 	log       []Event
 	rates     rates
+	pressure  pressureModel
 }
 
 // rosterRow is an agent that an earlier owner may have sent orders to.
@@ -260,7 +259,7 @@
 func New(epoch int64, now time.Time, l Limits) *Cell {
 	return &Cell{epoch: epoch, opened: now, limits: l, queues: map[string]*Queue{},
 		jobs: table.New[string, jobRow](), workers: table.New[string, workerRow](),
-		roster: map[string]rosterRow{}, over: map[string]bool{}, cancelled: map[string]bool{}, rates: newRates()}
+		roster: map[string]rosterRow{}, over: map[string]bool{}, cancelled: map[string]bool{}, rates: newRates(), pressure: newPressureModel()}
 }
 
 // Epoch returns the number of this ownership, its fencing token.
--- a/io/agent/state.go
+++ b/io/agent/state.go
@@ -50,10 +50,10 @@
 	process int64
 	// leaseMax is the longest lease that a worker takes.
 	leaseMax time.Duration
-	worker  *job.Worker
-	left    bool
-	epoch   int64
-	applied int64
+	worker   *job.Worker
+	left     bool
+	epoch    int64
+	applied  int64
 	// granted bounds leases, on the worker's clock.
 	granted      time.Duration
 	acknowledged int64
@@ -191,6 +191,7 @@
 	s.granted = max(s.granted, r.LeaseUntil)
 	acknowledged = r.Acknowledged > s.acknowledged
 	s.acknowledged = max(s.acknowledged, r.Acknowledged)
+	s.throttle.pressures = r.Pressures
 	for task, t := range r.Traits {
 		s.traits[task] = t
 	}
