Keep filling tasks off the feeds that they strain, and throttle at the target itself

Cause of late builds: throttling at 0.8 of the target, in steps that did not wait for a cut to show, held builds at 20 to 40% of their processors, and 71% of the runs of the commonest image stood beside feeds that it harms although others had room.

--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -174,7 +174,7 @@
 		s.waiting--
 	}
 	t.state, t.worker, t.run = taskAssigned, w, run
-	t.running, t.stopping = false, false
+	t.running, t.stopping, t.waits = false, false, time.Time{}
 	t.ordered, t.moved, t.percent = now, now, -1
 	w.tasks[t.name] = t
 	w.reserve(s.spec, 1)
--- a/core/job/place.go
+++ b/core/job/place.go
@@ -129,21 +129,50 @@
 	}
 }
 
-// choose returns the best worker that t fits on, or nil.
+// patience is how long a filling task waits for a worker whose serving tasks
+// it does not strain: beside those that it does, it would be throttled to less
+// than half, which costs as much time.
+const patience = 1500 * time.Millisecond
+
+// choose returns the best worker that t fits on, or nil. Load: builds of an
+// image that harms some feeds, while the workers without these feeds are full.
 func (c *Cell) choose(k *candidate, t *taskRow, now time.Time) *workerRow {
 	var best *workerRow
 	var bestScore int
+	strains, others := false, false
 	for _, w := range c.workers.All {
-		if !c.usable(w, k, now) || !w.fits(k.step.spec) || !w.spreads(k.step.spec, t.name) {
+		if !c.usable(w, k, now) {
+			continue
+		}
+		harmful := c.strains(w, k.step.spec)
+		others = others || !harmful
+		if !w.fits(k.step.spec) || !w.spreads(k.step.spec, t.name) {
 			continue
 		}
 		if s := c.score(w, k, t); best == nil || s > bestScore {
-			best, bestScore = w, s
+			best, bestScore, strains = w, s, harmful
+		}
+	}
+	if strains && others {
+		if t.waits.IsZero() {
+			t.waits = now
+		}
+		if now.Sub(t.waits) < patience {
+			return nil
 		}
 	}
 	return best
 }
 
+// strains reports whether a task like s would strain serving tasks of w.
+func (c *Cell) strains(w *workerRow, s *Step) bool {
+	if !s.Fills || w.serving == 0 {
+		return false
+	}
+	excess, added := c.strain(w, s)
+	return excess > 0 && added > slightPressure
+}
+
 // usable reports whether w may get tasks of the candidate at all.
 func (c *Cell) usable(w *workerRow, k *candidate, now time.Time) bool {
 	q := c.queues[k.job.Queue]
@@ -208,7 +237,7 @@
 	// outweighs all room on a worker from an excess of 0.1.
 	strainPenalty = 1 << 19
 	// pressureWeight is what added utilization by one costs.
-	pressureWeight = 1 << 15
+	pressureWeight = 1 << 17
 	// imageWeight brings serving tasks of one image together, so that filling
 	// tasks find workers whose serving images they do not disturb.
 	imageWeight = 1 << 15
--- a/core/job/pressure.go
+++ b/core/job/pressure.go
@@ -38,11 +38,11 @@
 
 // Bounds of utilization that throttling and placement keep to.
 const (
-	// BusyLimit is where a tail is at 0.8 of its target.
-	BusyLimit = 0.79
+	// BusyLimit is where a tail is at its target.
+	BusyLimit = 0.835
 	// BusyCalm is where throttled tasks may work more; a load changes by
 	// 0.03 between two looks.
-	BusyCalm = 0.75
+	BusyCalm = 0.80
 )
 
 // pair is a serving image beside a filling one.
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -35,6 +35,8 @@
 	// moved is when percent last rose, or when the run was ordered.
 	moved   time.Time
 	ordered time.Time
+	// waits is since when the task waits for a worker that it does not strain.
+	waits time.Time
 	// running is true once a worker listed the run.
 	running bool
 	// stopping is true once the run was ordered to stop.
--- a/io/agent/throttle.go
+++ b/io/agent/throttle.go
@@ -15,25 +15,28 @@
 	minShare = 5
 	// raiseStep is how much shares grow with a look while no image is known
 	// to be a culprit.
-	raiseStep = 20
-	// blindCut is what is left of all shares then.
-	blindCut = 50
+	raiseStep = 34
+	// leastKept is the least that one cut leaves of a share.
+	leastKept = 0.25
 )
 
 const (
-	// knownPressure is the part of the excess that the learnt pressures must
-	// explain for only their images to be throttled.
-	knownPressure = 0.5
-	// lookInterval is the least time between two changes: a worker's figures
-	// cover the last half second.
+	// priorPressure is what one processor of any image is taken to add to what
+	// is learnt of it; harmful images add about 0.08.
+	priorPressure = 0.015
+	// lookInterval is the least time between two looks.
 	lookInterval = 350 * time.Millisecond
+	// settleTime is how long a cut takes to show: an order works from 100 ms
+	// on, and figures cover the last half second.
+	settleTime = 750 * time.Millisecond
 )
 
 // throttle limits the filling tasks beside serving ones on one worker, each
 // image by itself.
 type throttle struct {
-	shares  map[string]int
-	changed time.Time
+	shares map[string]int
+	// looked is the time of the newest look, cut that of the newest cut.
+	looked, cut time.Time
 	// sent is the share that each filling run was last told.
 	sent map[runKey]int
 	// pressures are what the owner has learnt: the utilization that one
@@ -91,9 +94,9 @@
 	t.sharing = len(f.used) > 0 && len(f.busy) > 0
 	if len(f.busy) == 0 {
 		clear(t.shares)
-	} else if now.Sub(t.changed) >= lookInterval {
-		t.changed = now
-		t.adjust(f)
+	} else if now.Sub(t.looked) >= lookInterval && now.Sub(t.cut) >= settleTime {
+		t.looked = now
+		t.adjust(f, now)
 	}
 	return t.commands(running, traits)
 }
@@ -108,11 +111,12 @@
 // adjust brings the busiest serving task to the limit. Load: a feed whose load
 // rises while builds work beside it; those images that strain it give way by
 // just what is needed, the others work on.
-func (t *throttle) adjust(f figures) {
+func (t *throttle) adjust(f figures, now time.Time) {
 	image, busy := f.worst()
 	switch {
 	case busy > job.BusyLimit:
-		t.lower(f, image, busy-job.BusyLimit)
+		t.cut = now
+		t.lower(f, image, busy-job.BusyCalm)
 	case busy < job.BusyCalm:
 		t.raise(f)
 	}
@@ -120,23 +124,29 @@
 
 // lower takes the excess off the images that press on the serving image.
 func (t *throttle) lower(f figures, serving string, excess float64) {
-	pressure := t.pressures[serving]
+	learnt := t.pressures[serving]
 	total := 0.0
 	for image, used := range f.used {
-		total += pressure[image] * used
+		total += (learnt[image] + priorPressure) * used
 	}
-	if total < knownPressure*excess {
-		for image := range f.used {
-			t.set(image, t.share(image)*blindCut/fullShare)
-		}
+	if total == 0 {
 		return
 	}
-	keep := max(0, 1-excess/total)
-	for image, used := range f.used {
-		if pressure[image]*used > 0 {
-			t.set(image, int(float64(t.share(image))*keep))
-		}
+	for image := range f.used {
+		// Images give way in proportion to what a processor of theirs adds.
+		weight := (learnt[image] + priorPressure) / t.largest(learnt, f)
+		keep := max(leastKept, 1-weight*excess/total)
+		t.set(image, int(float64(t.share(image))*keep))
+	}
+}
+
+// largest returns the largest pressure of one processor of the images in use.
+func (t *throttle) largest(learnt map[string]float64, f figures) float64 {
+	largest := 0.0
+	for image := range f.used {
+		largest = max(largest, learnt[image]+priorPressure)
 	}
+	return largest
 }
 
 // raise gives throttled images part of the room that every serving image
