--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -262,10 +262,12 @@
 	}
 	for _, agent := range gone {
 		c.workers.Delete(agent)
-		c.forget = append(c.forget, agent)
-		r := c.roster[agent]
-		r.resolved = true
-		c.roster[agent] = r
+		c.dismiss(agent)
+	}
+	for agent, r := range c.roster {
+		if !r.resolved && r.durable && !now.Before(r.until) && c.workers.Get(agent) == nil {
+			c.dismiss(agent)
+		}
 	}
 }
 
--- a/core/job/cell_test.go
+++ b/core/job/cell_test.go
@@ -120,3 +120,56 @@
 	w.round()
 	w.is.Equal(len(w.hosts["agent-0"].orders), 0) // nothing of a cancelled job starts
 }
+
+// The failure of a run whose worker was given up counts when it becomes known
+// after that of a later run.
+func TestLateFailureCounts(t *testing.T) {
+	w := newWorld(t, 2)
+	w.Add(testJob(1, step(1, 100)), w.now)
+	w.round()
+	w.round()
+	first, second := w.hosts["agent-0"], w.hosts["agent-1"]
+	if len(first.report.Running) == 0 {
+		first, second = second, first
+	}
+	task := first.report.Running[0].Task
+	first.end(task, EndFailed)
+	silent := first.report.Agent
+	delete(w.hosts, silent)
+	for range 700 { // until everything on it has ended for certain
+		w.round()
+	}
+	w.is.Equal(len(second.report.Running), 1) // the second run
+	second.end(task, EndFailed)
+	w.round()
+	w.is.Equal(len(second.report.Running), 1) // the third one, while one failure is known
+	w.hosts[silent] = first
+	first.report.Process++
+	w.round()
+	w.round()
+	w.is.Equal(w.jobs.Get(testJob(1).ID), (*jobRow)(nil)) // two failures end the job
+}
+
+// A worker that left is taken out of the stored roster, so that a later owner
+// does not wait for it.
+func TestDepartedAgentIsForgotten(t *testing.T) {
+	w := newWorld(t, 2)
+	w.Add(testJob(1, step(4, 8000)), w.now)
+	w.round()
+	w.round()
+	h := w.hosts["agent-0"]
+	w.is.True(len(h.report.Running) > 0)
+	h.report.Left, h.report.Running = true, nil
+	r := h.report
+	w.Receive(&r, w.now)
+	d := w.write()
+	w.is.Equal(d.Forget, []string{"agent-0"})
+
+	next := New(2, w.now, w.limits)
+	next.LoadAgent("agent-1")
+	w.is.True(!next.settled(w.now)) // the other one may still run something
+	w.is.True(next.settled(w.now.Add(drift(hold))))
+	next.Step(w.now.Add(drift(hold)))
+	later := next.Due(w.now.Add(drift(hold)), 30)
+	w.is.Equal(later.Forget, []string{"agent-1"}) // never heard of, and certainly over
+}
--- a/core/job/durable.go
+++ b/core/job/durable.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"slices"
 	"time"
 )
 
@@ -49,8 +50,9 @@
 func (c *Cell) dueAgents(w *Writes, entries *int) {
 	for agent, row := range c.workers.All {
 		r := c.roster[agent]
-		if !r.durable && !r.writing && row.sequence > 0 && *entries > 0 {
+		if !r.durable && !r.writing && len(row.pending) > 0 && *entries > 0 {
 			r.writing = true
+			c.forget = slices.DeleteFunc(c.forget, func(a string) bool { return a == agent })
 			c.roster[agent] = r
 			w.Agents = append(w.Agents, agent)
 			*entries--
@@ -89,9 +91,10 @@
 func (c *Cell) Committed(w *Writes) {
 	c.clean(w, true)
 	for _, agent := range w.Agents {
-		r := c.roster[agent]
-		r.writing, r.durable = false, true
-		c.roster[agent] = r
+		if r, ok := c.roster[agent]; ok {
+			r.writing, r.durable, r.resolved = false, true, true
+			c.roster[agent] = r
+		}
 	}
 	for _, f := range w.Finals {
 		if j := c.jobs.Get(f.ID); j != nil {
@@ -109,9 +112,10 @@
 func (c *Cell) Abandoned(w *Writes) {
 	c.clean(w, false)
 	for _, agent := range w.Agents {
-		r := c.roster[agent]
-		r.writing = false
-		c.roster[agent] = r
+		if r, ok := c.roster[agent]; ok {
+			r.writing = false
+			c.roster[agent] = r
+		}
 	}
 	c.forget = append(c.forget, w.Forget...)
 }
--- a/core/job/place.go
+++ b/core/job/place.go
@@ -224,7 +224,7 @@
 }
 
 // slightPressure is the added utilization that counts as none.
-const slightPressure = 0.02
+const slightPressure = 0.04
 
 // Weights of a worker's score, in thousandths of a processor.
 const (
--- a/core/job/pressure.go
+++ b/core/job/pressure.go
@@ -12,19 +12,18 @@
 	// maxBusy bounds the utilization that a tail shows: tails of fifteen times
 	// the target have been seen, which say no more than six times does.
 	maxBusy = 0.98
-	// pressureRate and loadRate are the shares of a surprise that one look
-	// gives to the images beside and to the load. On recorded looks they found
-	// the harmful pairs within 12 s.
-	pressureRate = 0.15
-	loadRate     = 0.3
-	// maxPressure bounds the effect of one processor.
-	maxPressure = 0.5
+	// loadRate is the share of a surprise that one look gives to the load.
+	loadRate = 0.3
 	// peakDecay is the share of the distance to the load by which its recent
 	// peak falls with each look; loads swing within 10 to 20 s.
 	peakDecay = 0.02
 	// learnEvery is the least time between two looks at one worker, whose
 	// figures cover half a second.
 	learnEvery = 350 * time.Millisecond
+	// sameMoment is how far apart two looks at tasks of one job may be to see
+	// the same load, and sameTask the same for two looks at one worker.
+	sameMoment = 700 * time.Millisecond
+	sameTask   = time.Second
 )
 
 // Busy returns the utilization that a tail latency shows, as in a queue whose
@@ -36,69 +35,116 @@
 	return min(maxBusy, 1-unloadedTail/tail)
 }
 
-// Bounds of utilization that throttling and placement keep to.
+// placeLimit is the utilization that placement keeps to; a load changes by 0.04
+// within half a second, so tasks at the limit would be throttled soon.
+const placeLimit = 0.78
+
+// Bounds of utilization that throttling keeps to.
 const (
-	// BusyLimit is where a tail is at its target.
-	BusyLimit = 0.835
+	// BusyLimit is where a tail is at 0.93 of its target.
+	BusyLimit = 0.82
 	// BusyCalm is where throttled tasks may work more; a load changes by
 	// 0.03 between two looks.
-	BusyCalm = 0.80
+	BusyCalm = 0.785
 )
 
-// pair is a serving image beside a filling one.
-type pair struct{ serving, filling string }
+// usage is how many processors each filling image uses on one worker.
+type usage map[string]float64
+
+// minus returns u less a share of o.
+func (u usage) minus(o usage, share float64) usage {
+	out := make(usage, len(u)+len(o))
+	for image, processors := range u {
+		out[image] = processors
+	}
+	for image, processors := range o {
+		out[image] -= processors * share
+	}
+	return out
+}
+
+// look is the utilization of a job's serving tasks on one worker, beside u.
+type look struct {
+	at   time.Time
+	busy float64
+	u    usage
+}
 
 // load is the utilization of one serving job without pressure.
-type load struct{ level, peak float64 }
+type load struct {
+	level, peak float64
+	// looks are the newest ones by worker.
+	looks map[string]look
+}
 
 // pressureModel learns how much utilization each filling image, for each
 // processor that it uses, adds to each serving image on the same worker. The
-// tasks of one serving job share a load that swings, so what differs between
-// them at one time is due to what works beside them. Load: builds of many
-// images beside feeds of a few, of which some pairs are harmless at any amount
-// and others ruin the tail at once.
+// tasks of one serving job share a load that swings, so only what differs
+// between them at one time, or on one worker within a second, is evidence.
+// Load: builds of many images beside feeds of a few, of which some pairs are
+// harmless at any amount and others ruin the tail at once.
 type pressureModel struct {
-	perProcessor map[pair]float64
-	loads        map[string]load
+	byServing map[string]*regression
+	loads     map[string]*load
 }
 
 func newPressureModel() pressureModel {
-	return pressureModel{map[pair]float64{}, map[string]load{}}
+	return pressureModel{map[string]*regression{}, map[string]*load{}}
 }
 
-// usage is how many processors each filling image uses on one worker.
-type usage map[string]float64
+// of returns the regression of a serving image.
+func (m pressureModel) of(serving string) *regression {
+	r := m.byServing[serving]
+	if r == nil {
+		r = newRegression()
+		m.byServing[serving] = r
+	}
+	return r
+}
 
 // predict returns the pressure of u on a serving image.
-func (m pressureModel) predict(serving string, u usage) float64 {
-	sum := 0.0
-	for image, processors := range u {
-		sum += m.perProcessor[pair{serving, image}] * processors
+func (m pressureModel) predict(serving string, u usage) float64 { return m.of(serving).predict(u) }
+
+// loadOf returns the load of a serving job.
+func (m pressureModel) loadOf(job string) *load {
+	l := m.loads[job]
+	if l == nil {
+		l = &load{looks: map[string]look{}}
+		m.loads[job] = l
 	}
-	return sum
+	return l
 }
 
-// observe takes in the utilization of the tasks of a serving job on one
-// worker, beside u.
-func (m pressureModel) observe(job, serving string, busy float64, u usage) {
-	pressure := m.predict(serving, u)
-	l, ok := m.loads[job]
-	if !ok {
-		l.level = max(0, busy-pressure)
+// observe takes in a look at a serving job on a worker.
+func (m pressureModel) observe(job, serving, worker string, now look) {
+	l, r := m.loadOf(job), m.of(serving)
+	peers, busy, mean := 0, 0.0, usage{}
+	for other, p := range l.looks {
+		if other != worker && now.at.Sub(p.at) < sameMoment {
+			peers++
+			busy += p.busy
+			mean = mean.minus(p.u, -1)
+		}
 	}
-	surprise := busy - l.level - pressure
-	l.level += loadRate * surprise
-	l.peak = max(l.level, l.peak-peakDecay*(l.peak-l.level))
-	m.loads[job] = l
-	norm := 1.0
-	for _, processors := range u {
-		norm += processors * processors
+	before, seen := l.looks[worker]
+	switch {
+	case peers > 0:
+		n := float64(peers)
+		r.observe(now.busy-busy/n, now.u.minus(mean, 1/n), 1+1/n)
+	case seen && now.at.Sub(before.at) < sameTask:
+		r.observe(now.busy-before.busy, now.u.minus(before.u, 1), 2)
 	}
-	for image, processors := range u {
-		k := pair{serving, image}
-		v := m.perProcessor[k] + pressureRate*surprise*processors/norm
-		m.perProcessor[k] = min(maxPressure, max(0, v))
+	l.looks[worker] = now
+	l.update(max(0, now.busy-r.predict(now.u)))
+}
+
+// update takes in one observation of the load.
+func (l *load) update(level float64) {
+	if l.level == 0 {
+		l.level = level
 	}
+	l.level += loadRate * (level - l.level)
+	l.peak = max(l.level, l.peak-peakDecay*(l.peak-l.level))
 }
 
 // Units of figures.
@@ -134,7 +180,7 @@
 		}
 	}
 	for k, sum := range sums {
-		c.pressure.observe(k.job, k.image, sum/counts[k], u)
+		c.pressure.observe(k.job, k.image, w.ID, look{now, sum / counts[k], u})
 	}
 }
 
@@ -161,9 +207,9 @@
 	one := usage{s.Image: float64(s.Need.Processors) / processorUnit}
 	for k := range serving {
 		more := c.pressure.predict(k.image, one)
-		l := c.pressure.loads[k.job]
+		l := c.pressure.loadOf(k.job)
 		busy := (l.level+l.peak)/2 + c.pressure.predict(k.image, filling) + more
-		excess, added = max(excess, busy-BusyLimit), max(added, more)
+		excess, added = max(excess, busy-placeLimit), max(added, more)
 	}
 	return excess, added
 }
@@ -182,7 +228,7 @@
 		}
 		out[s.image] = map[string]float64{}
 		for f := range filling {
-			out[s.image][f] = c.pressure.perProcessor[pair{s.image, f}]
+			out[s.image][f] = c.pressure.of(s.image).effect(f)
 		}
 	}
 	return out
--- a/core/job/progress.go
+++ b/core/job/progress.go
@@ -21,18 +21,12 @@
 	// Done has a bitmap of done tasks for each step of an open occurrence,
 	// under "OCCURRENCE.STEP".
 	Done map[string]string `json:"done,omitempty"`
-	// Failures counts failed runs under "OCCURRENCE.STEP.INDEX".
-	Failures map[string]Failure `json:"failures,omitempty"`
+	// Failures are the numbers of failed runs under "OCCURRENCE.STEP.INDEX".
+	Failures map[string][]int64 `json:"failures,omitempty"`
 	// Checkpoints are where tasks resume, under the same names.
 	Checkpoints map[string]string `json:"checkpoints,omitempty"`
 }
 
-// Failure counts the failed runs of a task up to a run.
-type Failure struct {
-	Count int   `json:"count"`
-	Run   int64 `json:"run"`
-}
-
 // Final is the durable state of a job that has ended.
 type Final struct {
 	ID    string    `json:"id"`
@@ -43,7 +37,7 @@
 
 func (j *jobRow) progress() Progress {
 	p := Progress{Started: j.started, Next: j.next, Done: map[string]string{},
-		Failures: map[string]Failure{}, Checkpoints: map[string]string{}}
+		Failures: map[string][]int64{}, Checkpoints: map[string]string{}}
 	for _, o := range j.occurrences {
 		for i := range o.steps {
 			s := &o.steps[i]
@@ -53,8 +47,8 @@
 			for n := range s.tasks {
 				t := &s.tasks[n]
 				key := fmt.Sprintf("%d.%d.%d", o.number, i, n)
-				if t.failures > 0 {
-					p.Failures[key] = Failure{t.failures, t.failedRun}
+				if len(t.failedRuns) > 0 {
+					p.Failures[key] = slices.Clone(t.failedRuns)
 				}
 				if t.checkpoint != "" && t.state != taskDone {
 					p.Checkpoints[key] = t.checkpoint
@@ -100,7 +94,7 @@
 		if err != nil {
 			return err
 		}
-		t.failures, t.failedRun = f.Count, f.Run
+		t.failedRuns = f
 	}
 	for key, checkpoint := range p.Checkpoints {
 		t, err := j.restoredTask(key)
--- /dev/null
+++ b/core/job/regression.go
@@ -0,0 +1,86 @@
+package job
+
+// Parameters of a regression of utilization on the processors of images.
+const (
+	// priorEffect is what a processor of an unknown image is taken to add,
+	// and priorVariance how unsure that is; harmful images add about 0.08.
+	priorEffect   = 0.02
+	priorVariance = 0.01
+	// lookVariance is the variance of one look at a tail.
+	lookVariance = 0.003
+	// driftVariance keeps old looks from outweighing new ones for good.
+	driftVariance = 1e-6
+	// maxEffect bounds the effect of one processor.
+	maxEffect = 0.5
+)
+
+// regression learns the effect of each image by recursive least squares, that
+// is a Kalman filter with constant coefficients. Effects are never negative.
+type regression struct {
+	index    map[string]int
+	effects  []float64
+	variance [][]float64
+}
+
+func newRegression() *regression { return &regression{index: map[string]int{}} }
+
+// effect returns the effect of one processor of an image.
+func (r *regression) effect(image string) float64 {
+	if i, ok := r.index[image]; ok {
+		return r.effects[i]
+	}
+	return priorEffect
+}
+
+// predict returns the effect of u.
+func (r *regression) predict(u usage) float64 {
+	sum := 0.0
+	for image, processors := range u {
+		sum += r.effect(image) * processors
+	}
+	return sum
+}
+
+// add makes room for an image that was not seen before.
+func (r *regression) add(image string) {
+	if _, ok := r.index[image]; ok {
+		return
+	}
+	n := len(r.effects)
+	r.index[image] = n
+	r.effects = append(r.effects, priorEffect)
+	for i := range r.variance {
+		r.variance[i] = append(r.variance[i], 0)
+	}
+	row := make([]float64, n+1)
+	row[n] = priorVariance
+	r.variance = append(r.variance, row)
+}
+
+// observe takes in that the differences in usage u came with a difference in
+// utilization, which is as sure as several looks allow.
+func (r *regression) observe(difference float64, u usage, looks float64) {
+	for image := range u {
+		r.add(image)
+	}
+	n := len(r.effects)
+	gain := make([]float64, n)
+	total := lookVariance * looks
+	for image, processors := range u {
+		j := r.index[image]
+		for i := range gain {
+			gain[i] += r.variance[i][j] * processors
+		}
+	}
+	for image, processors := range u {
+		total += processors * gain[r.index[image]]
+	}
+	surprise := difference - r.predict(u)
+	for i := range r.effects {
+		r.effects[i] = min(maxEffect, max(0, r.effects[i]+gain[i]*surprise/total))
+		for j := range r.effects {
+			r.variance[i][j] -= gain[i] * gain[j] / total
+		}
+		r.variance[i][i] += driftVariance
+	}
+}
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"slices"
 	"time"
 )
 
@@ -37,9 +38,9 @@
 	w.unreachable, w.left = r.Unreachable, r.Left
 	w.clock = max(w.clock, r.Clock)
 	if r.LeaseEnded || r.Left {
-		c.resolve(r.Agent)
 		if !w.ended {
 			c.lose(w, "worker-ended", now)
+			c.dismiss(r.Agent)
 		}
 		w.ended = true
 		return false
@@ -59,6 +60,24 @@
 	}
 }
 
+// dismiss takes an agent out of the stored roster: nothing runs on its worker,
+// and it is entered again before it gets another order. An owner that comes
+// later would wait for it otherwise.
+func (c *Cell) dismiss(agent string) {
+	if _, ok := c.roster[agent]; ok {
+		delete(c.roster, agent)
+		c.forget = append(c.forget, agent)
+	}
+}
+
+// Departed notes that the agent took itself out of the stored roster, which it
+// does when its worker has left.
+func (c *Cell) Departed(agent string) {
+	if c.workers.Get(agent) == nil {
+		delete(c.roster, agent)
+	}
+}
+
 // resend makes all orders pending again for a new process of the agent: a
 // worker takes a repeated order as done.
 func (w *workerRow) resend() {
@@ -230,17 +249,10 @@
 
 // failTask counts a failed run, and fails the job after the last one.
 func (c *Cell) failTask(j *jobRow, s *stepRow, t *taskRow, w *workerRow, run int64, now time.Time) {
-	if run <= t.failedRun || t.state == taskDone {
+	// The members of a gang fail together, as one run that all of them count.
+	if slices.Contains(t.failedRuns, run) || t.state == taskDone {
 		return
 	}
-	if s.spec.Gang {
-		// The members of a gang fail together, as one run.
-		for i := range s.tasks {
-			if run <= s.tasks[i].failedRun {
-				return
-			}
-		}
-	}
 	t.failedOn = append(t.failedOn, w.ID)
 	members := []*taskRow{t}
 	if s.spec.Gang {
@@ -250,11 +262,10 @@
 		}
 	}
 	for _, m := range members {
-		m.failures++
-		m.failedRun = run
+		m.failedRuns = append(m.failedRuns, run)
 	}
 	j.dirty, j.urgent = true, true
-	if q := c.queues[j.Queue]; q != nil && q.MaxFailures > 0 && !s.spec.Lasting && t.failures >= q.MaxFailures {
+	if q := c.queues[j.Queue]; q != nil && q.MaxFailures > 0 && !s.spec.Lasting && len(t.failedRuns) >= q.MaxFailures {
 		c.end(j, Failed, now)
 	}
 }
@@ -290,7 +301,7 @@
 		c.observeRun(t, r, now)
 		return
 	}
-	if t.state == taskWaiting && !j.state.Final() && !j.fresh && r.Run > t.failedRun {
+	if t.state == taskWaiting && !j.state.Final() && !j.fresh {
 		c.place(s, t, w, r.Run, now)
 		c.observeRun(t, r, now)
 		c.note(EventStart, t, w, "adopted", now)
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -24,10 +24,10 @@
 	worker *workerRow
 	run    int64
 	// starts counts the runs that this owner ordered.
-	starts   int64
-	failures int
-	// failedRun is the highest run whose failure is counted.
-	failedRun  int64
+	starts int64
+	// failedRuns are the runs whose failure is counted; the failure of an
+	// earlier run may become known after that of a later one.
+	failedRuns []int64
 	failedOn   []string
 	checkpoint string
 	ticket     string
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -77,9 +77,11 @@
 	// changed wakes the reporter, kick the quick renewals, acknowledged the
 	// waiting renewals.
 	changed, kick, acknowledged chan struct{}
-	slots                       chan struct{}
-	owner                       *ownerView
-	workerHealth, ownerHealth   *process.Dependency
+	// departed is signalled when the worker has left.
+	departed                  chan struct{}
+	slots                     chan struct{}
+	owner                     *ownerView
+	workerHealth, ownerHealth *process.Dependency
 }
 
 // New returns an agent with the given settings.
@@ -94,6 +96,7 @@
 		changed:      make(chan struct{}, 1),
 		kick:         make(chan struct{}, 1),
 		acknowledged: make(chan struct{}, 1),
+		departed:     make(chan struct{}, 1),
 		owner:        newOwnerView(cfg.Seeds, cfg.PeerPort),
 		slots:        make(chan struct{}, parallelOrders),
 		workerHealth: process.NewDependency("worker", l),
@@ -120,7 +123,7 @@
 	process.AddSignals(&g)
 	process.AddListener(&g, bound, stopLimit)
 	process.AddListener(&g, metricsAt, stopLimit)
-	for _, f := range []func(context.Context) error{a.renewals, a.quickRenewals, a.reporting, a.polling, a.following, reload} {
+	for _, f := range []func(context.Context) error{a.departure, a.renewals, a.quickRenewals, a.reporting, a.polling, a.following, reload} {
 		process.AddActor(&g, f)
 	}
 	event.ProcessStarted.Emit(l, event.Entry(cfg.Name), event.Address(cfg.Control))
--- a/io/agent/owner.go
+++ b/io/agent/owner.go
@@ -227,3 +227,30 @@
 	a.carryOut(ctx, orders, reply.Epoch)
 	return nil
 }
+
+// departure takes this agent out of the stored roster once its worker has
+// left: the VM may be gone before the next owner could ask it.
+func (a *Agent) departure(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-a.departed:
+	}
+	for ctx.Err() == nil {
+		limited, cancel := context.WithTimeout(ctx, watchSlack)
+		_, _, err := a.store.Commit(limited, platform.Commit{Deletes: []string{job.AgentKey(a.cfg.Name)}})
+		cancel()
+		if err == nil {
+			return pauseUntilEnd(ctx)
+		}
+		pause(ctx, retryPause, nil)
+	}
+	return nil
+}
+
+// pauseUntilEnd keeps an actor that has done its work: the first one that
+// returns ends the process.
+func pauseUntilEnd(ctx context.Context) error {
+	<-ctx.Done()
+	return nil
+}
--- a/io/agent/server.go
+++ b/io/agent/server.go
@@ -62,6 +62,7 @@
 	if a.state.leave(id) {
 		event.WorkerSeen.Emit(a.log, event.Worker(id), event.State("left"), event.Incarnation(0))
 		signal(a.changed)
+		signal(a.departed)
 	}
 	return x.JSON(http.StatusOK, struct{}{})
 }
--- a/io/agent/throttle.go
+++ b/io/agent/throttle.go
@@ -29,6 +29,10 @@
 	// settleTime is how long a cut takes to show: an order works from 100 ms
 	// on, and figures cover the last half second.
 	settleTime = 750 * time.Millisecond
+	// stopAfter is how long a serving task may be at the limit before all
+	// filling tasks stop: 4 s count as harm, and figures and orders lag by up
+	// to 1.4 s.
+	stopAfter = 1500 * time.Millisecond
 )
 
 // throttle limits the filling tasks beside serving ones on one worker, each
@@ -37,6 +41,8 @@
 	shares map[string]int
 	// looked is the time of the newest look, cut that of the newest cut.
 	looked, cut time.Time
+	// overSince is when the busiest serving task reached the limit, or zero.
+	overSince time.Time
 	// sent is the share that each filling run was last told.
 	sent map[runKey]int
 	// pressures are what the owner has learnt: the utilization that one
@@ -94,7 +100,7 @@
 	t.sharing = len(f.used) > 0 && len(f.busy) > 0
 	if len(f.busy) == 0 {
 		clear(t.shares)
-	} else if now.Sub(t.looked) >= lookInterval && now.Sub(t.cut) >= settleTime {
+	} else if now.Sub(t.looked) >= lookInterval {
 		t.looked = now
 		t.adjust(f, now)
 	}
@@ -113,7 +119,17 @@
 // just what is needed, the others work on.
 func (t *throttle) adjust(f figures, now time.Time) {
 	image, busy := f.worst()
+	if busy <= job.BusyLimit {
+		t.overSince = time.Time{}
+	} else if t.overSince.IsZero() {
+		t.overSince = now
+	}
 	switch {
+	case busy > job.BusyLimit && now.Sub(t.overSince) >= stopAfter:
+		for image := range f.used {
+			t.set(image, 0)
+		}
+	case now.Sub(t.cut) < settleTime:
 	case busy > job.BusyLimit:
 		t.cut = now
 		t.lower(f, image, busy-job.BusyCalm)
--- a/io/scheduler/control.go
+++ b/io/scheduler/control.go
@@ -174,6 +174,9 @@
 			c.cell.SetConfiguration(cfg)
 		}
 		return
+	case x.removed && x.kind == job.KeyOfAgent && x.revision > c.loaded:
+		c.cell.Departed(x.id)
+		return
 	case x.removed, x.revision <= c.loaded:
 		return
 	}
