--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -115,6 +115,12 @@
 	return true
 }
 
+// Knows reports whether news of a job, or of its cancellation, is none.
+func (c *Cell) Knows(id string, cancellation bool) bool {
+	j := c.jobs.Get(id)
+	return c.over[id] || j != nil && (!cancellation || j.cancelled)
+}
+
 // Cancel notes that the job's cancellation is durable. A job that is not
 // known yet is cancelled once it is: after a compaction of the store's history
 // the two may arrive in either order.
--- a/core/job/durable.go
+++ b/core/job/durable.go
@@ -17,11 +17,13 @@
 	Finals []Final
 	// Agents enter the stored roster; Forget leave it.
 	Agents, Forget []string
+	// Lessons are nil unless they have changed.
+	Lessons *Lessons
 }
 
 // Empty reports whether there is nothing to write.
 func (w *Writes) Empty() bool {
-	return len(w.Progress)+len(w.Finals)+len(w.Agents)+len(w.Forget) == 0
+	return len(w.Progress)+len(w.Finals)+len(w.Agents)+len(w.Forget) == 0 && w.Lessons == nil
 }
 
 // Entries that a write takes of a commit.
@@ -38,6 +40,7 @@
 	w := Writes{Progress: map[string]Progress{}}
 	c.dueAgents(&w, &entries)
 	c.dueJobs(&w, &entries, now, true)
+	c.dueLessons(&w, &entries, now)
 	if !w.Empty() || now.Sub(c.written) >= startDelay {
 		c.dueJobs(&w, &entries, now, false)
 	}
--- a/core/job/keys.go
+++ b/core/job/keys.go
@@ -14,6 +14,8 @@
 	// KeyJournal numbers the owner's writes: each one requires the one before
 	// it, so a write that was given up cannot take effect after a later one.
 	KeyJournal = KeyRoot + "journal"
+	// KeyLessons holds the Lessons of the newest owner.
+	KeyLessons = KeyRoot + "lessons"
 	// KeyAlive exists while the owner renews its lease.
 	KeyAlive = KeyRoot + "alive"
 
@@ -51,6 +53,7 @@
 	KeyOther KeyKind = iota
 	KeyOfOwner
 	KeyOfAlive
+	KeyOfLessons
 	KeyOfJob
 	KeyOfProgress
 	KeyOfCancelled
@@ -66,6 +69,8 @@
 		return KeyOfOwner, ""
 	case KeyAlive:
 		return KeyOfAlive, ""
+	case KeyLessons:
+		return KeyOfLessons, ""
 	}
 	for _, k := range []struct {
 		prefix string
--- a/core/job/regression.go
+++ b/core/job/regression.go
@@ -1,5 +1,7 @@
 package job
 
+import "math"
+
 // Parameters of a regression of utilization on the processors of images.
 const (
 	// priorEffect is what a processor of an unknown image is taken to add,
@@ -10,6 +12,10 @@
 	lookVariance = 0.003
 	// driftVariance keeps old looks from outweighing new ones for good.
 	driftVariance = 1e-6
+	// restoredVariance is how unsure the effects are that another owner learnt.
+	restoredVariance = 0.001
+	// effectDigits is the precision of stored effects.
+	effectDigits = 1000
 	// maxEffect bounds the effect of one processor.
 	maxEffect = 0.5
 )
@@ -57,6 +63,26 @@
 	r.variance = append(r.variance, row)
 }
 
+// restore sets the effects that an earlier owner learnt, of which the latest
+// looks are less sure than its own.
+func (r *regression) restore(effects map[string]float64) {
+	for image, effect := range effects {
+		r.add(image)
+		i := r.index[image]
+		r.effects[i] = min(maxEffect, max(0, effect))
+		r.variance[i][i] = restoredVariance
+	}
+}
+
+// known returns the effects by image.
+func (r *regression) known() map[string]float64 {
+	out := make(map[string]float64, len(r.effects))
+	for image, i := range r.index {
+		out[image] = math.Round(r.effects[i]*effectDigits) / effectDigits
+	}
+	return out
+}
+
 // observe takes in that the differences in usage u came with a difference in
 // utilization, which is as sure as several looks allow.
 func (r *regression) observe(difference float64, u usage, looks float64) {
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -221,6 +221,9 @@
 	workers  *table.Table[string, workerRow]
 	roster   map[string]rosterRow
 	verified time.Time
+	// stored are the newest lessons that were written, at taught.
+	stored Lessons
+	taught time.Time
 	// written is when the newest write was due.
 	written time.Time
 	// forget are agents whose place in the stored roster is to be deleted.
--- a/io/scheduler/caller.go
+++ b/io/scheduler/caller.go
@@ -159,6 +159,7 @@
 	}
 	if err == nil {
 		s.mirror.accepted(j, revision)
+		s.notify(notice{ID: j.ID, Revision: revision, Job: mustJSON(j)})
 	}
 	return err
 }
@@ -286,12 +287,13 @@
 			}
 			revision = i.Revision
 		}
-		_, err := s.commitForCaller(ctx, platform.Commit{
+		stored, err := s.commitForCaller(ctx, platform.Commit{
 			Conditions: []platform.Condition{{Key: job.JobKey(id), Revision: revision}},
 			Writes:     []platform.Write{{Key: job.CancelledKey(id), Value: []byte("{}")}}})
 		if !errors.Is(err, platform.ErrConflict) {
 			if err == nil {
 				s.mirror.cancelled(id)
+				s.notify(notice{ID: id, Revision: stored})
 			}
 			return true, err
 		}
--- a/io/scheduler/control.go
+++ b/io/scheduler/control.go
@@ -70,12 +70,14 @@
 // Invariant: only its goroutine touches the cell. At most one write of the
 // journal is under way.
 type control struct {
-	s       *Scheduler
-	log     hclog.Logger
-	cell    *job.Cell
-	tenure  *tenure
-	early   []change
-	loaded  int64
+	s      *Scheduler
+	log    hclog.Logger
+	cell   *job.Cell
+	tenure *tenure
+	early  []change
+	loaded int64
+	// notices wait for a proof of ownership.
+	notices []notice
 	waiters map[string]agentReport
 	due     []agentReport
 	writing bool
@@ -244,7 +246,10 @@
 	case verified:
 		if c.cell != nil {
 			c.cell.VerifyEnd(x.began)
+			c.proved(x.began)
 		}
+	case notice:
+		c.notice(x)
 	case loadedState:
 		c.begin(x)
 	case lost:
@@ -294,6 +299,11 @@
 			cancelled = append(cancelled, id)
 		case job.KeyOfAgent:
 			cell.LoadAgent(id)
+		case job.KeyOfLessons:
+			var l job.Lessons
+			if err = json.Unmarshal(i.Value, &l); err == nil {
+				cell.Learn(l)
+			}
 		}
 		if err != nil {
 			c.refuse(i.Key, err)
@@ -325,7 +335,7 @@
 	}
 	clear(c.waiters)
 	c.due = nil
-	c.cell, c.tenure, c.early = nil, nil, nil
+	c.cell, c.tenure, c.early, c.notices = nil, nil, nil, nil
 }
 
 // write starts the next write of the journal.
@@ -391,6 +401,9 @@
 		cm.Writes = append(cm.Writes, platform.Write{Key: job.FinalKey(f.ID), Value: mustJSON(f)})
 		cm.Deletes = append(cm.Deletes, job.JobKey(f.ID), job.ProgressKey(f.ID), job.CancelledKey(f.ID))
 	}
+	if w.Lessons != nil {
+		cm.Writes = append(cm.Writes, platform.Write{Key: job.KeyLessons, Value: mustJSON(w.Lessons)})
+	}
 	for _, a := range w.Agents {
 		cm.Writes = append(cm.Writes, platform.Write{Key: job.AgentKey(a), Value: []byte("{}")})
 	}
--- a/io/scheduler/election.go
+++ b/io/scheduler/election.go
@@ -41,6 +41,8 @@
 	// revision is that of the owner's key, journal that of the journal's.
 	revision, journal int64
 	lease             int64
+	// renewed is when the lease was last to be renewed.
+	renewed time.Time
 	// ended is closed once the ownership is over.
 	ended chan struct{}
 }
@@ -152,6 +154,7 @@
 		case <-s.deposed:
 			return errDeposed
 		case <-s.stop:
+		case <-s.prove:
 		case <-time.After(renewEvery):
 		}
 		if s.stopping.Load() {
@@ -180,6 +183,10 @@
 		return errDeposed
 	}
 	s.tell(limited, verified{began})
+	if time.Since(t.renewed) < renewEvery {
+		return nil
+	}
+	t.renewed = time.Now()
 	err = s.store.RenewLease(limited, t.lease)
 	_, alive := s.mirror.ownership()
 	if errors.Is(err, platform.ErrNotFound) || err == nil && !alive {
--- a/io/scheduler/mirror.go
+++ b/io/scheduler/mirror.go
@@ -226,7 +226,7 @@
 		event.MessageRefused.Emit(m.log, event.Dependency("store"), event.Reason(status.Code(i.Key+": "+err.Error())))
 		return
 	}
-	if kind == job.KeyOfProgress || kind == job.KeyOfFinal {
+	if kind == job.KeyOfProgress || kind == job.KeyOfFinal || kind == job.KeyOfLessons {
 		return
 	}
 	select {
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -55,6 +55,11 @@
 	deposed  chan struct{}
 	stop     chan struct{}
 	stopping atomic.Bool
+	// prove asks for a proof of ownership at once.
+	prove chan struct{}
+	peers *httpjson.Client
+	// noticeHealth logs when notices stop reaching the owner.
+	noticeHealth *process.Dependency
 }
 
 // New returns a scheduler with the given settings.
@@ -62,7 +67,9 @@
 	st := platform.NewStore(platform.NewHTTPClient(), cfg.Store)
 	return &Scheduler{cfg: cfg, log: l, store: st, mirror: newMirror(l, st), process: time.Now().UnixNano(),
 		reports: make(chan agentReport, maxBatch), news: make(chan any, maxBatch),
-		deposed: make(chan struct{}, 1), stop: make(chan struct{})}
+		deposed: make(chan struct{}, 1), stop: make(chan struct{}),
+		prove: make(chan struct{}, 1), peers: httpjson.NewClient(notifyLimit),
+		noticeHealth: process.NewDependency("owner", l)}
 }
 
 // Run serves until a stop signal.
@@ -164,6 +171,7 @@
 		return x.JSON(http.StatusOK, o)
 	})
 	e.POST(agent.ReportPath, s.takeReport)
+	e.POST(noticePath, s.takeNotice)
 	return e
 }
 
