--- a/core/job/health.go
+++ b/core/job/health.go
@@ -47,6 +47,13 @@
 	}
 }
 
+// stalled notes that a task stood still. The pause doubles as with failures.
+func (h *health) stalled(now time.Time) {
+	h.stalls++
+	h.pause = min(max(2*h.pause, probationBase), probationMax)
+	h.until = later(h.until, now.Add(h.pause))
+}
+
 func (h *health) refused(now time.Time) { h.until = later(h.until, now.Add(refusalPause)) }
 
 func (h *health) succeeded() { *h = health{} }
--- a/core/job/message.go
+++ b/core/job/message.go
@@ -47,6 +47,8 @@
 	// Load is the tail latency in milliseconds of a serving task, and the
 	// thousandths of a processor in use of any other.
 	Load int `json:"load,omitempty"`
+	// Throttled is true while the agent holds the task below its full share.
+	Throttled bool `json:"throttled,omitempty"`
 }
 
 // End is the end of a run, listed by its worker until it is acknowledged.
--- a/core/job/place.go
+++ b/core/job/place.go
@@ -231,6 +231,8 @@
 	// farPenalty outweighs any difference in room: a task away from its data
 	// takes half as long again or more.
 	farPenalty = 1 << 20
+	// slowPenalty keeps tasks off slow workers while others have room.
+	slowPenalty = 1 << 20
 	// failedPenalty keeps a task off the worker that it failed on.
 	failedPenalty = 1 << 21
 	// strainPenalty is what a utilization above the limit by one costs: it
@@ -271,6 +273,9 @@
 	if slices.Contains(t.failedOn, w.ID) {
 		score -= failedPenalty
 	}
+	if w.pace.slow() {
+		score -= slowPenalty
+	}
 	return score
 }
 
@@ -305,6 +310,3 @@
 		}
 	}
 }
-
-// rescue moves runs that stand still.
-func (c *Cell) rescue(time.Time) {}
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -113,7 +113,7 @@
 	c.lose(w, "worker-restarted", now)
 	w.Worker = *r.Worker
 	w.listed, w.processed, w.durable, w.unsettled = false, 0, 0, nil
-	w.clock, w.foreign, w.health = r.Clock, 0, health{}
+	w.clock, w.foreign, w.health, w.pace = r.Clock, 0, health{}, pace{}
 }
 
 // receiveLists takes in what runs and ended on a worker.
@@ -298,12 +298,12 @@
 		return
 	}
 	if t.state == taskAssigned && t.worker == w && t.run == r.Run {
-		c.observeRun(t, r, now)
+		c.observeRun(j, s, t, r, now)
 		return
 	}
 	if t.state == taskWaiting && !j.state.Final() && !j.fresh {
 		c.place(s, t, w, r.Run, now)
-		c.observeRun(t, r, now)
+		c.observeRun(j, s, t, r, now)
 		c.note(EventStart, t, w, "adopted", now)
 		if !j.started {
 			j.started, j.dirty, j.state = true, true, Running
@@ -315,17 +315,18 @@
 	c.stopForeign(w, r, now)
 }
 
-func (c *Cell) observeRun(t *taskRow, r *Run, now time.Time) {
+func (c *Cell) observeRun(j *jobRow, s *stepRow, t *taskRow, r *Run, now time.Time) {
 	if !t.running {
-		t.running = true
+		t.running, t.first, t.seen = true, r.Percent, now
 	}
-	if r.Percent > t.percent {
-		t.percent, t.moved = r.Percent, now
+	if r.Percent > t.percent || r.Throttled {
+		t.percent, t.moved = max(t.percent, r.Percent), now
 	}
 	if r.Checkpoint != "" {
 		t.checkpoint = r.Checkpoint
 	}
-	t.load = r.Load
+	t.throttled = r.Throttled
+	c.observePace(j, s, t, now)
 }
 
 // stopForeign orders the end of a run that should not be, once at a time.
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -37,8 +37,12 @@
 	ordered time.Time
 	// waits is since when the task waits for a worker that it does not strain.
 	waits time.Time
-	// running is true once a worker listed the run.
-	running bool
+	// running is true once a worker listed the run, which was at first percent
+	// done at seen.
+	running   bool
+	first     int
+	seen      time.Time
+	throttled bool
 	// stopping is true once the run was ordered to stop.
 	stopping bool
 	// notBefore delays the next start after a refusal.
@@ -194,6 +198,7 @@
 	// unsettled are the ends whose job's progress is not durable yet.
 	unsettled []settlement
 	health    health
+	pace      pace
 	// learnt is when the worker's figures were last learnt from.
 	learnt time.Time
 }
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -38,7 +38,7 @@
 	// idleWait, busyWait and sharingWait are how long a renewal waits for an
 	// end; the last one gives the interval of looks at tail latencies.
 	idleWait    = 2 * time.Second
-	busyWait    = time.Second
+	busyWait    = 500 * time.Millisecond
 	sharingWait = 400 * time.Millisecond
 	// acknowledgeWait bounds the pause for the acknowledgement of ends, in
 	// which a renewal would return at once.
--- a/io/agent/state.go
+++ b/io/agent/state.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -154,7 +155,11 @@
 		return r
 	}
 	r.Listed = true
-	r.Running, r.Ended = s.lists.Running, s.lists.Ended
+	r.Running, r.Ended = slices.Clone(s.lists.Running), s.lists.Ended
+	for i := range r.Running {
+		row := &r.Running[i]
+		row.Throttled = s.throttle.holds(runKey{row.Task, row.Run})
+	}
 	for k, run := range s.runs {
 		if run.absent {
 			r.Absent = append(r.Absent, job.Absent{Task: k.task, Run: k.run, Reason: run.reason})
--- a/io/agent/throttle.go
+++ b/io/agent/throttle.go
@@ -107,6 +107,12 @@
 	return t.commands(running, traits)
 }
 
+// holds reports whether a run may be below its full share.
+func (t *throttle) holds(k runKey) bool {
+	share, ok := t.sent[k]
+	return ok && share != fullShare
+}
+
 func (t *throttle) share(image string) int {
 	if s, ok := t.shares[image]; ok {
 		return s
