--- a/core/job/pressure.go
+++ b/core/job/pressure.go
@@ -208,7 +208,7 @@
 	for k := range serving {
 		more := c.pressure.predict(k.image, one)
 		l := c.pressure.loadOf(k.job)
-		busy := (l.level+l.peak)/2 + c.pressure.predict(k.image, filling) + more
+		busy := l.peak + c.pressure.predict(k.image, filling) + more
 		excess, added = max(excess, busy-placeLimit), max(added, more)
 	}
 	return excess, added
