Prove the ownership as soon as workers wait for their first lease

Cause: after a take-over, orders went out before a lease could be granted, were refused as late, and came again 440 ms later; orders now wait for the grant, and the proof is sought at once.

--- a/core/job/cell_test.go
+++ b/core/job/cell_test.go
@@ -54,6 +54,8 @@
 	h := w.hosts[agent]
 	r := h.report
 	w.is.True(!w.Receive(&r, w.now))
+	w.VerifyBegin()
+	w.VerifyEnd(w.now)
 	w.Step(w.now)
 	w.write()
 	reply := w.Reply(&r)
--- a/core/job/pace.go
+++ b/core/job/pace.go
@@ -99,7 +99,7 @@
 		if t.percent < fullPercent && now.Sub(t.ordered) > startupLimit && c.roomElsewhere(w, &k, t, now) {
 			return reasonStalled
 		}
-	case now.Sub(t.moved) > stallLimit && !t.throttled:
+	case now.Sub(t.moved) > stallLimit && now.Sub(w.moved) > stallLimit && !t.throttled:
 		if c.roomElsewhere(w, &k, t, now) {
 			return reasonStalled
 		}
--- a/core/job/pressure.go
+++ b/core/job/pressure.go
@@ -41,11 +41,11 @@
 
 // Bounds of utilization that throttling keeps to.
 const (
-	// BusyLimit is where a tail is at 0.93 of its target.
-	BusyLimit = 0.82
+	// BusyLimit is where a tail is at its target.
+	BusyLimit = 0.835
 	// BusyCalm is where throttled tasks may work more; a load changes by
 	// 0.03 between two looks.
-	BusyCalm = 0.785
+	BusyCalm = 0.80
 )
 
 // usage is how many processors each filling image uses on one worker.
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -167,7 +167,7 @@
 	if e.Number <= w.processed {
 		return
 	}
-	w.processed = e.Number
+	w.processed, w.moved = e.Number, now
 	j, s, t := c.find(e.Task)
 	if t == nil {
 		w.unsettled = append(w.unsettled, settlement{e.Number, ""})
@@ -319,6 +319,9 @@
 	if !t.running {
 		t.running, t.first, t.seen = true, r.Percent, now
 	}
+	if r.Percent > t.percent && !s.spec.Lasting {
+		t.worker.moved = now
+	}
 	if r.Percent > t.percent || r.Throttled {
 		t.percent, t.moved = max(t.percent, r.Percent), now
 	}
@@ -348,9 +351,11 @@
 	}
 	out.Worker, out.Incarnation = w.ID, w.Incarnation
 	out.Acknowledged = w.durable
-	if w.proved.incarnation == w.Incarnation && w.proved.clock > 0 {
-		out.LeaseUntil = w.proved.clock + hold
+	if !w.granted() {
+		// A start without a lease would be refused.
+		return out
 	}
+	out.LeaseUntil = w.proved.clock + hold
 	if c.roster[r.Agent].durable {
 		out.Orders = w.pending
 	}
@@ -378,5 +383,22 @@
 // HasOrders reports whether orders wait for the agent.
 func (c *Cell) HasOrders(agent string) bool {
 	w := c.workers.Get(agent)
-	return w != nil && len(w.pending) > 0 && c.roster[agent].durable
+	return w != nil && len(w.pending) > 0 && w.granted() && c.roster[agent].durable
+}
+
+// granted reports whether a lease can be granted on a proof of ownership that
+// is later than a report of the worker's incarnation.
+func (w *workerRow) granted() bool {
+	return w.proved.incarnation == w.Incarnation && w.proved.clock > 0
+}
+
+// NeedsProof reports whether a worker waits for a proof of ownership before
+// it can be granted its first lease.
+func (c *Cell) NeedsProof() bool {
+	for _, w := range c.workers.All {
+		if w.listed && !w.ended && !w.granted() {
+			return true
+		}
+	}
+	return false
 }
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -199,6 +199,8 @@
 	unsettled []settlement
 	health    health
 	pace      pace
+	// moved is when any task of the worker last came further or ended.
+	moved time.Time
 	// learnt is when the worker's figures were last learnt from.
 	learnt time.Time
 }
--- a/io/scheduler/control.go
+++ b/io/scheduler/control.go
@@ -22,6 +22,8 @@
 	commitLimit = time.Second
 	// commitPause separates failed writes.
 	commitPause = 60 * time.Millisecond
+	// proofPause separates proofs that are sought for the sake of new workers.
+	proofPause = 20 * time.Millisecond
 	// maxBatch bounds the messages between two decisions.
 	maxBatch = 64
 )
@@ -82,8 +84,10 @@
 	due     []agentReport
 	writing bool
 	retryAt time.Time
-	mark    int64
-	wake    chan committed
+	// provedAt is when a proof was last sought for new workers.
+	provedAt time.Time
+	mark     int64
+	wake     chan committed
 }
 
 func newControl(s *Scheduler) *control {
@@ -148,6 +152,10 @@
 	}
 	c.write(ctx, now)
 	c.logEvents()
+	if c.cell.NeedsProof() && now.Sub(c.provedAt) > proofPause {
+		c.provedAt = now
+		c.s.seekProof()
+	}
 }
 
 func (c *control) logEvents() {
--- a/io/scheduler/notice.go
+++ b/io/scheduler/notice.go
@@ -90,8 +90,13 @@
 		return
 	}
 	c.notices = append(c.notices, n)
+	c.s.seekProof()
+}
+
+// seekProof makes the election prove the ownership at once.
+func (s *Scheduler) seekProof() {
 	select {
-	case c.s.prove <- struct{}{}:
+	case s.prove <- struct{}{}:
 	default:
 	}
 }
