Choose workers per step, and check the cell against random histories

Cause: with 60 workers the owner took 0.42 of a core, since each task looked at each worker's tasks anew; options are now rated once a step and workers keep their images.

--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -183,20 +183,28 @@
 	t.running, t.stopping, t.waits = false, false, time.Time{}
 	t.ordered, t.moved, t.percent = now, now, -1
 	w.tasks[t.name] = t
-	w.reserve(s.spec, 1)
+	w.reserve(t.name.Job, s.spec, 1)
 }
 
-// reserve adds the room of n tasks like s; a negative n frees it.
-func (w *workerRow) reserve(s *Step, n int) {
+// reserve adds the room of n tasks of a job's step; a negative n frees it.
+func (w *workerRow) reserve(job string, s *Step, n int) {
 	w.used.Memory += int64(n) * s.Need.Memory
 	w.used.Accelerators += n * s.Need.Accelerators
 	if s.Fills {
 		w.filling += n * s.Need.Processors
+		w.fills[s.Image] += float64(n*s.Need.Processors) / processorUnit
+		if w.fills[s.Image] < 1.0/processorUnit {
+			delete(w.fills, s.Image)
+		}
 		return
 	}
 	w.used.Processors += n * s.Need.Processors
 	if s.TailTarget > 0 {
 		w.serving += n * s.Need.Processors
+		k := servingJob{job, s.Image}
+		if w.serves[k] += n; w.serves[k] == 0 {
+			delete(w.serves, k)
+		}
 	}
 }
 
@@ -205,7 +213,7 @@
 	if t.state != taskAssigned {
 		return
 	}
-	t.worker.reserve(s.spec, -1)
+	t.worker.reserve(t.name.Job, s.spec, -1)
 	delete(t.worker.tasks, t.name)
 	t.state, t.worker = taskWaiting, nil
 	s.waiting++
@@ -229,12 +237,19 @@
 	w.pending = append(w.pending, o)
 }
 
+// sweepEvery is how often all workers and tasks are looked through for what
+// no message tells.
+const sweepEvery = 100 * time.Millisecond
+
 // Step opens occurrences that are due, ends waits that are over, and places
-// what fits. It returns when it wants to be called next at the latest.
+// what fits. It is called after each message and at least every 100 ms.
 func (c *Cell) Step(now time.Time) {
 	c.openDue(now)
-	c.expire(now)
-	c.rescue(now)
+	if now.Sub(c.swept) >= sweepEvery {
+		c.swept = now
+		c.expire(now)
+		c.rescue(now)
+	}
 	c.placeAll(now)
 }
 
--- /dev/null
+++ b/core/job/history_test.go
@@ -0,0 +1,420 @@
+package job
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// history drives cells against workers and a store that keep their own
+// account of what must hold, through lost messages, restarts and owners that
+// do not know that they were replaced.
+type history struct {
+	t       *rapid.T
+	now     time.Time
+	cfg     *Configuration
+	store   stored
+	owners  []*owner
+	epoch   int64
+	workers []*simulated
+	// jobs are all accepted ones; done, failed and cancelled are the truth.
+	jobs      map[string]Job
+	cancelled map[string]bool
+	done      map[string]bool
+	// failed counts all failures, lasting those that no crash made forgotten.
+	failed, lasting map[string]int
+}
+
+// stored is what lasts.
+type stored struct {
+	jobs      map[string]Job
+	progress  map[string][]byte
+	cancelled map[string]bool
+	finals    map[string]State
+	agents    map[string]bool
+	journal   int64
+}
+
+// owner is a cell with what it believes of the store.
+type owner struct {
+	*Cell
+	journal int64
+	// cutStore keeps it from the store, cut from some workers.
+	cutStore bool
+	cut      map[int]bool
+}
+
+// simulated is a worker with its agent.
+type simulated struct {
+	number      int
+	incarnation int64
+	clock       time.Duration
+	// epoch is the agent's, fence the highest that the worker has seen.
+	epoch, fence int64
+	applied      int64
+	process      int64
+	granted      time.Duration
+	lease        time.Duration
+	running      map[string]int64
+	highest      map[string]int64
+	ended        []End
+	absent       []Absent
+	numbers      int64
+	dead         bool
+}
+
+const (
+	historyTick  = 100 * time.Millisecond
+	historyLease = 5 * time.Second
+)
+
+func (h *history) agent(i int) string { return fmt.Sprintf("agent-%d", i) }
+
+// take makes a new owner of what is stored.
+func (h *history) take() *owner {
+	h.epoch++
+	h.store.journal++
+	o := &owner{Cell: New(h.epoch, h.now, Limits{LeaseMax: 10 * time.Second}), journal: h.store.journal, cut: map[int]bool{}}
+	o.SetConfiguration(h.cfg)
+	for _, a := range slices.Sorted(maps.Keys(h.store.agents)) {
+		o.LoadAgent(a)
+	}
+	for _, id := range slices.Sorted(maps.Keys(h.store.jobs)) {
+		var p Progress
+		if b := h.store.progress[id]; b != nil {
+			if err := json.Unmarshal(b, &p); err != nil {
+				h.t.Fatal(err)
+			}
+		}
+		if err := o.Load(h.store.jobs[id], p, h.now); err != nil {
+			h.t.Fatal(err)
+		}
+	}
+	o.Finish(h.now)
+	for id := range h.store.cancelled {
+		o.Cancel(id, h.now)
+	}
+	h.owners = append(h.owners, o)
+	return o
+}
+
+func (h *history) newest() *owner { return h.owners[len(h.owners)-1] }
+
+// write lets an owner write once; the answer, or the write, may be lost.
+func (h *history) write(o *owner, lostBefore, lostAfter bool) {
+	w := o.Due(h.now, 30)
+	if w.Empty() {
+		return
+	}
+	if o.journal != h.store.journal || o.cutStore || lostBefore {
+		o.Abandoned(&w)
+		return
+	}
+	for id, p := range w.Progress {
+		b, err := json.Marshal(p)
+		if err != nil {
+			h.t.Fatal(err)
+		}
+		h.store.progress[id] = b
+	}
+	for _, f := range w.Finals {
+		h.store.finals[f.ID] = f.State
+		delete(h.store.jobs, f.ID)
+		delete(h.store.progress, f.ID)
+		delete(h.store.cancelled, f.ID)
+		h.checkFinal(f)
+	}
+	for _, a := range w.Agents {
+		h.store.agents[a] = true
+	}
+	for _, a := range w.Forget {
+		delete(h.store.agents, a)
+	}
+	if lostAfter {
+		o.Abandoned(&w)
+		return
+	}
+	o.Committed(&w)
+}
+
+// checkFinal compares a final state with the truth.
+func (h *history) checkFinal(f Final) {
+	j := h.jobs[f.ID]
+	switch f.State {
+	case Done:
+		for i := range j.Steps {
+			for n := range j.Steps[i].Tasks {
+				if !h.done[Task{f.ID, 0, i, n}.String()] {
+					h.t.Fatalf("job %s is done, task %d.%d is not", f.ID, i, n)
+				}
+			}
+		}
+	case Cancelled:
+		if !h.cancelled[f.ID] {
+			h.t.Fatalf("job %s is cancelled by nobody", f.ID)
+		}
+	case Failed:
+		for name, n := range h.failed {
+			if n >= h.cfg.Queues[0].MaxFailures && name[:16] == f.ID {
+				return
+			}
+		}
+		h.t.Fatalf("job %s failed without enough failures", f.ID)
+	}
+}
+
+// report delivers a report of a worker to an owner, and the reply unless it
+// is lost.
+func (h *history) report(s *simulated, o *owner, lost bool) {
+	if s.dead || o.cut[s.number] || o.Epoch() < max(s.epoch, s.fence) {
+		return
+	}
+	s.fence = o.Epoch()
+	if o.Epoch() > s.epoch {
+		s.epoch, s.applied, s.absent = o.Epoch(), 0, nil
+	}
+	r := Report{Agent: h.agent(s.number), Process: s.process, Epoch: s.epoch, Applied: s.applied,
+		Clock: s.clock, Listed: true, Ended: slices.Clone(s.ended), Absent: slices.Clone(s.absent),
+		Worker: &Worker{ID: h.agent(s.number), Incarnation: s.incarnation, Service: "svc",
+			Capacity: Resources{Processors: 4000, Memory: 4000}}}
+	for _, task := range slices.Sorted(maps.Keys(s.running)) {
+		r.Running = append(r.Running, Run{Task: task, Run: s.running[task], Percent: int(h.now.UnixMilli()/100) % 100})
+	}
+	o.Receive(&r, h.now)
+	o.Step(h.now)
+	reply := o.Reply(&r)
+	if lost {
+		return
+	}
+	s.absent = nil
+	if reply.Incarnation != s.incarnation {
+		return
+	}
+	s.granted = max(s.granted, reply.LeaseUntil)
+	for len(s.ended) > 0 && s.ended[0].Number <= reply.Acknowledged {
+		s.ended = s.ended[1:]
+	}
+	for _, order := range reply.Orders {
+		if order.Sequence > s.applied {
+			s.applied = order.Sequence
+			h.obey(s, order)
+		}
+	}
+	s.lease = max(s.lease, min(s.granted, s.clock+historyLease))
+}
+
+// obey carries an order out, and checks each start.
+func (h *history) obey(s *simulated, o Order) {
+	if o.Incarnation != s.incarnation {
+		return
+	}
+	if o.Kind == OrderStop {
+		if s.running[o.Task] == o.Run {
+			h.end(s, o.Task, EndStopped)
+		} else {
+			s.absent = append(s.absent, Absent{o.Task, o.Run, "stopped"})
+		}
+		s.highest[o.Task] = max(s.highest[o.Task], o.Run)
+		return
+	}
+	if s.running[o.Task] == o.Run {
+		return
+	}
+	if o.Run <= s.highest[o.Task] || min(s.granted, s.clock+historyLease) <= s.clock {
+		s.absent = append(s.absent, Absent{o.Task, o.Run, "old"})
+		return
+	}
+	h.checkStart(s, o)
+	s.running[o.Task] = o.Run
+	s.lease = max(s.lease, min(s.granted, s.clock+historyLease))
+}
+
+// checkStart fails if a start breaks what must hold.
+func (h *history) checkStart(s *simulated, o Order) {
+	name, err := ParseTask(o.Task)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	j := h.jobs[name.Job]
+	for _, other := range h.workers {
+		if run, ok := other.running[o.Task]; ok && !other.dead {
+			h.t.Fatalf("run %d of %s starts on %d while run %d is on %d", o.Run, o.Task, s.number, run, other.number)
+		}
+	}
+	for _, a := range j.Steps[name.Step].After {
+		for n := range j.Steps[a].Tasks {
+			if !h.done[Task{name.Job, 0, a, n}.String()] {
+				h.t.Fatalf("%s starts before task %d.%d is done", o.Task, a, n)
+			}
+		}
+	}
+	used := j.Steps[name.Step].Need
+	for task := range s.running {
+		other, _ := ParseTask(task)
+		used = used.Plus(h.jobs[other.Job].Steps[other.Step].Need)
+	}
+	if used.Processors > 4000 {
+		h.t.Fatalf("%s brings worker %d over its capacity", o.Task, s.number)
+	}
+	if h.lasting[o.Task] >= h.cfg.Queues[0].MaxFailures {
+		h.t.Fatalf("%s starts after %d failures", o.Task, h.lasting[o.Task])
+	}
+}
+
+// end ends a run; the truth counts what the worker will list.
+func (h *history) end(s *simulated, task string, how How) {
+	run := s.running[task]
+	delete(s.running, task)
+	s.numbers++
+	s.ended = append(s.ended, End{Number: s.numbers, Task: task, Run: run, How: how})
+	s.highest[task] = max(s.highest[task], run)
+	switch how {
+	case EndDone:
+		h.done[task] = true
+	case EndFailed:
+		h.failed[task]++
+		h.lasting[task]++
+	}
+}
+
+// restart is a crash of the worker: its list is lost, and with it the ends
+// that were not acknowledged.
+func (h *history) restart(s *simulated) {
+	for _, e := range s.ended {
+		if e.How == EndFailed {
+			h.lasting[e.Task]--
+		}
+	}
+	s.incarnation++
+	s.fence = 0
+	s.clock, s.granted, s.lease, s.numbers = 0, 0, 0, 0
+	s.running, s.highest, s.ended, s.absent = map[string]int64{}, map[string]int64{}, nil, nil
+}
+
+// tick advances the time and ends leases.
+func (h *history) tick() {
+	h.now = h.now.Add(historyTick)
+	for _, s := range h.workers {
+		s.clock += historyTick
+		if !s.dead && s.granted > 0 {
+			s.lease = max(s.lease, min(s.granted, s.clock+historyLease))
+		}
+		if s.clock > s.lease {
+			for _, task := range slices.Sorted(maps.Keys(s.running)) {
+				h.end(s, task, EndLapsed)
+			}
+		}
+	}
+}
+
+func newHistory(t *rapid.T) *history {
+	h := &history{t: t, now: time.Unix(1000, 0), jobs: map[string]Job{}, cancelled: map[string]bool{},
+		failed: map[string]int{}, lasting: map[string]int{}, done: map[string]bool{},
+		store: stored{map[string]Job{}, map[string][]byte{}, map[string]bool{}, map[string]State{}, map[string]bool{}, 0},
+		cfg: &Configuration{Version: 1, Queues: []Queue{{Host: "host", Prefix: "/queue/", Service: "svc",
+			MaxFailures: 2, Stretch: 2, Target: time.Second}}}}
+	for i := range 3 {
+		h.workers = append(h.workers, &simulated{number: i, incarnation: 1, process: 1,
+			running: map[string]int64{}, highest: map[string]int64{}})
+	}
+	h.take()
+	return h
+}
+
+// prove lets an owner that the store still knows prove its ownership.
+func (h *history) prove(o *owner) {
+	o.VerifyBegin()
+	if !o.cutStore && o == h.newest() {
+		o.VerifyEnd(h.now)
+	}
+}
+
+// act is one random event.
+func (h *history) act(n int) {
+	t := h.t
+	s := h.workers[rapid.IntRange(0, len(h.workers)-1).Draw(t, "worker")]
+	o := h.owners[max(0, len(h.owners)-1-rapid.IntRange(0, 1).Draw(t, "owner"))]
+	switch rapid.IntRange(0, 15).Draw(t, "act") {
+	case 0:
+		steps := []Step{step(rapid.IntRange(1, 3).Draw(t, "tasks"), 1000)}
+		if rapid.Bool().Draw(t, "second step") {
+			steps = append(steps, step(2, 1500, 0))
+		}
+		j := testJob(n, steps...)
+		h.jobs[j.ID], h.store.jobs[j.ID] = j, j
+		h.newest().Add(j, h.now)
+	case 1:
+		if len(h.store.jobs) > 0 {
+			id := rapid.SampledFrom(slices.Sorted(maps.Keys(h.store.jobs))).Draw(t, "job")
+			h.cancelled[id], h.store.cancelled[id] = true, true
+			h.newest().Cancel(id, h.now)
+		}
+	case 2:
+		if len(s.running) > 0 && !s.dead {
+			task := rapid.SampledFrom(slices.Sorted(maps.Keys(s.running))).Draw(t, "task")
+			h.end(s, task, rapid.SampledFrom([]How{EndDone, EndDone, EndFailed}).Draw(t, "how"))
+		}
+	case 3:
+		h.take()
+	case 4:
+		o.cut[s.number] = !o.cut[s.number]
+	case 5:
+		o.cutStore = !o.cutStore
+	case 6:
+		s.process++
+		s.epoch, s.applied, s.absent = 0, 0, nil
+	case 8:
+		h.restart(s)
+	case 7:
+		h.write(o, rapid.Bool().Draw(t, "before"), rapid.Bool().Draw(t, "after"))
+	default:
+		for _, w := range h.workers {
+			for _, any := range h.owners[max(0, len(h.owners)-2):] {
+				h.prove(any)
+				h.report(w, any, rapid.IntRange(0, 4).Draw(t, "lost") == 0)
+				h.write(any, false, false)
+			}
+		}
+	}
+	h.tick()
+}
+
+// settle lets everything heal and finish.
+func (h *history) settle() {
+	last := h.newest()
+	last.cutStore = false
+	clear(last.cut)
+	for range 400 {
+		for _, s := range h.workers {
+			h.prove(last)
+			h.report(s, last, false)
+			h.write(last, false, false)
+			for _, task := range slices.Sorted(maps.Keys(s.running)) {
+				h.end(s, task, EndDone)
+			}
+		}
+		h.tick()
+	}
+	for id := range h.jobs {
+		if !h.store.finals[id].Final() {
+			h.t.Fatalf("job %s never ends: %+v", id, h.newest().jobs.Get(id))
+		}
+	}
+}
+
+// TestHistories checks capacity, order, attempts, a single run at a time, true
+// final states, and that nothing is lost.
+func TestHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := newHistory(t)
+		for n := range rapid.IntRange(5, 120).Draw(t, "length") {
+			h.act(n)
+		}
+		h.settle()
+	})
+}
--- a/core/job/place.go
+++ b/core/job/place.go
@@ -115,184 +115,55 @@
 			c.placeGang(&k, now)
 			continue
 		}
+		var options []option
 		for i := range k.step.tasks {
 			t := &k.step.tasks[i]
 			if t.state != taskWaiting || now.Before(t.notBefore) {
 				continue
 			}
-			w := c.choose(&k, t, now)
-			if w == nil {
+			if options == nil {
+				options = c.options(&k, "", now)
+			}
+			o := choose(options, &k, t, now)
+			if o == nil {
 				break
 			}
-			c.assign(k.job, k.step, t, w, now)
-		}
-	}
-}
-
-// patience is how long a filling task waits for a worker whose serving tasks
-// it does not strain: beside those that it does, it would be throttled to less
-// than half, which costs as much time.
-const patience = 1500 * time.Millisecond
-
-// choose returns the best worker that t fits on, or nil. Load: builds of an
-// image that harms some feeds, while the workers without these feeds are full.
-func (c *Cell) choose(k *candidate, t *taskRow, now time.Time) *workerRow {
-	var best *workerRow
-	var bestScore int
-	strains, others := false, false
-	for _, w := range c.workers.All {
-		if !c.usable(w, k, now) {
-			continue
-		}
-		harmful := c.strains(w, k.step.spec)
-		others = others || !harmful
-		if !w.fits(k.step.spec) || !w.spreads(k.step.spec, t.name) {
-			continue
-		}
-		if s := c.score(w, k, t); best == nil || s > bestScore {
-			best, bestScore, strains = w, s, harmful
+			c.assign(k.job, k.step, t, o.worker, now)
+			c.rate(o, k.step.spec)
 		}
 	}
-	if strains && others {
-		if t.waits.IsZero() {
-			t.waits = now
-		}
-		if now.Sub(t.waits) < patience {
-			return nil
-		}
-	}
-	return best
-}
-
-// strains reports whether a task like s would strain serving tasks of w.
-func (c *Cell) strains(w *workerRow, s *Step) bool {
-	if !s.Fills || w.serving == 0 {
-		return false
-	}
-	excess, added := c.strain(w, s)
-	return excess > 0 && added > slightPressure
-}
-
-// usable reports whether w may get tasks of the candidate at all.
-func (c *Cell) usable(w *workerRow, k *candidate, now time.Time) bool {
-	q := c.queues[k.job.Queue]
-	switch {
-	case !w.listed, w.ended, w.Draining, w.unreachable > 0, w.foreign > 0:
-		return false
-	case now.Sub(w.heard) > silentLimit, w.Service != q.Service:
-		return false
-	case k.step.spec.Label != "" && !slices.Contains(w.Labels, k.step.spec.Label):
-		return false
-	}
-	return w.health.usable(len(w.tasks), now)
-}
-
-// servingUse is the share of their reserved processors, in percent, that
-// serving tasks are taken to use; the sheets give 48%.
-const servingUse = 50
-
-// leftover returns the processors that no task of w is taken to use.
-func (w *workerRow) leftover() int {
-	return w.Capacity.Processors - (w.used.Processors - w.serving) - w.serving*servingUse/100 - w.filling
 }
 
-// fits reports whether the worker has room for one more task like s.
-func (w *workerRow) fits(s *Step) bool {
-	need := s.Need
-	if s.Fills {
-		if w.leftover() < need.Processors {
-			return false
-		}
-		need.Processors = 0
-	}
-	need.Slots = 0
-	return w.used.Plus(need).Fits(w.Capacity.Max(Resources{Slots: w.used.Slots}))
-}
-
-// spreads reports whether w may run one more task of the step.
-func (w *workerRow) spreads(s *Step, name Task) bool {
-	if s.MaxPerWorker == 0 {
-		return true
-	}
-	n := 0
-	for other := range w.tasks {
-		if other.Job == name.Job && other.Occurrence == name.Occurrence && other.Step == name.Step {
-			n++
-		}
+// placeGang starts all members of a gang, or none; on one rack if that
+// matters and one has room.
+func (c *Cell) placeGang(k *candidate, now time.Time) {
+	if k.step.waiting < len(k.step.tasks) {
+		return
 	}
-	return n < s.MaxPerWorker
-}
-
-// slightPressure is the added utilization that counts as none.
-const slightPressure = 0.04
-
-// Weights of a worker's score, in thousandths of a processor.
-const (
-	// farPenalty outweighs any difference in room: a task away from its data
-	// takes half as long again or more.
-	farPenalty = 1 << 20
-	// slowPenalty keeps tasks off slow workers while others have room.
-	slowPenalty = 1 << 20
-	// failedPenalty keeps a task off the worker that it failed on.
-	failedPenalty = 1 << 21
-	// strainPenalty is what a utilization above the limit by one costs: it
-	// outweighs all room on a worker from an excess of 0.1.
-	strainPenalty = 1 << 19
-	// pressureWeight is what added utilization by one costs.
-	pressureWeight = 1 << 17
-	// imageWeight brings serving tasks of one image together, so that filling
-	// tasks find workers whose serving images they do not disturb.
-	imageWeight = 1 << 15
-)
-
-// score ranks workers that a task fits on; the highest is best.
-func (c *Cell) score(w *workerRow, k *candidate, t *taskRow) int {
-	s := k.step.spec
-	score := w.leftover()
-	switch {
-	case s.TailTarget > 0:
-		serving, _ := w.beside(c)
-		score = w.serving - w.filling
-		for k, n := range serving {
-			if k.image == s.Image {
-				score += n * imageWeight
-			} else {
-				score -= n * imageWeight
+	if k.step.spec.SameRack {
+		for _, rack := range c.racks() {
+			if c.placeWhole(k, rack, now) {
+				return
 			}
 		}
-	case s.Fills && w.serving > 0:
-		excess, added := c.strain(w, s)
-		score -= int(added * pressureWeight)
-		if added > slightPressure {
-			score -= int(max(0, excess) * strainPenalty)
-		}
-	}
-	if s.Rack != "" && !slices.Contains(w.Labels, s.Rack) {
-		score -= farPenalty
 	}
-	if slices.Contains(t.failedOn, w.ID) {
-		score -= failedPenalty
-	}
-	if w.pace.slow() {
-		score -= slowPenalty
-	}
-	return score
+	c.placeWhole(k, "", now)
 }
 
-// placeGang starts all members of a gang, or none.
-func (c *Cell) placeGang(k *candidate, now time.Time) {
+// placeWhole starts all members of a gang on workers with the label rack, or
+// on any if that is empty, and reports whether it did.
+func (c *Cell) placeWhole(k *candidate, rack string, now time.Time) bool {
 	s := k.step
-	if s.waiting < len(s.tasks) {
-		return
-	}
+	options := c.options(k, rack, now)
 	var placed []*taskRow
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		w := c.choose(k, t, now)
-		if w == nil || now.Before(t.notBefore) {
+		o := choose(options, k, t, now)
+		if o == nil || now.Before(t.notBefore) {
 			break
 		}
-		c.place(s, t, w, 0, now)
+		c.place(s, t, o.worker, 0, now)
+		c.rate(o, s.spec)
 		placed = append(placed, t)
 	}
 	whole := len(placed) == len(s.tasks)
@@ -309,4 +180,5 @@
 			c.assign(k.job, s, t, w, now)
 		}
 	}
+	return whole
 }
--- a/core/job/pressure.go
+++ b/core/job/pressure.go
@@ -184,31 +184,14 @@
 	}
 }
 
-// beside returns the serving jobs on w and the processors that each filling
-// image there asks for.
-func (w *workerRow) beside(c *Cell) (serving map[servingJob]int, filling usage) {
-	serving, filling = map[servingJob]int{}, usage{}
-	for name := range w.tasks {
-		spec := &c.jobs.Get(name.Job).Steps[name.Step]
-		switch {
-		case spec.TailTarget > 0:
-			serving[servingJob{name.Job, spec.Image}]++
-		case spec.Fills:
-			filling[spec.Image] += float64(spec.Need.Processors) / processorUnit
-		}
-	}
-	return serving, filling
-}
-
 // strain returns by how much the busiest serving task of w would exceed the
 // limit once a task like s works beside it, and the pressure that it adds.
 func (c *Cell) strain(w *workerRow, s *Step) (excess, added float64) {
-	serving, filling := w.beside(c)
 	one := usage{s.Image: float64(s.Need.Processors) / processorUnit}
-	for k := range serving {
+	for k := range w.serves {
 		more := c.pressure.predict(k.image, one)
 		l := c.pressure.loadOf(k.job)
-		busy := l.peak + c.pressure.predict(k.image, filling) + more
+		busy := l.peak + c.pressure.predict(k.image, w.fills) + more
 		excess, added = max(excess, busy-placeLimit), max(added, more)
 	}
 	return excess, added
@@ -220,14 +203,13 @@
 	if w.serving == 0 || w.filling == 0 {
 		return nil
 	}
-	serving, filling := w.beside(c)
 	out := map[string]map[string]float64{}
-	for s := range serving {
+	for s := range w.serves {
 		if out[s.image] != nil {
 			continue
 		}
 		out[s.image] = map[string]float64{}
-		for f := range filling {
+		for f := range w.fills {
 			out[s.image][f] = c.pressure.of(s.image).effect(f)
 		}
 	}
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -17,7 +17,7 @@
 	}
 	if w == nil {
 		w = c.workers.Put(r.Agent, workerRow{agent: r.Agent, Worker: *r.Worker, process: r.Process,
-			tasks: map[Task]*taskRow{}})
+			tasks: map[Task]*taskRow{}, serves: map[servingJob]int{}, fills: usage{}})
 		c.note(EventWorker, nil, w, "joined", now)
 	}
 	if r.Process < w.process {
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -189,6 +189,10 @@
 	filling int
 	// serving is the processors reserved by tasks with a tail target.
 	serving int
+	// serves counts the serving tasks by job and image, fills are the
+	// processors that filling tasks ask for by image.
+	serves map[servingJob]int
+	fills  usage
 	// foreign counts listed runs of unknown tasks, which take unknown room.
 	foreign int
 	// processed is the number up to which ends were taken in.
@@ -231,6 +235,8 @@
 	// stored are the newest lessons that were written, at taught.
 	stored Lessons
 	taught time.Time
+	// swept is when all workers were last looked through.
+	swept time.Time
 	// written is when the newest write was due.
 	written time.Time
 	// forget are agents whose place in the stored roster is to be deleted.
