--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -47,7 +47,6 @@
 	stopping bool
 	// notBefore delays the next start after a refusal.
 	notBefore time.Time
-	load      int
 }
 
 // stepRow is one step of one occurrence.
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -223,6 +223,7 @@
 	}
 	a.workerHealth.Observe(err)
 	if err != nil {
+		renewFailures.Inc()
 		signal(a.changed)
 		return false
 	}
@@ -254,6 +255,7 @@
 	if len(commands) == 0 {
 		return
 	}
+	throttleOrders.Add(len(commands))
 	event.TasksThrottled.Emit(a.log, event.Worker(r.worker), event.Count(len(commands)), event.Throttle(commands[0].share))
 	for _, c := range commands {
 		a.slots <- struct{}{}
--- a/io/agent/orders.go
+++ b/io/agent/orders.go
@@ -23,6 +23,7 @@
 			defer func() { <-a.slots }()
 			begin := time.Now()
 			outcome := a.carryOutOne(ctx, o, epoch)
+			countOrder(o.Kind, outcome, time.Since(begin))
 			event.OrderCarriedOut.Emit(a.log, event.Task(o.Task), event.Attempt(int(o.Run)), event.Worker(o.Worker),
 				event.Decision(string(o.Kind)), event.Outcome(outcome), event.Elapsed(time.Since(begin)), event.Epoch(epoch))
 		}()
--- a/io/scheduler/caller.go
+++ b/io/scheduler/caller.go
@@ -101,10 +101,12 @@
 		err = s.storeJob(r.ctx, &j)
 	}
 	if err != nil {
+		countSubmission(string(status.CodeOf(submissionFailure(err))), time.Since(r.begin))
 		event.SubmissionRefused.Emit(s.log, event.Job(r.id), event.Queue(r.queue.ID()),
 			event.Elapsed(time.Since(r.begin)), event.Reason(status.Code(err.Error())))
 		return submissionFailure(err)
 	}
+	countSubmission("accepted", time.Since(r.begin))
 	event.SubmissionAccepted.Emit(s.log, event.Job(r.id), event.Queue(r.queue.ID()),
 		event.Elapsed(time.Since(r.begin)), event.Revision(r.cfg.Version))
 	return r.JSONBlob(http.StatusOK, platform.EncodeState(job.Queued))
--- a/io/scheduler/control.go
+++ b/io/scheduler/control.go
@@ -159,7 +159,9 @@
 }
 
 func (c *control) logEvents() {
+	liveGauge.Set(float64(c.cell.Len()))
 	for _, e := range c.cell.Events() {
+		countDecision(e)
 		if e.Kind == job.EventWorker {
 			event.WorkerDecided.Emit(c.log, event.Worker(e.Worker), event.Decision(string(e.Kind)),
 				event.Reason(status.Code(e.Reason)), event.Age(e.Age), event.Epoch(c.cell.Epoch()))
@@ -277,6 +279,7 @@
 	}
 	c.loadJobs(cell, x, now)
 	c.cell, c.loaded, c.mark, c.writing = cell, x.revision, 0, false
+	ownerGauge.Set(float64(cell.Epoch()))
 	early := c.early
 	c.early = nil
 	for _, e := range early {
@@ -342,6 +345,8 @@
 		r.reply <- replyOrError{err: status.ErrNotOwner}
 	}
 	clear(c.waiters)
+	ownerGauge.Set(0)
+	liveGauge.Set(0)
 	c.due = nil
 	c.cell, c.tenure, c.early, c.notices = nil, nil, nil, nil
 }
@@ -364,7 +369,9 @@
 	go func() {
 		limited, cancel := context.WithTimeout(ctx, commitLimit)
 		defer cancel()
+		began := time.Now()
 		revision, now, err := c.s.store.Commit(limited, cm)
+		commitSeconds.Update(time.Since(began).Seconds())
 		out := committed{tenure: t, writes: &w, mark: mark, journal: revision, err: err}
 		if errors.Is(err, platform.ErrConflict) {
 			out.journal, out.err = journalNow(now, mark)
@@ -438,6 +445,7 @@
 	case errors.Is(x.err, errNotWritten):
 		c.tenure.journal = x.journal
 	default:
+		storeErrors.Inc()
 		c.retryAt = time.Now().Add(commitPause)
 	}
 	c.cell.Abandoned(x.writes)
