--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -203,6 +203,7 @@
 				break
 			}
 		}
+		signal(a.acknowledged)
 	}
 	return nil
 }
@@ -213,6 +214,11 @@
 	if !ok {
 		return false
 	}
+	if wait > 0 {
+		// A call that waits may reach a later incarnation under the same id,
+		// whose first ends an acknowledgement would make forgotten.
+		r.acknowledged = 0
+	}
 	limited, cancel := context.WithTimeout(ctx, wait+callLimit)
 	defer cancel()
 	asked := time.Now()
--- a/io/agent/owner.go
+++ b/io/agent/owner.go
@@ -222,7 +222,7 @@
 	a.state.forgetAbsent(r.Absent)
 	orders, acknowledged := a.state.apply(&reply, time.Now())
 	if acknowledged {
-		signal(a.acknowledged)
+		signal(a.kick)
 	}
 	a.carryOut(ctx, orders, reply.Epoch)
 	return nil
--- a/io/standin/deployment/repeats_test.go
+++ b/io/standin/deployment/repeats_test.go
@@ -185,3 +185,38 @@
 	}
 	end.Kill()
 }
+
+// Three attempts with one id that reach three entries at the same moment: one
+// of them is answered. Nothing else may go wrong, since all entries are up.
+func TestSimultaneousRepeatsAreAnswered(t *testing.T) {
+	t.Parallel()
+	d := New(t, 3)
+	d.Apply(ReadConfig(t, "../../../examples/kettle-valley.json"), "first")
+	d.StartEndpoint("endpoint-0", "catalogue", "kelowna")
+	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	defer c.CloseIdleConnections()
+	for _, e := range d.Entries {
+		d.Eventually("a first booking at "+e.ID, 10*time.Second, func() bool {
+			o, _ := book(c, e.Caller, uuid.Must(uuid.NewV7()).String())
+			return o == caller.Answered
+		})
+	}
+	time.Sleep(9 * time.Second) // the entries' views of one another settle
+	const ids = 60
+	answered := 0
+	for range ids {
+		id := uuid.Must(uuid.NewV7()).String()
+		var wg sync.WaitGroup
+		told := make([]caller.Outcome, len(d.Entries))
+		for i, e := range d.Entries {
+			wg.Go(func() { told[i], _ = book(c, e.Caller, id) })
+		}
+		wg.Wait()
+		if slices.Contains(told, caller.Answered) {
+			answered++
+		}
+	}
+	if answered < ids {
+		t.Errorf("%d of %d ids were answered to one of three simultaneous attempts", answered, ids)
+	}
+}
