Stop the culprits beside a feed at twice its target, and drop ended jobs in time

The job of a late failure stayed in the table until the next write; TestLateFailureCounts showed it in one order of reports of two.

--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -249,6 +249,7 @@
 		c.swept = now
 		c.expire(now)
 		c.rescue(now)
+		c.dropRecorded()
 	}
 	c.placeAll(now)
 }
--- a/core/job/cell_test.go
+++ b/core/job/cell_test.go
@@ -147,8 +147,9 @@
 	w.is.Equal(len(second.report.Running), 1) // the third one, while one failure is known
 	w.hosts[silent] = first
 	first.report.Process++
-	w.round()
-	w.round()
+	for range 10 { // the run under way is stopped, and its job is dropped
+		w.round()
+	}
 	w.is.Equal(w.jobs.Get(testJob(1).ID), (*jobRow)(nil)) // two failures end the job
 }
 
--- a/core/job/pressure.go
+++ b/core/job/pressure.go
@@ -39,6 +39,14 @@
 // within half a second, so tasks at the limit would be throttled soon.
 const placeLimit = 0.78
 
+// Standard deviations by which pressures are taken to be larger than learnt.
+// Load: the first tasks of an image that nobody has seen beside a feed yet,
+// many at once; tails of ten times the target followed.
+const (
+	placeCaution    = 0.25
+	throttleCaution = 1.0
+)
+
 // Bounds of utilization that throttling keeps to.
 const (
 	// BusyLimit is where a tail is at its target.
@@ -46,6 +54,8 @@
 	// BusyCalm is where throttled tasks may work more; a load changes by
 	// 0.03 between two looks.
 	BusyCalm = 0.80
+	// BusyAlarm is where a tail is at twice its target.
+	BusyAlarm = 0.92
 )
 
 // usage is how many processors each filling image uses on one worker.
@@ -103,7 +113,7 @@
 }
 
 // predict returns the pressure of u on a serving image.
-func (m pressureModel) predict(serving string, u usage) float64 { return m.of(serving).predict(u) }
+func (m pressureModel) predict(serving string, u usage) float64 { return m.of(serving).predict(u, 0) }
 
 // loadOf returns the load of a serving job.
 func (m pressureModel) loadOf(job string) *load {
@@ -135,7 +145,7 @@
 		r.observe(now.busy-before.busy, now.u.minus(before.u, 1), 2)
 	}
 	l.looks[worker] = now
-	l.update(max(0, now.busy-r.predict(now.u)))
+	l.update(max(0, now.busy-r.predict(now.u, 0)))
 }
 
 // update takes in one observation of the load.
@@ -189,7 +199,7 @@
 func (c *Cell) strain(w *workerRow, s *Step) (excess, added float64) {
 	one := usage{s.Image: float64(s.Need.Processors) / processorUnit}
 	for k := range w.serves {
-		more := c.pressure.predict(k.image, one)
+		more := c.pressure.of(k.image).predict(one, placeCaution)
 		l := c.pressure.loadOf(k.job)
 		busy := l.peak + c.pressure.predict(k.image, w.fills) + more
 		excess, added = max(excess, busy-placeLimit), max(added, more)
@@ -210,7 +220,7 @@
 		}
 		out[s.image] = map[string]float64{}
 		for f := range w.fills {
-			out[s.image][f] = c.pressure.of(s.image).effect(f)
+			out[s.image][f] = c.pressure.of(s.image).cautious(f, throttleCaution)
 		}
 	}
 	return out
--- a/core/job/regression.go
+++ b/core/job/regression.go
@@ -38,11 +38,22 @@
 	return priorEffect
 }
 
-// predict returns the effect of u.
-func (r *regression) predict(u usage) float64 {
+// cautious returns the effect of one processor of an image, and a number of
+// standard deviations more.
+func (r *regression) cautious(image string, deviations float64) float64 {
+	variance := priorVariance
+	if i, ok := r.index[image]; ok {
+		variance = max(0, r.variance[i][i])
+	}
+	return r.effect(image) + deviations*math.Sqrt(variance)
+}
+
+// predict returns the effect of u, each image's with a number of standard
+// deviations more.
+func (r *regression) predict(u usage, deviations float64) float64 {
 	sum := 0.0
 	for image, processors := range u {
-		sum += r.effect(image) * processors
+		sum += r.cautious(image, deviations) * processors
 	}
 	return sum
 }
@@ -101,7 +112,7 @@
 	for image, processors := range u {
 		total += processors * gain[r.index[image]]
 	}
-	surprise := difference - r.predict(u)
+	surprise := difference - r.predict(u, 0)
 	for i := range r.effects {
 		r.effects[i] = min(maxEffect, max(0, r.effects[i]+gain[i]*surprise/total))
 		for j := range r.effects {
--- a/io/agent/throttle.go
+++ b/io/agent/throttle.go
@@ -16,6 +16,9 @@
 	// raiseStep is how much shares grow with a look while no image is known
 	// to be a culprit.
 	raiseStep = 34
+	// culpritWeight is the part of the largest pressure from which on an image
+	// stops at an alarm.
+	culpritWeight = 0.5
 	// leastKept is the least that one cut leaves of a share.
 	leastKept = 0.25
 )
@@ -138,14 +141,15 @@
 	case now.Sub(t.cut) < settleTime:
 	case busy > job.BusyLimit:
 		t.cut = now
-		t.lower(f, image, busy-job.BusyCalm)
+		t.lower(f, image, busy)
 	case busy < job.BusyCalm:
 		t.raise(f)
 	}
 }
 
 // lower takes the excess off the images that press on the serving image.
-func (t *throttle) lower(f figures, serving string, excess float64) {
+func (t *throttle) lower(f figures, serving string, busy float64) {
+	excess := busy - job.BusyCalm
 	learnt := t.pressures[serving]
 	total := 0.0
 	for image, used := range f.used {
@@ -158,6 +162,9 @@
 		// Images give way in proportion to what a processor of theirs adds.
 		weight := (learnt[image] + priorPressure) / t.largest(learnt, f)
 		keep := max(leastKept, 1-weight*excess/total)
+		if busy > job.BusyAlarm && weight >= culpritWeight {
+			keep = 0
+		}
 		t.set(image, int(float64(t.share(image))*keep))
 	}
 }
