Tickets of an advisor, and terms that outlive a queue's configuration

A job of a queue that a configuration dropped could not be placed by a later owner (TestDroppedQueue); a queue with a hint had every start refused (TestAdvisedStep).

--- a/core/job/choose.go
+++ b/core/job/choose.go
@@ -55,6 +55,9 @@
 	others := false
 	for i := range options {
 		o := &options[i]
+		if k.queue.Advised && k.step.advice.tickets[o.worker.ID] == "" {
+			continue
+		}
 		others = others || !o.harmful
 		if !o.worker.fits(k.step.spec, k.priority) || !o.worker.spreads(k.step.spec, t.name) || !o.worker.health.usable(len(o.worker.tasks), now) {
 			continue
@@ -80,7 +83,7 @@
 
 // usable reports whether w may get tasks of the candidate at all.
 func (c *Cell) usable(w *workerRow, k *candidate, now time.Time) bool {
-	q := c.queues[k.job.Queue]
+	q := c.queueOf(k.job)
 	switch {
 	case !w.listed, w.ended, w.Draining, w.unreachable > 0, w.foreign > 0:
 		return false
--- a/core/job/pace.go
+++ b/core/job/pace.go
@@ -90,10 +90,10 @@
 func (c *Cell) misplaced(w *workerRow, t *taskRow, now time.Time) string {
 	j := c.jobs.Get(t.name.Job)
 	s, _ := j.task(t.name)
-	if t.stopping || !t.running || s.spec.Gang || c.queues[j.Queue] == nil {
+	if t.stopping || !t.running || s.spec.Gang || c.queueOf(j) == nil {
 		return ""
 	}
-	k := candidate{job: j, occ: j.occurrence(t.name.Occurrence), step: s, priority: c.queues[j.Queue].Priority}
+	k := candidate{job: j, occ: j.occurrence(t.name.Occurrence), step: s, queue: c.queueOf(j), priority: c.queueOf(j).Priority}
 	switch {
 	case s.spec.Lasting:
 		if t.percent < fullPercent && now.Sub(t.ordered) > startupLimit && c.roomElsewhere(w, &k, t, now) {
--- a/core/job/place.go
+++ b/core/job/place.go
@@ -21,9 +21,12 @@
 
 // candidate is a step with tasks that could start.
 type candidate struct {
-	job      *jobRow
-	occ      *occurrenceRow
-	step     *stepRow
+	job  *jobRow
+	occ  *occurrenceRow
+	step *stepRow
+	// number is that of the step.
+	number   int
+	queue    *Queue
 	priority int
 	prospect prospect
 	// due is when the job misses its objective.
@@ -34,14 +37,14 @@
 // by priority, then on-time before late, then the earliest objective. Load:
 // a burst of builds beside proofs; proofs are small and go first, and builds
 // that have missed their objective do not make the others miss theirs.
-func (a *candidate) compare(b *candidate) int {
+func (k *candidate) compare(b *candidate) int {
 	return cmp.Or(
-		cmp.Compare(boolRank(a.prospect == hopeless), boolRank(b.prospect == hopeless)),
-		cmp.Compare(a.priority, b.priority),
-		cmp.Compare(a.prospect, b.prospect),
-		a.due.Compare(b.due),
-		cmp.Compare(a.job.ID, b.job.ID),
-		cmp.Compare(a.occ.number, b.occ.number))
+		cmp.Compare(boolRank(k.prospect == hopeless), boolRank(b.prospect == hopeless)),
+		cmp.Compare(k.priority, b.priority),
+		cmp.Compare(k.prospect, b.prospect),
+		k.due.Compare(b.due),
+		cmp.Compare(k.job.ID, b.job.ID),
+		cmp.Compare(k.occ.number, b.occ.number))
 }
 
 func boolRank(b bool) int {
@@ -56,7 +59,7 @@
 	settled := c.settled(now)
 	var out []candidate
 	for _, j := range c.jobs.All {
-		q := c.queues[j.Queue]
+		q := c.queueOf(j)
 		if j.state.Final() || q == nil || !settled && !j.fresh {
 			continue
 		}
@@ -81,7 +84,7 @@
 			due, p = c.prospects(j, o, q, now)
 			computed = true
 		}
-		out = append(out, candidate{j, o, s, q.Priority, p, due})
+		out = append(out, candidate{j, o, s, i, q, q.Priority, p, due})
 	}
 	return out
 }
@@ -111,6 +114,9 @@
 // placeAll starts what fits, in order.
 func (c *Cell) placeAll(now time.Time) {
 	for _, k := range c.candidates(now) {
+		if !c.advised(&k, now) {
+			continue
+		}
 		if k.step.spec.Gang {
 			c.placeGang(&k, now)
 			continue
@@ -128,6 +134,7 @@
 			if o == nil {
 				break
 			}
+			t.ticket = k.step.advice.tickets[o.worker.ID]
 			c.assign(k.job, k.step, t, o.worker, now)
 			c.rate(o, k.step.spec)
 		}
@@ -177,6 +184,7 @@
 		if whole {
 			// All members share the number of the gang's run.
 			t.starts = starts
+			t.ticket = s.advice.tickets[w.ID]
 			c.assign(k.job, s, t, w, now)
 		}
 	}
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -305,7 +305,7 @@
 		m.failedRuns = append(m.failedRuns, run)
 	}
 	j.dirty, j.urgent = true, true
-	if q := c.queues[j.Queue]; q != nil && q.MaxFailures > 0 && !s.spec.Lasting && len(t.failedRuns) >= q.MaxFailures {
+	if q := c.queueOf(j); q != nil && q.MaxFailures > 0 && !s.spec.Lasting && len(t.failedRuns) >= q.MaxFailures {
 		c.end(j, Failed, now)
 	}
 }
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -58,6 +58,8 @@
 	done  int
 	// waiting counts the tasks in taskWaiting.
 	waiting int
+	// advice is what the advisor said, for queues that need tickets.
+	advice advice
 }
 
 // occurrenceRow is one execution of a job's steps.
@@ -239,7 +241,8 @@
 	// swept is when all workers were last looked through.
 	swept time.Time
 	// written is when the newest write was due.
-	written time.Time
+	written   time.Time
+	questions []Question
 	// forget are agents whose place in the stored roster is to be deleted.
 	forget []string
 	// over are the jobs that ended in this ownership, so that late news of
@@ -295,6 +298,18 @@
 	}
 }
 
+// queueOf returns the queue of a job, as the configuration has it or had it
+// when the job was accepted.
+func (c *Cell) queueOf(j *jobRow) *Queue {
+	if q := c.queues[j.Queue]; q != nil {
+		return q
+	}
+	if j.Terms.Service == "" {
+		return nil
+	}
+	return &j.Terms
+}
+
 // driftDivisor gives the share of an interval by which two clocks may differ:
 // a worker's clock is up to 2% slow, so 1/32 covers it.
 const driftDivisor = 32
--- a/core/job/types.go
+++ b/core/job/types.go
@@ -34,6 +34,9 @@
 	Schedule Schedule `json:"schedule,omitzero"`
 	// Accepted is when an entry took the job, by its wall clock.
 	Accepted time.Time `json:"accepted"`
+	// Terms are the queue as it was then; they hold once no configuration has
+	// the queue any more.
+	Terms Queue `json:"terms,omitzero"`
 }
 
 // Schedule makes the steps of a job run several times. The zero value means
@@ -201,28 +204,30 @@
 
 // Queue is one queue of a configuration.
 type Queue struct {
-	Name         string
-	Host, Prefix string
-	Service      string
+	Name    string `json:"name,omitempty"`
+	Host    string `json:"host,omitempty"`
+	Prefix  string `json:"prefix,omitempty"`
+	Service string `json:"service"`
 	// Priority 0 comes first.
-	Priority int
+	Priority int `json:"priority,omitempty"`
 	// MaxFailures is how many failed runs of one task fail its job.
-	MaxFailures int
+	MaxFailures int `json:"max-failures,omitempty"`
 	// Stretch times the longest chain of work, and Target more, is the
 	// latency objective of the queue's jobs.
-	Stretch float64
-	Target  time.Duration
+	Stretch float64       `json:"stretch,omitempty"`
+	Target  time.Duration `json:"target-ns,omitempty"`
 	// Advised queues need an advisor's ticket for each start.
-	Advised bool
-	Advice  Advice
+	Advised bool   `json:"advised,omitempty"`
+	Advice  Advice `json:"advice,omitzero"`
 }
 
 // Advice tells how long an advisor takes.
 type Advice struct {
 	// PerCall and PerWorker add up to the duration of one call.
-	PerCall, PerWorker time.Duration
+	PerCall   time.Duration `json:"per-call-ns,omitempty"`
+	PerWorker time.Duration `json:"per-worker-ns,omitempty"`
 	// Valid is how long a ticket counts.
-	Valid time.Duration
+	Valid time.Duration `json:"valid-ns,omitempty"`
 }
 
 // ID returns the identity of a queue, which outlives its configuration.
--- a/io/scheduler/caller.go
+++ b/io/scheduler/caller.go
@@ -141,7 +141,7 @@
 	if err != nil {
 		return job.Job{}, errors.WithMessage(status.ErrMalformedJSON, err.Error())
 	}
-	j.ID, j.Queue, j.Accepted = r.id, r.queue.ID(), time.Now()
+	j.ID, j.Queue, j.Accepted, j.Terms = r.id, r.queue.ID(), time.Now(), *r.queue
 	return j, j.Check()
 }
 
--- a/io/scheduler/control.go
+++ b/io/scheduler/control.go
@@ -151,6 +151,7 @@
 		}
 	}
 	c.write(ctx, now)
+	c.ask()
 	c.logEvents()
 	if c.cell.NeedsProof() && now.Sub(c.provedAt) > proofPause {
 		c.provedAt = now
@@ -260,6 +261,10 @@
 		}
 	case notice:
 		c.notice(x)
+	case advised:
+		if c.cell != nil && c.tenure == x.tenure {
+			c.cell.Advise(x.question, x.tickets, x.until)
+		}
 	case loadedState:
 		c.begin(x)
 	case lost:
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -58,6 +58,10 @@
 	// prove asks for a proof of ownership at once.
 	prove chan struct{}
 	peers *httpjson.Client
+	// advisor answers questions, one at a time.
+	advisor       *platform.Advisor
+	advisorHealth *process.Dependency
+	questions     chan asked
 	// noticeHealth logs when notices stop reaching the owner.
 	noticeHealth *process.Dependency
 }
@@ -69,7 +73,9 @@
 		reports: make(chan agentReport, maxBatch), news: make(chan any, maxBatch),
 		deposed: make(chan struct{}, 1), stop: make(chan struct{}),
 		prove: make(chan struct{}, 1), peers: httpjson.NewClient(notifyLimit),
-		noticeHealth: process.NewDependency("owner", l)}
+		noticeHealth:  process.NewDependency("owner", l),
+		advisor:       platform.NewAdvisor(platform.NewHTTPClient(), cfg.Advisor),
+		advisorHealth: process.NewDependency("advisor", l), questions: make(chan asked, maxQuestions)}
 }
 
 // Run serves until a stop signal.
@@ -101,7 +107,7 @@
 	}
 	c := newControl(s)
 	for _, f := range []func(context.Context) error{c.run, s.mirror.follow, s.mirror.followConfiguration,
-		s.mirror.checkConfiguration, s.campaign, reload} {
+		s.mirror.checkConfiguration, s.campaign, s.consult, reload} {
 		process.AddActor(&g, f)
 	}
 	event.ProcessStarted.Emit(l, event.Entry(cfg.Name), event.Address(cfg.Caller))
