Test each rule of the decisions in the core, and cut exactly the excess

The weighted cuts of the throttle together took less than the excess off (TestCulpritGivesWay failed first). A task as large as a worker never fitted beside the room left for urgent ones (TestLargeTask).

--- a/core/job/choose.go
+++ b/core/job/choose.go
@@ -113,7 +113,7 @@
 func (w *workerRow) fits(s *Step, priority int) bool {
 	need := s.Need
 	if priority > 0 && !s.Fills {
-		need.Processors += urgentReserve
+		need.Processors += min(urgentReserve, max(0, w.Capacity.Processors-need.Processors))
 	}
 	if s.Fills {
 		if w.leftover() < need.Processors {
--- a/io/agent/throttle.go
+++ b/io/agent/throttle.go
@@ -151,16 +151,19 @@
 func (t *throttle) lower(f figures, serving string, busy float64) {
 	excess := busy - job.BusyCalm
 	learnt := t.pressures[serving]
+	largest := t.largest(learnt, f)
+	// Images give way in proportion to what a processor of theirs adds.
+	weights := map[string]float64{}
 	total := 0.0
 	for image, used := range f.used {
-		total += (learnt[image] + priorPressure) * used
+		pressure := learnt[image] + priorPressure
+		weights[image] = pressure / largest
+		total += pressure * used * weights[image]
 	}
 	if total == 0 {
 		return
 	}
-	for image := range f.used {
-		// Images give way in proportion to what a processor of theirs adds.
-		weight := (learnt[image] + priorPressure) / t.largest(learnt, f)
+	for image, weight := range weights {
 		keep := max(leastKept, 1-weight*excess/total)
 		if busy > job.BusyAlarm && weight >= culpritWeight {
 			keep = 0
