--- a/core/event/job.go
+++ b/core/event/job.go
@@ -42,6 +42,9 @@
 	MessageRefused = Event{7026, "message-refused", hclog.Warn,
 		[]string{"dependency", "reason"}, "A message or stored value could not be used.",
 		"Find its writer by the reason; the rest is unaffected."}
+	LogLinesDropped = Event{7027, "log-lines-dropped", hclog.Warn,
+		[]string{"count"}, "Log lines were left out, because they were too many or their reader too slow.",
+		"Look for the event that repeats; see that the reader of the standard output keeps up."}
 	OrderCarriedOut = Event{7030, "order-carried-out", hclog.Info,
 		[]string{"task", "attempt", "worker", "decision", "outcome", "elapsed", "epoch"},
 		"The agent carried out an order at its worker.", "None."}
@@ -57,5 +60,5 @@
 
 var jobEvents = []Event{SubmissionAccepted, SubmissionRefused, CancellationAnswered, StateUnknown,
 	TaskDecided, WorkerDecided, OwnershipTaken, OwnershipLost, DependencyLost, DependencyRegained,
-	ConfigurationInForce, SettingsReloaded, MessageRefused, OrderCarriedOut, WorkerSeen, OwnerFollowed,
+	ConfigurationInForce, SettingsReloaded, MessageRefused, LogLinesDropped, OrderCarriedOut, WorkerSeen, OwnerFollowed,
 	TasksThrottled}
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -105,8 +105,8 @@
 	return a
 }
 
-// Run serves until a stop signal.
-func Run(cfg platform.Settings, l hclog.Logger, reload process.Actor) error {
+// Run serves until a stop signal, with the given actors beside it.
+func Run(cfg platform.Settings, l hclog.Logger, actors ...process.Actor) error {
 	if !cfg.Worker.IsValid() || !cfg.Control.IsValid() {
 		return status.At(status.ErrBadSetting, "app, listen.control", cfg.Worker.String()+", "+cfg.Control.String())
 	}
@@ -123,7 +123,10 @@
 	process.AddSignals(&g)
 	process.AddListener(&g, bound, stopLimit)
 	process.AddListener(&g, metricsAt, stopLimit)
-	for _, f := range []func(context.Context) error{a.departure, a.renewals, a.quickRenewals, a.reporting, a.polling, a.following, reload} {
+	for _, f := range []func(context.Context) error{a.departure, a.renewals, a.quickRenewals, a.reporting, a.polling, a.following} {
+		process.AddActor(&g, f)
+	}
+	for _, f := range actors {
 		process.AddActor(&g, f)
 	}
 	event.ProcessStarted.Emit(l, event.Entry(cfg.Name), event.Address(cfg.Control))
--- a/io/commandline/commandline.go
+++ b/io/commandline/commandline.go
@@ -24,6 +24,7 @@
 	Guard     *GuardCommand     `arg:"subcommand:guard" help:"announce an endpoint and pass its requests on, beside it"`
 	Scheduler *SchedulerCommand `arg:"subcommand:scheduler" help:"take jobs and schedule their tasks on the users' platform, on an entry VM"`
 	Agent     *AgentCommand     `arg:"subcommand:agent" help:"carry out the scheduler's orders on the users' platform, beside a worker"`
+	Story     *StoryCommand     `arg:"subcommand:story" help:"print what all processes logged of one job, in order"`
 	Check     *CheckCommand     `arg:"subcommand:check" help:"check a configuration document offline"`
 	Schema    *SchemaCommand    `arg:"subcommand:schema" help:"print the JSON Schema of configuration documents"`
 	Apply     *ApplyCommand     `arg:"subcommand:apply" help:"make a configuration document take effect"`
--- a/io/commandline/scheduler.go
+++ b/io/commandline/scheduler.go
@@ -32,7 +32,7 @@
 }
 
 // run runs f with the settings and a bounded log on the standard output.
-func (o *PlatformOptions) run(name string, f func(platform.Settings, hclog.Logger, process.Actor) error) error {
+func (o *PlatformOptions) run(name string, f func(platform.Settings, hclog.Logger, ...process.Actor) error) error {
 	cfg, err := platform.ReadSettings(o.Settings)
 	if err != nil {
 		return status.At(status.ErrBadSetting, "--settings", err.Error())
@@ -43,7 +43,7 @@
 	l := process.NewLogger(name, o.LogLevel, w)
 	// Every setting of the file is fixed for the life of a process; the new
 	// file is checked, so that a fault shows before the next start.
-	return f(cfg, l, process.Reloader(l, o.Check))
+	return f(cfg, l, process.Reloader(l, o.Check), w.ReportDropped(l))
 }
 
 // SchedulerCommand runs the process on an entry VM of the users' platform.
--- a/io/process/writer.go
+++ b/io/process/writer.go
@@ -1,9 +1,14 @@
 package process
 
 import (
+	"context"
 	"io"
 	"sync/atomic"
 	"time"
+
+	"rosemarygap/core/event"
+
+	"github.com/hashicorp/go-hclog"
 )
 
 // logBacklog is how many lines wait for a slow reader before lines are
@@ -63,9 +68,38 @@
 // Dropped returns how many lines were dropped.
 func (b *BoundedWriter) Dropped() int64 { return b.dropped.Load() }
 
-// Close waits until the queued lines are written. Nothing may be written
-// after it.
+// closeLimit bounds the wait for a slow reader at the end of a process.
+const closeLimit = 300 * time.Millisecond
+
+// Close waits until the queued lines are written, or for a moment if their
+// reader has stopped. Nothing may be written after it.
 func (b *BoundedWriter) Close() {
 	close(b.lines)
-	<-b.done
+	select {
+	case <-b.done:
+	case <-time.After(closeLimit):
+	}
+}
+
+// reportEvery is how often dropped lines are reported.
+const reportEvery = 5 * time.Second
+
+// ReportDropped returns an actor that logs how many lines were dropped.
+func (b *BoundedWriter) ReportDropped(l hclog.Logger) Actor {
+	return func(ctx context.Context) error {
+		t := time.NewTicker(reportEvery)
+		defer t.Stop()
+		seen := int64(0)
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-t.C:
+			}
+			if n := b.Dropped(); n > seen {
+				event.LogLinesDropped.Emit(l, event.Count(int(n-seen)))
+				seen = n
+			}
+		}
+	}
 }
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -78,8 +78,8 @@
 		advisorHealth: process.NewDependency("advisor", l), questions: make(chan asked, maxQuestions)}
 }
 
-// Run serves until a stop signal.
-func Run(cfg platform.Settings, l hclog.Logger, reload process.Actor) error {
+// Run serves until a stop signal, with the given actors beside it.
+func Run(cfg platform.Settings, l hclog.Logger, actors ...process.Actor) error {
 	if !cfg.Caller.IsValid() || !cfg.Readiness.IsValid() {
 		return status.At(status.ErrBadSetting, "listen.front, listen.readiness", cfg.Caller.String()+", "+cfg.Readiness.String())
 	}
@@ -107,7 +107,10 @@
 	}
 	c := newControl(s)
 	for _, f := range []func(context.Context) error{c.run, s.mirror.follow, s.mirror.followConfiguration,
-		s.mirror.checkConfiguration, s.campaign, s.consult, reload} {
+		s.mirror.checkConfiguration, s.campaign, s.consult} {
+		process.AddActor(&g, f)
+	}
+	for _, f := range actors {
 		process.AddActor(&g, f)
 	}
 	event.ProcessStarted.Emit(l, event.Entry(cfg.Name), event.Address(cfg.Caller))
