Hear an agent that starts again while its VM's clock is set back

Found by reading: a lower process number was taken for a late report for good, so after a clock step back no order reached the agent until the next owner. The test fails without the change.

--- a/core/job/cell_test.go
+++ b/core/job/cell_test.go
@@ -176,3 +176,15 @@
 	later := next.Due(w.now.Add(drift(hold)), 30)
 	w.is.Equal(later.Forget, []string{"agent-1"}) // never heard of, and certainly over
 }
+
+// An agent that starts again while the clock of its VM is set back is heard,
+// once no report of its former process can be under way.
+func TestProcessWithAnEarlierClock(t *testing.T) {
+	w := newWorld(t, 1)
+	w.hosts["agent-0"].report.Process = 0
+	w.round()
+	w.is.Equal(w.workers.Get("agent-0").process, int64(1)) // it may be a late report of another process
+	w.now = w.now.Add(time.Second)
+	w.round()
+	w.is.Equal(w.workers.Get("agent-0").process, int64(0))
+}
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -5,6 +5,11 @@
 	"time"
 )
 
+// formerProcess is how long a report of an agent's former process may be under
+// way. After that a lower number is a new process, started while the clock of
+// its VM was set back.
+const formerProcess = time.Second
+
 // Receive takes in an agent's report. It returns whether a later owner is
 // known to the agent.
 func (c *Cell) Receive(r *Report, now time.Time) (deposed bool) {
@@ -20,11 +25,11 @@
 			tasks: map[Task]*taskRow{}, serves: map[servingJob]int{}, fills: usage{}})
 		c.note(EventWorker, nil, w, "joined", now)
 	}
-	if r.Process < w.process {
+	if r.Process < w.process && now.Sub(w.heard) < formerProcess {
 		return false
 	}
 	w.heard = now
-	if r.Process > w.process {
+	if r.Process != w.process {
 		w.process = r.Process
 		w.resend()
 	}
