--- a/core/job/bench_test.go
+++ b/core/job/bench_test.go
@@ -12,7 +12,7 @@
 	for _, workers := range []int{11, 60, 300, 1200} {
 		b.Run(fmt.Sprint("workers-", workers), func(b *testing.B) {
 			now := time.Unix(1000, 0)
-			c := New(1, now, Limits{LeaseMax: 10 * time.Second})
+			c := New(1, now)
 			c.SetConfiguration(&Configuration{Version: 1, Queues: []Queue{{Host: "host", Prefix: "/queue/", Service: "svc",
 				MaxFailures: 2, Stretch: 2, Target: time.Second}}})
 			reports := make([]Report, workers)
--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -91,7 +91,7 @@
 }
 
 func (c *Cell) add(j Job, _ time.Time) *jobRow {
-	row := c.jobs.Put(j.ID, jobRow{Job: j, state: Queued, completed: map[int]bool{}, chain: chainOf(j.Steps)})
+	row := c.jobs.Put(j.ID, jobRow{Job: j, state: Queued, chain: chainOf(j.Steps)})
 	if j.Schedule.Times == 0 {
 		row.open(0)
 		row.next = 1
--- a/core/job/cell_test.go
+++ b/core/job/cell_test.go
@@ -28,7 +28,7 @@
 
 func newWorld(t *testing.T, workers int) *world {
 	w := &world{is: is.New(t), now: time.Unix(1000, 0), hosts: map[string]*host{}}
-	w.Cell = New(1, w.now, Limits{LeaseMax: 10 * time.Second, FarFactor: 1.5})
+	w.Cell = New(1, w.now)
 	w.SetConfiguration(&Configuration{Version: 1, Queues: []Queue{
 		{Host: "host", Prefix: "/queue/", Service: "svc", Priority: 2, MaxFailures: 2, Stretch: 2, Target: time.Second},
 		{Host: "host", Prefix: "/urgent/", Service: "svc", Priority: 0, MaxFailures: 4, Stretch: 1.5, Target: 250 * time.Millisecond},
@@ -168,7 +168,7 @@
 	d := w.write()
 	w.is.Equal(d.Forget, []string{"agent-0"})
 
-	next := New(2, w.now, w.limits)
+	next := New(2, w.now)
 	next.LoadAgent("agent-1")
 	w.is.True(!next.settled(w.now)) // the other one may still run something
 	w.is.True(next.settled(w.now.Add(drift(hold))))
--- a/core/job/history_test.go
+++ b/core/job/history_test.go
@@ -79,7 +79,7 @@
 func (h *history) take() *owner {
 	h.epoch++
 	h.store.journal++
-	o := &owner{Cell: New(h.epoch, h.now, Limits{LeaseMax: 10 * time.Second}), journal: h.store.journal, cut: map[int]bool{}}
+	o := &owner{Cell: New(h.epoch, h.now), journal: h.store.journal, cut: map[int]bool{}}
 	o.SetConfiguration(h.cfg)
 	for _, a := range slices.Sorted(maps.Keys(h.store.agents)) {
 		o.LoadAgent(a)
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -121,9 +121,6 @@
 		}
 		return
 	}
-	if r.Worker.Incarnation < w.Incarnation {
-		return
-	}
 	unseen := c.outlive(w, now)
 	w.Worker = *r.Worker
 	w.listed, w.processed, w.durable, w.unsettled = false, 0, 0, nil
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -98,10 +98,9 @@
 	cancelled bool
 	// chain is the longest chain of estimated work of one occurrence.
 	chain time.Duration
-	// occurrences are those that are due and incomplete; completed counts the
-	// rest below next.
+	// occurrences are those that are due and incomplete; next is the first
+	// that is not due yet.
 	occurrences []*occurrenceRow
-	completed   map[int]bool
 	next        int
 	// dirty is true while the progress differs from what is durable.
 	dirty bool
@@ -228,7 +227,6 @@
 type Cell struct {
 	epoch    int64
 	opened   time.Time
-	limits   Limits
 	cfg      *Configuration
 	queues   map[string]*Queue
 	jobs     *table.Table[string, jobRow]
@@ -266,22 +264,14 @@
 	writing bool
 }
 
-// Limits are the durations that a cell works with.
-type Limits struct {
-	// LeaseMax is the longest lease that a worker takes.
-	LeaseMax time.Duration
-	// FarFactor is how much longer a task takes away from its data.
-	FarFactor float64
-}
-
 // hold is how long workers run on after the newest proof of ownership. It
 // exceeds the longest lease because agents renew leases meanwhile; the sheet's
 // longest outage of the store is 9.5 s.
 const hold = 11 * time.Second
 
 // New returns the cell of an ownership that begins at now.
-func New(epoch int64, now time.Time, l Limits) *Cell {
-	return &Cell{epoch: epoch, opened: now, limits: l, queues: map[string]*Queue{},
+func New(epoch int64, now time.Time) *Cell {
+	return &Cell{epoch: epoch, opened: now, queues: map[string]*Queue{},
 		jobs: table.New[string, jobRow](), workers: table.New[string, workerRow](),
 		roster: map[string]rosterRow{}, over: map[string]bool{}, cancelled: map[string]bool{}, rates: newRates(), pressure: newPressureModel()}
 }
--- a/core/job/rules_test.go
+++ b/core/job/rules_test.go
@@ -229,7 +229,7 @@
 	h.end(h.report.Running[0].Task, EndDone)
 	w.round()
 	p := w.jobs.Get(j.ID).progress()
-	next := New(2, w.now, w.limits)
+	next := New(2, w.now)
 	next.SetConfiguration(w.cfg)
 	is.NoErr(next.Load(j, p, w.now))
 	row := next.jobs.Get(j.ID)
--- a/io/agent/owner.go
+++ b/io/agent/owner.go
@@ -11,6 +11,7 @@
 	"rosemarygap/core/event"
 	"rosemarygap/core/job"
 	"rosemarygap/core/status"
+	"rosemarygap/io/process"
 	"rosemarygap/platform"
 
 	"github.com/pkg/errors"
@@ -90,7 +91,7 @@
 
 // following learns of owners from the store.
 func (a *Agent) following(ctx context.Context) error {
-	store := dependencyOf(a, "store")
+	store := process.NewDependency("store", a.log)
 	for ctx.Err() == nil {
 		err := a.followOnce(ctx)
 		if ctx.Err() != nil {
--- a/io/agent/server.go
+++ b/io/agent/server.go
@@ -7,7 +7,6 @@
 	"rosemarygap/core/event"
 	"rosemarygap/core/status"
 	"rosemarygap/io/httpjson"
-	"rosemarygap/io/process"
 	"rosemarygap/platform"
 
 	"github.com/labstack/echo/v4"
@@ -16,10 +15,6 @@
 // maxHeartbeat is the largest accepted heartbeat, in bytes.
 const maxHeartbeat = 64 << 10
 
-func dependencyOf(a *Agent, name string) *process.Dependency {
-	return process.NewDependency(name, a.log)
-}
-
 // newServer serves heartbeats and departures of the worker.
 func (a *Agent) newServer() http.Handler {
 	e := httpjson.NewServer()
--- a/io/agent/state.go
+++ b/io/agent/state.go
@@ -58,11 +58,9 @@
 	// granted bounds leases, on the worker's clock.
 	granted      time.Duration
 	acknowledged int64
-	// lists is the newest answer to a renewal, asked for at listsAsked with
-	// the token listsEpoch.
+	// lists is the newest answer to a renewal, with the token listsEpoch.
 	lists      job.Runs
 	listsEpoch int64
-	listsAsked time.Time
 	// clock and answered pair the worker's clock with the time of its answer.
 	clock    time.Duration
 	answered time.Time
@@ -72,8 +70,6 @@
 	// unanswered are starts that may still take effect, on any incarnation.
 	unanswered map[runKey]unanswered
 	throttle   throttle
-	// reportedAt is when the owner last answered.
-	reportedAt time.Time
 }
 
 func newState(process int64, leaseMax time.Duration) *state {
@@ -189,7 +185,6 @@
 	if r.Epoch != s.epoch {
 		return nil, false
 	}
-	s.reportedAt = now
 	if s.worker == nil || r.Worker != s.worker.ID || r.Incarnation != s.worker.Incarnation {
 		return nil, false
 	}
@@ -316,7 +311,7 @@
 		return false
 	}
 	news = s.listsEpoch != r.epoch || s.differs(&runs)
-	s.lists, s.listsEpoch, s.listsAsked = runs, r.epoch, asked
+	s.lists, s.listsEpoch = runs, r.epoch
 	return s.compare(asked) || news
 }
 
--- a/io/scheduler/control.go
+++ b/io/scheduler/control.go
@@ -278,7 +278,7 @@
 		return
 	}
 	now := time.Now()
-	cell := job.New(x.tenure.ownership.Epoch, now, job.Limits{LeaseMax: c.s.cfg.Bounds.LeaseMax, FarFactor: c.s.cfg.Bounds.FarFactor})
+	cell := job.New(x.tenure.ownership.Epoch, now)
 	if cfg := c.s.mirror.cfg.Load(); cfg != nil {
 		cell.SetConfiguration(cfg)
 	}
