Answer one of several simultaneous attempts with one id

Cause: each entry remembers its own attempt before it asks the home. The home's own attempt refused the others, and they, asked for their consent, refused the home's.

A claim that its entry has not dispatched now yields to one that a home has noted; only the entry itself could have dispatched it. The churn test then found an older fault: a plan made for earlier members could be settled after others had joined, and the id ran twice. Such a plan now grants nothing.

--- a/core/caller/homes.go
+++ b/core/caller/homes.go
@@ -37,6 +37,8 @@
 	contact bool
 	known   Knowledge
 	ledger  *Ledger
+	// pending are this entry's own claims, by key, that it has not dispatched.
+	pending map[string]Claim
 	// left is true from the start of a planned stop; inherited are the
 	// members whose claims this entry took over when they left.
 	left      bool
@@ -46,7 +48,7 @@
 // NewHomes returns the part of entry self, which may not grant claims yet.
 func NewHomes(self Member, validFor, hold time.Duration) *Homes {
 	return &Homes{self: self, validFor: validFor, hold: hold, ledger: NewLedger(),
-		inherited: make(map[Member]bool)}
+		pending: make(map[string]Claim), inherited: make(map[Member]bool)}
 }
 
 // SetHold changes the hold.
@@ -129,7 +131,31 @@
 	if !h.acceptable(c.ID, now) {
 		return Unsure
 	}
-	return h.ledger.Note(c, now)
+	v := h.ledger.Note(c, now)
+	if v == Granted {
+		h.pending[c.key()] = c
+	}
+	return v
+}
+
+// Dispatch ends the wait for the verdict on this entry's own claim c, which
+// was granted. It returns Repeated if the claim has yielded to another one.
+func (h *Homes) Dispatch(c Claim) Verdict {
+	if h.pending[c.key()].Token != c.Token {
+		return Repeated
+	}
+	delete(h.pending, c.key())
+	return Granted
+}
+
+// yield gives up this entry's own claim in favour of c, the claim of another
+// entry that a home has noted. Both homes would refuse otherwise: each finds
+// the other one's claim, and no attempt of the id is ever dispatched.
+func (h *Homes) yield(c Claim) {
+	own, ok := h.pending[c.key()]
+	if ok && own.Token != c.Token {
+		h.Release(own)
+	}
 }
 
 // acceptable reports whether the time that an id tells, if it does, is
@@ -140,7 +166,12 @@
 }
 
 // Release forgets c, whose request was not run.
-func (h *Homes) Release(c Claim) { h.ledger.Release(c) }
+func (h *Homes) Release(c Claim) {
+	if h.pending[c.key()].Token == c.Token {
+		delete(h.pending, c.key())
+	}
+	h.ledger.Release(c)
+}
 
 // Home returns the member that decides on c, as far as this entry knows.
 func (h *Homes) Home(c Claim) (Member, bool) {
@@ -167,6 +198,8 @@
 	All bool
 
 	sameView bool
+	// view identifies the members that the plan was made for.
+	view uint64
 }
 
 // Decide returns what this entry must do to grant c as its home.
@@ -186,7 +219,7 @@
 		return Plan{Verdict: v}
 	}
 	others := slices.DeleteFunc(slices.Clone(h.view), func(m Member) bool { return m == h.self })
-	p := Plan{Verdict: Granted, Home: h.self, Ask: others, All: true,
+	p := Plan{Verdict: Granted, Home: h.self, Ask: others, All: true, view: digest(h.view),
 		sameView: elapsed(h.verified, now) >= h.validFor}
 	if h.contact && !p.sameView && h.settled(c, now) {
 		p.All = false
@@ -233,6 +266,7 @@
 	}
 	a := h.Greet(to)
 	if a.Verdict == Granted {
+		h.yield(c)
 		a.Verdict = h.ledger.Note(c, now)
 	}
 	return a
@@ -250,6 +284,10 @@
 }
 
 func (h *Homes) settle(c Claim, p Plan, consents []Consent, now time.Time) Verdict {
+	if p.view != digest(h.view) {
+		// The members changed meanwhile: others may act on the new ones alone.
+		return Unsure
+	}
 	missing := slices.Clone(p.Ask)
 	for _, a := range consents {
 		if a.Verdict == Repeated {
--- a/core/caller/homes_test.go
+++ b/core/caller/homes_test.go
@@ -204,3 +204,45 @@
 	}
 	is.Equal(len(w.ran), 200)
 }
+
+// Requests with one id that reach all entries at the same moment: exactly one
+// is dispatched, in whichever order their steps interleave.
+func TestSimultaneousRepeatsDispatchOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.IntRange(2, 4).Draw(t, "entries"))
+		w.advance(2 * Memory)
+		id := "booking"
+		if rapid.Bool().Draw(t, "timed") {
+			id = w.newTimedID(w.now)
+		}
+		for i := range w.nodes {
+			w.request(id, i)
+		}
+		for len(w.tries) > 0 {
+			w.step(rapid.IntRange(0, len(w.tries)-1).Draw(t, "try"))
+		}
+		if n := len(w.ran[id]); n != 1 {
+			t.Fatalf("dispatched %d times, refused %v", n, w.denied)
+		}
+	})
+}
+
+// A claim that was decided for earlier members is not granted once others have
+// joined: they may have granted the id to each other.
+func TestAPlanForEarlierMembersGrantsNothing(t *testing.T) {
+	is := is.New(t)
+	w := &world{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), cut: map[[2]int]bool{},
+		leases: map[Member]time.Time{}, ran: map[string][]time.Time{}}
+	w.nodes = []*node{{}}
+	w.start(0)
+	alone := w.nodes[0].homes
+	c := Claim{"booking", "booking", "first", w.nodes[0].member}
+	is.Equal(alone.Begin(c, w.now), Granted)
+	p := alone.Decide(c, w.now)
+	is.Equal(p.Verdict, Granted)
+	is.Equal(len(p.Ask), 0)
+	w.nodes = append(w.nodes, &node{})
+	w.start(1)
+	w.advance(testVerify)
+	is.Equal(alone.Settle(c, p, nil, w.now), Unsure)
+}
--- a/core/caller/world_test.go
+++ b/core/caller/world_test.go
@@ -264,6 +264,9 @@
 		}
 		t.stage = dispatching
 	case dispatching:
+		if v := t.from.homes.Dispatch(t.claim); v != Granted {
+			return v
+		}
 		w.log = append(w.log, fmt.Sprintf("%v dispatch %s by %v, plan %+v, home %+v, consents %+v", w.now.Format("15:04:05.000"), t.claim.ID, t.from.member, t.plan, *t.home.homes, t.consents))
 		if w.now.Sub(t.arrived) < testLimit {
 			w.ran[t.claim.ID] = append(w.ran[t.claim.ID], t.arrived)
--- a/io/peer/claims.go
+++ b/io/peer/claims.go
@@ -81,6 +81,9 @@
 	if v == caller.Granted {
 		v = s.search(ctx, c)
 	}
+	if v == caller.Granted {
+		v = s.dispatch(c)
+	}
 	if v == caller.Granted {
 		return func() { s.giveUp(c) }, nil
 	}
@@ -93,6 +96,12 @@
 	return nil, status.RetryIn(status.ErrRepeatUnsure, caller.RetryAfter(s.homes.RetryIn(id, time.Now())))
 }
 
+func (s *Claims) dispatch(c caller.Claim) caller.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.homes.Dispatch(c)
+}
+
 // search asks the home of c, and again while there is none that is sure.
 func (s *Claims) search(ctx context.Context, c caller.Claim) caller.Verdict {
 	ctx, cancel := context.WithTimeout(ctx, claimLimit)
