Move throttled builds, and let builds wait rather than strain feeds

Ruled out: processors (half were free), and a faster loss of the throttle (tried before, broke the tails).

A throttled build now moves, with its checkpoint, to a worker that it does not strain, and a build waits for such a worker for up to 20 s while others of its job are at work or the workers are crowded, else 1.5 s as before.

Decisions no longer depend on the order of maps.

TestThrottledTaskMoves and TestPatienceBesideFeeds fail without their rule.

--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -190,6 +190,7 @@
 	t.state, t.worker, t.run = taskAssigned, w, run
 	t.running, t.stopping, t.waits = false, false, time.Time{}
 	t.ordered, t.moved, t.percent = now, now, -1
+	t.progress.restart()
 	w.tasks[t.name] = t
 	w.reserve(t.name.Job, s.spec, 1)
 }
@@ -257,6 +258,7 @@
 		c.swept = now
 		c.expire(now)
 		c.rescue(now)
+		c.migrate(now)
 		c.dropRecorded()
 	}
 	c.placeAll(now)
--- a/core/job/choose.go
+++ b/core/job/choose.go
@@ -5,10 +5,31 @@
 	"time"
 )
 
-// patience is how long a filling task waits for a worker whose serving tasks
-// it does not strain: beside those that it does, it would be throttled to less
-// than half, which costs as much time.
-const patience = 1500 * time.Millisecond
+// How long a filling task waits for a worker whose serving tasks it does not
+// strain. Beside those that it does, it would be throttled to less than half,
+// and would hold up what is there. Load: feeds on most workers, and builds of
+// which half of the images harm any one feed.
+const (
+	// patience applies while other tasks of the job are at work, or while the
+	// workers are crowded: longer than builds of the sheets take.
+	patience = 20 * time.Second
+	// idlePatience applies to a job of which nothing is at work, though there
+	// is room: such a job may stand still for 3 s at most.
+	idlePatience = 1500 * time.Millisecond
+	// crowdedLeftover is the share of all processors, in percent, below which
+	// the workers are crowded.
+	crowdedLeftover = 40
+)
+
+// crowded reports whether most processors are in use.
+func (c *Cell) crowded() bool {
+	left, all := 0, 0
+	for _, w := range c.workers.All {
+		left += max(0, w.leftover())
+		all += w.Capacity.Processors
+	}
+	return left*fullPercent < all*crowdedLeftover
+}
 
 // option is a worker that tasks of a step may run on.
 type option struct {
@@ -52,13 +73,11 @@
 func choose(options []option, k *candidate, t *taskRow, now time.Time) *option {
 	var best *option
 	bestScore := 0
-	others := false
 	for i := range options {
 		o := &options[i]
 		if k.queue.Advised && k.step.advice.tickets[o.worker.ID] == "" {
 			continue
 		}
-		others = others || !o.harmful
 		if !o.worker.fits(k.step.spec, k.priority) || !o.worker.spreads(k.step.spec, t.name) || !o.worker.health.usable(len(o.worker.tasks), now) {
 			continue
 		}
@@ -70,17 +89,28 @@
 			best, bestScore = o, score
 		}
 	}
-	if best != nil && best.harmful && others {
+	if best != nil && best.harmful {
 		if t.waits.IsZero() {
 			t.waits = now
 		}
-		if now.Sub(t.waits) < patience {
+		if now.Sub(t.waits) < k.patience {
 			return nil
 		}
 	}
 	return best
 }
 
+// busy reports whether tasks of the candidate's job are at work.
+func (k *candidate) busy() bool {
+	for i := range k.occ.steps {
+		s := &k.occ.steps[i]
+		if s.done+s.waiting < len(s.tasks) {
+			return true
+		}
+	}
+	return false
+}
+
 // usable reports whether w may get tasks of the candidate at all.
 func (c *Cell) usable(w *workerRow, k *candidate, now time.Time) bool {
 	q := c.queueOf(k.job)
--- a/core/job/health.go
+++ b/core/job/health.go
@@ -68,6 +68,9 @@
 // judge takes the end of a run as evidence about its worker. A task that has
 // failed elsewhere before says nothing about the worker.
 func (c *Cell) judge(w *workerRow, t *taskRow, how How, now time.Time) {
+	if !c.policy.learns {
+		return
+	}
 	switch how {
 	case EndDone:
 		w.health.succeeded()
--- a/core/job/pace.go
+++ b/core/job/pace.go
@@ -36,7 +36,7 @@
 // their worker, since they get what others leave.
 func (c *Cell) observePace(j *jobRow, s *stepRow, t *taskRow, now time.Time) {
 	elapsed := now.Sub(t.seen)
-	if s.spec.Fills || s.spec.Lasting || s.spec.Gang || elapsed < minLook {
+	if !c.policy.learns || s.spec.Fills || s.spec.Lasting || s.spec.Gang || elapsed < minLook {
 		return
 	}
 	promised := c.rates.estimate(j, s)
--- a/core/job/place.go
+++ b/core/job/place.go
@@ -1,7 +1,6 @@
 package job
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -31,32 +30,13 @@
 	prospect prospect
 	// due is when the job misses its objective.
 	due time.Time
-}
-
-// compare orders candidates: what can still be worth something first, then
-// by priority, then on-time before late, then the earliest objective. Load:
-// a burst of builds beside proofs; proofs are small and go first, and builds
-// that have missed their objective do not make the others miss theirs.
-func (k *candidate) compare(b *candidate) int {
-	return cmp.Or(
-		cmp.Compare(boolRank(k.prospect == hopeless), boolRank(b.prospect == hopeless)),
-		cmp.Compare(k.priority, b.priority),
-		cmp.Compare(k.prospect, b.prospect),
-		k.due.Compare(b.due),
-		cmp.Compare(k.job.ID, b.job.ID),
-		cmp.Compare(k.occ.number, b.occ.number))
-}
-
-func boolRank(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
+	// patience is how long its filling tasks wait for a calm worker.
+	patience time.Duration
 }
 
 // candidates returns all steps with tasks that could start, in order.
 func (c *Cell) candidates(now time.Time) []candidate {
-	settled := c.settled(now)
+	settled, crowded := c.settled(now), c.crowded()
 	var out []candidate
 	for _, j := range c.jobs.All {
 		q := c.queueOf(j)
@@ -67,7 +47,13 @@
 			out = c.appendCandidates(out, j, o, q, now)
 		}
 	}
-	slices.SortFunc(out, func(a, b candidate) int { return a.compare(&b) })
+	for i := range out {
+		out[i].patience = idlePatience
+		if crowded || out[i].busy() {
+			out[i].patience = patience
+		}
+	}
+	slices.SortFunc(out, func(a, b candidate) int { return c.policy.compare(&a, &b) })
 	return out
 }
 
@@ -84,7 +70,7 @@
 			due, p = c.prospects(j, o, q, now)
 			computed = true
 		}
-		out = append(out, candidate{j, o, s, i, q, q.Priority, p, due})
+		out = append(out, candidate{job: j, occ: o, step: s, number: i, queue: q, priority: q.Priority, prospect: p, due: due})
 	}
 	return out
 }
--- a/core/job/pressure.go
+++ b/core/job/pressure.go
@@ -1,6 +1,8 @@
 package job
 
 import (
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -129,7 +131,8 @@
 func (m pressureModel) observe(job, serving, worker string, now look) {
 	l, r := m.loadOf(job), m.of(serving)
 	peers, busy, mean := 0, 0.0, usage{}
-	for other, p := range l.looks {
+	for _, other := range slices.Sorted(maps.Keys(l.looks)) {
+		p := l.looks[other]
 		if other != worker && now.at.Sub(p.at) < sameMoment {
 			peers++
 			busy += p.busy
@@ -169,12 +172,13 @@
 
 // learn takes in the figures of a report.
 func (c *Cell) learn(w *workerRow, r *Report, now time.Time) {
-	if now.Sub(w.learnt) < learnEvery {
+	if !c.policy.learns || now.Sub(w.learnt) < learnEvery {
 		return
 	}
 	w.learnt = now
 	u := usage{}
 	sums, counts := map[servingJob]float64{}, map[servingJob]float64{}
+	var serving []servingJob
 	for i := range r.Running {
 		row := &r.Running[i]
 		_, s, t := c.find(row.Task)
@@ -185,12 +189,15 @@
 		case s.spec.TailTarget > 0 && row.Percent == fullPercent:
 			tail := float64(time.Duration(row.Load)*time.Millisecond) / float64(s.spec.TailTarget)
 			k := servingJob{t.name.Job, s.spec.Image}
+			if counts[k] == 0 {
+				serving = append(serving, k)
+			}
 			sums[k] += Busy(tail)
 			counts[k]++
 		}
 	}
-	for k, sum := range sums {
-		c.pressure.observe(k.job, k.image, w.ID, look{now, sum / counts[k], u})
+	for _, k := range serving {
+		c.pressure.observe(k.job, k.image, w.ID, look{now, sums[k] / counts[k], u})
 	}
 }
 
--- a/core/job/regression.go
+++ b/core/job/regression.go
@@ -1,6 +1,10 @@
 package job
 
-import "math"
+import (
+	"maps"
+	"math"
+	"slices"
+)
 
 // Parameters of a regression of utilization on the processors of images.
 const (
@@ -16,6 +20,8 @@
 	restoredVariance = 0.001
 	// effectDigits is the precision of stored effects.
 	effectDigits = 1000
+	// effectUnit divides an effect into units that are far below any effect.
+	effectUnit = 1e9
 	// maxEffect bounds the effect of one processor.
 	maxEffect = 0.5
 )
@@ -51,11 +57,12 @@
 // predict returns the effect of u, each image's with a number of standard
 // deviations more.
 func (r *regression) predict(u usage, deviations float64) float64 {
-	sum := 0.0
+	// Whole units add up to the same sum in any order of the map.
+	sum := int64(0)
 	for image, processors := range u {
-		sum += r.cautious(image, deviations) * processors
+		sum += int64(math.Round(r.cautious(image, deviations) * processors * effectUnit))
 	}
-	return sum
+	return float64(sum) / effectUnit
 }
 
 // add makes room for an image that was not seen before.
@@ -77,10 +84,10 @@
 // restore sets the effects that an earlier owner learnt, of which the latest
 // looks are less sure than its own.
 func (r *regression) restore(effects map[string]float64) {
-	for image, effect := range effects {
+	for _, image := range slices.Sorted(maps.Keys(effects)) {
 		r.add(image)
 		i := r.index[image]
-		r.effects[i] = min(maxEffect, max(0, effect))
+		r.effects[i] = min(maxEffect, max(0, effects[image]))
 		r.variance[i][i] = restoredVariance
 	}
 }
@@ -97,20 +104,21 @@
 // observe takes in that the differences in usage u came with a difference in
 // utilization, which is as sure as several looks allow.
 func (r *regression) observe(difference float64, u usage, looks float64) {
-	for image := range u {
+	images := slices.Sorted(maps.Keys(u))
+	for _, image := range images {
 		r.add(image)
 	}
 	n := len(r.effects)
 	gain := make([]float64, n)
 	total := lookVariance * looks
-	for image, processors := range u {
+	for _, image := range images {
 		j := r.index[image]
 		for i := range gain {
-			gain[i] += r.variance[i][j] * processors
+			gain[i] += r.variance[i][j] * u[image]
 		}
 	}
-	for image, processors := range u {
-		total += processors * gain[r.index[image]]
+	for _, image := range images {
+		total += u[image] * gain[r.index[image]]
 	}
 	surprise := difference - r.predict(u, 0)
 	for i := range r.effects {
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -216,7 +216,9 @@
 		j.dirty = true
 	}
 	if assigned {
-		c.rates.observe(j, s, t, e.How, now)
+		if c.policy.learns {
+			c.rates.observe(j, s, t, e.How, now)
+		}
 		c.release(s, t)
 	}
 	switch e.How {
@@ -382,6 +384,9 @@
 		t.checkpoint = r.Checkpoint
 	}
 	t.throttled = r.Throttled
+	if s.spec.Fills {
+		t.progress.observe(t.percent, r.Throttled, now)
+	}
 	c.observePace(j, s, t, now)
 }
 
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -43,6 +43,7 @@
 	first     int
 	seen      time.Time
 	throttled bool
+	progress  progress
 	// listed is when a worker last listed the run.
 	listed time.Time
 	// stopping is true once the run was ordered to stop.
@@ -251,6 +252,7 @@
 	log       []Event
 	rates     rates
 	pressure  pressureModel
+	policy    policy
 }
 
 // rosterRow is an agent that an earlier owner may have sent orders to.
@@ -270,10 +272,15 @@
 const hold = 11 * time.Second
 
 // New returns the cell of an ownership that begins at now.
-func New(epoch int64, now time.Time) *Cell {
-	return &Cell{epoch: epoch, opened: now, queues: map[string]*Queue{},
+func New(epoch int64, now time.Time, options ...Option) *Cell {
+	c := &Cell{epoch: epoch, opened: now, queues: map[string]*Queue{},
 		jobs: table.New[string, jobRow](), workers: table.New[string, workerRow](),
-		roster: map[string]rosterRow{}, over: map[string]bool{}, cancelled: map[string]bool{}, rates: newRates(), pressure: newPressureModel()}
+		roster: map[string]rosterRow{}, over: map[string]bool{}, cancelled: map[string]bool{}, rates: newRates(), pressure: newPressureModel(),
+		policy: policy{compare: byWorth, learns: true}}
+	for _, o := range options {
+		o(c)
+	}
+	return c
 }
 
 // Epoch returns the number of this ownership, its fencing token.
--- a/core/job/rules_test.go
+++ b/core/job/rules_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -339,3 +340,119 @@
 		}
 	}
 }
+
+// besideAFeed returns a world of two workers of which one runs a feed, and
+// that worker's id. Filling tasks of job 2 take the room on the other one.
+func besideAFeed(t *testing.T, busy float64) (*world, string) {
+	w := newWorld(t, 2)
+	feed := step(1, 3000)
+	feed.Lasting, feed.TailTarget, feed.Image = true, 100*time.Millisecond, "feed"
+	w.Add(testJob(1, feed), w.now)
+	w.round()
+	w.round()
+	w.pressure.of("feed").restore(map[string]float64{"heavy": 0.3})
+	beside := ""
+	for worker := range w.starts() {
+		beside = worker
+	}
+	for _, h := range w.hosts {
+		if h.report.Worker.ID != beside {
+			h.report.Worker.Labels = []string{"calm", "r1"}
+		}
+	}
+	w.feedBusy(busy)
+	for w.pressure.loadOf(testJob(1).ID).level == 0 && busy > 0 {
+		w.round()
+	}
+	// Takes the room on the calm worker.
+	full := step(8, 2000)
+	full.Fills, full.Image, full.Label = true, "other", "calm"
+	w.Add(testJob(2, full), w.now)
+	w.round()
+	w.round()
+	return w, beside
+}
+
+// feedBusy sets the tail of the feed of besideAFeed.
+func (w *world) feedBusy(busy float64) {
+	for _, h := range w.hosts {
+		for i := range h.report.Running {
+			if r := &h.report.Running[i]; strings.HasPrefix(r.Task, testJob(1).ID) {
+				r.Percent, r.Load = fullPercent, int(100*unloadedTail/(1-busy))
+			}
+		}
+	}
+}
+
+// A throttled filling task moves to a worker that it does not strain once that
+// has room, with its checkpoint; no more often than is allowed.
+func TestThrottledTaskMoves(t *testing.T) {
+	w, beside := besideAFeed(t, 0)
+	heavy := step(1, 2000)
+	heavy.Fills, heavy.Image, heavy.Checkpoints = true, "heavy", true
+	w.Add(testJob(3, heavy), w.now)
+	w.round()
+	w.round()
+	name := Task{Job: testJob(3).ID}.String()
+	where := func() string {
+		for _, h := range w.hosts {
+			for _, r := range h.report.Running {
+				if r.Task == name {
+					return h.report.Worker.ID
+				}
+			}
+		}
+		return ""
+	}
+	w.is.Equal(where(), beside)
+	w.feedBusy(0.75)
+	slow := func(rounds int) {
+		for n := range rounds {
+			for _, h := range w.hosts {
+				for i := range h.report.Running {
+					if r := &h.report.Running[i]; r.Task == name && h.report.Worker.ID == beside {
+						r.Throttled, r.Checkpoint, r.Percent = true, "saved", n/50
+					}
+				}
+			}
+			w.round()
+		}
+	}
+	slow(200)
+	w.is.Equal(where(), beside) // there is no room elsewhere
+	w.Cancel(testJob(2).ID, w.now)
+	slow(60)
+	w.is.True(where() != beside && where() != "")
+	_, _, task := w.find(name)
+	w.is.Equal(task.progress.migrations, 1)
+	w.is.Equal(task.checkpoint, "saved")
+}
+
+// A filling task waits for a calm worker as long as others of its job are at
+// work, and a job of which nothing is at work only for a moment.
+func TestPatienceBesideFeeds(t *testing.T) {
+	for _, busy := range []bool{false, true} {
+		w, _ := besideAFeed(t, 0.75)
+		// Reserves memory only, so that the workers are not crowded.
+		first := Step{Tasks: 1, Need: Resources{Memory: 1}, Estimate: time.Second}
+		heavy := step(1, 2000)
+		heavy.Fills, heavy.Image = true, "heavy"
+		j := testJob(3, heavy)
+		if busy {
+			j = testJob(3, heavy, first)
+		}
+		w.Add(j, w.now)
+		for n := range 90 { // 1.8 s
+			for _, h := range w.hosts {
+				for i := range h.report.Running {
+					if r := &h.report.Running[i]; r.Task == (Task{Job: j.ID, Step: 1}).String() {
+						r.Percent = n // the other task comes on
+					}
+				}
+			}
+			w.round()
+		}
+		_, s, _ := w.find(Task{Job: j.ID}.String())
+		w.is.Equal(s.waiting, map[bool]int{false: 0, true: 1}[busy])
+	}
+}
