--- a/io/standin/fleet/worker.go
+++ b/io/standin/fleet/worker.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -25,8 +26,8 @@
 	leaseMax = 10 * time.Second
 )
 
-// Worker runs tasks that last as long as their payload says. It implements
-// platformtest.Worker.
+// Worker runs tasks that last as long as their payload says, and fail if it
+// says so. It implements platformtest.Worker.
 type Worker struct {
 	id       string
 	service  string
@@ -50,8 +51,11 @@
 	highest           map[string]int64
 	ended             []job.End
 	numbers           int64
-	changed           chan struct{}
-	started           map[string]bool
+	// stalled is true while nothing comes on; advanced is when it last did.
+	stalled  bool
+	advanced time.Time
+	changed  chan struct{}
+	started  map[string]bool
 }
 
 type task struct {
@@ -59,6 +63,7 @@
 	need  job.Resources
 	begun time.Time
 	takes time.Duration
+	fails bool
 }
 
 // NewWorker returns a worker that its agent reaches at address, and that sends
@@ -118,11 +123,18 @@
 func (w *Worker) advance() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	elapsed := time.Since(w.advanced)
+	w.advanced = time.Now()
 	for _, name := range slices.Sorted(maps.Keys(w.running)) {
 		t := w.running[name]
+		if w.stalled {
+			t.begun = t.begun.Add(elapsed)
+		}
 		switch {
 		case w.clock() > w.lease:
 			w.end(name, job.EndLapsed)
+		case t.fails && time.Since(t.begun) >= t.takes:
+			w.end(name, job.EndFailed)
 		case time.Since(t.begun) >= t.takes:
 			w.end(name, job.EndDone)
 		}
@@ -163,6 +175,13 @@
 	w.down, w.loseEvery = down, loseEvery
 }
 
+// Stall makes the worker's tasks stand still, or come on again.
+func (w *Worker) Stall(stalled bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stalled = stalled
+}
+
 // Started returns the jobs of which a task has started.
 func (w *Worker) Started() map[string]bool {
 	w.mu.Lock()
@@ -241,7 +260,7 @@
 	if _, err := fmt.Sscanf(s.Payload, "ms=%d", &takes); err != nil {
 		takes = 1
 	}
-	w.running[s.Task] = &task{s.Run, need, time.Now(), time.Duration(takes) * time.Millisecond}
+	w.running[s.Task] = &task{s.Run, need, time.Now(), time.Duration(takes) * time.Millisecond, strings.HasSuffix(s.Payload, " fail")}
 	w.started[s.Task[:16]] = true
 	return nil
 }
