--- a/core/job/migrate.go
+++ b/core/job/migrate.go
@@ -133,27 +133,10 @@
 		return 0
 	}
 	k := candidate{job: j, occ: j.occurrence(t.name.Occurrence), step: s, queue: q, priority: q.Priority}
-	if !c.calmElsewhere(w, &k, t, now) {
+	if !c.roomElsewhere(w, &k, t, true, now) {
 		return 0
 	}
 	return here - there
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
-// calmElsewhere reports whether a sound worker but w has room for t beside
-// serving tasks that it does not strain.
-func (c *Cell) calmElsewhere(w *workerRow, k *candidate, t *taskRow, now time.Time) bool {
-	for _, other := range c.workers.All {
-		if other == w || other.pace.slow() || !c.usable(other, k, now) || !other.fits(k.step.spec, k.priority) ||
-			!other.spreads(k.step.spec, t.name) {
-			continue
-		}
-		o := option{worker: other}
-		c.rate(&o, k.step.spec)
-		if !o.harmful {
-			return true
-		}
-	}
-	return false
-}
--- a/core/job/pace.go
+++ b/core/job/pace.go
@@ -96,11 +96,11 @@
 	k := candidate{job: j, occ: j.occurrence(t.name.Occurrence), step: s, queue: c.queueOf(j), priority: c.queueOf(j).Priority}
 	switch {
 	case s.spec.Lasting:
-		if t.percent < fullPercent && now.Sub(t.ordered) > startupLimit && c.roomElsewhere(w, &k, t, now) {
+		if t.percent < fullPercent && now.Sub(t.ordered) > startupLimit && c.roomElsewhere(w, &k, t, false, now) {
 			return reasonStalled
 		}
 	case now.Sub(t.moved) > stallLimit && now.Sub(w.moved) > stallLimit && !t.throttled:
-		if c.roomElsewhere(w, &k, t, now) {
+		if c.roomElsewhere(w, &k, t, false, now) {
 			return reasonStalled
 		}
 	case w.pace.slow() && !s.spec.Fills:
@@ -110,18 +110,23 @@
 		if s.spec.Checkpoints && t.checkpoint != "" {
 			anew = left
 		}
-		if left/max(w.pace.speed, 0.05) > moveGain*(anew+float64(restoreTime)) && c.roomElsewhere(w, &k, t, now) {
+		if left/max(w.pace.speed, 0.05) > moveGain*(anew+float64(restoreTime)) && c.roomElsewhere(w, &k, t, false, now) {
 			return reasonSlow
 		}
 	}
 	return ""
 }
 
-// roomElsewhere reports whether a sound worker but w has room for t.
-func (c *Cell) roomElsewhere(w *workerRow, k *candidate, t *taskRow, now time.Time) bool {
+// roomElsewhere reports whether a sound worker but w has room for t; if calm is
+// true, beside serving tasks that t does not strain.
+func (c *Cell) roomElsewhere(w *workerRow, k *candidate, t *taskRow, calm bool, now time.Time) bool {
 	for _, other := range c.workers.All {
-		if other != w && !other.pace.slow() && c.usable(other, k, now) && other.fits(k.step.spec, k.priority) &&
-			other.spreads(k.step.spec, t.name) {
+		if other == w || other.pace.slow() || !c.usable(other, k, now) || !other.fits(k.step.spec, k.priority) ||
+			!other.spreads(k.step.spec, t.name) {
+			continue
+		}
+		o := option{worker: other}
+		if c.rate(&o, k.step.spec); !calm || !o.harmful {
 			return true
 		}
 	}
--- a/io/standin/fleet/process_test.go
+++ b/io/standin/fleet/process_test.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"syscall"
@@ -14,8 +13,7 @@
 // A job that is handed in at all schedulers at the same moment is accepted by
 // each of them, and each knows it from then on.
 func TestSimultaneousSubmissionsAreAccepted(t *testing.T) {
-	r := &run{deployment: newDeployment(t, 60001, 3, 2), rng: rand.New(rand.NewPCG(1, 0)),
-		final: map[string]bool{}, served: map[string]int64{}}
+	r := newRun(t, 60001, 3, 2)
 	c := &http.Client{}
 	defer c.CloseIdleConnections()
 	r.awaitReady(c)
@@ -61,8 +59,7 @@
 // A planned stop cuts off no request: callers that keep their connections get
 // an answer to each request that the stopping scheduler has read.
 func TestPlannedStopCutsNothingOff(t *testing.T) {
-	r := &run{deployment: newDeployment(t, 60002, 3, 2), rng: rand.New(rand.NewPCG(2, 0)),
-		final: map[string]bool{}, served: map[string]int64{}}
+	r := newRun(t, 60002, 3, 2)
 	clients := []*http.Client{{}, {}, {}, {}}
 	for _, c := range clients {
 		defer c.CloseIdleConnections()
