Give workers on probation a task beside lasting ones

Cause: a worker on probation got a task only once nothing was assigned to it. Ruled out: memory (the other workers were full, this one had room for three) and spreading.

Lasting tasks at work no longer count, and one that started after the last failure and stays at work ends the probation. TestProbationBesideLastingTasks failed first.

--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -187,7 +187,7 @@
 	if t.state == taskWaiting {
 		s.waiting--
 	}
-	t.state, t.worker, t.run = taskAssigned, w, run
+	t.state, t.worker, t.run, t.spec = taskAssigned, w, run, s.spec
 	t.running, t.stopping, t.waits = false, false, time.Time{}
 	t.ordered, t.moved, t.percent = now, now, -1
 	t.progress.restart()
--- a/core/job/choose.go
+++ b/core/job/choose.go
@@ -78,7 +78,7 @@
 		if k.queue.Advised && k.step.advice.tickets[o.worker.ID] == "" {
 			continue
 		}
-		if !o.worker.fits(k.step.spec, k.priority) || !o.worker.spreads(k.step.spec, t.name) || !o.worker.health.usable(len(o.worker.tasks), now) {
+		if !o.worker.fits(k.step.spec, k.priority) || !o.worker.spreads(k.step.spec, t.name) || !o.worker.open(now) {
 			continue
 		}
 		score := o.score
@@ -122,7 +122,7 @@
 	case k.step.spec.Label != "" && !slices.Contains(w.Labels, k.step.spec.Label):
 		return false
 	}
-	return w.health.usable(len(w.tasks), now)
+	return w.open(now)
 }
 
 // servingUse is the share of their reserved processors, in percent, that
--- a/core/job/health.go
+++ b/core/job/health.go
@@ -26,21 +26,49 @@
 	until time.Time
 	// stalls counts the runs that stood still since the last success.
 	stalls int
+	// at is when a run last failed or stood still.
+	at time.Time
 }
 
 // suspect reports whether the worker gets one task at a time.
 func (h *health) suspect() bool { return h.failures >= failuresBeforeProbation || h.stalls > 0 }
 
-// usable reports whether a worker with n assigned tasks may get another.
-func (h *health) usable(n int, now time.Time) bool {
-	if now.Before(h.until) {
+// open reports whether a worker may get another task. One on probation gets
+// one at a time; lasting tasks that are at work do not count, as they would
+// keep the worker on probation for good.
+func (w *workerRow) open(now time.Time) bool {
+	if now.Before(w.health.until) {
 		return false
 	}
-	return !h.suspect() || n == 0
+	if !w.health.suspect() {
+		return true
+	}
+	for _, t := range w.tasks {
+		if !t.serving() {
+			return false
+		}
+	}
+	return true
+}
+
+// serving reports whether t is a lasting task at work.
+func (t *taskRow) serving() bool { return t.spec.Lasting && t.running && t.percent >= fullPercent }
+
+// trialTime is how long a lasting task is at work before it counts as a
+// success of its worker.
+const trialTime = 2 * time.Second
+
+// vouch ends the worker's probation once a lasting task that started after the
+// last failure has been at work for a while.
+func (w *workerRow) vouch(t *taskRow, now time.Time) {
+	if w.health.suspect() && t.serving() && t.ordered.After(w.health.at) && now.Sub(t.moved) >= trialTime {
+		w.health.succeeded()
+	}
 }
 
 func (h *health) failed(now time.Time) {
 	h.failures++
+	h.at = now
 	if h.suspect() {
 		h.pause = min(max(2*h.pause, probationBase), probationMax)
 		h.until = now.Add(h.pause)
@@ -50,6 +78,7 @@
 // stalled notes that a task stood still. The pause doubles as with failures.
 func (h *health) stalled(now time.Time) {
 	h.stalls++
+	h.at = now
 	h.pause = min(max(2*h.pause, probationBase), probationMax)
 	h.until = later(h.until, now.Add(h.pause))
 }
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -384,6 +384,7 @@
 		t.checkpoint = r.Checkpoint
 	}
 	t.throttled = r.Throttled
+	t.worker.vouch(t, now)
 	if s.spec.Fills {
 		t.progress.observe(t.percent, r.Throttled, now)
 	}
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -20,6 +20,8 @@
 type taskRow struct {
 	name  Task
 	state taskState
+	// spec is the step of a task that was ever assigned.
+	spec *Step
 	// worker and run are the assignment of an assigned task.
 	worker *workerRow
 	run    int64
--- a/core/job/rules_test.go
+++ b/core/job/rules_test.go
@@ -319,6 +319,40 @@
 	w.is.Equal(len(h.report.Running), 3)
 }
 
+// A worker on probation beside lasting tasks at work still gets one task at a
+// time, and a lasting one that comes to work there ends the probation. Seen on
+// ddhre-sched, mix day with seed 146973535035: a feed of which a task was lost
+// never ran whole again, though such a worker had room.
+func TestProbationBesideLastingTasks(t *testing.T) {
+	w := newWorld(t, 1)
+	h := w.hosts["agent-0"]
+	feed := step(2, 100)
+	feed.Lasting = true
+	atWork := func() {
+		for i := range h.report.Running {
+			h.report.Running[i].Percent = fullPercent
+		}
+	}
+	w.Add(testJob(1, feed), w.now)
+	w.round()
+	w.round()
+	atWork()
+	w.round()
+	w.workers.Get("agent-0").health = health{failures: failuresBeforeProbation, at: w.now}
+	w.now = w.now.Add(time.Second)
+	w.Add(testJob(2, feed), w.now)
+	for range 5 {
+		w.round()
+	}
+	w.is.Equal(len(h.report.Running), 3) // one more at a time
+	atWork()
+	for range 150 { // 3 s
+		w.round()
+	}
+	w.is.Equal(len(h.report.Running), 4)
+	w.is.True(!w.workers.Get("agent-0").health.suspect())
+}
+
 // A run that stands still on a worker where nothing moves is moved.
 func TestStalledRunMoves(t *testing.T) {
 	w := newWorld(t, 2)
