--- a/core/job/choose.go
+++ b/core/job/choose.go
@@ -17,7 +17,8 @@
 	// is room: such a job may stand still for 3 s at most.
 	idlePatience = 1500 * time.Millisecond
 	// crowdedLeftover is the share of all processors, in percent, below which
-	// the workers are crowded.
+	// the workers are crowded: the sheets allow an idle job to wait while half
+	// of them are in use, and what tasks use is known within a tenth.
 	crowdedLeftover = 40
 )
 
--- a/core/job/migrate.go
+++ b/core/job/migrate.go
@@ -17,15 +17,16 @@
 	// swings within a second.
 	settleTime = 1200 * time.Millisecond
 	// leastSpeed is the speed, as a share of a task per second, below which a
-	// task counts as standing still.
+	// task counts as standing still: reports tell whole percents.
 	leastSpeed = 0.01
 	// migrateGain is how many times longer the rest must take where the task
-	// is than elsewhere.
-	migrateGain = 1.5
-	// maxMigrations bounds the moves of one task.
+	// is than elsewhere, as for tasks on slow workers: see moveGain.
+	migrateGain = moveGain
+	// maxMigrations bounds the moves of one task: each costs a stop of up to
+	// 400 ms and a restore of up to 600 ms on the sheets.
 	maxMigrations = 2
-	// workersPerMigration bounds the moves under way: the room that they will
-	// take is not reserved yet.
+	// workersPerMigration bounds the moves under way to one for as many
+	// workers: the room that they will take is not reserved yet.
 	workersPerMigration = 4
 )
 
