--- a/core/job/advice_test.go
+++ b/core/job/advice_test.go
@@ -35,8 +35,6 @@
 	j := testJob(1, step(1, 100))
 	j.Terms = w.cfg.Queues[0]
 	w.SetConfiguration(&Configuration{Version: 2})
-	w.Add(j, w.now)
-	w.round()
-	w.round()
+	w.submit(j)
 	is.Equal(len(w.hosts["agent-0"].orders), 1)
 }
--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -60,7 +60,7 @@
 
 // Load adds a job of an earlier ownership with its durable progress.
 func (c *Cell) Load(j Job, p Progress, now time.Time) error {
-	row := c.add(j, now)
+	row := c.add(j)
 	if err := row.restore(p); err != nil {
 		c.jobs.Delete(j.ID)
 		return err
@@ -90,14 +90,14 @@
 	if c.jobs.Get(j.ID) != nil || c.over[j.ID] {
 		return
 	}
-	c.add(j, now).fresh = true
+	c.add(j).fresh = true
 	if c.cancelled[j.ID] {
 		delete(c.cancelled, j.ID)
 		c.Cancel(j.ID, now)
 	}
 }
 
-func (c *Cell) add(j Job, _ time.Time) *jobRow {
+func (c *Cell) add(j Job) *jobRow {
 	row := c.jobs.Put(j.ID, jobRow{Job: j, state: Queued, chain: chainOf(j.Steps)})
 	if j.Schedule.Times == 0 {
 		row.open(0)
@@ -109,7 +109,7 @@
 // LoadAgent adds an agent of the stored roster: an earlier owner may have
 // sent it orders.
 func (c *Cell) LoadAgent(agent string) {
-	c.roster[agent] = rosterRow{until: c.opened.Add(drift(hold)), durable: true}
+	c.roster[agent] = rosterRow{until: c.opened.Add(Drift(hold)), durable: true}
 }
 
 // settled reports whether no unknown run of an earlier owner can be at work.
@@ -150,13 +150,9 @@
 	j.state = s
 	c.over[j.ID] = true
 	j.dirty, j.urgent = true, true
-	for _, o := range j.occurrences {
-		for i := range o.steps {
-			for n := range o.steps[i].tasks {
-				if t := &o.steps[i].tasks[n]; t.state == taskAssigned {
-					c.stop(t, string(s), now)
-				}
-			}
+	for _, t := range j.tasks {
+		if t.state == taskAssigned {
+			c.stop(t, string(s), now)
 		}
 	}
 	c.log = append(c.log, Event{Kind: EventFinal, Task: j.ID, Reason: string(s), Since: since(j, now)})
@@ -286,7 +282,7 @@
 func (c *Cell) expire(now time.Time) {
 	var gone []string
 	for agent, w := range c.workers.All {
-		if now.Sub(w.heard) < drift(hold) {
+		if now.Sub(w.heard) < Drift(hold) {
 			continue
 		}
 		c.lose(w, "lease-ended", now)
--- a/core/job/cell_test.go
+++ b/core/job/cell_test.go
@@ -105,6 +105,13 @@
 	}
 }
 
+// submit adds a job and delivers the reports until its first tasks run.
+func (w *world) submit(j Job) {
+	w.Add(j, w.now)
+	w.round()
+	w.round()
+}
+
 func testJob(n int, steps ...Step) Job {
 	return Job{ID: fmt.Sprintf("%016x", n), Queue: testQueue, Steps: steps, Accepted: time.Unix(1000, 0)}
 }
@@ -127,9 +134,7 @@
 // after that of a later run.
 func TestLateFailureCounts(t *testing.T) {
 	w := newWorld(t, 2)
-	w.Add(testJob(1, step(1, 100)), w.now)
-	w.round()
-	w.round()
+	w.submit(testJob(1, step(1, 100)))
 	first, second := w.hosts["agent-0"], w.hosts["agent-1"]
 	if len(first.report.Running) == 0 {
 		first, second = second, first
@@ -157,9 +162,7 @@
 // does not wait for it.
 func TestDepartedAgentIsForgotten(t *testing.T) {
 	w := newWorld(t, 2)
-	w.Add(testJob(1, step(4, 8000)), w.now)
-	w.round()
-	w.round()
+	w.submit(testJob(1, step(4, 8000)))
 	h := w.hosts["agent-0"]
 	w.is.True(len(h.report.Running) > 0)
 	h.report.Left, h.report.Running = true, nil
@@ -171,9 +174,9 @@
 	next := New(2, w.now)
 	next.LoadAgent("agent-1")
 	w.is.True(!next.settled(w.now)) // the other one may still run something
-	w.is.True(next.settled(w.now.Add(drift(hold))))
-	next.Step(w.now.Add(drift(hold)))
-	later := next.Due(w.now.Add(drift(hold)), 30)
+	w.is.True(next.settled(w.now.Add(Drift(hold))))
+	next.Step(w.now.Add(Drift(hold)))
+	later := next.Due(w.now.Add(Drift(hold)), 30)
 	w.is.Equal(later.Forget, []string{"agent-1"}) // never heard of, and certainly over
 }
 
@@ -193,9 +196,7 @@
 // changes nothing: its ends have the numbers of the next one's.
 func TestOvertakenReport(t *testing.T) {
 	w := newWorld(t, 1)
-	w.Add(testJob(1, step(1, 100)), w.now)
-	w.round()
-	w.round()
+	w.submit(testJob(1, step(1, 100)))
 	h := w.hosts["agent-0"]
 	h.end(h.report.Running[0].Task, EndDone)
 	overtaken := h.report
--- a/core/job/choose.go
+++ b/core/job/choose.go
@@ -32,6 +32,17 @@
 	return left*fullPercent < all*crowdedLeftover
 }
 
+// setPatience sets how long the filling tasks of the candidates wait.
+func (c *Cell) setPatience(all []candidate) {
+	crowded := c.crowded()
+	for i := range all {
+		all[i].patience = idlePatience
+		if crowded || all[i].busy() {
+			all[i].patience = patience
+		}
+	}
+}
+
 // option is a worker that tasks of a step may run on.
 type option struct {
 	worker *workerRow
@@ -79,7 +90,7 @@
 		if k.queue.Advised && k.step.advice.tickets[o.worker.ID] == "" {
 			continue
 		}
-		if !o.worker.fits(k.step.spec, k.priority) || !o.worker.spreads(k.step.spec, t.name) || !o.worker.open(now) {
+		if !o.worker.fits(k.step.spec, k.queue.Priority) || !o.worker.spreads(k.step.spec, t.name) || !o.worker.open(now) {
 			continue
 		}
 		score := o.score
@@ -112,13 +123,15 @@
 	return false
 }
 
+// inTouch reports whether what is known of w is of now.
+func (w *workerRow) inTouch(now time.Time) bool {
+	return w.listed && w.unreachable == 0 && now.Sub(w.heard) <= silentLimit
+}
+
 // usable reports whether w may get tasks of the candidate at all.
 func (c *Cell) usable(w *workerRow, k *candidate, now time.Time) bool {
-	q := c.queueOf(k.job)
 	switch {
-	case !w.listed, w.ended, w.Draining, w.unreachable > 0, w.foreign > 0:
-		return false
-	case now.Sub(w.heard) > silentLimit, w.Service != q.Service:
+	case !w.inTouch(now), w.ended, w.Draining, w.foreign > 0, w.Service != k.queue.Service:
 		return false
 	case k.step.spec.Label != "" && !slices.Contains(w.Labels, k.step.spec.Label):
 		return false
--- a/core/job/durable.go
+++ b/core/job/durable.go
@@ -168,13 +168,9 @@
 }
 
 func (j *jobRow) assigned() bool {
-	for _, o := range j.occurrences {
-		for i := range o.steps {
-			for n := range o.steps[i].tasks {
-				if o.steps[i].tasks[n].state == taskAssigned {
-					return true
-				}
-			}
+	for _, t := range j.tasks {
+		if t.state == taskAssigned {
+			return true
 		}
 	}
 	return false
--- a/core/job/health.go
+++ b/core/job/health.go
@@ -70,15 +70,19 @@
 	h.failures++
 	h.at = now
 	if h.suspect() {
-		h.pause = min(max(2*h.pause, probationBase), probationMax)
-		h.until = now.Add(h.pause)
+		h.lengthen(now)
 	}
 }
 
-// stalled notes that a task stood still. The pause doubles as with failures.
+// stalled notes that a task stood still.
 func (h *health) stalled(now time.Time) {
 	h.stalls++
 	h.at = now
+	h.lengthen(now)
+}
+
+// lengthen doubles the pause between two tasks.
+func (h *health) lengthen(now time.Time) {
 	h.pause = min(max(2*h.pause, probationBase), probationMax)
 	h.until = later(h.until, now.Add(h.pause))
 }
--- a/core/job/keys.go
+++ b/core/job/keys.go
@@ -24,7 +24,6 @@
 	keyCancelled = KeyRoot + "cancelled/"
 	keyFinal     = KeyRoot + "final/"
 	keyAgents    = KeyRoot + "agent/"
-	keyEntries   = KeyRoot + "entry/"
 )
 
 // JobKey holds a live Job; it is never changed.
@@ -42,9 +41,6 @@
 // AgentKey exists for each agent that may have received orders.
 func AgentKey(agent string) string { return keyAgents + agent }
 
-// EntryKey holds the peer address of an entry; it has a lease.
-func EntryKey(entry string) string { return keyEntries + entry }
-
 // KeyKind tells what a key holds.
 type KeyKind int
 
@@ -59,7 +55,6 @@
 	KeyOfCancelled
 	KeyOfFinal
 	KeyOfAgent
-	KeyOfEntry
 )
 
 // SplitKey returns what a key holds and the id or name in it.
@@ -77,7 +72,7 @@
 		kind   KeyKind
 	}{
 		{keyJobs, KeyOfJob}, {keyProgress, KeyOfProgress}, {keyCancelled, KeyOfCancelled},
-		{keyFinal, KeyOfFinal}, {keyAgents, KeyOfAgent}, {keyEntries, KeyOfEntry},
+		{keyFinal, KeyOfFinal}, {keyAgents, KeyOfAgent},
 	} {
 		if id, ok := strings.CutPrefix(key, k.prefix); ok {
 			return k.kind, id
--- a/core/job/message.go
+++ b/core/job/message.go
@@ -51,6 +51,14 @@
 	Throttled bool `json:"throttled,omitempty"`
 }
 
+// Processors returns what a run without a tail target uses.
+func (r *Run) Processors() float64 { return float64(r.Load) / processorUnit }
+
+// Busy returns the utilization that the tail latency of a serving run shows.
+func (r *Run) Busy(target time.Duration) float64 {
+	return Busy(float64(time.Duration(r.Load)*time.Millisecond) / float64(target))
+}
+
 // End is the end of a run, listed by its worker until it is acknowledged.
 type End struct {
 	Number     int64  `json:"number"`
--- a/core/job/migrate.go
+++ b/core/job/migrate.go
@@ -74,10 +74,10 @@
 	under := 0
 	var found []migration
 	for _, w := range c.workers.All {
-		if !w.listed || w.unreachable > 0 || now.Sub(w.heard) > silentLimit {
+		if !w.inTouch(now) {
 			continue
 		}
-		for _, t := range w.sorted() {
+		for _, t := range w.tasks {
 			if t.progress.migrating {
 				under++
 			} else if gain := c.migrationGain(w, t, now); gain > 0 {
@@ -108,24 +108,24 @@
 // migrationGain returns how much sooner t would end on another worker; 0 if it
 // should stay.
 func (c *Cell) migrationGain(w *workerRow, t *taskRow, now time.Time) time.Duration {
-	j := c.jobs.Get(t.name.Job)
-	s, _ := j.task(t.name)
-	q := c.queueOf(j)
 	p := &t.progress
-	if !s.spec.Fills || s.spec.Lasting || s.spec.Gang || t.stopping || !t.running || q == nil ||
-		p.speed == 0 && p.at.IsZero() || p.migrations >= maxMigrations || now.Sub(t.ordered) < settleTime {
+	if !t.spec.Fills || t.spec.Lasting || p.at.IsZero() || p.migrations >= maxMigrations || now.Sub(t.ordered) < settleTime {
+		return 0
+	}
+	k, ok := c.movable(t)
+	if !ok {
 		return 0
 	}
 	left := float64(fullPercent-t.percent) / fullPercent
 	full := p.best
-	if promised := c.rates.estimate(j, s); full == 0 && promised > 0 {
+	if promised := c.rates.estimate(k.job, k.step); full == 0 && promised > 0 {
 		full = 1 / promised.Seconds()
 	}
 	if full <= 0 {
 		return 0
 	}
 	again := 1.0
-	if s.spec.Checkpoints {
+	if t.spec.Checkpoints {
 		again = left
 	}
 	here := seconds(left / max(p.speed, leastSpeed))
@@ -133,7 +133,6 @@
 	if float64(here) < migrateGain*float64(there) {
 		return 0
 	}
-	k := candidate{job: j, occ: j.occurrence(t.name.Occurrence), step: s, queue: q, priority: q.Priority}
 	if !c.roomElsewhere(w, &k, t, true, now) {
 		return 0
 	}
--- a/core/job/pace.go
+++ b/core/job/pace.go
@@ -66,7 +66,7 @@
 // slow or hang, beside sound ones with room.
 func (c *Cell) rescue(now time.Time) {
 	for _, w := range c.workers.All {
-		if !w.listed || w.unreachable > 0 || now.Sub(w.heard) > silentLimit {
+		if !w.inTouch(now) {
 			continue
 		}
 		for _, t := range w.sorted() {
@@ -86,14 +86,25 @@
 	reasonSlow    = "slow-worker"
 )
 
-// misplaced returns why a task should run elsewhere, or "".
-func (c *Cell) misplaced(w *workerRow, t *taskRow, now time.Time) string {
+// movable returns the candidate that a running task would be elsewhere; false
+// if it cannot be moved.
+func (c *Cell) movable(t *taskRow) (k candidate, ok bool) {
 	j := c.jobs.Get(t.name.Job)
 	s, _ := j.task(t.name)
-	if t.stopping || !t.running || s.spec.Gang || c.queueOf(j) == nil {
+	q := c.queueOf(j)
+	if t.stopping || !t.running || s.spec.Gang || q == nil {
+		return candidate{}, false
+	}
+	return candidate{job: j, occ: j.occurrence(t.name.Occurrence), step: s, number: t.name.Step, queue: q}, true
+}
+
+// misplaced returns why a task should run elsewhere, or "".
+func (c *Cell) misplaced(w *workerRow, t *taskRow, now time.Time) string {
+	k, ok := c.movable(t)
+	if !ok {
 		return ""
 	}
-	k := candidate{job: j, occ: j.occurrence(t.name.Occurrence), step: s, queue: c.queueOf(j), priority: c.queueOf(j).Priority}
+	j, s := k.job, k.step
 	switch {
 	case s.spec.Lasting:
 		if t.percent < fullPercent && now.Sub(t.ordered) > startupLimit && c.roomElsewhere(w, &k, t, false, now) {
@@ -121,7 +132,7 @@
 // true, beside serving tasks that t does not strain.
 func (c *Cell) roomElsewhere(w *workerRow, k *candidate, t *taskRow, calm bool, now time.Time) bool {
 	for _, other := range c.workers.All {
-		if other == w || other.pace.slow() || !c.usable(other, k, now) || !other.fits(k.step.spec, k.priority) ||
+		if other == w || other.pace.slow() || !c.usable(other, k, now) || !other.fits(k.step.spec, k.queue.Priority) ||
 			!other.spreads(k.step.spec, t.name) {
 			continue
 		}
--- a/core/job/place.go
+++ b/core/job/place.go
@@ -26,7 +26,6 @@
 	// number is that of the step.
 	number   int
 	queue    *Queue
-	priority int
 	prospect prospect
 	// due is when the job misses its objective.
 	due time.Time
@@ -36,7 +35,7 @@
 
 // candidates returns all steps with tasks that could start, in order.
 func (c *Cell) candidates(now time.Time) []candidate {
-	settled, crowded := c.settled(now), c.crowded()
+	settled := c.settled(now)
 	var out []candidate
 	for _, j := range c.jobs.All {
 		q := c.queueOf(j)
@@ -47,11 +46,8 @@
 			out = c.appendCandidates(out, j, o, q, now)
 		}
 	}
-	for i := range out {
-		out[i].patience = idlePatience
-		if crowded || out[i].busy() {
-			out[i].patience = patience
-		}
+	if len(out) > 0 {
+		c.setPatience(out)
 	}
 	slices.SortFunc(out, func(a, b candidate) int { return c.policy.compare(&a, &b) })
 	return out
@@ -70,7 +66,7 @@
 			due, p = c.prospects(j, o, q, now)
 			computed = true
 		}
-		out = append(out, candidate{job: j, occ: o, step: s, number: i, queue: q, priority: q.Priority, prospect: p, due: due})
+		out = append(out, candidate{job: j, occ: o, step: s, number: i, queue: q, prospect: p, due: due})
 	}
 	return out
 }
--- a/core/job/policy.go
+++ b/core/job/policy.go
@@ -31,14 +31,14 @@
 func byWorth(a, b *candidate) int {
 	return cmp.Or(
 		cmp.Compare(boolRank(a.prospect == hopeless), boolRank(b.prospect == hopeless)),
-		cmp.Compare(a.priority, b.priority),
+		cmp.Compare(a.queue.Priority, b.queue.Priority),
 		cmp.Compare(a.prospect, b.prospect),
 		a.due.Compare(b.due),
 		byArrival(a, b))
 }
 
 func byPriority(a, b *candidate) int {
-	return cmp.Or(cmp.Compare(a.priority, b.priority), byArrival(a, b))
+	return cmp.Or(cmp.Compare(a.queue.Priority, b.queue.Priority), byArrival(a, b))
 }
 
 func byArrival(a, b *candidate) int {
--- a/core/job/pressure.go
+++ b/core/job/pressure.go
@@ -185,14 +185,13 @@
 		switch {
 		case t == nil:
 		case s.spec.Fills:
-			u[s.spec.Image] += float64(row.Load) / processorUnit
+			u[s.spec.Image] += row.Processors()
 		case s.spec.TailTarget > 0 && row.Percent == fullPercent:
-			tail := float64(time.Duration(row.Load)*time.Millisecond) / float64(s.spec.TailTarget)
 			k := servingJob{t.name.Job, s.spec.Image}
 			if counts[k] == 0 {
 				serving = append(serving, k)
 			}
-			sums[k] += Busy(tail)
+			sums[k] += row.Busy(s.spec.TailTarget)
 			counts[k]++
 		}
 	}
--- a/core/job/promises_test.go
+++ b/core/job/promises_test.go
@@ -9,9 +9,7 @@
 // nothing of the report is taken in. Two owners never take turns.
 func TestLaterEpochDeposes(t *testing.T) {
 	w := newWorld(t, 1)
-	w.Add(testJob(1, step(1, 100)), w.now)
-	w.round()
-	w.round()
+	w.submit(testJob(1, step(1, 100)))
 	r := w.hosts["agent-0"].report
 	r.Epoch = w.Epoch() + 1
 	r.Running = nil
@@ -35,9 +33,7 @@
 	w := newWorld(t, 3)
 	feed := step(2, 1000)
 	feed.Lasting, feed.TailTarget, feed.Image, feed.MaxPerWorker, feed.MayBeAway = true, 100*time.Millisecond, "feed", 1, 1
-	w.Add(testJob(1, feed), w.now)
-	w.round()
-	w.round()
+	w.submit(testJob(1, feed))
 	for n := range 500 { // 10 s
 		for agent, h := range w.hosts {
 			row := w.workers.Get(agent)
@@ -78,9 +74,7 @@
 func TestRecoveryFromDurableState(t *testing.T) {
 	w := newWorld(t, 2)
 	j := testJob(1, step(4, 100), step(2, 100, 0))
-	w.Add(j, w.now)
-	w.round()
-	w.round()
+	w.submit(j)
 	done := ""
 	for _, h := range w.hosts {
 		if done == "" {
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -348,7 +348,7 @@
 	if t == nil {
 		// Its job is over or unknown; until it has ended, its room is unknown.
 		w.foreign++
-		c.stopForeign(w, r, now)
+		c.stopForeign(w, r)
 		return
 	}
 	if t.state == taskAssigned && t.worker == w && t.run == r.Run {
@@ -366,7 +366,7 @@
 	}
 	c.note(EventUnusual, t, w, "unexpected-run", now)
 	w.foreign++
-	c.stopForeign(w, r, now)
+	c.stopForeign(w, r)
 }
 
 func (c *Cell) observeRun(j *jobRow, s *stepRow, t *taskRow, r *Run, now time.Time) {
@@ -392,7 +392,7 @@
 }
 
 // stopForeign orders the end of a run that should not be, once at a time.
-func (c *Cell) stopForeign(w *workerRow, r *Run, _ time.Time) {
+func (c *Cell) stopForeign(w *workerRow, r *Run) {
 	for _, o := range w.pending {
 		if o.Task == r.Task && o.Run == r.Run {
 			return
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -132,6 +132,20 @@
 	return s, &s.tasks[t.Index]
 }
 
+// tasks yields the tasks of all open occurrences with their steps, in order.
+func (j *jobRow) tasks(yield func(*stepRow, *taskRow) bool) {
+	for _, o := range j.occurrences {
+		for i := range o.steps {
+			s := &o.steps[i]
+			for n := range s.tasks {
+				if !yield(s, &s.tasks[n]) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // open adds occurrence k.
 func (j *jobRow) open(k int) *occurrenceRow {
 	o := &occurrenceRow{number: k, due: j.Schedule.Due(k), steps: make([]stepRow, len(j.Steps))}
@@ -313,8 +327,8 @@
 // a worker's clock is up to 2% slow, so 1/32 covers it.
 const driftDivisor = 32
 
-// drift returns d lengthened by the allowed difference of clocks.
-func drift(d time.Duration) time.Duration { return d + d/driftDivisor }
+// Drift returns d lengthened by the allowed difference of clocks.
+func Drift(d time.Duration) time.Duration { return d + d/driftDivisor }
 
 // VerifyBegin notes the reports that precede a proof of ownership.
 func (c *Cell) VerifyBegin() {
--- a/core/job/rules_test.go
+++ b/core/job/rules_test.go
@@ -66,9 +66,7 @@
 // A step starts once all tasks of the steps before it are done.
 func TestOrder(t *testing.T) {
 	w := newWorld(t, 1)
-	w.Add(testJob(1, step(2, 100), step(1, 100, 0)), w.now)
-	w.round()
-	w.round()
+	w.submit(testJob(1, step(2, 100), step(1, 100, 0)))
 	h := w.hosts["agent-0"]
 	w.is.Equal(len(h.orders), 2)
 	h.end(h.report.Running[0].Task, EndDone)
@@ -105,9 +103,7 @@
 	w.round()
 	s := step(4, 7500)
 	s.Gang, s.SameRack = true, true
-	w.Add(testJob(1, s), w.now)
-	w.round()
-	w.round()
+	w.submit(testJob(1, s))
 	got := w.starts()
 	w.is.Equal(len(got["i-agent-0"]), 0)
 	w.is.Equal(w.count(), 4)
@@ -125,9 +121,7 @@
 // A cancellation stops what runs, and nothing starts after it.
 func TestCancel(t *testing.T) {
 	w := newWorld(t, 1)
-	w.Add(testJob(1, step(2, 100), step(1, 100, 0)), w.now)
-	w.round()
-	w.round()
+	w.submit(testJob(1, step(2, 100), step(1, 100, 0)))
 	w.Cancel(testJob(1).ID, w.now)
 	for range 3 {
 		w.round()
@@ -140,9 +134,7 @@
 // A draining worker gets nothing, and keeps what it has.
 func TestDraining(t *testing.T) {
 	w := newWorld(t, 1)
-	w.Add(testJob(1, step(1, 100)), w.now)
-	w.round()
-	w.round()
+	w.submit(testJob(1, step(1, 100)))
 	h := w.hosts["agent-0"]
 	h.report.Worker.Draining = true
 	h.report.Worker.Sequence++
@@ -157,9 +149,7 @@
 // only then.
 func TestEndsAreDurableFirst(t *testing.T) {
 	w := newWorld(t, 1)
-	w.Add(testJob(1, step(1, 100)), w.now)
-	w.round()
-	w.round()
+	w.submit(testJob(1, step(1, 100)))
 	h := w.hosts["agent-0"]
 	h.end(h.report.Running[0].Task, EndDone)
 	r := h.report
@@ -223,9 +213,7 @@
 	w := newWorld(t, 1)
 	j := testJob(1, step(2, 100))
 	j.Schedule = Schedule{First: w.now, Period: time.Hour, Times: 2}
-	w.Add(j, w.now)
-	w.round()
-	w.round()
+	w.submit(j)
 	h := w.hosts["agent-0"]
 	h.end(h.report.Running[0].Task, EndDone)
 	w.round()
@@ -263,9 +251,7 @@
 // leave room for urgent ones otherwise.
 func TestLargeTask(t *testing.T) {
 	w := newWorld(t, 1)
-	w.Add(testJob(1, step(1, 16000)), w.now)
-	w.round()
-	w.round()
+	w.submit(testJob(1, step(1, 16000)))
 	w.is.Equal(w.count(), 1)
 }
 
@@ -275,9 +261,7 @@
 	w := newWorld(t, 2)
 	feed := step(1, 3000)
 	feed.Lasting, feed.TailTarget, feed.Image = true, 100*time.Millisecond, "feed"
-	w.Add(testJob(1, feed), w.now)
-	w.round()
-	w.round()
+	w.submit(testJob(1, feed))
 	beside := ""
 	for worker := range w.starts() {
 		beside = worker
@@ -286,9 +270,7 @@
 	w.pressure.loadOf(testJob(1).ID).update(0.7)
 	heavy := step(8, 2000)
 	heavy.Fills, heavy.Image = true, "heavy"
-	w.Add(testJob(2, heavy), w.now)
-	w.round()
-	w.round()
+	w.submit(testJob(2, heavy))
 	w.is.Equal(len(w.starts()[beside]), 1) // the feed alone
 	w.is.Equal(w.count(), 9)
 }
@@ -299,9 +281,7 @@
 	w := newWorld(t, 1)
 	h := w.hosts["agent-0"]
 	for n := range failuresBeforeProbation {
-		w.Add(testJob(n, step(1, 100)), w.now)
-		w.round()
-		w.round()
+		w.submit(testJob(n, step(1, 100)))
 		h.end(h.report.Running[0].Task, EndFailed)
 		w.round()
 		w.Cancel(testJob(n).ID, w.now)
@@ -333,9 +313,7 @@
 			h.report.Running[i].Percent = fullPercent
 		}
 	}
-	w.Add(testJob(1, feed), w.now)
-	w.round()
-	w.round()
+	w.submit(testJob(1, feed))
 	atWork()
 	w.round()
 	w.workers.Get("agent-0").health = health{failures: failuresBeforeProbation, at: w.now}
@@ -356,9 +334,7 @@
 // A run that stands still on a worker where nothing moves is moved.
 func TestStalledRunMoves(t *testing.T) {
 	w := newWorld(t, 2)
-	w.Add(testJob(1, step(1, 100)), w.now)
-	w.round()
-	w.round()
+	w.submit(testJob(1, step(1, 100)))
 	first := ""
 	for worker := range w.starts() {
 		first = worker
@@ -381,9 +357,7 @@
 	w := newWorld(t, 2)
 	feed := step(1, 3000)
 	feed.Lasting, feed.TailTarget, feed.Image = true, 100*time.Millisecond, "feed"
-	w.Add(testJob(1, feed), w.now)
-	w.round()
-	w.round()
+	w.submit(testJob(1, feed))
 	w.pressure.of("feed").restore(map[string]float64{"heavy": 0.3})
 	beside := ""
 	for worker := range w.starts() {
@@ -401,9 +375,7 @@
 	// Takes the room on the calm worker.
 	full := step(8, 2000)
 	full.Fills, full.Image, full.Label = true, "other", "calm"
-	w.Add(testJob(2, full), w.now)
-	w.round()
-	w.round()
+	w.submit(testJob(2, full))
 	return w, beside
 }
 
@@ -424,9 +396,7 @@
 	w, beside := besideAFeed(t, 0)
 	heavy := step(1, 2000)
 	heavy.Fills, heavy.Image, heavy.Checkpoints = true, "heavy", true
-	w.Add(testJob(3, heavy), w.now)
-	w.round()
-	w.round()
+	w.submit(testJob(3, heavy))
 	name := Task{Job: testJob(3).ID}.String()
 	where := func() string {
 		for _, h := range w.hosts {
--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -45,15 +45,25 @@
 	return nil
 }
 
-// Decode reads exactly one JSON value of at most limit bytes into v. Unknown
-// fields, trailing data and oversized bodies are refused with coded errors.
-func Decode(r io.Reader, limit int64, v any) error {
+// ReadBody reads a body of at most limit bytes; a larger one is refused with
+// status.ErrBodyTooLarge, one that breaks off with status.ErrMalformedJSON.
+func ReadBody(r io.Reader, limit int64) ([]byte, error) {
 	b, err := io.ReadAll(io.LimitReader(r, limit+1))
 	if err != nil {
-		return errors.WithMessage(status.ErrMalformedJSON, err.Error())
+		return nil, errors.WithMessage(status.ErrMalformedJSON, err.Error())
 	}
 	if int64(len(b)) > limit {
-		return status.ErrBodyTooLarge
+		return nil, status.ErrBodyTooLarge
+	}
+	return b, nil
+}
+
+// Decode reads exactly one JSON value of at most limit bytes into v. Unknown
+// fields, trailing data and oversized bodies are refused with coded errors.
+func Decode(r io.Reader, limit int64, v any) error {
+	b, err := ReadBody(r, limit)
+	if err != nil {
+		return err
 	}
 	return Unmarshal(b, v)
 }
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"net/http"
 	"net/netip"
 	"time"
 
@@ -30,8 +29,6 @@
 	leaseLength = 5 * time.Second
 	// leaseSlack covers the delay of an answer.
 	leaseSlack = 100 * time.Millisecond
-	// driftDivisor gives the share by which the worker's clock may be slow.
-	driftDivisor = 32
 	// silentAfter is how long a worker may owe an answer before it gets no
 	// more work.
 	silentAfter = 900 * time.Millisecond
@@ -86,7 +83,7 @@
 
 // New returns an agent with the given settings.
 func New(cfg platform.Settings, l hclog.Logger) *Agent {
-	a := &Agent{
+	return &Agent{
 		cfg: cfg, log: l,
 		worker:       platform.NewWorker(platform.NewHTTPClient(), cfg.Worker),
 		store:        platform.NewStore(platform.NewHTTPClient(), cfg.Store, platform.WithObserver(process.CountStoreCall)),
@@ -102,7 +99,6 @@
 		workerHealth: process.NewDependency("worker", l),
 		ownerHealth:  process.NewDependency("owner", l),
 	}
-	return a
 }
 
 // Run serves until a stop signal, with the given actors beside it.
@@ -123,10 +119,7 @@
 	process.AddSignals(&g)
 	process.AddListener(&g, bound, stopLimit)
 	process.AddListener(&g, metricsAt, stopLimit)
-	for _, f := range []func(context.Context) error{a.departure, a.renewals, a.quickRenewals, a.reporting, a.polling, a.following} {
-		process.AddActor(&g, f)
-	}
-	for _, f := range actors {
+	for _, f := range append(actors, a.departure, a.renewals, a.quickRenewals, a.reporting, a.polling, a.following) {
 		process.AddActor(&g, f)
 	}
 	event.ProcessStarted.Emit(l, event.Entry(cfg.Name), event.Address(cfg.Control))
@@ -144,38 +137,19 @@
 	a.renew(ctx, 0)
 }
 
-// signal wakes the reader of c, without waiting for it.
-func signal(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
-
-// pause waits for d, or until ctx ends or wake is signalled.
-func pause(ctx context.Context, d time.Duration, wake <-chan struct{}) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	case <-wake:
-	}
-}
-
 // renewals keeps one renewal waiting at the worker.
 func (a *Agent) renewals(ctx context.Context) error {
 	for ctx.Err() == nil {
 		r, ok := a.state.nextRenewal()
 		switch {
 		case !ok:
-			pause(ctx, retryPause, nil)
+			process.Pause(ctx, retryPause, nil)
 			continue
 		case r.unacknowledged:
-			pause(ctx, acknowledgeWait, a.acknowledged)
+			process.Pause(ctx, acknowledgeWait, a.acknowledged)
 		}
 		if !a.renew(ctx, waitFor(r)) {
-			pause(ctx, retryPause, nil)
+			process.Pause(ctx, retryPause, nil)
 		}
 	}
 	return nil
@@ -201,12 +175,12 @@
 		case <-a.kick:
 		}
 		for ctx.Err() == nil && !a.renew(ctx, 0) {
-			pause(ctx, retryPause, nil)
+			process.Pause(ctx, retryPause, nil)
 			if _, ok := a.state.nextRenewal(); !ok {
 				break
 			}
 		}
-		signal(a.acknowledged)
+		process.Wake(a.acknowledged)
 	}
 	return nil
 }
@@ -233,11 +207,11 @@
 	a.workerHealth.Observe(err)
 	if err != nil {
 		renewFailures.Inc()
-		signal(a.changed)
+		process.Wake(a.changed)
 		return false
 	}
 	if a.state.listed(r, runs, asked, time.Now()) {
-		signal(a.changed)
+		process.Wake(a.changed)
 	}
 	a.forgetUnanswered(ctx, r)
 	a.throttleFilling(ctx, r)
@@ -267,17 +241,12 @@
 	throttleOrders.Add(len(commands))
 	event.TasksThrottled.Emit(a.log, event.Worker(r.worker), event.Count(len(commands)), event.Throttle(commands[0].share))
 	for _, c := range commands {
-		a.slots <- struct{}{}
-		go func() {
-			defer func() { <-a.slots }()
+		a.inSlot(ctx, func() {
 			limited, cancel := context.WithTimeout(ctx, callLimit)
 			defer cancel()
 			if _, err := a.worker.Throttle(limited, r.worker, c.task, c.run, r.epoch, c.share); err != nil {
 				a.state.untold(c.runKey)
 			}
-		}()
+		})
 	}
 }
-
-// Handler serves the worker's heartbeats.
-func (a *Agent) Handler() http.Handler { return a.newServer() }
--- a/io/agent/orders.go
+++ b/io/agent/orders.go
@@ -6,6 +6,7 @@
 
 	"rosemarygap/core/event"
 	"rosemarygap/core/job"
+	"rosemarygap/io/process"
 	"rosemarygap/platform"
 
 	"github.com/pkg/errors"
@@ -14,20 +15,28 @@
 // carryOut carries orders out, several at a time.
 func (a *Agent) carryOut(ctx context.Context, orders []job.Order, epoch int64) {
 	for _, o := range orders {
-		select {
-		case a.slots <- struct{}{}:
-		case <-ctx.Done():
-			return
-		}
-		go func() {
-			defer func() { <-a.slots }()
+		a.inSlot(ctx, func() {
 			begin := time.Now()
 			outcome := a.carryOutOne(ctx, o, epoch)
 			countOrder(o.Kind, outcome, time.Since(begin))
 			event.OrderCarriedOut.Emit(a.log, event.Task(o.Task), event.Attempt(int(o.Run)), event.Worker(o.Worker),
 				event.Decision(string(o.Kind)), event.Outcome(outcome), event.Elapsed(time.Since(begin)), event.Epoch(epoch))
-		}()
+		})
+	}
+}
+
+// inSlot calls f beside at most parallelOrders others, once there is room; it
+// does not if ctx ends before.
+func (a *Agent) inSlot(ctx context.Context, f func()) {
+	select {
+	case a.slots <- struct{}{}:
+	case <-ctx.Done():
+		return
 	}
+	go func() {
+		defer func() { <-a.slots }()
+		f()
+	}()
 }
 
 func (a *Agent) carryOutOne(ctx context.Context, o job.Order, epoch int64) string {
@@ -79,7 +88,7 @@
 // over reports that a run never starts, after a list that was asked for now.
 func (a *Agent) over(o job.Order, reason string) {
 	a.state.decide(o, runOver, reason, time.Now())
-	signal(a.kick)
+	process.Wake(a.kick)
 }
 
 // stop stops a run until the worker has answered.
@@ -104,7 +113,7 @@
 			a.over(o, "stopped")
 			return "refused"
 		}
-		pause(ctx, retryPause, nil)
+		process.Pause(ctx, retryPause, nil)
 	}
 	return "stopping"
 }
--- a/io/agent/owner.go
+++ b/io/agent/owner.go
@@ -85,8 +85,8 @@
 	}
 	event.OwnerFollowed.Emit(a.log, event.Epoch(o.Epoch), event.Address(o.Address))
 	a.state.enter(o.Epoch)
-	signal(a.kick)
-	signal(a.changed)
+	process.Wake(a.kick)
+	process.Wake(a.changed)
 }
 
 // following learns of owners from the store.
@@ -99,7 +99,7 @@
 		}
 		store.Observe(err)
 		if err != nil {
-			pause(ctx, retryPause*2, nil)
+			process.Pause(ctx, retryPause*2, nil)
 		}
 	}
 	return nil
@@ -170,7 +170,7 @@
 // reporting tells the owner of the worker.
 func (a *Agent) reporting(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause(ctx, reportEvery, a.changed)
+		process.Pause(ctx, reportEvery, a.changed)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -178,8 +178,8 @@
 		a.ownerHealth.Observe(err)
 		if err != nil {
 			a.search(ctx)
-			pause(ctx, searchPause, nil)
-			signal(a.changed)
+			process.Pause(ctx, searchPause, nil)
+			process.Wake(a.changed)
 		}
 	}
 	return nil
@@ -189,7 +189,7 @@
 func (a *Agent) polling(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if err := a.report(ctx, true); err != nil {
-			pause(ctx, searchPause, nil)
+			process.Pause(ctx, searchPause, nil)
 		}
 	}
 	return nil
@@ -203,7 +203,7 @@
 	}
 	r := a.state.report(a.cfg.Name, wait, time.Now())
 	if r.Worker == nil {
-		pause(ctx, reportEvery, nil)
+		process.Pause(ctx, reportEvery, nil)
 		return nil
 	}
 	client := a.reports
@@ -223,7 +223,7 @@
 	a.state.forgetAbsent(r.Absent)
 	orders, acknowledged := a.state.apply(&reply, time.Now())
 	if acknowledged {
-		signal(a.kick)
+		process.Wake(a.kick)
 	}
 	a.carryOut(ctx, orders, reply.Epoch)
 	return nil
@@ -244,7 +244,7 @@
 		if err == nil {
 			return pauseUntilEnd(ctx)
 		}
-		pause(ctx, retryPause, nil)
+		process.Pause(ctx, retryPause, nil)
 	}
 	return nil
 }
--- a/io/agent/server.go
+++ b/io/agent/server.go
@@ -1,12 +1,13 @@
 package agent
 
 import (
-	"io"
 	"net/http"
 
 	"rosemarygap/core/event"
 	"rosemarygap/core/status"
+	"rosemarygap/core/wire"
 	"rosemarygap/io/httpjson"
+	"rosemarygap/io/process"
 	"rosemarygap/platform"
 
 	"github.com/labstack/echo/v4"
@@ -15,8 +16,8 @@
 // maxHeartbeat is the largest accepted heartbeat, in bytes.
 const maxHeartbeat = 64 << 10
 
-// newServer serves heartbeats and departures of the worker.
-func (a *Agent) newServer() http.Handler {
+// Handler serves heartbeats and departures of the worker.
+func (a *Agent) Handler() http.Handler {
 	e := httpjson.NewServer()
 	e.PUT(platform.HeartbeatPath, a.takeHeartbeat)
 	e.DELETE(platform.HeartbeatPath, a.takeDeparture)
@@ -24,12 +25,9 @@
 }
 
 func (a *Agent) takeHeartbeat(x echo.Context) error {
-	b, err := io.ReadAll(io.LimitReader(x.Request().Body, maxHeartbeat+1))
+	b, err := wire.ReadBody(x.Request().Body, maxHeartbeat)
 	if err != nil {
-		return status.ErrMalformedJSON
-	}
-	if len(b) > maxHeartbeat {
-		return status.ErrBodyTooLarge
+		return err
 	}
 	w, err := platform.DecodeHeartbeat(x.Param("id"), b)
 	if err == nil && w.Address != a.cfg.Worker {
@@ -46,8 +44,8 @@
 			state = "draining"
 		}
 		event.WorkerSeen.Emit(a.log, event.Worker(w.ID), event.State(state), event.Incarnation(w.Incarnation))
-		signal(a.kick)
-		signal(a.changed)
+		process.Wake(a.kick)
+		process.Wake(a.changed)
 	}
 	return x.JSON(http.StatusOK, struct{}{})
 }
@@ -56,8 +54,8 @@
 	id := x.Param("id")
 	if a.state.leave(id) {
 		event.WorkerSeen.Emit(a.log, event.Worker(id), event.State("left"), event.Incarnation(0))
-		signal(a.changed)
-		signal(a.departed)
+		process.Wake(a.changed)
+		process.Wake(a.departed)
 	}
 	return x.JSON(http.StatusOK, struct{}{})
 }
--- a/io/agent/state.go
+++ b/io/agent/state.go
@@ -175,7 +175,7 @@
 		return 0, false
 	}
 	left := s.deadline - s.clock
-	return silent, silent > left+left/driftDivisor+leaseSlack
+	return silent, silent > job.Drift(left)+leaseSlack
 }
 
 // apply takes in the owner's reply and returns the orders to carry out.
--- a/io/agent/throttle.go
+++ b/io/agent/throttle.go
@@ -78,10 +78,9 @@
 		t := traits[r.Task]
 		switch {
 		case t.TailTarget > 0:
-			tail := time.Duration(r.Load) * time.Millisecond
-			f.busy[t.Image] = max(f.busy[t.Image], job.Busy(float64(tail)/float64(t.TailTarget)))
+			f.busy[t.Image] = max(f.busy[t.Image], r.Busy(t.TailTarget))
 		case t.Fills:
-			f.used[t.Image] += float64(r.Load) / 1000
+			f.used[t.Image] += r.Processors()
 		}
 	}
 	return f
--- a/io/entry/admin.go
+++ b/io/entry/admin.go
@@ -6,8 +6,8 @@
 
 	"rosemarygap/core/status"
 	"rosemarygap/io/httpjson"
+	"rosemarygap/io/process"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/labstack/echo/v4"
 )
 
@@ -34,10 +34,7 @@
 // newAdminHandler serves metrics, liveness and readiness.
 func newAdminHandler(c *control) http.Handler {
 	e := httpjson.NewServer()
-	e.GET("/metrics", func(x echo.Context) error {
-		metrics.WritePrometheus(x.Response(), true)
-		return nil
-	})
+	e.GET("/metrics", process.ServeMetrics)
 	e.GET("/live", func(x echo.Context) error { return x.JSON(http.StatusOK, c.identity()) })
 	e.GET("/ready", func(x echo.Context) error {
 		st := c.identity()
--- a/io/entry/registration.go
+++ b/io/entry/registration.go
@@ -10,6 +10,7 @@
 	coreplatform "rosemarygap/core/platform"
 	"rosemarygap/core/status"
 	"rosemarygap/io/platform"
+	"rosemarygap/io/process"
 
 	"github.com/pkg/errors"
 )
@@ -141,22 +142,12 @@
 	c.start(ctx, func(ctx context.Context) message {
 		ch, err := c.store.Watch(ctx, coreplatform.ControlPrefix, after)
 		if err != nil {
-			sleep(ctx, watchRetry)
+			process.Pause(ctx, watchRetry, nil)
 		}
 		return watchResult{ch, err}
 	})
 }
 
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func (m watchResult) handle(c *control, now time.Time) {
 	c.watching = false
 	c.noteStore(m.err, now)
--- a/io/process/metrics.go
+++ b/io/process/metrics.go
@@ -19,13 +19,16 @@
 // MetricsHandler serves the metrics of the process as text under /metrics.
 func MetricsHandler() http.Handler {
 	e := httpjson.NewServer()
-	e.GET("/metrics", func(x echo.Context) error {
-		metrics.WritePrometheus(x.Response(), true)
-		return nil
-	})
+	e.GET("/metrics", ServeMetrics)
 	return e
 }
 
+// ServeMetrics answers with the metrics of the process as text.
+func ServeMetrics(x echo.Context) error {
+	metrics.WritePrometheus(x.Response(), true)
+	return nil
+}
+
 // StopReason returns the code of the error that a process ends with, or "".
 func StopReason(err error) status.Code {
 	if err == nil {
--- a/io/scheduler/caller.go
+++ b/io/scheduler/caller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -10,7 +9,9 @@
 	"rosemarygap/core/event"
 	"rosemarygap/core/job"
 	"rosemarygap/core/status"
+	"rosemarygap/core/wire"
 	"rosemarygap/io/httpjson"
+	"rosemarygap/io/process"
 	"rosemarygap/platform"
 
 	"github.com/labstack/echo/v4"
@@ -131,12 +132,9 @@
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
-	b, err := io.ReadAll(io.LimitReader(r.Request().Body, limit+1))
+	b, err := wire.ReadBody(r.Request().Body, limit)
 	if err != nil {
-		return job.Job{}, status.ErrMalformedJSON
-	}
-	if int64(len(b)) > limit {
-		return job.Job{}, status.ErrBodyTooLarge
+		return job.Job{}, err
 	}
 	j, err := platform.DecodeJob(b)
 	if err != nil {
@@ -189,7 +187,7 @@
 		case !doubt && time.Since(begin) > refusalPatience:
 			return 0, err
 		}
-		sleep(ctx, tryPause)
+		process.Pause(ctx, tryPause, nil)
 		if ctx.Err() != nil {
 			if doubt {
 				return 0, errUnknownOutcome
@@ -216,23 +214,29 @@
 	return r.JSONBlob(http.StatusOK, platform.EncodeState(state))
 }
 
-// readState reads a job's state from the store. The job's own key goes away
+// findJob reads what the store has of a job: its own item, with live true, or
+// that of its final state, or platform.ErrNotFound. The job's own key goes away
 // when its final state appears, so it is read first.
+func (s *Scheduler) findJob(ctx context.Context, id string) (i platform.Item, live bool, err error) {
+	i, err = s.readForCaller(ctx, job.JobKey(id))
+	if errors.Is(err, platform.ErrNotFound) {
+		i, err = s.readForCaller(ctx, job.FinalKey(id))
+		return i, false, err
+	}
+	return i, true, err
+}
+
+// readState reads a job's state from the store.
 func (s *Scheduler) readState(ctx context.Context, id string) (job.State, error) {
-	for _, key := range []string{job.JobKey(id), job.FinalKey(id)} {
-		i, err := s.readForCaller(ctx, key)
-		if errors.Is(err, platform.ErrNotFound) {
-			continue
-		}
-		if err != nil {
-			return "", err
-		}
-		if key == job.JobKey(id) {
-			return job.Queued, nil
-		}
+	i, live, err := s.findJob(ctx, id)
+	switch {
+	case err != nil:
+		return "", err
+	case live:
+		return job.Queued, nil
+	default:
 		return finalState(i)
 	}
-	return "", platform.ErrNotFound
 }
 
 // readForCaller repeats a read until the store answers or the deadline comes.
@@ -244,7 +248,7 @@
 		if err == nil || errors.Is(err, platform.ErrNotFound) {
 			return i, err
 		}
-		sleep(ctx, tryPause)
+		process.Pause(ctx, tryPause, nil)
 		if ctx.Err() != nil {
 			return i, err
 		}
@@ -280,16 +284,14 @@
 	revision := v.revision
 	for ctx.Err() == nil {
 		if revision == 0 {
-			i, err := s.readForCaller(ctx, job.JobKey(id))
-			if errors.Is(err, platform.ErrNotFound) {
-				_, err = s.readForCaller(ctx, job.FinalKey(id))
-				if errors.Is(err, platform.ErrNotFound) {
-					return false, nil
-				}
-				return err == nil, err
-			}
-			if err != nil {
+			i, live, err := s.findJob(ctx, id)
+			switch {
+			case errors.Is(err, platform.ErrNotFound):
+				return false, nil
+			case err != nil:
 				return false, err
+			case !live:
+				return true, nil
 			}
 			revision = i.Revision
 		}
--- a/io/scheduler/election.go
+++ b/io/scheduler/election.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"rosemarygap/core/job"
+	"rosemarygap/io/process"
 	"rosemarygap/platform"
 
 	"github.com/pkg/errors"
@@ -50,7 +51,7 @@
 // campaign claims the ownership whenever nobody holds it, and keeps it.
 func (s *Scheduler) campaign(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, campaignPause)
+		process.Pause(ctx, campaignPause, nil)
 		if !s.mirror.synced.Load() || s.stopping.Load() {
 			continue
 		}
@@ -58,7 +59,7 @@
 			continue
 		}
 		delay := time.Duration(float64(campaignDelay) / max(s.cfg.Share, minShare))
-		sleep(ctx, delay+rand.N(campaignJitter))
+		process.Pause(ctx, delay+rand.N(campaignJitter), nil)
 		if _, alive := s.mirror.ownership(); alive || s.stopping.Load() || ctx.Err() != nil {
 			continue
 		}
--- a/io/scheduler/mirror.go
+++ b/io/scheduler/mirror.go
@@ -43,8 +43,6 @@
 	// live is true while the job's own key is there; revision is that key's.
 	live     bool
 	revision int64
-	// timed jobs wait for their time.
-	timed bool
 }
 
 // shown returns the state that callers are told.
@@ -141,12 +139,12 @@
 		}
 		m.health.Observe(err)
 		if err != nil {
-			sleep(ctx, readPause)
+			process.Pause(ctx, readPause, nil)
 			continue
 		}
 		revision = next
 		if !m.leading.Load() {
-			sleep(ctx, followerPause)
+			process.Pause(ctx, followerPause, nil)
 		}
 	}
 	return nil
@@ -283,11 +281,10 @@
 	}
 	v.revision = i.Revision
 	var head struct {
-		Queue    string       `json:"queue"`
-		Schedule job.Schedule `json:"schedule"`
+		Queue string `json:"queue"`
 	}
 	err := json.Unmarshal(i.Value, &head)
-	v.queue, v.timed = head.Queue, head.Schedule.Times > 0
+	v.queue = head.Queue
 	return err
 }
 
@@ -305,7 +302,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	v := m.row(j.ID)
-	v.queue, v.live, v.timed = j.Queue, true, j.Schedule.Times > 0
+	v.queue, v.live = j.Queue, true
 	v.revision = max(v.revision, revision)
 }
 
@@ -329,7 +326,7 @@
 		if errors.Is(err, platform.ErrCompacted) {
 			revision = 0
 		} else if err != nil {
-			sleep(ctx, readPause)
+			process.Pause(ctx, readPause, nil)
 		}
 	}
 	return nil
@@ -355,7 +352,7 @@
 func (m *mirror) checkConfiguration(ctx context.Context) error {
 	last := int64(0)
 	for ctx.Err() == nil {
-		sleep(ctx, configurationEvery)
+		process.Pause(ctx, configurationEvery, nil)
 		limited, cancel := context.WithTimeout(ctx, readLimit)
 		i, err := m.store.Get(limited, platform.ConfigurationKey)
 		cancel()
@@ -405,16 +402,6 @@
 	}
 }
 
-// sleep waits for d or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // finalState reads the state of a job that has ended.
 func finalState(i platform.Item) (job.State, error) {
 	var f job.Final
--- a/io/scheduler/notice.go
+++ b/io/scheduler/notice.go
@@ -9,6 +9,7 @@
 	"rosemarygap/core/job"
 	"rosemarygap/core/status"
 	"rosemarygap/io/httpjson"
+	"rosemarygap/io/process"
 
 	"github.com/labstack/echo/v4"
 )
@@ -49,11 +50,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), notifyLimit)
 		defer cancel()
 		// The watch brings the change as well, so a lost notice only delays it.
-		if err := s.peers.Call(ctx, http.MethodPost, o.Address, noticePath, &n, nil); err != nil {
-			s.noticeHealth.Observe(err)
-			return
-		}
-		s.noticeHealth.Observe(nil)
+		s.noticeHealth.Observe(s.peers.Call(ctx, http.MethodPost, o.Address, noticePath, &n, nil))
 	}()
 }
 
@@ -94,12 +91,7 @@
 }
 
 // seekProof makes the election prove the ownership at once.
-func (s *Scheduler) seekProof() {
-	select {
-	case s.prove <- struct{}{}:
-	default:
-	}
-}
+func (s *Scheduler) seekProof() { process.Wake(s.prove) }
 
 // proved takes in the notices that arrived before a proof began.
 func (c *control) proved(began time.Time) {
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -106,11 +106,8 @@
 		process.AddListener(&g, bound, stopLimit)
 	}
 	c := newControl(s)
-	for _, f := range []func(context.Context) error{c.run, s.mirror.follow, s.mirror.followConfiguration,
-		s.mirror.checkConfiguration, s.campaign, s.consult} {
-		process.AddActor(&g, f)
-	}
-	for _, f := range actors {
+	for _, f := range append(actors, c.run, s.mirror.follow, s.mirror.followConfiguration,
+		s.mirror.checkConfiguration, s.campaign, s.consult) {
 		process.AddActor(&g, f)
 	}
 	event.ProcessStarted.Emit(l, event.Entry(cfg.Name), event.Address(cfg.Caller))
@@ -133,7 +130,7 @@
 	event.ProcessStopping.Emit(s.log, event.Entry(s.cfg.Name))
 	s.stopping.Store(true)
 	close(s.stop)
-	sleep(ctx, drainTime)
+	process.Pause(ctx, drainTime, nil)
 	return nil
 }
 
@@ -149,12 +146,7 @@
 }
 
 // suspect makes the election give the ownership up.
-func (s *Scheduler) suspect() {
-	select {
-	case s.deposed <- struct{}{}:
-	default:
-	}
-}
+func (s *Scheduler) suspect() { process.Wake(s.deposed) }
 
 // readinessHandler answers the platform's balancer.
 func (s *Scheduler) readinessHandler() http.Handler {
--- a/io/standin/fleet/soak_test.go
+++ b/io/standin/fleet/soak_test.go
@@ -77,8 +77,7 @@
 }
 
 func soak(t *testing.T, seed uint64) {
-	r := &run{deployment: newDeployment(t, int(seed), 3, *agentsOf), rng: rand.New(rand.NewPCG(seed, 0)),
-		final: map[string]bool{}, served: map[string]int64{}}
+	r := newRun(t, int(seed), 3, *agentsOf)
 	defer func() {
 		if t.Failed() {
 			r.keepLogs(seed)
