--- a/io/process/process.go
+++ b/io/process/process.go
@@ -38,17 +38,25 @@
 // AddSignals adds an actor to g that ends at SIGTERM or SIGINT.
 func AddSignals(g *run.Group) {
 	AddActor(g, func(ctx context.Context) error {
-		c := make(chan os.Signal, 1)
-		signal.Notify(c, syscall.SIGTERM, os.Interrupt)
-		defer signal.Stop(c)
-		select {
-		case <-c:
-		case <-ctx.Done():
-		}
+		AwaitStop(ctx)
 		return nil
 	})
 }
 
+// AwaitStop waits for SIGTERM or SIGINT and reports whether one came before
+// ctx ended.
+func AwaitStop(ctx context.Context) bool {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(c)
+	select {
+	case <-c:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // AddListener adds a server to g that gets limit to finish its requests.
 func AddListener(g *run.Group, l *httpjson.Listener, limit time.Duration) {
 	stopped := make(chan error, 1)
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -11,10 +11,7 @@
 	"context"
 	"net/http"
 	"net/netip"
-	"os"
-	"os/signal"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"rosemarygap/core/event"
@@ -119,12 +116,7 @@
 // awaitStop returns some time after a stop signal, in which callers are
 // still served and another entry takes the ownership over.
 func (s *Scheduler) awaitStop(ctx context.Context) error {
-	c := make(chan os.Signal, 1)
-	signal.Notify(c, syscall.SIGTERM, os.Interrupt)
-	defer signal.Stop(c)
-	select {
-	case <-c:
-	case <-ctx.Done():
+	if !process.AwaitStop(ctx) {
 		return nil
 	}
 	event.ProcessStopping.Emit(s.log, event.Entry(s.cfg.Name))
--- a/io/standin/deployment/repeats_test.go
+++ b/io/standin/deployment/repeats_test.go
@@ -43,6 +43,16 @@
 	return o, w.Header.Get(iocaller.HeaderCode)
 }
 
+// awaitBookings waits until each entry answers a booking.
+func awaitBookings(d *Deployment, c *http.Client) {
+	for _, e := range d.Entries {
+		d.Eventually("a first booking at "+e.ID, 10*time.Second, func() bool {
+			o, _ := book(c, e.Caller, uuid.Must(uuid.NewV7()).String())
+			return o == caller.Answered
+		})
+	}
+}
+
 // bookings sends every id several times through all entries in turn, as a
 // caller or balancer does that gets no answer in time.
 type bookings struct {
@@ -83,12 +93,7 @@
 	}
 	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	defer c.CloseIdleConnections()
-	for _, e := range d.Entries {
-		d.Eventually("a first booking at "+e.ID, 10*time.Second, func() bool {
-			o, _ := book(c, e.Caller, uuid.Must(uuid.NewV7()).String())
-			return o == caller.Answered
-		})
-	}
+	awaitBookings(d, c)
 	// The entries' views of one another settle: lease and clock skew.
 	time.Sleep(9 * time.Second)
 	// healthy is how many bookings are sent well before the first fault.
@@ -154,12 +159,7 @@
 	end := d.StartEndpoint("endpoint-0", "catalogue", "kelowna")
 	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	defer c.CloseIdleConnections()
-	for _, e := range d.Entries {
-		d.Eventually("a first booking at "+e.ID, 10*time.Second, func() bool {
-			o, _ := book(c, e.Caller, uuid.Must(uuid.NewV7()).String())
-			return o == caller.Answered
-		})
-	}
+	awaitBookings(d, c)
 	time.Sleep(4 * time.Second) // two keep-alives: all know the same members
 	d.Fault(d.Store.Address, "/faults", map[string]bool{"down": true})
 	time.Sleep(6 * time.Second) // longer than the entries' leases
@@ -195,12 +195,7 @@
 	d.StartEndpoint("endpoint-0", "catalogue", "kelowna")
 	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
 	defer c.CloseIdleConnections()
-	for _, e := range d.Entries {
-		d.Eventually("a first booking at "+e.ID, 10*time.Second, func() bool {
-			o, _ := book(c, e.Caller, uuid.Must(uuid.NewV7()).String())
-			return o == caller.Answered
-		})
-	}
+	awaitBookings(d, c)
 	time.Sleep(9 * time.Second) // the entries' views of one another settle
 	const ids = 60
 	answered := 0
