core/job: a late success of an earlier run ends its task; age of the joined event

Cause: finishTask stopped a later run of a task whose earlier run had ended as done, but did not count the task as done, so run 3 started once run 2 had ended. Change: markDone also takes an assigned task; its run keeps its capacity until it has ended. An occurrence of a schedule is removed only once none of its tasks is assigned. A worker row gets the time of its first report before the event. The scheduled case is new.

--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -85,7 +85,11 @@
 
 // FinishLoaded completes the loaded occurrences and jobs whose tasks were all
 // done.
-func (c *Cell) FinishLoaded(now time.Time) {
+func (c *Cell) FinishLoaded(now time.Time) { c.completeOccurrences(now) }
+
+// completeOccurrences completes the occurrences whose tasks are all done and of
+// which no task is assigned any more.
+func (c *Cell) completeOccurrences(now time.Time) {
 	for _, j := range c.jobs.All {
 		for _, o := range slices.Clone(j.occurrences) {
 			if o.isComplete() {
@@ -229,14 +233,20 @@
 	}
 }
 
-// releaseTask frees the capacity of an assigned task, which then waits again.
+// releaseTask frees the capacity of an assigned task, which then waits again
+// unless it is done.
 func (c *Cell) releaseTask(s *stepRow, t *taskRow) {
 	if t.state != taskAssigned {
 		return
 	}
 	t.worker.reserveCapacity(t.name.Job, s.spec, -1)
 	delete(t.worker.tasks, t.name)
-	t.state, t.worker = taskWaiting, nil
+	t.worker = nil
+	if t.succeeded {
+		t.state, t.succeeded = taskDone, false
+		return
+	}
+	t.state = taskWaiting
 	s.waiting++
 }
 
@@ -273,6 +283,7 @@
 		c.expireWorkers(now)
 		c.moveStuckTasks(now)
 		c.moveThrottledTasks(now)
+		c.completeOccurrences(now)
 		c.dropEndedJobs()
 	}
 	c.placeTasks(now)
--- a/core/job/durable.go
+++ b/core/job/durable.go
@@ -174,9 +174,15 @@
 }
 
 func (j *jobRow) hasAssignedTasks() bool {
-	for _, t := range j.tasks {
-		if t.state == taskAssigned {
-			return true
+	return slices.ContainsFunc(j.occurrences, (*occurrenceRow).hasAssignedTasks)
+}
+
+func (o *occurrenceRow) hasAssignedTasks() bool {
+	for i := range o.steps {
+		for n := range o.steps[i].tasks {
+			if o.steps[i].tasks[n].state == taskAssigned {
+				return true
+			}
 		}
 	}
 	return false
--- a/core/job/late_success_test.go
+++ b/core/job/late_success_test.go
@@ -15,8 +15,16 @@
 // incarnation, lists the end of run 1 because that was not acknowledged. If the
 // owner only stops run 2 and does not count the task as done, it starts run 3.
 func TestLateSuccessOfEarlierRunEndsTask(t *testing.T) {
+	t.Run("once", func(t *testing.T) { checkLateSuccess(t, testJob(1, step(1, 100))) })
+	t.Run("scheduled", func(t *testing.T) {
+		j := testJob(1, step(1, 100))
+		j.Schedule = Schedule{First: time.Unix(1000, 0), Times: 1}
+		checkLateSuccess(t, j)
+	})
+}
+
+func checkLateSuccess(t *testing.T, j Job) {
 	tc := newTestCluster(t, 2)
-	j := testJob(1, step(1, 100))
 	tc.submit(j)
 	first, second := tc.testWorkers["agent-0"], tc.testWorkers["agent-1"]
 	if len(first.report.Running) == 0 {
--- a/core/job/progress.go
+++ b/core/job/progress.go
@@ -53,7 +53,7 @@
 				if len(t.failedRuns) > 0 {
 					p.Failures[key] = slices.Clone(t.failedRuns)
 				}
-				if t.checkpoint != "" && t.state != taskDone {
+				if t.checkpoint != "" && !t.isDone() {
 					p.Checkpoints[key] = t.checkpoint
 				}
 			}
@@ -65,7 +65,7 @@
 func (s *stepRow) bitmap() string {
 	b := make([]byte, (len(s.tasks)+7)/8)
 	for i := range s.tasks {
-		if s.tasks[i].state == taskDone {
+		if s.tasks[i].isDone() {
 			b[i/8] |= 1 << (i % 8)
 		}
 	}
@@ -140,16 +140,19 @@
 	return t, nil
 }
 
-// markDone marks a waiting or assigned task as done.
+// markDone marks a task as done. The current run of an assigned task keeps its
+// capacity until it has ended.
 func (s *stepRow) markDone(t *taskRow) {
-	if t.state == taskDone {
+	if t.isDone() {
 		return
 	}
-	if t.state == taskWaiting {
-		s.waiting--
+	s.done++
+	if t.state == taskAssigned {
+		t.succeeded = true
+		return
 	}
+	s.waiting--
 	t.state = taskDone
-	s.done++
 }
 
 func parseInts(key string, n int) ([]int, error) {
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -32,7 +32,7 @@
 		return false
 	}
 	if w == nil {
-		w = c.workers.Put(r.Agent, workerRow{agent: r.Agent, Worker: *r.Worker, process: r.Process,
+		w = c.workers.Put(r.Agent, workerRow{agent: r.Agent, Worker: *r.Worker, process: r.Process, lastReport: now,
 			tasks: map[Task]*taskRow{}, servingTasks: map[servingJob]int{}, bestEffortByImage: usage{}})
 		c.logEvent(EventWorker, nil, w, "joined", now)
 	}
@@ -217,7 +217,7 @@
 	w.pendingEnds = append(w.pendingEnds, pendingEnd{e.Number, j.ID})
 	assigned := t.state == taskAssigned && t.worker == w && t.run == e.Run
 	c.logEvent(EventEnd, t, w, string(e.Outcome), now)
-	if e.Checkpoint != "" && t.state != taskDone {
+	if e.Checkpoint != "" && !t.isDone() {
 		t.checkpoint = e.Checkpoint
 		j.dirty = true
 	}
@@ -269,17 +269,16 @@
 }
 
 func (c *Cell) finishTask(j *jobRow, s *stepRow, t *taskRow, now time.Time) {
-	if s.spec.LongRunning || t.state == taskDone {
+	if s.spec.LongRunning || t.isDone() {
 		return
 	}
 	o := j.occurrence(t.name.Occurrence)
 	finish := func(t *taskRow) {
+		s.markDone(t)
 		if t.state == taskAssigned {
 			// Another run of the task may still be executing and must stop.
 			c.stopTask(t, "done-elsewhere", now)
-			return
 		}
-		s.markDone(t)
 	}
 	if s.spec.Gang {
 		for i := range s.tasks {
@@ -294,10 +293,13 @@
 	}
 }
 
-// completeOccurrence removes a completed occurrence of a scheduled job. It ends
-// the job after the last occurrence.
+// completeOccurrence removes a completed occurrence of a scheduled job once none
+// of its tasks is assigned. It ends the job after the last occurrence.
 func (c *Cell) completeOccurrence(j *jobRow, o *occurrenceRow, now time.Time) {
 	if j.Schedule.Times > 0 {
+		if o.hasAssignedTasks() {
+			return
+		}
 		for i, other := range j.occurrences {
 			if other == o {
 				j.occurrences = append(j.occurrences[:i], j.occurrences[i+1:]...)
@@ -314,7 +316,7 @@
 // queue.
 func (c *Cell) failTask(j *jobRow, s *stepRow, t *taskRow, w *workerRow, run int64, now time.Time) {
 	// The members of a gang fail together: each counts the same run as failed.
-	if slices.Contains(t.failedRuns, run) || t.state == taskDone {
+	if slices.Contains(t.failedRuns, run) || t.isDone() {
 		return
 	}
 	t.failedOn = append(t.failedOn, w.ID)
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -55,6 +55,9 @@
 	lastListed time.Time
 	// stopping is true once the run has been ordered to stop.
 	stopping bool
+	// succeeded is true if an earlier run of the assigned task ended as done. The
+	// task counts as done; the current run only has to end.
+	succeeded bool
 	// notBefore is the earliest next start after a refusal.
 	notBefore time.Time
 }
@@ -63,13 +66,17 @@
 type stepRow struct {
 	spec  *Step
 	tasks []taskRow
-	done  int
+	// done counts the tasks for which isDone is true.
+	done int
 	// waiting counts the tasks in state taskWaiting.
 	waiting int
 	// tickets are the tickets of the advisor, for queues that require them.
 	tickets advisorTickets
 }
 
+// isDone reports whether a run of the task has ended as done.
+func (t *taskRow) isDone() bool { return t.state == taskDone || t.succeeded }
+
 // occurrenceRow is the state of one execution of a job's steps.
 type occurrenceRow struct {
 	number int
