io/operator: drains of one page, numbers with leading zeros, fixed help texts

Causes: all drain forms of a page share a change id, so the second drain was taken for a repetition; a number with leading zeros is no JSON; collectHelp iterated over a map. Change: the change id in the configuration names the worker; leading zeros are dropped; keys are visited in order.

--- a/io/operator/drain.go
+++ b/io/operator/drain.go
@@ -32,10 +32,19 @@
 	return respondToChange(c, accepted, errResp)
 }
 
+// changeIDFor returns the id of the change in the configuration. It differs for
+// each worker, since the forms of one page have one change id.
+func (r *DrainRequest) changeIDFor(worker string) string {
+	if r.ChangeID == "" {
+		return ""
+	}
+	return r.ChangeID + "/" + worker
+}
+
 // setDraining starts or ends the draining of one worker in the newest document.
 // The change depends on no other value of the document, so it is retried after a
-// conflict. If a recent change has the change id of req, setDraining returns the
-// newest configuration without a further change.
+// conflict. If a recent change of the worker has the change id of req,
+// setDraining returns the newest configuration without a further change.
 func (s *Server) setDraining(ctx context.Context, worker string, req DrainRequest) (accepted *core.AcceptedConfig, errResp *ErrorResponse) {
 	for range maxDrainAttempts {
 		latest, err := readConfig(ctx, s.store, s.control.Snapshot().Config)
@@ -45,7 +54,7 @@
 		if latest.config.Revision == 0 {
 			return nil, s.rejectChange(status.RetryIn(status.ErrNoConfiguration, configRetryDelay))
 		}
-		if latest.config.HasRecentChange(req.ChangeID) {
+		if latest.config.HasRecentChange(req.changeIDFor(worker)) {
 			return latest.config, nil
 		}
 		accepted, errResp = s.applyDraining(ctx, latest.config, worker, req)
@@ -64,5 +73,5 @@
 	if err != nil {
 		return nil, s.rejectChange(errors.Wrap(err, "encode document"))
 	}
-	return s.applyChange(ctx, editRequest{base.Revision, req.ChangeID, b})
+	return s.applyChange(ctx, editRequest{base.Revision, req.changeIDFor(worker), b})
 }
--- a/io/operator/form.go
+++ b/io/operator/form.go
@@ -52,6 +52,17 @@
 // matches leading zeros, which JSON doesn't allow.
 var integerText = regexp.MustCompile(`^-?[0-9]{1,18}$`)
 
+// withoutLeadingZeros returns an integer that matches integerText in the notation
+// of JSON.
+func withoutLeadingZeros(integer string) string {
+	digits, negative := strings.CutPrefix(integer, "-")
+	digits = strings.TrimLeft(digits[:len(digits)-1], "0") + digits[len(digits)-1:]
+	if negative {
+		return "-" + digits
+	}
+	return digits
+}
+
 // fieldName returns the JSON name of a struct field, and whether the JSON omits
 // the field when it is empty.
 func fieldName(f reflect.StructField) (name string, optional bool) {
@@ -180,7 +191,7 @@
 		case text == "":
 			return nil, false
 		case integerText.MatchString(text):
-			return json.Number(text), true
+			return json.Number(withoutLeadingZeros(text)), true
 		}
 	}
 	return text, text != ""
--- a/io/operator/help.go
+++ b/io/operator/help.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"sync"
 
 	core "rosemarygap/core/operator"
@@ -26,7 +28,9 @@
 	if !ok {
 		return
 	}
-	for k, v := range o {
+	// The order is fixed, since fields of several kinds of object have the same name.
+	for _, k := range slices.Sorted(maps.Keys(o)) {
+		v := o[k]
 		if p, ok := v.(map[string]any); ok {
 			if d, ok := p["description"].(string); ok && out[k] == "" {
 				out[k] = d
