io/standin/fleet: a stalled worker lists no progress

Cause: between two calls of advance, runList counted the time since the last call as progress of stalled tasks; TestStalledWorkerListsNoProgress saw 66% after 200 ms. Each new maximum restarts the scheduler's stall limit of 1.4 s, so that at high load TestWayOfALateJob saw slow-worker after 5 s instead of stalled. Change: stalled time is excluded whenever progress is read.

--- a/io/standin/fleet/worker.go
+++ b/io/standin/fleet/worker.go
@@ -58,10 +58,10 @@
 	// ended contains the ends that are not acknowledged yet.
 	ended         []job.End
 	lastEndNumber int64
-	// stalled is true while tasks make no progress; lastAdvance is the time of
-	// the last call of advance.
-	stalled     bool
-	lastAdvance time.Time
+	// stalled is true while tasks make no progress; stalledUntil is the time up to
+	// which the start times of the tasks have been adjusted for that.
+	stalled      bool
+	stalledUntil time.Time
 	// changed is closed and replaced when a run ends.
 	changed     chan struct{}
 	startedJobs map[string]bool
@@ -81,7 +81,7 @@
 func NewWorker(id, service string, address, agent netip.AddrPort, l *Ledger) *Worker {
 	return &Worker{id: id, service: service, address: address, agent: agent, ledger: l, incarnationStart: time.Now(),
 		capacity: job.Resources{Processors: 4000, Memory: 8000}, client: &http.Client{Timeout: heartbeatTimeout},
-		running: map[string]*task{}, highestRun: map[string]int64{}, changed: make(chan struct{}), startedJobs: map[string]bool{}}
+		running: map[string]*task{}, highestRun: map[string]int64{}, stalledUntil: time.Now(), changed: make(chan struct{}), startedJobs: map[string]bool{}}
 }
 
 // Run sends heartbeats and advances the tasks until ctx is done.
@@ -134,13 +134,9 @@
 func (w *Worker) advance() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	elapsed := time.Since(w.lastAdvance)
-	w.lastAdvance = time.Now()
+	w.excludeStalledTime()
 	for _, name := range slices.Sorted(maps.Keys(w.running)) {
 		t := w.running[name]
-		if w.stalled {
-			t.started = t.started.Add(elapsed)
-		}
 		switch {
 		case w.clock() > w.leaseEnd:
 			w.endRun(name, job.EndLapsed)
@@ -152,6 +148,20 @@
 	}
 }
 
+// excludeStalledTime delays the start times of the running tasks by the time in
+// which they were stalled, so that the progress of a task depends on its start time
+// alone. The caller holds mu.
+func (w *Worker) excludeStalledTime() {
+	elapsed := time.Since(w.stalledUntil)
+	w.stalledUntil = w.stalledUntil.Add(elapsed)
+	if !w.stalled {
+		return
+	}
+	for _, t := range w.running {
+		t.started = t.started.Add(elapsed)
+	}
+}
+
 // endRun ends the run of the named task with the given outcome. The caller holds
 // mu.
 func (w *Worker) endRun(name string, outcome job.Outcome) {
@@ -192,6 +202,7 @@
 func (w *Worker) SetStalled(stalled bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.excludeStalledTime()
 	w.stalled = stalled
 }
 
@@ -278,6 +289,7 @@
 	if _, err := fmt.Sscanf(s.Payload, "ms=%d", &runTimeMillis); err != nil {
 		runTimeMillis = 1
 	}
+	w.excludeStalledTime()
 	w.running[s.Task] = &task{s.Run, need, time.Now(), time.Duration(runTimeMillis) * time.Millisecond, strings.HasSuffix(s.Payload, " fail")}
 	// A task name begins with the id of its job, which has 16 characters.
 	w.startedJobs[s.Task[:16]] = true
@@ -352,6 +364,7 @@
 // runList returns the running runs and the ends that are not acknowledged. The
 // caller holds mu.
 func (w *Worker) runList() job.RunList {
+	w.excludeStalledTime()
 	out := job.RunList{Incarnation: w.incarnationStart.UnixMilli(), Clock: w.clock(), Ended: slices.Clone(w.ended)}
 	for _, name := range slices.Sorted(maps.Keys(w.running)) {
 		t := w.running[name]
