core/job: run time samples of whole runs, orders after a deleted row, abandoned parameters

Causes, each with a test that failed first (core/job/learned_test.go): - a run that resumed from a checkpoint, or was adopted, counted as a whole run, which made estimates and forecasts too short; - a row that expired and came back in one epoch numbered its orders from 1, and the agent dropped those up to the number it had received: 1 of 4 tasks ran; - learned parameters of a write that failed were not written until they changed. Before: the three tests fail; after: go test ./core/job passes.

--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -204,6 +204,7 @@
 	}
 	t.state, t.worker, t.run, t.spec = taskAssigned, w, run, s.spec
 	t.running, t.stopping, t.waitingSince = false, false, time.Time{}
+	t.partial = t.checkpoint != ""
 	t.orderedAt, t.lastProgress, t.percent = now, now, -1
 	t.speed.reset()
 	w.tasks[t.name] = t
--- a/core/job/durable.go
+++ b/core/job/durable.go
@@ -114,9 +114,8 @@
 	c.dropEndedJobs()
 }
 
-// Abandoned records that w may not be durable. Its changes become pending again,
-// except for the learned parameters, which are written when they next change. If w
-// was durable after all, the repeated write changes nothing.
+// Abandoned records that w may not be durable. Its changes become pending again. If
+// w was durable after all, the repeated write changes nothing.
 func (c *Cell) Abandoned(w *Writes) {
 	c.clearWriting(w, false)
 	for _, agent := range w.AddedAgents {
@@ -126,6 +125,9 @@
 		}
 	}
 	c.removedAgents = append(c.removedAgents, w.RemovedAgents...)
+	if w.Learned != nil {
+		c.storedLearned = LearnedParameters{}
+	}
 }
 
 func (c *Cell) clearWriting(w *Writes, durable bool) {
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -33,7 +33,7 @@
 	}
 	if w == nil {
 		w = c.workers.Put(r.Agent, workerRow{agent: r.Agent, Worker: *r.Worker, process: r.Process, lastReport: now,
-			tasks: map[Task]*taskRow{}, servingTasks: map[servingJob]int{}, bestEffortByImage: usage{}})
+			sequence: lastSequence(r, c.epoch), tasks: map[Task]*taskRow{}, servingTasks: map[servingJob]int{}, bestEffortByImage: usage{}})
 		c.logEvent(EventWorker, nil, w, "joined", now)
 	}
 	if r.Process < w.process && now.Sub(w.lastReport) < formerProcessWindow || w.supersedes(r) {
@@ -68,6 +68,16 @@
 	return false
 }
 
+// lastSequence returns the number of the newest order that the agent has received
+// in the epoch. A row that is created anew continues from it, since the agent
+// ignores orders with lower numbers.
+func lastSequence(r *Report, epoch int64) int64 {
+	if r.Epoch != epoch {
+		return 0
+	}
+	return r.Applied
+}
+
 // resolveAgent records that no unknown run can be executing on the agent's
 // worker.
 func (c *Cell) resolveAgent(agent string) {
@@ -372,6 +382,7 @@
 	}
 	if t.state == taskWaiting && !j.state.IsFinal() && !j.acceptedThisEpoch {
 		c.recordRun(s, t, w, r.Run, now)
+		t.partial = true
 		c.observeRun(j, s, t, r, now)
 		c.logEvent(EventStart, t, w, "adopted", now)
 		if !j.started {
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -53,6 +53,9 @@
 	speed        taskSpeed
 	// lastListed is when a worker last listed the run.
 	lastListed time.Time
+	// partial is true if the time since orderedAt is not that of a whole task: the
+	// run began from a checkpoint, or under an earlier owner.
+	partial bool
 	// stopping is true once the run has been ordered to stop.
 	stopping bool
 	// succeeded is true if an earlier run of the assigned task ended as done. The
--- a/core/job/run_time.go
+++ b/core/job/run_time.go
@@ -11,9 +11,9 @@
 
 func newRunTimeRatios() runTimeRatios { return runTimeRatios{map[string]float64{}} }
 
-// observe adds the run time of a run that succeeded.
+// observe adds the run time of a run that succeeded and did the whole task.
 func (r runTimeRatios) observe(j *jobRow, s *stepRow, t *taskRow, outcome Outcome, now time.Time) {
-	if outcome != EndDone || s.spec.Estimate <= 0 || t.checkpoint != "" && !s.spec.Checkpoints {
+	if outcome != EndDone || s.spec.Estimate <= 0 || t.partial {
 		return
 	}
 	ratio := float64(now.Sub(t.orderedAt)) / float64(s.spec.Estimate)
