Send orders in one reply at a time, and each payload once

Cause: every reply to an agent, to its long poll and to its reports, had all orders that the agent had not acknowledged, each with the payload of its job. On the small twin of the large site (entry VMs with 2 Mbit/s) a burst of 45 starts a second took 460 kB/s, of which 90% were payloads sent up to ten times; replies timed out and were sent again, the owner lost its lease, and the next one did the same. Ruled out: processor (0.005 of a core), reports (50 kB/s), interference and traits (7 kB/s), by a trial that counted the bytes of each part. Change: while a reply with orders is in transit, the other request of the agent gets none; a payload is sent once a reply to agents that say they understand that.

--- a/core/job/cell_test.go
+++ b/core/job/cell_test.go
@@ -60,7 +60,7 @@
 	tc.ConfirmOwnership(tc.now)
 	tc.Tick(tc.now)
 	tc.commitWrites()
-	reply := tc.Reply(&r)
+	reply := tc.Reply(&r, tc.now)
 	for _, o := range reply.Orders {
 		if o.Sequence > w.report.Applied {
 			w.report.Applied = o.Sequence
--- a/core/job/history_test.go
+++ b/core/job/history_test.go
@@ -198,7 +198,7 @@
 	}
 	o.Receive(&r, h.now)
 	o.Tick(h.now)
-	reply := o.Reply(&r)
+	reply := o.Reply(&r, h.now)
 	if lost {
 		return
 	}
--- a/core/job/invariants_test.go
+++ b/core/job/invariants_test.go
@@ -66,7 +66,7 @@
 	tc := newTestCluster(t, 1)
 	tc.deliverReports()
 	r := tc.testWorkers["agent-0"].report
-	tc.is.True(tc.Reply(&r).LeaseUntil-r.Clock >= 10*time.Second)
+	tc.is.True(tc.Reply(&r, tc.now).LeaseUntil-r.Clock >= 10*time.Second)
 }
 
 // After a power loss of all VMs, a new owner does not wait for the leases of
--- a/core/job/message.go
+++ b/core/job/message.go
@@ -111,6 +111,8 @@
 	LongPoll bool `json:"wait,omitempty"`
 	// Applied is the sequence up to which orders of Epoch have been received.
 	Applied int64 `json:"applied"`
+	// SharedPayloads is true if the agent understands Reply.Payloads.
+	SharedPayloads bool `json:"shared-payloads,omitempty"`
 	// Worker is nil until a heartbeat has reached this process of the agent.
 	Worker *Worker `json:"worker,omitempty"`
 	// Clock is the worker's clock reading in its newest answer.
@@ -178,6 +180,9 @@
 	// clock.
 	LeaseUntil time.Duration `json:"lease-until-ns,omitempty"`
 	Orders     []Order       `json:"orders,omitempty"`
+	// Payloads are the payloads of the start orders by job ID, if the agent
+	// understands them. The orders then have none.
+	Payloads map[string]string `json:"payloads,omitempty"`
 	// Interference is the utilization that one processor of a best-effort
 	// image adds to a serving image of the worker, by serving and best-effort
 	// image.
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -42,11 +42,13 @@
 	w.lastReport = now
 	if r.Process != w.process {
 		w.process = r.Process
+		w.delivery = delivery{}
 		w.requeueOrders()
 	}
 	c.receiveHeartbeat(w, r, now)
 	if r.Epoch == c.epoch {
 		w.dropReceivedOrders(r.Applied)
+		w.delivery.update(r)
 	}
 	if r.LongPoll {
 		return false
@@ -428,7 +430,7 @@
 }
 
 // Reply returns the reply to a report of an agent.
-func (c *Cell) Reply(r *Report) Reply {
+func (c *Cell) Reply(r *Report, now time.Time) Reply {
 	out := Reply{Epoch: c.epoch}
 	w := c.workers.Get(r.Agent)
 	if w == nil {
@@ -441,8 +443,9 @@
 		return out
 	}
 	out.LeaseUntil = w.confirmedClock.clock + maxLeaseExtension
-	if c.roster[r.Agent].durable {
-		out.Orders = w.pending
+	if c.roster[r.Agent].durable && len(w.pending) > 0 && !w.delivery.excludes(r.LongPoll, now) {
+		w.delivery = delivery{w.sequence, r.LongPoll, now}
+		out.addOrders(w.pending, r.SharedPayloads)
 	}
 	out.Interference = c.interferenceOn(w)
 	for i := range r.Running {
@@ -465,10 +468,11 @@
 	out.Traits[name] = s.spec.traits()
 }
 
-// HasOrders reports whether there are orders that may be sent to the agent.
-func (c *Cell) HasOrders(agent string) bool {
+// HasOrders reports whether there are orders that may be sent to the agent in the
+// reply to a long poll.
+func (c *Cell) HasOrders(agent string, now time.Time) bool {
 	w := c.workers.Get(agent)
-	return w != nil && len(w.pending) > 0 && w.canGrantLease() && c.roster[agent].durable
+	return w != nil && len(w.pending) > 0 && w.canGrantLease() && c.roster[agent].durable && !w.delivery.excludes(true, now)
 }
 
 // canGrantLease reports whether the ownership was confirmed after a report of
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -215,6 +215,7 @@
 	// the agent has not received.
 	sequence    int64
 	pending     []Order
+	delivery    delivery
 	unreachable time.Duration
 	// left is true once the worker has announced its departure; ended is true
 	// once all its runs have certainly ended.
--- a/core/job/rules_test.go
+++ b/core/job/rules_test.go
@@ -155,12 +155,12 @@
 	r := w.report
 	tc.Receive(&r, tc.now)
 	tc.Tick(tc.now)
-	tc.is.Equal(tc.Reply(&r).Acknowledged, int64(0))
+	tc.is.Equal(tc.Reply(&r, tc.now).Acknowledged, int64(0))
 	writes := tc.PendingWrites(tc.now, 30)
 	tc.is.Equal(writes.Finals[0].State, Done)
-	tc.is.Equal(tc.Reply(&r).Acknowledged, int64(0))
+	tc.is.Equal(tc.Reply(&r, tc.now).Acknowledged, int64(0))
 	tc.Committed(&writes)
-	tc.is.Equal(tc.Reply(&r).Acknowledged, int64(1))
+	tc.is.Equal(tc.Reply(&r, tc.now).Acknowledged, int64(1))
 }
 
 // A long-running task starts again however it ends, without a limit.
--- a/io/agent/state.go
+++ b/io/agent/state.go
@@ -161,7 +161,7 @@
 func (s *state) report(name string, longPoll bool, now time.Time) job.Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := job.Report{Agent: name, Process: s.processID, Epoch: s.epoch, LongPoll: longPoll, Applied: s.applied,
+	r := job.Report{Agent: name, Process: s.processID, Epoch: s.epoch, LongPoll: longPoll, Applied: s.applied, SharedPayloads: true,
 		Worker: s.worker, Clock: s.workerClock, Left: s.left}
 	if longPoll || s.worker == nil {
 		return r
@@ -217,6 +217,7 @@
 	for task, t := range r.Traits {
 		s.traits[task] = t
 	}
+	r.CompleteOrders()
 	for _, o := range r.Orders {
 		if o.Sequence <= s.applied {
 			continue
--- a/io/scheduler/control.go
+++ b/io/scheduler/control.go
@@ -163,12 +163,12 @@
 	now := time.Now()
 	c.cell.Tick(now)
 	for _, r := range c.pendingReports {
-		r.reply <- reportResult{reply: c.cell.Reply(r.report)}
+		r.reply <- reportResult{reply: c.cell.Reply(r.report, now)}
 	}
 	c.pendingReports = c.pendingReports[:0]
 	for agent, r := range c.longPolls {
-		if c.cell.HasOrders(agent) {
-			r.reply <- reportResult{reply: c.cell.Reply(r.report)}
+		if c.cell.HasOrders(agent, now) {
+			r.reply <- reportResult{reply: c.cell.Reply(r.report, now)}
 			delete(c.longPolls, agent)
 		}
 	}
