io/scheduler: read a configuration only when it has changed, with a timeout that grows

Cause: beside its watch, each entry read the whole configuration every 700 ms. Change: one watch, held for 600 ms, which also finds a silent connection; it continues from the newest configuration rather than from the store's revision, so that a moment in which watches hear nothing skips no change; timeouts of large reads double after a timeout. Pages of the state at a take-over use the same timeout. Test: io/scheduler/configuration_test.go.

--- a/io/scheduler/mirror.go
+++ b/io/scheduler/mirror.go
@@ -22,18 +22,14 @@
 	// watchWait is the longest wait of a watch. It is bounded so that a dead
 	// connection is detected.
 	watchWait = 2 * time.Second
-	// readTimeout is the timeout of a read. A slow store takes 300 ms for a
-	// read.
+	// readTimeout is the timeout of a small read, and the first timeout of a
+	// large one. A slow store takes 300 ms for a read.
 	readTimeout = 900 * time.Millisecond
 	// readRetryPause is the pause after a failed read.
 	readRetryPause = 100 * time.Millisecond
 	// followerWatchPause is the pause between two watches of an entry that is
 	// not the owner, so that it reads changes in batches.
 	followerWatchPause = 40 * time.Millisecond
-	// configurationPollInterval is the time between two reads of the
-	// configuration in addition to its watch, which may miss changes for a
-	// second.
-	configurationPollInterval = 700 * time.Millisecond
 )
 
 // jobView is the state of a job from which client accounts are answered.
@@ -81,6 +77,8 @@
 	log         hclog.Logger
 	store       *platform.Store
 	storeHealth *process.Dependency
+	// reloadTimeout is the timeout of a page of reload.
+	reloadTimeout growingTimeout
 	// changes delivers changes to the control goroutine.
 	changes chan change
 	cfg     atomic.Pointer[job.Configuration]
@@ -179,7 +177,7 @@
 
 // reload replaces the contents of the mirror by the items in the store.
 func (m *mirror) reload(ctx context.Context) (int64, error) {
-	items, revision, err := listAll(ctx, m.store, job.KeyRoot)
+	items, revision, err := listAll(ctx, m.store, job.KeyRoot, &m.reloadTimeout)
 	if err != nil {
 		return 0, err
 	}
@@ -203,14 +201,17 @@
 	return revision, nil
 }
 
-// listAll returns all items under prefix and the revision of the first page.
-func listAll(ctx context.Context, s *platform.Store, prefix string) ([]platform.Item, int64, error) {
+// listAll returns all items under prefix and the revision of the first page. The
+// timeout applies to each page.
+func listAll(ctx context.Context, s *platform.Store, prefix string, timeout *growingTimeout) ([]platform.Item, int64, error) {
 	var items []platform.Item
 	revision, after := int64(0), ""
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
-		p, err := s.List(callCtx, prefix, after)
-		cancel()
+		var p platform.Page
+		err := timeout.call(ctx, 0, func(ctx context.Context) (err error) {
+			p, err = s.List(ctx, prefix, after)
+			return err
+		})
 		if err != nil {
 			return nil, 0, err
 		}
@@ -330,97 +331,6 @@
 	m.ensureView(id).cancelled = true
 }
 
-// followConfiguration keeps the configuration up to date by a watch until ctx
-// ends.
-func (m *mirror) followConfiguration(ctx context.Context) error {
-	revision := int64(0)
-	for ctx.Err() == nil {
-		var err error
-		if revision == 0 {
-			revision, err = m.readConfiguration(ctx)
-		} else {
-			revision, err = m.watchConfiguration(ctx, revision)
-		}
-		if errors.Is(err, platform.ErrCompacted) {
-			revision = 0
-		} else if err != nil {
-			process.Pause(ctx, readRetryPause, nil)
-		}
-	}
-	return nil
-}
-
-func (m *mirror) watchConfiguration(ctx context.Context, revision int64) (int64, error) {
-	callCtx, cancel := context.WithTimeout(ctx, watchWait+readTimeout)
-	defer cancel()
-	c, err := m.store.Watch(callCtx, platform.ConfigurationKey, revision, watchWait)
-	if err != nil {
-		return revision, err
-	}
-	for _, i := range c.Items {
-		if i.Key == platform.ConfigurationKey && !i.Removed {
-			m.setConfiguration(ctx, i.Value)
-		}
-	}
-	return max(revision, c.Revision), nil
-}
-
-// pollConfiguration reads the configuration periodically. A watch may deliver a
-// new configuration later than the platform requires it to be in force.
-func (m *mirror) pollConfiguration(ctx context.Context) error {
-	last := int64(0)
-	for ctx.Err() == nil {
-		process.Pause(ctx, configurationPollInterval, nil)
-		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
-		i, err := m.store.Get(callCtx, platform.ConfigurationKey)
-		cancel()
-		if err == nil && i.Revision > last {
-			last = i.Revision
-			m.setConfiguration(ctx, i.Value)
-		}
-	}
-	return nil
-}
-
-func (m *mirror) readConfiguration(ctx context.Context) (int64, error) {
-	callCtx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	p, err := m.store.List(callCtx, platform.ConfigurationKey, "")
-	if err != nil {
-		return 0, err
-	}
-	for _, i := range p.Items {
-		if i.Key == platform.ConfigurationKey {
-			m.setConfiguration(ctx, i.Value)
-		}
-	}
-	return p.Revision, nil
-}
-
-// setConfiguration decodes a configuration and brings it into force, unless the
-// one in force has the same or a higher version.
-func (m *mirror) setConfiguration(ctx context.Context, value []byte) {
-	c, err := platform.DecodeConfiguration(value)
-	if err != nil {
-		event.MessageRefused.Emit(m.log, event.Dependency("operator"), event.Reason(status.Code(err.Error())))
-		return
-	}
-	for {
-		old := m.cfg.Load()
-		if old != nil && old.Version >= c.Version {
-			return
-		}
-		if m.cfg.CompareAndSwap(old, c) {
-			break
-		}
-	}
-	event.ConfigurationInForce.Emit(m.log, event.Revision(c.Version), event.Count(len(c.Queues)))
-	select {
-	case m.changes <- change{}:
-	case <-ctx.Done():
-	}
-}
-
 // decodeFinalState returns the state in the item of a job that has ended.
 func decodeFinalState(i platform.Item) (job.State, error) {
 	var f job.Final
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -112,7 +112,7 @@
 	}
 	c := newControl(s)
 	for _, f := range append(actors, c.run, s.mirror.follow, s.mirror.followConfiguration,
-		s.mirror.pollConfiguration, s.campaign, s.serveAdvisorRequests) {
+		s.campaign, s.serveAdvisorRequests) {
 		process.AddActor(&g, f)
 	}
 	event.ProcessStarted.Emit(l, event.Entry(cfg.Name), event.Address(cfg.CallerListen))
