A start order in transit survives the report that the worker's lease has ended

Cause: a report that a worker's lease has ended made the owner release all tasks of the worker. Change: the owner releases only runs whose orders the agent had received, and stops the others first; the agent attempts no start again once it has reported the end of the lease, so that its report stays true.

--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -203,6 +203,7 @@
 		s.waiting--
 	}
 	t.state, t.worker, t.run, t.spec = taskAssigned, w, run, s.spec
+	t.orderSequence = 0
 	t.running, t.stopping, t.waitingSince = false, false, time.Time{}
 	t.partial = t.checkpoint != ""
 	t.orderedAt, t.lastProgress, t.percent = now, now, -1
@@ -334,15 +335,19 @@
 // releaseWorkerTasks releases all tasks of w, on which nothing runs any more.
 func (c *Cell) releaseWorkerTasks(w *workerRow, reason string, now time.Time) {
 	for _, t := range w.sortedTasks() {
-		c.logEvent(EventLost, t, w, reason, now)
-		j := c.jobs.Get(t.name.Job)
-		s, _ := j.task(t.name)
-		c.releaseTask(s, t)
+		c.loseRun(t, w, reason, now)
 	}
 	w.pending = nil
 	c.logEvent(EventWorker, nil, w, reason, now)
 }
 
+// loseRun releases a task whose run ended without a listed end.
+func (c *Cell) loseRun(t *taskRow, w *workerRow, reason string, now time.Time) {
+	c.logEvent(EventLost, t, w, reason, now)
+	s, _ := c.jobs.Get(t.name.Job).task(t.name)
+	c.releaseTask(s, t)
+}
+
 // sortedTasks returns the assigned tasks in a fixed order.
 func (w *workerRow) sortedTasks() []*taskRow {
 	out := make([]*taskRow, 0, len(w.tasks))
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -56,11 +56,7 @@
 	w.unreachable, w.left = r.Unreachable, r.Left
 	w.clock = max(w.clock, r.Clock)
 	if r.LeaseEnded || r.Left {
-		if !w.ended {
-			c.releaseWorkerTasks(w, "worker-ended", now)
-			c.removeAgent(r.Agent)
-		}
-		w.ended = true
+		c.endWorker(w, r, now)
 		return false
 	}
 	w.ended = false
@@ -70,6 +66,36 @@
 	return false
 }
 
+// endWorker releases the tasks of a worker whose runs have certainly ended, and
+// removes its agent from the stored roster. If only the worker's lease has ended, a
+// start order that the agent had not received when it made the report may still take
+// effect once the worker answers again; such a run is ordered to stop.
+func (c *Cell) endWorker(w *workerRow, r *Report, now time.Time) {
+	if w.ended && len(w.tasks) == 0 {
+		return
+	}
+	w.ended = true
+	received := r.Applied
+	if r.Left {
+		received = w.sequence
+	} else if r.Epoch != c.epoch {
+		received = 0
+	}
+	for _, t := range w.sortedTasks() {
+		if t.orderSequence > received {
+			c.stopTask(t, "worker-ended", now)
+			continue
+		}
+		c.loseRun(t, w, "worker-ended", now)
+	}
+	if len(w.tasks) > 0 {
+		return
+	}
+	w.pending = nil
+	c.logEvent(EventWorker, nil, w, "worker-ended", now)
+	c.removeAgent(r.Agent)
+}
+
 // lastSequence returns the number of the newest order that the agent has received
 // in the epoch. A row that is created anew continues from it, since the agent
 // ignores orders with lower numbers.
@@ -213,6 +239,7 @@
 func (w *workerRow) enqueueStart(j *jobRow, s *stepRow, t *taskRow) {
 	w.enqueueOrder(Order{Kind: OrderStart, Task: t.name.String(), Run: t.run, Payload: j.Payload,
 		Checkpoint: t.checkpoint, Ticket: t.ticket, Traits: s.spec.traits()})
+	t.orderSequence = w.sequence
 }
 
 // receiveEnd processes an end of a run, unless it was processed before.
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -25,6 +25,9 @@
 	// worker and run are the current assignment of an assigned task.
 	worker *workerRow
 	run    int64
+	// orderSequence is the number of the start order, or 0 for a run that an
+	// earlier owner ordered.
+	orderSequence int64
 	// starts counts the runs that this owner ordered.
 	starts int64
 	// failedRuns are the runs whose failures were counted. The failure of an
--- a/io/agent/state.go
+++ b/io/agent/state.go
@@ -34,6 +34,9 @@
 	state     runState
 	decidedAt time.Time
 	reason    string
+	// leaseEnded is true if the agent has reported, while the start was not
+	// answered, that the worker's lease had ended.
+	leaseEnded bool
 	// absent is true once the run is missing in a list that was requested after
 	// decidedAt.
 	absent bool
@@ -167,6 +170,10 @@
 		return r
 	}
 	r.Unreachable, r.LeaseEnded = s.unreachableFor(now)
+	if r.LeaseEnded {
+		// The owner may now start the tasks on other workers.
+		s.abandonStarts()
+	}
 	if s.runListEpoch != s.epoch || s.left {
 		return r
 	}
@@ -184,6 +191,14 @@
 	return r
 }
 
+// abandonStarts prevents further attempts of the starts without an answer. The
+// earlier attempts granted a lease that has ended. The caller holds s.mu.
+func (s *state) abandonStarts() {
+	for _, r := range s.runs {
+		r.leaseEnded = r.leaseEnded || r.state == runOrdered
+	}
+}
+
 // unreachableFor returns how long the worker has not answered, and whether its
 // lease has certainly expired. The duration is 0 below unreachableAfter. The
 // caller holds s.mu.
@@ -262,15 +277,19 @@
 }
 
 // checkOrder reports whether o may still be executed: it must be for the
-// current worker and epoch, and the worker must not be draining if o is a
-// start. It also returns the end of the lease for a start.
+// current worker and epoch. A start may not be executed if the worker is draining or
+// its lease was reported to have ended. For a start, it also returns the end of the
+// lease.
 func (s *state) checkOrder(o job.Order, epoch int64) (leaseUntil time.Duration, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.epoch != epoch || s.worker == nil || s.left || o.Worker != s.worker.ID || o.Incarnation != s.worker.Incarnation {
 		return 0, false
 	}
-	if o.Kind == job.OrderStart && s.worker.Draining {
+	if o.Kind == job.OrderStop {
+		return 0, true
+	}
+	if r := s.runs[runKey{o.Task, o.Run}]; s.worker.Draining || r != nil && r.leaseEnded {
 		return 0, false
 	}
 	return s.nextLease(), true
