core/job: order waiting jobs by density while more waits than fits

Where only few workers suit each job (interference), the deadline is the better order, so density applies only while the tasks that are ready would take all processors 1.5 s. Large jobs are not starved: each load now also checks that the largest tenth and the fifth below it are served at least half as often as all. Not tried: reservation for wide steps.

--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -116,7 +116,8 @@
 }
 
 func (c *Cell) add(j Job) *jobRow {
-	row := c.jobs.Put(j.ID, jobRow{Job: j, state: Queued, criticalPath: criticalPathOf(j.Steps)})
+	row := c.jobs.Put(j.ID, jobRow{Job: j, state: Queued, criticalPath: criticalPathOf(j.Steps), work: j.work()})
+	c.meanWork.observe(j.Queue, row.work)
 	if j.Schedule.Times == 0 {
 		row.openOccurrence(0)
 		row.nextOccurrence = 1
--- a/core/job/choose.go
+++ b/core/job/choose.go
@@ -26,23 +26,28 @@
 	crowdedFreePercent = 40
 )
 
-// isCrowded reports whether most processors are in use.
-func (c *Cell) isCrowded() bool {
-	free, all := 0, 0
+// maxBacklog is the time that the tasks ready to start would take on all processors
+// above which processors are scarce.
+const maxBacklog = 1500 * time.Millisecond
+
+// setRoom sets how long the best-effort tasks of each candidate wait for a worker
+// without interference, and whether processors are scarce.
+func (c *Cell) setRoom(all []candidate) {
+	free, capacity := 0, 0
 	for _, w := range c.workers.All {
 		free += max(0, w.freeProcessors())
-		all += w.Capacity.Processors
+		capacity += w.Capacity.Processors
 	}
-	return free*fullPercent < all*crowdedFreePercent
-}
-
-// setInterferenceWait sets how long the best-effort tasks of each candidate
-// wait for a worker without interference.
-func (c *Cell) setInterferenceWait(all []candidate) {
-	crowded := c.isCrowded()
+	backlog := 0.0
+	for i := range all {
+		s := all[i].step
+		backlog += processorSeconds(s.spec, s.waiting)
+	}
+	scarce := backlog > maxBacklog.Seconds()*float64(capacity)/processorUnit
 	for i := range all {
+		all[i].scarce = scarce
 		all[i].interferenceWait = idleInterferenceWait
-		if crowded || all[i].hasRunningTasks() {
+		if free*fullPercent < capacity*crowdedFreePercent || all[i].hasRunningTasks() {
 			all[i].interferenceWait = busyInterferenceWait
 		}
 	}
--- a/core/job/load_test.go
+++ b/core/job/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -76,6 +77,8 @@
 	{"arrival-order", []Option{WithArrivalOrder()}},
 	{"strict-priority", []Option{WithStrictPriority()}},
 	{"no-learning", []Option{WithoutLearning()}},
+	{"deadlines", []Option{WithDeadlines()}},
+	{"density", []Option{WithDensity()}},
 }
 
 // simTick is the time between two reports of a worker; real agents report each
@@ -290,6 +293,9 @@
 type queueResult struct {
 	onTime, late, unserved int
 	valueShare             float64
+	// served are the shares of jobs that were served on time or late: of the
+	// largest tenth, of the fifth below it, and of all.
+	servedLargest, servedLarge, servedAll float64
 }
 
 // result returns the results by queue; the key of serving tasks is "serving".
@@ -312,11 +318,7 @@
 		}
 		value := 0.3 + 0.7*j.work*count[q]/mean[q]
 		sums[q] += value
-		// The latency objectives are those of the queues in newSim.
-		objective := 2*j.criticalPath + time.Second
-		if q == "urgent" {
-			objective = j.criticalPath*3/2 + 250*time.Millisecond
-		}
+		objective := s.objective(id)
 		end, ok := s.done[id]
 		switch took := end.Sub(j.begin); {
 		case !ok || s.failed[id] || took > lateFactor*objective:
@@ -332,12 +334,49 @@
 	for q, r := range out {
 		r.valueShare /= sums[q]
 	}
+	s.setServedShares(out)
 	if s.servingTime > 0 {
 		out["serving"] = &queueResult{valueShare: s.servingOnTarget / s.servingTime}
 	}
 	return out
 }
 
+// setServedShares sets the shares of served jobs by the size of the jobs.
+func (s *sim) setServedShares(out map[string]*queueResult) {
+	byQueue := map[string][]string{}
+	for id, j := range s.jobs {
+		if !j.stream.Serving {
+			byQueue[j.stream.Queue] = append(byQueue[j.stream.Queue], id)
+		}
+	}
+	for q, ids := range byQueue {
+		slices.SortFunc(ids, func(a, b string) int {
+			return cmp.Or(cmp.Compare(s.jobs[b].work, s.jobs[a].work), cmp.Compare(a, b))
+		})
+		served := func(ids []string) float64 {
+			n := 0
+			for _, id := range ids {
+				if end, ok := s.done[id]; ok && !s.failed[id] && end.Sub(s.jobs[id].begin) <= lateFactor*s.objective(id) {
+					n++
+				}
+			}
+			return float64(n) / float64(max(len(ids), 1))
+		}
+		tenth := (len(ids) + 9) / 10
+		out[q].servedLargest, out[q].servedLarge, out[q].servedAll = served(ids[:tenth]), served(ids[tenth:min(3*tenth, len(ids))]), served(ids)
+	}
+}
+
+// objective returns the latency objective of a job, which is that of its queue in
+// newSim.
+func (s *sim) objective(id string) time.Duration {
+	j := s.jobs[id]
+	if j.stream.Queue == "urgent" {
+		return j.criticalPath*3/2 + 250*time.Millisecond
+	}
+	return 2*j.criticalPath + time.Second
+}
+
 // loadSeeds are the seeds with which policies are compared.
 var loadSeeds = []uint64{1, 2, 3}
 
@@ -359,7 +398,11 @@
 				for _, seed := range loadSeeds {
 					s := newSim(t, load, seed, policy.options)
 					s.run()
-					total[policy.name] += writeResult(&table, policy.name, seed, s.result())
+					result := s.result()
+					total[policy.name] += writeResult(&table, policy.name, seed, result)
+					if policy.name == "product" {
+						checkSizes(t, seed, result)
+					}
 				}
 			}
 			golden.Check(t, "testdata/load/"+name+".golden", table.Bytes())
@@ -372,6 +415,17 @@
 	}
 }
 
+// checkSizes fails the test if large jobs are served less than half as often as all
+// jobs of their queue.
+func checkSizes(t *testing.T, seed uint64, result map[string]*queueResult) {
+	for q, r := range result {
+		if r.servedLargest < r.servedAll/2 || r.servedLarge < r.servedAll/2 {
+			t.Errorf("seed %d: of queue %s, %.2f of all jobs are served, %.2f of the largest tenth, %.2f of the fifth below it",
+				seed, q, r.servedAll, r.servedLargest, r.servedLarge)
+		}
+	}
+}
+
 func readWorkload(t *testing.T, file string) *workload {
 	is := is.New(t)
 	b, err := os.ReadFile(file)
--- a/core/job/place.go
+++ b/core/job/place.go
@@ -33,6 +33,11 @@
 	timeliness timeliness
 	// deadline is when the job misses its latency objective.
 	deadline time.Time
+	// density is the value of the occurrence for each processor second of its
+	// remaining work.
+	density float64
+	// scarce is true while processors are scarce on all workers together.
+	scarce bool
 	// interferenceWait is how long the best-effort tasks of the step wait for
 	// a worker without interference.
 	interferenceWait time.Duration
@@ -53,7 +58,7 @@
 		}
 	}
 	if len(out) > 0 {
-		c.setInterferenceWait(out)
+		c.setRoom(out)
 	}
 	slices.SortFunc(out, func(a, b candidate) int { return c.policy.compare(&a, &b) })
 	return out
@@ -62,6 +67,7 @@
 func (c *Cell) appendCandidates(out []candidate, j *jobRow, o *occurrenceRow, q *Queue, now time.Time) []candidate {
 	var deadline time.Time
 	var forecast timeliness
+	var density float64
 	computed := false
 	for i := range o.steps {
 		s := &o.steps[i]
@@ -70,9 +76,10 @@
 		}
 		if !computed {
 			deadline, forecast = c.forecast(j, o, q, now)
+			density = c.density(j, o)
 			computed = true
 		}
-		out = append(out, candidate{job: j, occ: o, step: s, number: i, queue: q, timeliness: forecast, deadline: deadline})
+		out = append(out, candidate{job: j, occ: o, step: s, number: i, queue: q, timeliness: forecast, deadline: deadline, density: density})
 	}
 	return out
 }
--- a/core/job/policy.go
+++ b/core/job/policy.go
@@ -26,17 +26,41 @@
 // priorEffect.
 func WithoutLearning() Option { return func(c *Cell) { c.policy.learns = false } }
 
+// WithDeadlines orders jobs of equal priority and timeliness by deadline, also when
+// there is more work than room. It is the baseline of earliest deadline first.
+func WithDeadlines() Option { return func(c *Cell) { c.policy.compare = byDeadline } }
+
+// WithDensity orders jobs of equal priority and timeliness by their value for each
+// processor second of remaining work, also when there is room. It is the baseline of
+// highest density first.
+func WithDensity() Option { return func(c *Cell) { c.policy.compare = byDensity } }
+
 // byTimelinessAndPriority orders candidates: those that are not too late first,
-// then by priority, then on-time before late ones, then by deadline. In a burst
-// of batch jobs, small urgent jobs still go first, and batch jobs that are too
-// late do not make others miss their objectives.
+// then by priority, then on-time before late ones. In a burst of batch jobs, small
+// urgent jobs still go first, and batch jobs that are too late do not make others
+// miss their objectives. Candidates that are equal in that are ordered by density
+// while processors are scarce, and otherwise by deadline: in deadline order, all
+// jobs of a burst become late together.
 func byTimelinessAndPriority(a, b *candidate) int {
+	if a.scarce {
+		return byDensity(a, b)
+	}
+	return byDeadline(a, b)
+}
+
+func byTimeliness(a, b *candidate) int {
 	return cmp.Or(
 		cmp.Compare(boolRank(a.timeliness == tooLate), boolRank(b.timeliness == tooLate)),
 		cmp.Compare(a.queue.Priority, b.queue.Priority),
-		cmp.Compare(a.timeliness, b.timeliness),
-		a.deadline.Compare(b.deadline),
-		byArrival(a, b))
+		cmp.Compare(a.timeliness, b.timeliness))
+}
+
+func byDeadline(a, b *candidate) int {
+	return cmp.Or(byTimeliness(a, b), a.deadline.Compare(b.deadline), byArrival(a, b))
+}
+
+func byDensity(a, b *candidate) int {
+	return cmp.Or(byTimeliness(a, b), cmp.Compare(b.density, a.density), a.deadline.Compare(b.deadline), byArrival(a, b))
 }
 
 func byPriority(a, b *candidate) int {
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -122,6 +122,8 @@
 	cancelled         bool
 	// criticalPath is the longest chain of estimates of one occurrence.
 	criticalPath time.Duration
+	// work is the estimated work of one occurrence in processor seconds.
+	work float64
 	// occurrences are the open occurrences: those that are due and incomplete,
 	// and always the single occurrence of a job without a schedule.
 	// nextOccurrence is the number of the first one that has not been opened.
@@ -309,6 +311,7 @@
 	version       int64
 	events        []Event
 	runTimeRatios runTimeRatios
+	meanWork      meanWork
 	interference  interferenceModel
 	policy        policy
 }
@@ -336,7 +339,7 @@
 func New(epoch int64, now time.Time, options ...Option) *Cell {
 	c := &Cell{epoch: epoch, ownedSince: now, queues: map[string]*Queue{},
 		jobs: table.New[string, jobRow](), workers: table.New[string, workerRow](),
-		roster: map[string]rosterRow{}, endedJobs: map[string]bool{}, earlyCancellations: map[string]bool{}, runTimeRatios: newRunTimeRatios(), interference: newInterferenceModel(),
+		roster: map[string]rosterRow{}, endedJobs: map[string]bool{}, earlyCancellations: map[string]bool{}, runTimeRatios: newRunTimeRatios(), meanWork: meanWork{}, interference: newInterferenceModel(),
 		policy: policy{compare: byTimelinessAndPriority, learns: true}}
 	for _, o := range options {
 		o(c)
