Entries that are cut off from the store serve through the owner, or refuse at once

Cause: such an entry found out anew with each request. 300 ms of refusals ended in a 503 with a Retry-After of a second; a silent store in a 504 near the deadline, after which a client can't repeat a submission; and states were answered from a copy as old as the outage. Change: core/outage decides from all calls whether the entry is cut off; it then passes submissions, cancellations and questions on to the owner, all of which can be repeated. If the owner can't be reached or is cut off itself, the client is refused at once, with not-run and Retry-After.

--- a/core/event/job.go
+++ b/core/event/job.go
@@ -16,6 +16,10 @@
 	StateUnknown = Event{7004, "state-unknown", hclog.Info,
 		[]string{"job", "reason"}, "A job's state was requested but could not be determined.",
 		"Look the reason up in docs/OPERATIONS.md."}
+	RequestRelayed = Event{7005, "request-relayed", hclog.Info,
+		[]string{"job", "address", "outcome"},
+		"This entry is cut off from the store and passed a request of a client account on to the owner.",
+		"If the event lasts, check the network between this entry and the store."}
 	TaskDecided = Event{7010, "task-decided", hclog.Info,
 		[]string{"task", "attempt", "worker", "decision", "reason", "age", "elapsed", "epoch"},
 		"The owner, which is the entry that schedules, made a decision about a task; age is the age of the worker's newest report; elapsed is the time from the job's acceptance to its first start or its end, and 0 for other decisions.", "None."}
@@ -58,7 +62,7 @@
 		"Best-effort tasks were limited to a share of their processors, in percent.", "None."}
 )
 
-var jobEvents = []Event{SubmissionAccepted, SubmissionRefused, CancellationAnswered, StateUnknown,
+var jobEvents = []Event{SubmissionAccepted, SubmissionRefused, CancellationAnswered, StateUnknown, RequestRelayed,
 	TaskDecided, WorkerDecided, OwnershipTaken, OwnershipLost, DependencyLost, DependencyRegained,
 	ConfigurationInForce, SettingsReloaded, MessageRefused, LogLinesDropped, OrderCarriedOut, WorkerSeen, OwnerFollowed,
 	TasksThrottled}
--- a/io/httpjson/httpjson.go
+++ b/io/httpjson/httpjson.go
@@ -11,6 +11,7 @@
 	"encoding/json"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -23,6 +24,10 @@
 	"github.com/pkg/errors"
 )
 
+// ErrNotConnected means that no connection could be made, so that the request had
+// no effect. It is a status.ErrUnreachable.
+var ErrNotConnected = errors.WithMessage(status.ErrUnreachable, "no connection")
+
 // maxResponseBytes is the size of the largest accepted response. It exceeds
 // wire.MaxControlBody, because a list of the values in the platform's store may
 // be larger than one control message.
@@ -67,8 +72,9 @@
 
 // Call sends in as the JSON body of a request to path at address a, and decodes
 // the response into out. Either may be nil. If no usable response arrived, Call
-// returns status.ErrUnreachable, and whether the request took effect is unknown.
-// An error response is returned as a *ResponseError.
+// returns status.ErrUnreachable, and whether the request took effect is unknown
+// unless the error is ErrNotConnected. An error response is returned as a
+// *ResponseError.
 func (c *Client) Call(ctx context.Context, method string, a netip.AddrPort, path string, in, out any) error {
 	var body io.Reader
 	if in != nil {
@@ -87,7 +93,11 @@
 		req.Header.Set(echo.HeaderAuthorization, "Bearer "+c.token)
 	}
 	resp, err := c.http.Do(req)
-	if err != nil {
+	var op *net.OpError
+	switch {
+	case errors.As(err, &op) && op.Op == "dial":
+		return errors.WithMessage(ErrNotConnected, err.Error())
+	case err != nil:
 		return errors.WithMessage(status.ErrUnreachable, err.Error())
 	}
 	defer resp.Body.Close()
--- a/io/scheduler/caller.go
+++ b/io/scheduler/caller.go
@@ -106,7 +106,7 @@
 func (s *Scheduler) submit(r *request) error {
 	j, err := r.decodeJob()
 	if err == nil {
-		err = s.storeJob(r.ctx, &j)
+		_, err = s.storeOrRelay(r.ctx, &relayRequest{Job: &j})
 	}
 	if err != nil {
 		countSubmission(string(status.CodeOf(callerError(err))), time.Since(r.receivedAt))
@@ -173,9 +173,9 @@
 	return err
 }
 
-// commitWithRetry repeats a conditional write until the store answers or ctx
-// ends. As long as no attempt has an unknown outcome, it gives up after
-// maxRefusalRetry.
+// commitWithRetry repeats a conditional write until the store answers, ctx ends or
+// this entry counts as cut off from the store. As long as no attempt has an unknown
+// outcome, it gives up after maxRefusalRetry.
 func (s *Scheduler) commitWithRetry(ctx context.Context, txn platform.Transaction) (int64, error) {
 	begin := time.Now()
 	uncertain := false
@@ -197,7 +197,7 @@
 			return 0, err
 		}
 		process.Pause(ctx, storeRetryPause, nil)
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || s.storeOutage.CutOff() {
 			if uncertain {
 				return 0, errUnknownOutcome
 			}
@@ -208,23 +208,41 @@
 
 // serveState responds with the state of a job.
 func (s *Scheduler) serveState(r *request) error {
-	v, ok := s.mirror.view(r.id)
+	reply, err := s.lookUpState(r.ctx, r.id)
+	if s.storeOutage.CutOff() && !reply.State.IsFinal() {
+		// The owner knows newer states than this entry.
+		if newer, relayErr := s.relay(r.ctx, &relayRequest{State: r.id}); relayErr == nil {
+			reply, err = newer, nil
+		}
+	}
+	switch {
+	case err != nil:
+		event.StateUnknown.Emit(s.log, event.Job(r.id), event.Reason(status.Code(err.Error())))
+		return status.RetryIn(status.ErrStoreUnavailable, retryAfter)
+	case !reply.Found:
+		return r.NoContent(http.StatusGone)
+	}
+	return r.JSONBlob(http.StatusOK, platform.EncodeState(reply.State))
+}
+
+// lookUpState returns the state of a job according to the mirror and the store.
+func (s *Scheduler) lookUpState(ctx context.Context, id string) (relayReply, error) {
+	v, ok := s.mirror.view(id)
 	switch {
 	case !ok || !v.live && !v.state.IsFinal():
 	case v.state.IsFinal(), v.longRunning:
-		return r.JSONBlob(http.StatusOK, platform.EncodeState(v.reportedState()))
+		return relayReply{Found: true, State: v.reportedState()}, nil
 	default:
-		return r.JSONBlob(http.StatusOK, platform.EncodeState(s.newestState(r.ctx, r.id, v)))
+		return relayReply{Found: true, State: s.newestState(ctx, id, v)}, nil
 	}
-	state, err := s.readState(r.ctx, r.id)
-	if errors.Is(err, platform.ErrNotFound) {
-		return r.NoContent(http.StatusGone)
+	if s.storeOutage.CutOff() {
+		return relayReply{}, errors.WithMessage(platform.ErrNoEffect, "cut off from the store")
 	}
-	if err != nil {
-		event.StateUnknown.Emit(s.log, event.Job(r.id), event.Reason(status.Code(err.Error())))
-		return status.RetryIn(status.ErrStoreUnavailable, retryAfter)
+	state, err := s.readState(ctx, id)
+	if errors.Is(err, platform.ErrNotFound) {
+		return relayReply{}, nil
 	}
-	return r.JSONBlob(http.StatusOK, platform.EncodeState(state))
+	return relayReply{Found: err == nil, State: state}, err
 }
 
 // finalReadTimeout is the timeout of the read of a final state. The store takes
@@ -235,6 +253,9 @@
 // the store if there is one, and otherwise that of the view. A client account acts on
 // the end of its job, and asks often after the last task has ended.
 func (s *Scheduler) newestState(ctx context.Context, id string, v jobView) job.State {
+	if s.storeOutage.CutOff() {
+		return v.reportedState()
+	}
 	callCtx, cancel := context.WithTimeout(ctx, finalReadTimeout)
 	defer cancel()
 	i, err := s.store.Get(callCtx, job.FinalKey(id))
@@ -279,7 +300,8 @@
 	}
 }
 
-// getWithRetry repeats a read until the store answers or ctx ends.
+// getWithRetry repeats a read until the store answers, ctx ends or this entry counts
+// as cut off from the store.
 func (s *Scheduler) getWithRetry(ctx context.Context, key string) (platform.Item, error) {
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
@@ -289,7 +311,7 @@
 			return i, err
 		}
 		process.Pause(ctx, storeRetryPause, nil)
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || s.storeOutage.CutOff() {
 			return i, err
 		}
 	}
@@ -297,7 +319,8 @@
 
 // cancel cancels a job and responds once the cancellation is durable.
 func (s *Scheduler) cancel(r *request) error {
-	found, err := s.storeCancellation(r.ctx, r.id)
+	reply, err := s.storeOrRelay(r.ctx, &relayRequest{Cancel: r.id})
+	found := reply.Found
 	outcome := "cancelled"
 	switch {
 	case err != nil:
--- /dev/null
+++ b/io/scheduler/relay.go
@@ -0,0 +1,180 @@
+package scheduler
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"rosemarygap/core/event"
+	"rosemarygap/core/job"
+	"rosemarygap/core/status"
+	"rosemarygap/io/httpjson"
+	"rosemarygap/io/process"
+	"rosemarygap/platform"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+)
+
+// relayPath is the path to which an entry that is cut off from the store posts a
+// relayRequest.
+const relayPath = "/v1/entries/relay"
+
+// Timeouts of relays.
+const (
+	// relayTimeout is the timeout of one relay. An owner that was cut off or has
+	// ended does not answer; the next attempt may reach its successor.
+	relayTimeout = 700 * time.Millisecond
+	// maxRelayTimeout limits the timeout that the relaying entry asks for.
+	maxRelayTimeout = 10 * time.Second
+)
+
+// relayRequest asks another entry to do with the store what this entry cannot. One of
+// the first three fields is set. All of them can be repeated without further effect.
+type relayRequest struct {
+	// Job is the job to store.
+	Job *job.Job `json:"job,omitempty"`
+	// Cancel is the ID of the job to cancel.
+	Cancel string `json:"cancel,omitempty"`
+	// State is the ID of the job whose state is asked for.
+	State string `json:"state,omitempty"`
+	// Timeout is how long the relaying entry waits.
+	Timeout time.Duration `json:"timeout-ns"`
+}
+
+// relayReply is the answer to a relayRequest.
+type relayReply struct {
+	// Found is false if the job to cancel or whose state is asked for does not exist.
+	Found bool      `json:"found"`
+	State job.State `json:"state,omitempty"`
+}
+
+// storeOrRelay does what the request asks for: with the store or, while this entry is
+// cut off from the store, through the owner. The error is platform.ErrNoEffect if the
+// request had no effect, and errUnknownOutcome if that is not known when ctx ends.
+func (s *Scheduler) storeOrRelay(ctx context.Context, req *relayRequest) (relayReply, error) {
+	uncertain := false
+	for {
+		reply, err := s.storeOrRelayOnce(ctx, req)
+		switch {
+		case errors.Is(err, errUnknownOutcome):
+			uncertain = true
+		case !errors.Is(err, platform.ErrNoEffect), !uncertain:
+			return reply, err
+		}
+		process.Pause(ctx, storeRetryPause, nil)
+		if ctx.Err() != nil {
+			return relayReply{}, errUnknownOutcome
+		}
+	}
+}
+
+// storeOrRelayOnce makes one attempt. If the store does not serve the attempt and this
+// entry then counts as cut off, the attempt is relayed.
+func (s *Scheduler) storeOrRelayOnce(ctx context.Context, req *relayRequest) (relayReply, error) {
+	if s.storeOutage.CutOff() {
+		return s.relay(ctx, req)
+	}
+	reply, err := s.carryOut(ctx, req)
+	notServed := errors.Is(err, errUnknownOutcome) || errors.Is(err, platform.ErrNoEffect)
+	if !notServed || !s.storeOutage.CutOff() || ctx.Err() != nil {
+		return reply, err
+	}
+	relayed, relayErr := s.relay(ctx, req)
+	if errors.Is(relayErr, platform.ErrNoEffect) {
+		return relayed, err
+	}
+	return relayed, relayErr
+}
+
+// carryOut does what the request asks for with the store.
+func (s *Scheduler) carryOut(ctx context.Context, req *relayRequest) (relayReply, error) {
+	switch {
+	case req.Job != nil:
+		return relayReply{}, s.storeJob(ctx, req.Job)
+	case req.Cancel != "":
+		found, err := s.storeCancellation(ctx, req.Cancel)
+		return relayReply{Found: found}, err
+	default:
+		return s.lookUpState(ctx, req.State)
+	}
+}
+
+// relay passes a request on to the owner.
+func (s *Scheduler) relay(ctx context.Context, req *relayRequest) (relayReply, error) {
+	o, _ := s.mirror.ownership()
+	if !o.Address.IsValid() || o.Address == s.peerAddress() {
+		return relayReply{}, errors.WithMessage(platform.ErrNoEffect, "cut off from the store, and no other owner is known")
+	}
+	callCtx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	sent := *req
+	sent.Timeout = relayTimeout
+	if deadline, ok := callCtx.Deadline(); ok {
+		sent.Timeout = time.Until(deadline)
+	}
+	var reply relayReply
+	err := relayOutcome(s.relayClient.Call(callCtx, http.MethodPost, o.Address, relayPath, &sent, &reply))
+	outcome := "served"
+	if err != nil {
+		outcome = err.Error()
+	}
+	event.RequestRelayed.Emit(s.log, event.Job(req.id()), event.Address(o.Address), event.Outcome(outcome))
+	return reply, err
+}
+
+// id returns the ID of the job that the request is about.
+func (r *relayRequest) id() string {
+	if r.Job != nil {
+		return r.Job.ID
+	}
+	return r.Cancel + r.State
+}
+
+// relayOutcome returns the error of a relayed request: platform.ErrNoEffect if the
+// owner did nothing, and errUnknownOutcome if that is not known.
+func relayOutcome(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, httpjson.ErrNotConnected), errors.Is(err, status.ErrStoreUnavailable):
+		return errors.WithMessage(platform.ErrNoEffect, err.Error())
+	default:
+		return errors.WithMessage(errUnknownOutcome, err.Error())
+	}
+}
+
+// handleRelay serves the requests that other entries relay.
+func (s *Scheduler) handleRelay(x echo.Context) error {
+	var req relayRequest
+	if err := httpjson.Decode(x, &req); err != nil {
+		return err
+	}
+	if err := req.check(); err != nil {
+		return err
+	}
+	if s.storeOutage.CutOff() {
+		return status.RetryIn(status.ErrStoreUnavailable, retryAfter)
+	}
+	ctx, cancel := context.WithTimeout(x.Request().Context(), req.Timeout)
+	defer cancel()
+	reply, err := s.carryOut(ctx, &req)
+	if err != nil {
+		return callerError(err)
+	}
+	return x.JSON(http.StatusOK, &reply)
+}
+
+// check returns an error with a status code if a field is missing or malformed.
+func (r *relayRequest) check() error {
+	if r.Timeout <= 0 || r.Timeout > maxRelayTimeout {
+		return status.At(status.ErrOutOfRange, "timeout-ns", r.Timeout.String())
+	}
+	if !job.ValidID(r.id()) {
+		return status.At(status.ErrBadName, "id", r.id())
+	}
+	if r.Job != nil {
+		return r.Job.Validate()
+	}
+	return nil
+}
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -17,6 +17,7 @@
 
 	"rosemarygap/core/event"
 	"rosemarygap/core/job"
+	"rosemarygap/core/outage"
 	"rosemarygap/core/status"
 	"rosemarygap/io/agent"
 	"rosemarygap/io/httpjson"
@@ -63,6 +64,10 @@
 	// ownershipCheckRequests is signalled to request an ownership check at once.
 	ownershipCheckRequests chan struct{}
 	peerClient             *httpjson.Client
+	// storeOutage tells whether this entry is cut off from the store. relayClient
+	// passes requests on to the owner meanwhile.
+	storeOutage *outage.Detector
+	relayClient *httpjson.Client
 	// advisor serves one request at a time.
 	advisor         *platform.Advisor
 	advisorHealth   *process.Dependency
@@ -73,8 +78,12 @@
 
 // New returns a scheduler with the given settings.
 func New(cfg platform.Settings, l hclog.Logger) *Scheduler {
-	store := platform.NewStore(platform.NewHTTPClient(), cfg.StoreAddress, platform.WithObserver(process.CountStoreCall))
-	return &Scheduler{cfg: cfg, log: l, store: store, mirror: newMirror(l, store), processID: time.Now().UnixNano(),
+	storeOutage := &outage.Detector{}
+	store := platform.NewStore(platform.NewHTTPClient(), cfg.StoreAddress, platform.WithObserver(func(c platform.StoreCall) {
+		process.CountStoreCall(c)
+		storeOutage.Observe(c.Answered(), time.Now())
+	}))
+	return &Scheduler{cfg: cfg, log: l, store: store, storeOutage: storeOutage, relayClient: httpjson.NewClient(relayTimeout), mirror: newMirror(l, store), processID: time.Now().UnixNano(),
 		reports: make(chan agentReport, maxMessageBatch), messages: make(chan any, maxMessageBatch),
 		superseded: make(chan struct{}, 1), stop: make(chan struct{}),
 		ownershipCheckRequests: make(chan struct{}, 1), peerClient: httpjson.NewClient(noticeTimeout),
@@ -176,6 +185,7 @@
 	})
 	e.POST(agent.ReportPath, s.handleReport)
 	e.POST(noticePath, s.handleNotice)
+	e.POST(relayPath, s.handleRelay)
 	return e
 }
 
