An owner that is cut off from the store resigns through another entry

Change: an owner whose ownership check fails and that counts as cut off asks an entry that sent it a notice to delete the lease on its behalf, on the condition that it is still the owner. While the store serves no entry, nothing changes. Relays of requests use these entries, too, when the known owner is of no help. Test: TestCutOffOwnerHandsOver (a quarter of the lease at most), TestRecentPeers.

--- a/io/scheduler/election.go
+++ b/io/scheduler/election.go
@@ -20,6 +20,9 @@
 	// renewInterval is the time between two renewals of the lease. It leaves time
 	// for two retries before the lease ends.
 	renewInterval = 350 * time.Millisecond
+	// failedCheckPause is the pause after an ownership check that failed. An owner
+	// that is cut off from the store hands over as soon as it knows.
+	failedCheckPause = 60 * time.Millisecond
 	// electionCallTimeout is the timeout of an ownership check with a renewal,
 	// and of a resignation. A claim may take twice as long.
 	electionCallTimeout = 600 * time.Millisecond
@@ -39,6 +42,7 @@
 var (
 	errOwned      = errors.New("another entry is the owner")
 	errSuperseded = errors.New("another entry has become the owner")
+	errCutOff     = errors.New("resigned through another entry, being cut off from the store")
 )
 
 // ownerSession is one period during which this entry is the owner.
@@ -159,8 +163,15 @@
 // reason for the loss.
 func (s *Scheduler) keepOwnership(ctx context.Context, session *ownerSession) error {
 	for {
-		if err := s.checkAndRenew(ctx, session); errors.Is(err, errSuperseded) {
+		err := s.checkAndRenew(ctx, session)
+		interval := renewInterval
+		switch {
+		case errors.Is(err, errSuperseded):
 			return err
+		case err != nil && s.handOver(ctx, session):
+			return errCutOff
+		case err != nil:
+			interval = failedCheckPause
 		}
 		select {
 		case <-ctx.Done():
@@ -169,7 +180,7 @@
 			return errSuperseded
 		case <-s.stop:
 		case <-s.ownershipCheckRequests:
-		case <-time.After(renewInterval):
+		case <-time.After(interval):
 		}
 		if s.stopping.Load() {
 			s.resign(session)
@@ -236,10 +247,27 @@
 func (s *Scheduler) resign(session *ownerSession) {
 	ctx, cancel := context.WithTimeout(context.Background(), electionCallTimeout)
 	defer cancel()
+	s.mirror.storeHealth.Observe(s.commitResignation(ctx, session.ownerRevision))
+}
+
+// commitResignation deletes the key of the owner's lease if the owner's key has the
+// given revision. It does nothing if there is a later owner.
+func (s *Scheduler) commitResignation(ctx context.Context, ownerRevision int64) error {
 	_, _, err := s.store.Commit(ctx, platform.Transaction{
-		Conditions: []platform.Condition{{Key: job.KeyOwner, Revision: session.ownerRevision}},
+		Conditions: []platform.Condition{{Key: job.KeyOwner, Revision: ownerRevision}},
 		Deletes:    []string{job.KeyOwnerLease}})
-	s.mirror.storeHealth.Observe(ignoreOwnershipConflict(err))
+	return ignoreOwnershipConflict(err)
+}
+
+// handOver resigns through another entry if this entry is cut off from the store, and
+// reports whether that succeeded. Without it the other entries would wait until the
+// owner's lease expires. It fails if the store serves no entry: then the owner goes on.
+func (s *Scheduler) handOver(ctx context.Context, session *ownerSession) bool {
+	if !s.storeOutage.CutOff() {
+		return false
+	}
+	_, err := s.relay(ctx, &relayRequest{Resign: session.ownerRevision})
+	return err == nil
 }
 
 // loadState reads all items of the scheduler and sends them to the control
--- a/io/scheduler/notice.go
+++ b/io/scheduler/notice.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"rosemarygap/core/job"
@@ -81,6 +82,9 @@
 	if !s.mirror.isOwner.Load() {
 		return status.ErrNotOwner
 	}
+	if a, err := netip.ParseAddrPort(x.Request().RemoteAddr); err == nil {
+		s.recentPeers.record(netip.AddrPortFrom(a.Addr(), s.cfg.PeerPort))
+	}
 	s.forwardNotice(n)
 	return x.JSON(http.StatusOK, struct{}{})
 }
--- a/io/scheduler/relay.go
+++ b/io/scheduler/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"rosemarygap/core/event"
@@ -30,7 +31,7 @@
 )
 
 // relayRequest asks another entry to do with the store what this entry cannot. One of
-// the first three fields is set. All of them can be repeated without further effect.
+// the first four fields is set. All of them can be repeated without further effect.
 type relayRequest struct {
 	// Job is the job to store.
 	Job *job.Job `json:"job,omitempty"`
@@ -38,6 +39,8 @@
 	Cancel string `json:"cancel,omitempty"`
 	// State is the ID of the job whose state is asked for.
 	State string `json:"state,omitempty"`
+	// Resign is the revision of the owner's key at which its holder resigns.
+	Resign int64 `json:"resign,omitempty"`
 	// Timeout is how long the relaying entry waits.
 	Timeout time.Duration `json:"timeout-ns"`
 }
@@ -95,17 +98,32 @@
 	case req.Cancel != "":
 		found, err := s.storeCancellation(ctx, req.Cancel)
 		return relayReply{Found: found}, err
+	case req.Resign != 0:
+		return relayReply{}, s.commitResignation(ctx, req.Resign)
 	default:
 		return s.lookUpState(ctx, req.State)
 	}
 }
 
-// relay passes a request on to the owner.
+// relay passes a request on to the owner or, if that had no effect, to the entries
+// that sent notices to this entry last.
 func (s *Scheduler) relay(ctx context.Context, req *relayRequest) (relayReply, error) {
-	o, _ := s.mirror.ownership()
-	if !o.Address.IsValid() || o.Address == s.peerAddress() {
-		return relayReply{}, errors.WithMessage(platform.ErrNoEffect, "cut off from the store, and no other owner is known")
+	var targets []netip.AddrPort
+	if o, _ := s.mirror.ownership(); o.Address.IsValid() && o.Address != s.peerAddress() {
+		targets = append(targets, o.Address)
+	}
+	err := errors.WithMessage(platform.ErrNoEffect, "cut off from the store, and no other entry is known")
+	for _, target := range append(targets, s.recentPeers.list()...) {
+		var reply relayReply
+		if reply, err = s.relayTo(ctx, target, req); !errors.Is(err, platform.ErrNoEffect) {
+			return reply, err
+		}
 	}
+	return relayReply{}, err
+}
+
+// relayTo passes a request on to the entry at target.
+func (s *Scheduler) relayTo(ctx context.Context, target netip.AddrPort, req *relayRequest) (relayReply, error) {
 	callCtx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	sent := *req
@@ -114,12 +132,12 @@
 		sent.Timeout = time.Until(deadline)
 	}
 	var reply relayReply
-	err := relayOutcome(s.relayClient.Call(callCtx, http.MethodPost, o.Address, relayPath, &sent, &reply))
+	err := relayOutcome(s.relayClient.Call(callCtx, http.MethodPost, target, relayPath, &sent, &reply))
 	outcome := "served"
 	if err != nil {
 		outcome = err.Error()
 	}
-	event.RequestRelayed.Emit(s.log, event.Job(req.id()), event.Address(o.Address), event.Outcome(outcome))
+	event.RequestRelayed.Emit(s.log, event.Job(req.id()), event.Address(target), event.Outcome(outcome))
 	return reply, err
 }
 
@@ -170,6 +188,9 @@
 	if r.Timeout <= 0 || r.Timeout > maxRelayTimeout {
 		return status.At(status.ErrOutOfRange, "timeout-ns", r.Timeout.String())
 	}
+	if r.Resign != 0 {
+		return nil
+	}
 	if !job.ValidID(r.id()) {
 		return status.At(status.ErrBadName, "id", r.id())
 	}
--- a/io/scheduler/relay_test.go
+++ b/io/scheduler/relay_test.go
@@ -157,6 +157,51 @@
 	})
 }
 
+// An owner that is cut off from the store, while it serves other entries, resigns
+// through one of them before its lease expires. It keeps the ownership while the store
+// serves no entry.
+func TestCutOffOwnerHandsOver(t *testing.T) {
+	is := is.New(t)
+	x := newRelayTest(t)
+	ctx := t.Context()
+	// The entry is the owner here, and x.owner another entry.
+	x.entry.mirror.owner = job.Ownership{Epoch: 1, Address: x.entry.peerAddress()}
+	go x.entry.discardMessages(ctx)
+	session, err := x.entry.claim(ctx)
+	is.NoErr(err)
+	is.True(!x.entry.handOver(ctx, session)) // not cut off
+	x.entry.recentPeers.record(x.ownerServerAddress)
+	x.cutOff(t, x.owner, x.ownerStore, cutBusy)
+	x.cutOff(t, x.entry, x.entryStore, cutReset)
+	is.True(!x.entry.handOver(ctx, session)) // no entry is served
+
+	x.ownerStore.cut.Store(0)
+	_, err = x.owner.store.Get(ctx, job.KeyOwner)
+	is.NoErr(err)
+	begin := time.Now()
+	is.Equal(x.entry.keepOwnership(ctx, session), errCutOff)
+	is.True(time.Since(begin) < ownerLeaseTTL/4)
+	_, _, err = x.store.Get(job.KeyOwnerLease)
+	is.True(err != nil)
+	next, err := x.owner.claim(ctx)
+	is.NoErr(err)
+	is.Equal(next.ownership.Epoch, int64(2))
+	is.NoErr(x.owner.commitResignation(ctx, session.ownerRevision)) // repeated late
+	_, _, err = x.store.Get(job.KeyOwnerLease)
+	is.NoErr(err)
+}
+
+// The owner remembers the entries that sent notices last.
+func TestRecentPeers(t *testing.T) {
+	is := is.New(t)
+	var p recentPeers
+	address := func(n byte) netip.AddrPort { return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 7) }
+	for _, n := range []byte{1, 2, 3, 1, 4, 5} {
+		p.record(address(n))
+	}
+	is.Equal(p.list(), []netip.AddrPort{address(5), address(4), address(1), address(3)})
+}
+
 // Malformed relayed requests are refused with a code.
 func TestRelayedRequestsAreChecked(t *testing.T) {
 	x := newRelayTest(t)
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -68,6 +68,7 @@
 	// passes requests on to the owner meanwhile.
 	storeOutage *outage.Detector
 	relayClient *httpjson.Client
+	recentPeers recentPeers
 	// advisor serves one request at a time.
 	advisor         *platform.Advisor
 	advisorHealth   *process.Dependency
