core/job: best-effort tasks do not make processors scarce

Cause: density was used on the users' grown site, too, where builds are best-effort tasks that wait for workers without interference, not for processors. Change: the backlog that makes processors scarce leaves best-effort tasks out, so that they are in deadline order again; loads of reserved tasks keep their gain.

--- a/core/job/choose.go
+++ b/core/job/choose.go
@@ -27,7 +27,8 @@
 )
 
 // maxBacklog is the time that the tasks ready to start would take on all processors
-// above which processors are scarce.
+// above which processors are scarce. Best-effort tasks do not count: what they wait
+// for beside serving tasks is a worker without interference.
 const maxBacklog = 1500 * time.Millisecond
 
 // setRoom sets how long the best-effort tasks of each candidate wait for a worker
@@ -40,8 +41,9 @@
 	}
 	backlog := 0.0
 	for i := range all {
-		s := all[i].step
-		backlog += processorSeconds(s.spec, s.waiting)
+		if s := all[i].step; !s.spec.BestEffort {
+			backlog += processorSeconds(s.spec, s.waiting)
+		}
 	}
 	scarce := backlog > maxBacklog.Seconds()*float64(capacity)/processorUnit
 	for i := range all {
