An entry that no one can serve is not ready, and knows soon that a relay was not sent

Cause: such an entry stayed ready, so that clients kept coming; a connection to the owner that hung for 700 ms counted as an unknown outcome. Change: the entry is not ready while neither the store nor another entry serves it; connections for relays are given up after 150 ms, which is certain not to have sent anything, so that the refusal follows at once.

--- a/io/httpjson/httpjson.go
+++ b/io/httpjson/httpjson.go
@@ -38,6 +38,8 @@
 	http  *http.Client
 	token string
 	meter *Meter
+	// dialTimeout is the longest time to make a connection, or 0 for no limit.
+	dialTimeout time.Duration
 }
 
 // Option configures a Client.
@@ -50,6 +52,10 @@
 // WithMeter makes m count the bytes of the client's connections.
 func WithMeter(m *Meter) Option { return func(c *Client) { c.meter = m } }
 
+// WithDialTimeout makes calls fail with ErrNotConnected if no connection was made
+// within d. It has no effect together with WithMeter.
+func WithDialTimeout(d time.Duration) Option { return func(c *Client) { c.dialTimeout = d } }
+
 // NewClient returns a client whose calls time out after timeout.
 func NewClient(timeout time.Duration, opts ...Option) *Client {
 	t := &http.Transport{
@@ -61,6 +67,9 @@
 	for _, o := range opts {
 		o(c)
 	}
+	if c.dialTimeout > 0 {
+		t.DialContext = (&net.Dialer{Timeout: c.dialTimeout}).DialContext
+	}
 	if c.meter != nil {
 		t.DialContext = c.meter.dial
 	}
--- a/io/scheduler/relay.go
+++ b/io/scheduler/relay.go
@@ -26,12 +26,15 @@
 	// relayTimeout is the timeout of one relay. An owner that was cut off or has
 	// ended does not answer; the next attempt may reach its successor.
 	relayTimeout = 700 * time.Millisecond
+	// relayDialTimeout is the longest time to connect to another entry. An entry that
+	// is cut off from the others, too, must know soon that nothing was sent.
+	relayDialTimeout = 150 * time.Millisecond
 	// maxRelayTimeout limits the timeout that the relaying entry asks for.
 	maxRelayTimeout = 10 * time.Second
 )
 
 // relayRequest asks another entry to do with the store what this entry cannot. One of
-// the first four fields is set. All of them can be repeated without further effect.
+// the first five fields is set. All of them can be repeated without further effect.
 type relayRequest struct {
 	// Job is the job to store.
 	Job *job.Job `json:"job,omitempty"`
@@ -41,6 +44,8 @@
 	State string `json:"state,omitempty"`
 	// Resign is the revision of the owner's key at which its holder resigns.
 	Resign int64 `json:"resign,omitempty"`
+	// Probe asks only whether the store serves the other entry.
+	Probe bool `json:"probe,omitempty"`
 	// Timeout is how long the relaying entry waits.
 	Timeout time.Duration `json:"timeout-ns"`
 }
@@ -98,6 +103,8 @@
 	case req.Cancel != "":
 		found, err := s.storeCancellation(ctx, req.Cancel)
 		return relayReply{Found: found}, err
+	case req.Probe:
+		return relayReply{}, nil
 	case req.Resign != 0:
 		return relayReply{}, s.commitResignation(ctx, req.Resign)
 	default:
@@ -122,6 +129,16 @@
 	return relayReply{}, err
 }
 
+// servesRequests reports whether this entry can serve requests of client accounts, with
+// the store or through another entry.
+func (s *Scheduler) servesRequests(ctx context.Context) bool {
+	if !s.storeOutage.CutOff() {
+		return true
+	}
+	_, err := s.relay(ctx, &relayRequest{Probe: true})
+	return err == nil
+}
+
 // relayTo passes a request on to the entry at target.
 func (s *Scheduler) relayTo(ctx context.Context, target netip.AddrPort, req *relayRequest) (relayReply, error) {
 	callCtx, cancel := context.WithTimeout(ctx, relayTimeout)
@@ -188,7 +205,7 @@
 	if r.Timeout <= 0 || r.Timeout > maxRelayTimeout {
 		return status.At(status.ErrOutOfRange, "timeout-ns", r.Timeout.String())
 	}
-	if r.Resign != 0 {
+	if r.Resign != 0 || r.Probe {
 		return nil
 	}
 	if !job.ValidID(r.id()) {
--- a/io/scheduler/relay_test.go
+++ b/io/scheduler/relay_test.go
@@ -2,16 +2,19 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"rosemarygap/core/job"
 	"rosemarygap/io/standin/fleet"
+	"rosemarygap/platform"
 	"rosemarygap/platform/platformtest"
 
 	"github.com/matryer/is"
@@ -111,6 +114,34 @@
 	}
 }
 
+// fullListener returns the address of a listener that accepts no connection and whose
+// backlog is full.
+func fullListener(t *testing.T) netip.AddrPort {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(name.(*syscall.SockaddrInet4).Port))
+	for {
+		c, err := net.DialTimeout("tcp", address.String(), 50*time.Millisecond)
+		if err != nil {
+			return address
+		}
+		t.Cleanup(func() { c.Close() })
+	}
+}
+
 // An entry that does not know yet that the store answers it no more serves its first
 // request through the owner once the calls of the store have timed out.
 func TestSilentStoreIsNoticed(t *testing.T) {
@@ -126,17 +157,18 @@
 // Requests are refused at once while the store serves neither the entry nor the owner,
 // and while the owner has ended: the refusal says truthfully that they did not run.
 func TestKnownOutageIsRefusedAtOnce(t *testing.T) {
-	refused := func(t *testing.T, x *relayTest) {
+	refusedWithin := func(t *testing.T, x *relayTest, limit time.Duration) {
 		is := is.New(t)
 		begin := time.Now()
 		w := send(x.entryCaller, http.MethodPost, "/jobs/"+testID, testBody)
 		is.Equal(w.Code, http.StatusServiceUnavailable)
 		is.Equal(w.Header().Get("Retry-After"), "1")
 		is.True(strings.Contains(w.Body.String(), "store-unavailable"))
-		is.True(time.Since(begin) < 100*time.Millisecond)
+		is.True(time.Since(begin) < limit)
 		_, _, err := x.store.Get(job.JobKey(testID))
 		is.True(err != nil)
 	}
+	refused := func(t *testing.T, x *relayTest) { refusedWithin(t, x, 100*time.Millisecond) }
 	t.Run("store", func(t *testing.T) {
 		x := newRelayTest(t)
 		x.cutOff(t, x.entry, x.entryStore, cutReset)
@@ -149,6 +181,13 @@
 		x.cutOff(t, x.entry, x.entryStore, cutBusy)
 		refused(t, x)
 	})
+	t.Run("owner behind a partition", func(t *testing.T) {
+		x := newRelayTest(t)
+		// The backlog of this listener is full, so connections to it hang.
+		x.entry.mirror.owner = job.Ownership{Epoch: 1, Address: fullListener(t)}
+		x.cutOff(t, x.entry, x.entryStore, cutBusy)
+		refusedWithin(t, x, 2*relayDialTimeout)
+	})
 	t.Run("owner itself", func(t *testing.T) {
 		x := newRelayTest(t)
 		x.entry.mirror.owner = job.Ownership{Epoch: 1, Address: x.entry.peerAddress()}
@@ -157,6 +196,28 @@
 	})
 }
 
+// An entry that is cut off from the store and from all entries that it knows is not
+// ready, so that the load balancer sends new connections to others.
+func TestEntryWithoutStoreIsNotReady(t *testing.T) {
+	is := is.New(t)
+	x := newRelayTest(t)
+	x.entry.mirror.synced.Store(true)
+	ready := func() int {
+		w := httptest.NewRecorder()
+		x.entry.readinessHandler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, platform.ReadinessPath, nil))
+		return w.Code
+	}
+	is.Equal(ready(), http.StatusOK)
+	x.cutOff(t, x.entry, x.entryStore, cutBusy)
+	is.Equal(ready(), http.StatusOK) // the owner is served
+	x.cutOff(t, x.owner, x.ownerStore, cutBusy)
+	is.Equal(ready(), http.StatusServiceUnavailable)
+	x.entryStore.cut.Store(0)
+	_, err := x.entry.store.Get(t.Context(), "key")
+	is.True(err != nil) // there is no such key, but the store answers
+	is.Equal(ready(), http.StatusOK)
+}
+
 // An owner that is cut off from the store, while it serves other entries, resigns
 // through one of them before its lease expires. It keeps the ownership while the store
 // serves no entry.
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -84,7 +84,7 @@
 		process.CountStoreCall(c)
 		storeOutage.Observe(c.Answered(), time.Now())
 	}))
-	return &Scheduler{cfg: cfg, log: l, store: store, storeOutage: storeOutage, relayClient: httpjson.NewClient(relayTimeout), mirror: newMirror(l, store), processID: time.Now().UnixNano(),
+	return &Scheduler{cfg: cfg, log: l, store: store, storeOutage: storeOutage, relayClient: httpjson.NewClient(relayTimeout, httpjson.WithDialTimeout(relayDialTimeout)), mirror: newMirror(l, store), processID: time.Now().UnixNano(),
 		reports: make(chan agentReport, maxMessageBatch), messages: make(chan any, maxMessageBatch),
 		superseded: make(chan struct{}, 1), stop: make(chan struct{}),
 		ownershipCheckRequests: make(chan struct{}, 1), peerClient: httpjson.NewClient(noticeTimeout),
@@ -166,7 +166,7 @@
 	e := httpjson.NewServer()
 	e.GET(platform.ReadinessPath, func(x echo.Context) error {
 		code := http.StatusOK
-		if s.stopping.Load() || s.mirror.cfg.Load() == nil || !s.mirror.synced.Load() {
+		if s.stopping.Load() || s.mirror.cfg.Load() == nil || !s.mirror.synced.Load() || !s.servesRequests(x.Request().Context()) {
 			code = http.StatusServiceUnavailable
 		}
 		return x.NoContent(code)
