--- /dev/null
+++ b/core/job/reply.go
@@ -0,0 +1,66 @@
+package job
+
+import "time"
+
+// Reply returns the reply to a report of an agent.
+func (c *Cell) Reply(r *Report, now time.Time) Reply {
+	out := Reply{Epoch: c.epoch}
+	w := c.workers.Get(r.Agent)
+	if w == nil {
+		return out
+	}
+	out.Worker, out.Incarnation = w.ID, w.Incarnation
+	out.Acknowledged = w.durableEnds
+	if !w.canGrantLease() {
+		// Without a lease the worker would refuse to start tasks.
+		return out
+	}
+	out.LeaseUntil = w.confirmedClock.clock + maxLeaseExtension
+	if c.roster[r.Agent].durable && len(w.pending) > 0 && !w.delivery.excludes(r.LongPoll, now) {
+		w.delivery = delivery{w.sequence, r.LongPoll, now}
+		out.addOrders(w.pending, r.SharedPayloads)
+	}
+	out.Interference = c.interferenceOn(w)
+	for i := range r.Running {
+		c.addTraits(&out, r.Running[i].Task)
+	}
+	return out
+}
+
+// traits returns the traits of the step's tasks.
+func (s *Step) traits() TaskTraits { return TaskTraits{s.BestEffort, s.TailTarget, s.Image} }
+
+func (c *Cell) addTraits(out *Reply, name string) {
+	_, s, t := c.findTask(name)
+	if t == nil || !s.spec.BestEffort && s.spec.TailTarget == 0 {
+		return
+	}
+	if out.Traits == nil {
+		out.Traits = map[string]TaskTraits{}
+	}
+	out.Traits[name] = s.spec.traits()
+}
+
+// HasOrders reports whether there are orders that may be sent to the agent in the
+// reply to a long poll.
+func (c *Cell) HasOrders(agent string, now time.Time) bool {
+	w := c.workers.Get(agent)
+	return w != nil && len(w.pending) > 0 && w.canGrantLease() && c.roster[agent].durable && !w.delivery.excludes(true, now)
+}
+
+// canGrantLease reports whether the ownership was confirmed after a report of
+// the worker's current incarnation, so that the worker can be granted a lease.
+func (w *workerRow) canGrantLease() bool {
+	return w.confirmedClock.incarnation == w.Incarnation && w.confirmedClock.clock > 0
+}
+
+// NeedsOwnershipCheck reports whether a worker needs an ownership check before
+// it can be granted its first lease.
+func (c *Cell) NeedsOwnershipCheck() bool {
+	for _, w := range c.workers.All {
+		if w.listed && !w.ended && !w.canGrantLease() {
+			return true
+		}
+	}
+	return false
+}
--- a/io/scheduler/configuration.go
+++ b/io/scheduler/configuration.go
@@ -23,6 +23,8 @@
 	r := configurationReader{mirror: m}
 	for ctx.Err() == nil {
 		if err := r.update(ctx, configurationWatchWait); err != nil {
+			// The metric of calls to the store counts the failure, and the mirror
+			// logs an outage.
 			process.Pause(ctx, readRetryPause, nil)
 		}
 	}
--- a/io/scheduler/owner_lease.go
+++ b/io/scheduler/owner_lease.go
@@ -24,6 +24,8 @@
 			continue
 		}
 		if err != nil {
+			// The metric of calls to the store counts the failure, and the mirror
+			// logs an outage.
 			process.Pause(ctx, readRetryPause, nil)
 			continue
 		}
