--- a/core/operator/scan.go
+++ b/core/operator/scan.go
@@ -90,7 +90,7 @@
 		}
 		at := memberPath(path, key)
 		if _, duplicate := o[key]; duplicate {
-			s.add(status.ErrDuplicateKey, at, key)
+			s.add(status.ErrDuplicateKey, memberPath(path, truncate(key)), truncate(key))
 		}
 		if o[key], err = s.value(at, depth+1); err != nil {
 			return nil, err
@@ -125,8 +125,7 @@
 func elementPath(path string, i int) string { return path + "[" + strconv.Itoa(i) + "]" }
 
 // maxValueBytes is the length in bytes to which truncate cuts a value in a fault,
-// and a key in the path of a fault that the schema reports. The fault of a
-// duplicate key has the whole key.
+// and a key in the path of a fault.
 const maxValueBytes = 120
 
 // truncate returns the first maxValueBytes bytes of s, or s if it is shorter.
--- a/io/commandline/jobs.go
+++ b/io/commandline/jobs.go
@@ -95,7 +95,7 @@
 			return err
 		}
 		all = append(all, out...)
-		printProgress("cancelled=%d of=%d", len(all), len(c.IDs))
+		printProgress("cancelled=%d of=%d", countCancelled(all), len(c.IDs))
 	}
 	for i := range all {
 		if all[i].ErrorBody != nil {
@@ -108,6 +108,17 @@
 	return lastErr
 }
 
+// countCancelled returns the number of jobs that were cancelled.
+func countCancelled(all []operator.CancelResult) int {
+	n := 0
+	for i := range all {
+		if all[i].ErrorBody == nil {
+			n++
+		}
+	}
+	return n
+}
+
 // JobsCommand lists jobs.
 type JobsCommand struct {
 	Target
