io/agent: say shared-payloads in the query, not in the body

Cause: requests between our processes are decoded strictly, so an owner of the build before refused every report of a new agent (unknown-field), and a rolling update that began with the agents would have ended the leases of their workers. Change: the query of the report says so; an earlier owner ignores it. An entry of the build before that answers a relay with 404 has done nothing.

--- a/core/job/message.go
+++ b/core/job/message.go
@@ -111,8 +111,9 @@
 	LongPoll bool `json:"wait,omitempty"`
 	// Applied is the sequence up to which orders of Epoch have been received.
 	Applied int64 `json:"applied"`
-	// SharedPayloads is true if the agent understands Reply.Payloads.
-	SharedPayloads bool `json:"shared-payloads,omitempty"`
+	// SharedPayloads is true if the agent understands Reply.Payloads. It is not in
+	// the body, since an owner of an earlier build refuses unknown fields.
+	SharedPayloads bool `json:"-"`
 	// Worker is nil until a heartbeat has reached this process of the agent.
 	Worker *Worker `json:"worker,omitempty"`
 	// Clock is the worker's clock reading in its newest answer.
--- a/io/agent/owner.go
+++ b/io/agent/owner.go
@@ -21,6 +21,9 @@
 const (
 	// ReportPath accepts a job.Report and returns a job.Reply.
 	ReportPath = "/v1/agents/report"
+	// SharedPayloadsParameter is the query parameter of an agent that understands
+	// job.Reply.Payloads. Its value is not empty.
+	SharedPayloadsParameter = "shared-payloads"
 	// OwnerPath returns the newest job.Ownership that the entry knows.
 	OwnerPath = "/v1/owner"
 )
@@ -220,7 +223,7 @@
 		client = a.pollClient
 	}
 	var reply job.Reply
-	if err := client.Call(ctx, http.MethodPost, o.Address, ReportPath, &r, &reply); err != nil {
+	if err := client.Call(ctx, http.MethodPost, o.Address, ReportPath+"?"+SharedPayloadsParameter+"=1", &r, &reply); err != nil {
 		return err
 	}
 	if reply.Epoch > o.Epoch {
--- a/io/agent/state.go
+++ b/io/agent/state.go
@@ -164,7 +164,7 @@
 func (s *state) report(name string, longPoll bool, now time.Time) job.Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r := job.Report{Agent: name, Process: s.processID, Epoch: s.epoch, LongPoll: longPoll, Applied: s.applied, SharedPayloads: true,
+	r := job.Report{Agent: name, Process: s.processID, Epoch: s.epoch, LongPoll: longPoll, Applied: s.applied,
 		Worker: s.worker, Clock: s.workerClock, Left: s.left}
 	if longPoll || s.worker == nil {
 		return r
--- a/io/scheduler/relay.go
+++ b/io/scheduler/relay.go
@@ -172,7 +172,8 @@
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, httpjson.ErrNotConnected), errors.Is(err, status.ErrStoreUnavailable):
+	case errors.Is(err, httpjson.ErrNotConnected), errors.Is(err, status.ErrStoreUnavailable),
+		errors.Is(err, status.ErrNotFound): // an entry of an earlier build
 		return errors.WithMessage(platform.ErrNoEffect, err.Error())
 	default:
 		return errors.WithMessage(errUnknownOutcome, err.Error())
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -198,6 +198,7 @@
 	if err := httpjson.Decode(x, &r); err != nil {
 		return err
 	}
+	r.SharedPayloads = x.QueryParam(agent.SharedPayloadsParameter) != ""
 	timeout := reportTimeout
 	if r.LongPoll {
 		timeout = longPollWait
