io/scheduler: a refusal in a known outage names what the store answered

Cause: an entry that already knew of the outage gave no store error as the reason, so the line of a refusal depended on when the request came; TestWayOfARefusal expects the store's status in it. Change: the reason has the error with which the calls began to fail.

--- a/io/process/dependency.go
+++ b/io/process/dependency.go
@@ -17,6 +17,8 @@
 	log    hclog.Logger
 	mu     sync.Mutex
 	lostAt time.Time
+	// reason is the text of the first error since lostAt.
+	reason string
 }
 
 // NewDependency returns a Dependency for the named peer, which is taken to be
@@ -29,10 +31,18 @@
 	defer d.mu.Unlock()
 	switch {
 	case err != nil && d.lostAt.IsZero():
-		d.lostAt = time.Now()
+		d.lostAt, d.reason = time.Now(), err.Error()
 		event.DependencyLost.Emit(d.log, event.Dependency(d.name), event.Reason(status.Code(err.Error())))
 	case err == nil && !d.lostAt.IsZero():
 		event.DependencyRegained.Emit(d.log, event.Dependency(d.name), event.Elapsed(time.Since(d.lostAt)))
-		d.lostAt = time.Time{}
+		d.lostAt, d.reason = time.Time{}, ""
 	}
 }
+
+// Reason returns the text of the error with which the calls to the peer began to fail,
+// or "" while they succeed.
+func (d *Dependency) Reason() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.reason
+}
--- a/io/scheduler/relay.go
+++ b/io/scheduler/relay.go
@@ -119,14 +119,13 @@
 	if o, _ := s.mirror.ownership(); o.Address.IsValid() && o.Address != s.peerAddress() {
 		targets = append(targets, o.Address)
 	}
-	err := errors.WithMessage(platform.ErrNoEffect, "cut off from the store, and no other entry is known")
 	for _, target := range append(targets, s.recentPeers.list()...) {
-		var reply relayReply
-		if reply, err = s.relayTo(ctx, target, req); !errors.Is(err, platform.ErrNoEffect) {
+		if reply, err := s.relayTo(ctx, target, req); !errors.Is(err, platform.ErrNoEffect) {
 			return reply, err
 		}
 	}
-	return relayReply{}, err
+	return relayReply{}, errors.WithMessagef(platform.ErrNoEffect, "cut off from the store (%s), and no other entry serves it",
+		s.mirror.storeHealth.Reason())
 }
 
 // servesRequests reports whether this entry can serve requests of client accounts, with
--- a/io/scheduler/relay_test.go
+++ b/io/scheduler/relay_test.go
@@ -81,6 +81,7 @@
 	for !s.storeOutage.CutOff() {
 		_, err := s.store.Get(t.Context(), "key")
 		is.New(t).True(err != nil)
+		s.mirror.storeHealth.Observe(err)
 		time.Sleep(10 * time.Millisecond)
 	}
 }
@@ -180,6 +181,9 @@
 		x.ownerServer.Close()
 		x.cutOff(t, x.entry, x.entryStore, cutBusy)
 		refused(t, x)
+		// The reason in the log names what the store answered.
+		_, err := x.entry.relay(t.Context(), &relayRequest{Cancel: testID})
+		is.New(t).Equal(err.Error(), "cut off from the store (status 503: refused without effect), and no other entry serves it: refused without effect")
 	})
 	t.Run("owner behind a partition", func(t *testing.T) {
 		x := newRelayTest(t)
