io/scheduler: abandon a silent store after the same time each, give answers time once they begin

Cause: the timeout of large reads doubled after each timeout. Change: the first byte must arrive within 0.9 s (after the wait of a watch), then the answer has 4 s. The test's slow link now sends packets; before, it held the first byte back for the whole transfer. Test: TestSilentReadIsAbandonedSoon; TestLargeConfigurationOnSlowLink still holds.

--- a/io/scheduler/configuration.go
+++ b/io/scheduler/configuration.go
@@ -39,7 +39,6 @@
 	// was read, or 0. It does not advance with the store, since a watch hears
 	// nothing for a moment while the store compacts its history.
 	revision int64
-	timeout  growingTimeout
 }
 
 // update waits up to wait for a new configuration and brings it into force. It
@@ -49,7 +48,7 @@
 		return r.read(ctx)
 	}
 	var c platform.Changes
-	err := r.timeout.call(ctx, wait, func(ctx context.Context) (err error) {
+	err := readLarge(ctx, wait, func(ctx context.Context) (err error) {
 		c, err = r.mirror.store.Watch(ctx, platform.ConfigurationKey, r.revision, wait)
 		return err
 	})
@@ -64,7 +63,7 @@
 
 func (r *configurationReader) read(ctx context.Context) error {
 	var p platform.Page
-	err := r.timeout.call(ctx, 0, func(ctx context.Context) (err error) {
+	err := readLarge(ctx, 0, func(ctx context.Context) (err error) {
 		p, err = r.mirror.store.List(ctx, platform.ConfigurationKey, "")
 		return err
 	})
--- a/io/scheduler/configuration_test.go
+++ b/io/scheduler/configuration_test.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
+	"net/http/httptrace"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -50,16 +51,28 @@
 	ctx  context.Context
 }
 
+// Write sends b in packets, one after the other.
 func (w *slowWriter) Write(b []byte) (int, error) {
+	const packetBytes = 16 << 10
 	w.link.sent.Add(int64(len(b)))
-	if w.link.bytesPerSecond > 0 {
+	if w.link.bytesPerSecond == 0 {
+		return w.ResponseWriter.Write(b)
+	}
+	sent := 0
+	for packet := range slices.Chunk(b, packetBytes) {
 		select {
-		case <-time.After(time.Second * time.Duration(len(b)) / time.Duration(w.link.bytesPerSecond)):
+		case <-time.After(time.Second * time.Duration(len(packet)) / time.Duration(w.link.bytesPerSecond)):
 		case <-w.ctx.Done():
-			return 0, w.ctx.Err()
+			return sent, w.ctx.Err()
+		}
+		n, err := w.ResponseWriter.Write(packet)
+		sent += n
+		if err != nil {
+			return sent, err
 		}
+		w.ResponseWriter.(http.Flusher).Flush()
 	}
-	return w.ResponseWriter.Write(b)
+	return sent, nil
 }
 
 // The check for a new configuration takes few bytes while there is none. Read whole
@@ -90,8 +103,8 @@
 	is.Equal(s.mirror.cfg.Load().Version, int64(8))
 }
 
-// A configuration that takes longer to transfer than the first timeout comes into
-// force all the same.
+// A configuration that takes longer to transfer than readTimeout comes into force all
+// the same.
 func TestLargeConfigurationOnSlowLink(t *testing.T) {
 	is := is.New(t)
 	store := fleet.NewStore()
@@ -111,22 +124,28 @@
 	is.NoErr(<-done)
 }
 
-func TestGrowingTimeout(t *testing.T) {
+// A read of a silent store is abandoned after the same time, however many reads before
+// it failed. With a timeout that grew, an entry did not notice for four seconds that the
+// store answered again, and refused requests by an outdated configuration.
+func TestSilentReadIsAbandonedSoon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		var timeout growingTimeout
 		hang := func(ctx context.Context) error {
 			<-ctx.Done()
 			return ctx.Err()
 		}
-		for _, want := range []time.Duration{readTimeout, 2 * readTimeout, 4 * readTimeout, 8 * readTimeout, maxReadTimeout, maxReadTimeout} {
+		for range 5 {
 			begin := time.Now()
-			is.True(errors.Is(timeout.call(t.Context(), 0, hang), context.DeadlineExceeded))
-			is.Equal(time.Since(begin), min(want, maxReadTimeout))
+			is.True(readLarge(t.Context(), time.Second, hang) != nil)
+			is.Equal(time.Since(begin), time.Second+readTimeout)
 		}
-		is.NoErr(timeout.call(t.Context(), 0, func(context.Context) error { return nil }))
+		// An answer that has begun may take longer.
 		begin := time.Now()
-		is.True(timeout.call(t.Context(), time.Second, hang) != nil)
-		is.Equal(time.Since(begin), time.Second+readTimeout)
+		is.True(readLarge(t.Context(), 0, func(ctx context.Context) error {
+			time.Sleep(readTimeout / 2)
+			httptrace.ContextClientTrace(ctx).GotFirstResponseByte()
+			return hang(ctx)
+		}) != nil)
+		is.Equal(time.Since(begin), readTimeout/2+transferTimeout)
 	})
 }
--- a/io/scheduler/election.go
+++ b/io/scheduler/election.go
@@ -273,9 +273,8 @@
 // loadState reads all items of the scheduler and sends them to the control
 // goroutine. It retries until the ownership ends.
 func (s *Scheduler) loadState(ctx context.Context, session *ownerSession) error {
-	var timeout growingTimeout
 	for ctx.Err() == nil {
-		items, revision, err := listAll(ctx, s.store, job.KeyRoot, &timeout)
+		items, revision, err := listAll(ctx, s.store, job.KeyRoot)
 		if err == nil {
 			s.sendToControl(ctx, loadedState{session, items, revision})
 			return nil
--- a/io/scheduler/mirror.go
+++ b/io/scheduler/mirror.go
@@ -22,8 +22,8 @@
 	// watchWait is the longest wait of a watch. It is bounded so that a dead
 	// connection is detected.
 	watchWait = 2 * time.Second
-	// readTimeout is the timeout of a small read, and the first timeout of a
-	// large one. A slow store takes 300 ms for a read.
+	// readTimeout is the timeout of a small read, and of the first byte of a large
+	// one. A slow store takes 300 ms for a read.
 	readTimeout = 900 * time.Millisecond
 	// readRetryPause is the pause after a failed read.
 	readRetryPause = 100 * time.Millisecond
@@ -82,8 +82,6 @@
 	log         hclog.Logger
 	store       *platform.Store
 	storeHealth *process.Dependency
-	// reloadTimeout is the timeout of a page of reload.
-	reloadTimeout growingTimeout
 	// changes delivers changes to the control goroutine.
 	changes chan change
 	cfg     atomic.Pointer[job.Configuration]
@@ -184,7 +182,7 @@
 
 // reload replaces the contents of the mirror by the items in the store.
 func (m *mirror) reload(ctx context.Context) (int64, error) {
-	items, revision, err := listAll(ctx, m.store, job.KeyRoot, &m.reloadTimeout)
+	items, revision, err := listAll(ctx, m.store, job.KeyRoot)
 	if err != nil {
 		return 0, err
 	}
@@ -208,14 +206,13 @@
 	return revision, nil
 }
 
-// listAll returns all items under prefix and the revision of the first page. The
-// timeout applies to each page.
-func listAll(ctx context.Context, s *platform.Store, prefix string, timeout *growingTimeout) ([]platform.Item, int64, error) {
+// listAll returns all items under prefix and the revision of the first page.
+func listAll(ctx context.Context, s *platform.Store, prefix string) ([]platform.Item, int64, error) {
 	var items []platform.Item
 	revision, after := int64(0), ""
 	for {
 		var p platform.Page
-		err := timeout.call(ctx, 0, func(ctx context.Context) (err error) {
+		err := readLarge(ctx, 0, func(ctx context.Context) (err error) {
 			p, err = s.List(ctx, prefix, after)
 			return err
 		})
