--- a/io/scheduler/mirror.go
+++ b/io/scheduler/mirror.go
@@ -28,10 +28,10 @@
 	// readRetryPause is the pause after a failed read.
 	readRetryPause = 100 * time.Millisecond
 	// followerWatchPause is the pause between two watches of an entry that is
-	// not the owner, so that it reads changes in batches: with 55 entries,
-	// 40 ms meant 1,100 calls a second. What must be newer is read when it is
-	// needed: the final state of a job that a client account asks for, and the
-	// owner.
+	// not the owner, so that it reads changes in batches: the calls of all entries
+	// share the limits of the store. What must be newer is read when it is needed,
+	// such as the final state of a job that a client account asks for, or has a
+	// watch of its own, such as the owner.
 	followerWatchPause = 400 * time.Millisecond
 )
 
