Observability: how long an order waits before its first call, and starts listed after their stop

Change: 7030 has waited; rosemarygap_order_wait_seconds and rosemarygap_waiting_orders at the agent; decision=late of 7010 at the owner for a run that is listed for the first time more than 1 s after its stop. No decision changes.

--- a/core/event/fields.go
+++ b/core/event/fields.go
@@ -58,6 +58,9 @@
 // Elapsed returns the field with a duration.
 func Elapsed(d time.Duration) Field { return Field{"elapsed", d} }
 
+// Waited returns the field with the time before the first attempt.
+func Waited(d time.Duration) Field { return Field{"waited", d} }
+
 // Address returns the field with a socket address.
 func Address(a netip.AddrPort) Field { return Field{"address", a.String()} }
 
--- a/core/event/job.go
+++ b/core/event/job.go
@@ -50,8 +50,9 @@
 		[]string{"count"}, "Log lines were dropped, because there were too many or their reader was too slow.",
 		"Look for an event that repeats often, and check that the reader of the standard output keeps up."}
 	OrderCarriedOut = Event{7030, "order-carried-out", hclog.Info,
-		[]string{"task", "attempt", "worker", "decision", "outcome", "elapsed", "epoch"},
-		"The agent executed an order on its worker.", "None."}
+		[]string{"task", "attempt", "worker", "decision", "outcome", "waited", "elapsed", "epoch"},
+		"The agent executed an order on its worker; waited is the time from receiving the order to its first call, elapsed the time from there to the outcome.",
+		"If waited is above 0.5 s, look for an order with a long elapsed time before it: the worker does not answer."}
 	WorkerSeen = Event{7031, "worker-seen", hclog.Info,
 		[]string{"worker", "state", "incarnation"},
 		"The agent changed its view of its worker's state.", "None."}
--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -26,6 +26,9 @@
 	// EventUnexpectedRun is a listed run of a known task that is neither the
 	// task's current run nor one that this owner adopts.
 	EventUnexpectedRun EventKind = "unusual"
+	// EventLate is a run that a worker listed for the first time long after the run
+	// had been ordered to stop, so that its start was executed too late.
+	EventLate EventKind = "late"
 	// EventProbation is a failed run of a worker that is on probation.
 	EventProbation EventKind = "probation"
 )
@@ -261,7 +264,7 @@
 	if t.state != taskAssigned || t.stopping {
 		return
 	}
-	t.stopping = true
+	t.stopping, t.stopOrderedAt = true, now
 	t.worker.enqueueOrder(Order{Kind: OrderStop, Task: t.name.String(), Run: t.run})
 	c.logEvent(EventStop, t, t.worker, reason, now)
 }
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -425,10 +425,17 @@
 	c.stopUnknownRun(w, r)
 }
 
+// lateStartAge is the time since the order to stop a run after which its first listing
+// shows that the start was late; workers are listed every half second.
+const lateStartAge = time.Second
+
 func (c *Cell) observeRun(j *jobRow, s *stepRow, t *taskRow, r *Run, now time.Time) {
 	t.lastListed = now
 	if !t.running {
 		t.running, t.firstPercent, t.firstListed = true, r.Percent, now
+		if t.stopping && now.Sub(t.stopOrderedAt) > lateStartAge {
+			c.logEvent(EventLate, t, t.worker, "listed-after-stop", now)
+		}
 	}
 	if r.Percent > t.percent && !s.spec.LongRunning {
 		t.worker.lastProgress = now
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -59,8 +59,9 @@
 	// partial is true if the time since orderedAt is not that of a whole task: the
 	// run began from a checkpoint, or under an earlier owner.
 	partial bool
-	// stopping is true once the run has been ordered to stop.
-	stopping bool
+	// stopping is true once the run has been ordered to stop, at stopOrderedAt.
+	stopping      bool
+	stopOrderedAt time.Time
 	// succeeded is true if an earlier run of the assigned task ended as done. The
 	// task counts as done; the current run only has to end.
 	succeeded bool
--- a/io/agent/orders.go
+++ b/io/agent/orders.go
@@ -14,13 +14,17 @@
 
 // executeOrders executes orders in the background, several of them in parallel.
 func (a *Agent) executeOrders(ctx context.Context, orders []job.Order, epoch int64) {
+	receivedAt := time.Now()
+	waitingOrders.Add(float64(len(orders)))
 	for _, o := range orders {
 		a.runInSlot(ctx, func() {
 			begin := time.Now()
+			waitingOrders.Dec()
 			outcome := a.executeOrder(ctx, o, epoch)
-			countOrder(o.Kind, outcome, time.Since(begin))
+			countOrder(o.Kind, outcome, begin.Sub(receivedAt), time.Since(begin))
 			event.OrderCarriedOut.Emit(a.log, event.Task(o.Task), event.Attempt(int(o.Run)), event.Worker(o.Worker),
-				event.Decision(string(o.Kind)), event.Outcome(outcome), event.Elapsed(time.Since(begin)), event.Epoch(epoch))
+				event.Decision(string(o.Kind)), event.Outcome(outcome), event.Waited(begin.Sub(receivedAt)),
+				event.Elapsed(time.Since(begin)), event.Epoch(epoch))
 		})
 	}
 }
