--- a/io/commandline/story.go
+++ b/io/commandline/story.go
@@ -133,7 +133,7 @@
 // from nanoseconds, in which they are logged, to a time.Duration.
 func formatField(key string, v any) any {
 	n, ok := v.(json.Number)
-	if !ok || key != "age" && key != "elapsed" {
+	if !ok || key != "age" && key != "elapsed" && key != "waited" {
 		return v
 	}
 	d, err := n.Int64()
--- a/io/standin/fleet/ledger.go
+++ b/io/standin/fleet/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 
 	"rosemarygap/core/job"
 )
@@ -25,6 +26,8 @@
 type jobRecord struct {
 	job                 job.Job
 	accepted, cancelled bool
+	// cancelledAt is when a cancellation was acknowledged, or zero.
+	cancelledAt time.Time
 	// mayBeAccepted is true if a submission was accepted or has an unknown
 	// outcome.
 	mayBeAccepted bool
@@ -67,11 +70,15 @@
 }
 
 // RecordCancellation records that the job may be cancelled: its cancellation was
-// acknowledged or has an unknown outcome.
-func (l *Ledger) RecordCancellation(id string) {
+// acknowledged or, if acknowledged is false, has an unknown outcome.
+func (l *Ledger) RecordCancellation(id string, acknowledged bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.jobs[id].cancelled = true
+	r := l.jobs[id]
+	r.cancelled = true
+	if acknowledged && r.cancelledAt.IsZero() {
+		r.cancelledAt = time.Now()
+	}
 }
 
 // CheckState checks the state of a job that was returned to a caller. It expects
@@ -115,9 +122,14 @@
 	return out
 }
 
+// maxCancelDelay is the time after an acknowledged cancellation within which the last
+// start of the job must have reached a worker.
+const maxCancelDelay = 3 * time.Second
+
 // RecordStart records and checks the start of a run of the named task on a worker,
-// and returns the resources that the task needs.
-func (l *Ledger) RecordStart(worker, name string) job.Resources {
+// whose order reached the worker at arrived. It returns the resources that the task
+// needs.
+func (l *Ledger) RecordStart(worker, name string, arrived time.Time) job.Resources {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t, err := job.ParseTask(name)
@@ -126,6 +138,9 @@
 		l.addViolation("worker %s starts %q, which no caller submitted", worker, name)
 		return job.Resources{}
 	}
+	if late := arrived.Sub(r.cancelledAt); !r.cancelledAt.IsZero() && late > maxCancelDelay {
+		l.addViolation("worker %s starts %s %v after the cancellation of its job was acknowledged", worker, name, late)
+	}
 	if l.active[name] > 0 {
 		l.addViolation("worker %s starts %s while another run of it is active", worker, name)
 	}
--- a/io/standin/fleet/ledger_test.go
+++ b/io/standin/fleet/ledger_test.go
@@ -19,18 +19,22 @@
 func TestLedgerReportsEachViolation(t *testing.T) {
 	first, second := "00000000000000aa.0.0.0", "00000000000000aa.0.1.0"
 	for name, violate := range map[string]func(l *Ledger){
-		"unknown job":     func(l *Ledger) { l.RecordStart("w", "00000000000000bb.0.0.0") },
-		"concurrent runs": func(l *Ledger) { l.RecordStart("w", first); l.RecordStart("v", first) },
+		"unknown job":     func(l *Ledger) { l.RecordStart("w", "00000000000000bb.0.0.0", time.Now()) },
+		"concurrent runs": func(l *Ledger) { l.RecordStart("w", first, time.Now()); l.RecordStart("v", first, time.Now()) },
 		"run after done": func(l *Ledger) {
-			l.RecordStart("w", first)
+			l.RecordStart("w", first, time.Now())
 			l.RecordEnd(first, job.EndDone, false)
-			l.RecordStart("w", first)
+			l.RecordStart("w", first, time.Now())
 		},
-		"step order":            func(l *Ledger) { l.RecordStart("w", second) },
+		"step order":            func(l *Ledger) { l.RecordStart("w", second, time.Now()) },
 		"false done state":      func(l *Ledger) { l.CheckState("00000000000000aa", job.Done) },
 		"false cancelled state": func(l *Ledger) { l.CheckState("00000000000000aa", job.Cancelled) },
 		"false failed state":    func(l *Ledger) { l.CheckState("00000000000000aa", job.Failed) },
-		"run after refusal":     func(l *Ledger) { l.CheckRefusals(map[string]bool{"00000000000000aa": true}) },
+		"start after cancellation": func(l *Ledger) {
+			l.RecordCancellation("00000000000000aa", true)
+			l.RecordStart("w", first, time.Now().Add(maxCancelDelay+time.Millisecond))
+		},
+		"run after refusal": func(l *Ledger) { l.CheckRefusals(map[string]bool{"00000000000000aa": true}) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := NewLedger()
@@ -49,7 +53,7 @@
 	l.RecordSubmission(sampleJob())
 	l.RecordResponse(sampleJob().ID, true, false)
 	for _, name := range []string{"00000000000000aa.0.0.0", "00000000000000aa.0.1.0"} {
-		l.RecordStart("w", name)
+		l.RecordStart("w", name, time.Now())
 		l.RecordEnd(name, job.EndDone, false)
 	}
 	l.CheckState(sampleJob().ID, job.Done)
--- a/io/standin/fleet/soak_test.go
+++ b/io/standin/fleet/soak_test.go
@@ -258,12 +258,8 @@
 		time.Sleep(200 * time.Millisecond)
 	}
 	if accepted && cancel {
-		if code, _ := r.request(c, r.schedulers[r.randIntN(3)], http.MethodDelete, "/jobs/"+j.ID, nil); code/100 == 2 {
-			r.ledger.RecordCancellation(j.ID)
-		} else {
-			// The outcome is unknown: the job may be reported as cancelled.
-			r.ledger.RecordCancellation(j.ID)
-		}
+		code, _ := r.request(c, r.schedulers[r.randIntN(3)], http.MethodDelete, "/jobs/"+j.ID, nil)
+		r.ledger.RecordCancellation(j.ID, code/100 == 2)
 	}
 	for range 8 {
 		if !accepted || r.pollState(c, j.ID) {
--- a/io/standin/fleet/worker.go
+++ b/io/standin/fleet/worker.go
@@ -237,6 +237,7 @@
 
 // Start implements platformtest.Worker.
 func (w *Worker) Start(s platform.StartRequest) (time.Duration, error) {
+	arrived := time.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.checkCall(s.Worker, s.Token); err != nil {
@@ -249,22 +250,22 @@
 				w.mu.Lock()
 				defer w.mu.Unlock()
 				if w.checkCall(s.Worker, s.Token) == nil {
-					_ = w.startRun(s)
+					_ = w.startRun(s, arrived)
 				}
 			})
 			return 0, platformtest.ErrDropConnection
 		}
-		_ = w.startRun(s)
+		_ = w.startRun(s, arrived)
 		return 0, platformtest.ErrDropConnection
 	}
-	return w.clock(), w.startRun(s)
+	return w.clock(), w.startRun(s, arrived)
 }
 
-// startRun starts a run. It does nothing if this run is active. It returns an
+// startRun starts a run whose order has arrived. It does nothing if this run is active. It returns an
 // error if another run of the task is active, a run with the same or a higher
 // number has ended or was stopped, or the lease has already expired. The caller
 // holds mu.
-func (w *Worker) startRun(s platform.StartRequest) error {
+func (w *Worker) startRun(s platform.StartRequest, arrived time.Time) error {
 	if t := w.running[s.Task]; t != nil && t.run == s.Run {
 		return nil
 	}
@@ -275,7 +276,7 @@
 		return &platform.OrderRefusedError{Reason: "late"}
 	}
 	w.extendLease(s.LeaseUntil)
-	need := w.ledger.RecordStart(w.id, s.Task)
+	need := w.ledger.RecordStart(w.id, s.Task, arrived)
 	used := need
 	for _, t := range w.running {
 		used = used.Plus(t.need)
