io/agent: orders wait in a queue that a silent worker cannot block; a stop withdraws its start

Cause: an order kept one of eight places until its worker answered, a stop without limit. With eight stops unanswered, starts that had been received waited. The goroutines that talk to the owner waited for the same places, so that further starts and stops waited at the owner, and came in one reply. Nothing compared a start with the stop of its run: it was sent as soon as a place was free.

Change: one call for an order at a time, after which an unanswered order goes to the back; first calls of stops go first, and eight more goroutines execute only stops; a start whose run was ordered to stop is dropped; nothing that receives orders or renews the lease waits for a place, throttling neither.

Conclusion: the cause is mended where it is. A bound on the age of a start whatever happens on the way is not there yet; it follows.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -56,9 +56,14 @@
 	// unansweredStartTTL is how long a start without an answer may still take
 	// effect. On the platform, a call may take effect up to 12 s late.
 	unansweredStartTTL = 15 * time.Second
-	// maxParallelCalls is the maximum number of parallel calls to the worker
-	// for orders and throttling. A worker accepts 64 connections.
-	maxParallelCalls = 8
+	// orderExecutors is the number of goroutines that execute orders, and
+	// stopExecutors that of further ones that execute only stops: a worker that
+	// answers nothing takes workerCallTimeout for each call. throttleCalls is the
+	// maximum number of parallel calls to throttle tasks. A worker accepts 64
+	// connections.
+	orderExecutors = 8
+	stopExecutors  = 8
+	throttleCalls  = 8
 	// reportInterval is the time between two reports about an unchanged worker.
 	reportInterval = 500 * time.Millisecond
 	// reportTimeout is the timeout of a report to the owner.
@@ -84,8 +89,11 @@
 	// ended runs, and ends the wait of renewLoop for it.
 	wakeReport, wakeRenewal, acknowledged chan struct{}
 	// workerLeft is signalled when the worker has announced its departure.
-	workerLeft                chan struct{}
-	callSlots                 chan struct{}
+	workerLeft chan struct{}
+	// orders are executed by executeAny and executeStops.
+	orders *orderQueue
+	// throttleSlots limits the parallel calls to throttle tasks.
+	throttleSlots             chan struct{}
 	owner                     *ownerView
 	workerHealth, ownerHealth *process.Dependency
 }
@@ -94,19 +102,20 @@
 func New(cfg platform.Settings, l hclog.Logger) *Agent {
 	return &Agent{
 		cfg: cfg, log: l,
-		worker:       platform.NewWorker(platform.NewHTTPClient(), cfg.WorkerAddress),
-		store:        platform.NewStore(platform.NewHTTPClient(), cfg.StoreAddress, platform.WithObserver(process.CountStoreCall)),
-		reportClient: httpjson.NewClient(reportTimeout),
-		pollClient:   httpjson.NewClient(longPollWait + reportTimeout),
-		state:        newState(time.Now().UnixNano(), cfg.Bounds.MaxWorkerLease),
-		wakeReport:   make(chan struct{}, 1),
-		wakeRenewal:  make(chan struct{}, 1),
-		acknowledged: make(chan struct{}, 1),
-		workerLeft:   make(chan struct{}, 1),
-		owner:        newOwnerView(cfg.Seeds, cfg.PeerPort),
-		callSlots:    make(chan struct{}, maxParallelCalls),
-		workerHealth: process.NewDependency("worker", l),
-		ownerHealth:  process.NewDependency("owner", l),
+		worker:        platform.NewWorker(platform.NewHTTPClient(), cfg.WorkerAddress),
+		store:         platform.NewStore(platform.NewHTTPClient(), cfg.StoreAddress, platform.WithObserver(process.CountStoreCall)),
+		reportClient:  httpjson.NewClient(reportTimeout),
+		pollClient:    httpjson.NewClient(longPollWait + reportTimeout),
+		state:         newState(time.Now().UnixNano(), cfg.Bounds.MaxWorkerLease),
+		wakeReport:    make(chan struct{}, 1),
+		wakeRenewal:   make(chan struct{}, 1),
+		acknowledged:  make(chan struct{}, 1),
+		workerLeft:    make(chan struct{}, 1),
+		owner:         newOwnerView(cfg.Seeds, cfg.PeerPort),
+		throttleSlots: make(chan struct{}, throttleCalls),
+		orders:        newOrderQueue(),
+		workerHealth:  process.NewDependency("worker", l),
+		ownerHealth:   process.NewDependency("owner", l),
 	}
 }
 
@@ -131,6 +140,12 @@
 	for _, f := range append(actors, a.awaitDeparture, a.renewLoop, a.immediateRenewLoop, a.reportLoop, a.pollLoop, a.watchOwner) {
 		process.AddActor(&g, f)
 	}
+	for range orderExecutors {
+		process.AddActor(&g, a.executeAny)
+	}
+	for range stopExecutors {
+		process.AddActor(&g, a.executeStops)
+	}
 	event.ProcessStarted.Emit(l, event.Entry(cfg.Name), event.Address(cfg.ControlListen))
 	err = g.Run()
 	a.renewBeforeExit()
@@ -255,12 +270,22 @@
 	throttleOrders.Add(len(commands))
 	event.TasksThrottled.Emit(a.log, event.Worker(r.worker), event.Count(len(commands)), event.Throttle(commands[0].share))
 	for _, c := range commands {
-		a.runInSlot(ctx, func() {
-			callCtx, cancel := context.WithTimeout(ctx, workerCallTimeout)
-			defer cancel()
-			if _, err := a.worker.Throttle(callCtx, r.worker, c.task, c.run, r.epoch, c.share); err != nil {
-				a.state.markShareUnknown(c.runKey)
-			}
-		})
+		select {
+		case a.throttleSlots <- struct{}{}:
+			go a.throttle(ctx, r, c)
+		default:
+			// Waiting for a slot would delay the renewals of the lease.
+			a.state.markShareUnknown(c.runKey)
+		}
+	}
+}
+
+// throttle sends the share of one task to the worker and frees a throttle slot.
+func (a *Agent) throttle(ctx context.Context, r renewal, c command) {
+	defer func() { <-a.throttleSlots }()
+	callCtx, cancel := context.WithTimeout(ctx, workerCallTimeout)
+	defer cancel()
+	if _, err := a.worker.Throttle(callCtx, r.worker, c.task, c.run, r.epoch, c.share); err != nil {
+		a.state.markShareUnknown(c.runKey)
 	}
 }
--- a/io/agent/orders.go
+++ b/io/agent/orders.go
@@ -12,84 +12,99 @@
 	"github.com/pkg/errors"
 )
 
-// executeOrders executes orders in the background, several of them in parallel.
-func (a *Agent) executeOrders(ctx context.Context, orders []job.Order, epoch int64) {
-	receivedAt := time.Now()
-	waitingOrders.Add(float64(len(orders)))
+// enqueueOrders adds received orders to the queue. It does not block, so that the
+// agent goes on receiving stops while its worker answers nothing.
+func (a *Agent) enqueueOrders(orders []job.Order, epoch int64) {
+	now := time.Now()
 	for _, o := range orders {
-		a.runInSlot(ctx, func() {
-			begin := time.Now()
-			waitingOrders.Dec()
-			outcome := a.executeOrder(ctx, o, epoch)
-			countOrder(o.Kind, outcome, begin.Sub(receivedAt), time.Since(begin))
-			event.OrderCarriedOut.Emit(a.log, event.Task(o.Task), event.Attempt(int(o.Run)), event.Worker(o.Worker),
-				event.Decision(string(o.Kind)), event.Outcome(outcome), event.Waited(begin.Sub(receivedAt)),
-				event.Elapsed(time.Since(begin)), event.Epoch(epoch))
-		})
+		a.orders.push(queuedOrder{Order: o, epoch: epoch, receivedAt: now})
 	}
 }
 
-// runInSlot calls f in a new goroutine. It first waits until fewer than
-// maxParallelCalls such goroutines are running, and does not call f if ctx ends
-// before that.
-func (a *Agent) runInSlot(ctx context.Context, f func()) {
-	select {
-	case a.callSlots <- struct{}{}:
-	case <-ctx.Done():
-		return
-	}
-	go func() {
-		defer func() { <-a.callSlots }()
-		f()
-	}()
-}
+// executeAny executes orders of the queue until ctx ends.
+func (a *Agent) executeAny(ctx context.Context) error { return a.execute(ctx, false) }
 
-// executeOrder executes one order and returns its outcome for the log.
-func (a *Agent) executeOrder(ctx context.Context, o job.Order, epoch int64) string {
-	if o.Kind == job.OrderStop {
-		return a.stop(ctx, o, epoch)
-	}
-	return a.start(ctx, o, epoch)
-}
+// executeStops executes orders of the queue whose next call is a stop, until ctx ends.
+func (a *Agent) executeStops(ctx context.Context) error { return a.execute(ctx, true) }
 
-// start starts a run. It repeats a call without an answer, which is safe
-// because a worker starts a run only once. If no attempt is answered, or
-// the worker starts to drain, it stops the run, so that no attempt can still
-// take effect.
-func (a *Agent) start(ctx context.Context, o job.Order, epoch int64) string {
-	for range maxStartAttempts {
-		leaseUntil, ok := a.state.checkOrder(o, epoch)
+func (a *Agent) execute(ctx context.Context, stopsOnly bool) error {
+	for {
+		o, ok := a.orders.next(ctx, stopsOnly)
 		if !ok {
-			break
+			return nil
 		}
-		err := a.startOnce(ctx, o, epoch, leaseUntil)
-		var refused *platform.OrderRefusedError
+		outcome := a.attempt(ctx, &o)
 		switch {
-		case err == nil:
-			a.state.recordOutcome(o, runStarted, "", time.Now())
-			return "started"
-		case errors.As(err, &refused):
-			a.closeRun(o, refused.Reason)
-			return refused.Reason
-		case errors.Is(err, platform.ErrNoEffect):
-			a.closeRun(o, "unhealthy")
-			return "unhealthy"
-		case errors.Is(err, platform.ErrFenced), errors.Is(err, platform.ErrOtherIncarnation):
-			return "superseded"
-		}
-		a.state.recordUnanswered(o, time.Now())
-		if ctx.Err() != nil {
-			return "stopping"
+		case outcome != "":
+			a.logOutcome(&o, outcome)
+		case o.isStop() && o.calls > 0:
+			time.AfterFunc(retryPause, func() { a.orders.push(o) })
+		default:
+			a.orders.push(o)
 		}
 	}
-	return a.stop(ctx, o, epoch)
 }
 
-func (a *Agent) startOnce(ctx context.Context, o job.Order, epoch int64, leaseUntil time.Duration) error {
+func (a *Agent) logOutcome(o *queuedOrder, outcome string) {
+	now := time.Now()
+	waited := o.waited(now)
+	elapsed := now.Sub(o.receivedAt) - waited
+	countOrder(o.Kind, outcome, waited, elapsed)
+	event.OrderCarriedOut.Emit(a.log, event.Task(o.Task), event.Attempt(int(o.Run)), event.Worker(o.Worker),
+		event.Decision(string(o.Kind)), event.Outcome(outcome), event.Waited(waited), event.Elapsed(elapsed), event.Epoch(o.epoch))
+}
+
+// attempt makes one call for an order. It returns the outcome for the log, or "" if
+// the order needs another call.
+func (a *Agent) attempt(ctx context.Context, o *queuedOrder) string {
+	if o.isStop() {
+		return a.attemptStop(ctx, o)
+	}
+	return a.attemptStart(ctx, o)
+}
+
+// attemptStart makes one call to start a run. It repeats a call without an answer,
+// which is safe because a worker starts a run only once. If no attempt is answered, or
+// the worker starts to drain, it revokes the start, so that no attempt can still take
+// effect.
+func (a *Agent) attemptStart(ctx context.Context, o *queuedOrder) string {
+	if a.state.isWithdrawn(o.Order) {
+		// The stop, which is an order of its own, settles the run.
+		return "withdrawn"
+	}
+	leaseUntil, ok := a.state.checkOrder(o.Order, o.epoch)
+	if !ok || o.calls >= maxStartAttempts {
+		o.revoke()
+		return ""
+	}
+	o.beginCall(time.Now())
+	err := a.startOnce(ctx, o, leaseUntil)
+	var refused *platform.OrderRefusedError
+	switch {
+	case err == nil:
+		a.state.recordOutcome(o.Order, runStarted, "", time.Now())
+		return "started"
+	case errors.As(err, &refused):
+		a.closeRun(o.Order, refused.Reason)
+		return refused.Reason
+	case errors.Is(err, platform.ErrNoEffect):
+		a.closeRun(o.Order, "unhealthy")
+		return "unhealthy"
+	case errors.Is(err, platform.ErrFenced), errors.Is(err, platform.ErrOtherIncarnation):
+		return "superseded"
+	}
+	a.state.recordUnanswered(o.Order, time.Now())
+	if ctx.Err() != nil {
+		return "stopping"
+	}
+	return ""
+}
+
+func (a *Agent) startOnce(ctx context.Context, o *queuedOrder, leaseUntil time.Duration) error {
 	callCtx, cancel := context.WithTimeout(ctx, workerCallTimeout)
 	defer cancel()
 	_, err := a.worker.Start(callCtx, platform.StartRequest{Worker: o.Worker, Task: o.Task, Run: o.Run,
-		Payload: o.Payload, LeaseUntil: leaseUntil, Token: epoch, Checkpoint: o.Checkpoint, Ticket: o.Ticket})
+		Payload: o.Payload, LeaseUntil: leaseUntil, Token: o.epoch, Checkpoint: o.Checkpoint, Ticket: o.Ticket})
 	return err
 }
 
@@ -100,30 +115,30 @@
 	process.Wake(a.wakeRenewal)
 }
 
-// stop stops a run. It repeats the call until the worker has answered or the
-// order is superseded.
-func (a *Agent) stop(ctx context.Context, o job.Order, epoch int64) string {
-	for ctx.Err() == nil {
-		stopOrder := o
-		stopOrder.Kind = job.OrderStop
-		if _, ok := a.state.checkOrder(stopOrder, epoch); !ok {
-			return "superseded"
-		}
-		callCtx, cancel := context.WithTimeout(ctx, workerCallTimeout)
-		_, err := a.worker.Stop(callCtx, o.Worker, o.Task, o.Run, epoch)
-		cancel()
-		switch {
-		case err == nil:
-			a.state.removeUnanswered(runKey{o.Task, o.Run})
-			a.closeRun(o, "stopped")
-			return "stopped"
-		case errors.Is(err, platform.ErrFenced), errors.Is(err, platform.ErrOtherIncarnation):
-			return "superseded"
-		case errors.Is(err, platform.ErrOrderRefused):
-			a.closeRun(o, "stopped")
-			return "refused"
-		}
-		process.Pause(ctx, retryPause, nil)
+// attemptStop makes one call to stop a run. The order needs further calls until the
+// worker has answered or the order is superseded.
+func (a *Agent) attemptStop(ctx context.Context, o *queuedOrder) string {
+	stop := o.Order
+	stop.Kind = job.OrderStop
+	if _, ok := a.state.checkOrder(stop, o.epoch); !ok {
+		return "superseded"
+	}
+	o.beginCall(time.Now())
+	callCtx, cancel := context.WithTimeout(ctx, workerCallTimeout)
+	defer cancel()
+	_, err := a.worker.Stop(callCtx, o.Worker, o.Task, o.Run, o.epoch)
+	switch {
+	case err == nil:
+		a.state.removeUnanswered(runKey{o.Task, o.Run})
+		a.closeRun(o.Order, "stopped")
+		return "stopped"
+	case errors.Is(err, platform.ErrFenced), errors.Is(err, platform.ErrOtherIncarnation):
+		return "superseded"
+	case errors.Is(err, platform.ErrOrderRefused):
+		a.closeRun(o.Order, "stopped")
+		return "refused"
+	case ctx.Err() != nil:
+		return "stopping"
 	}
-	return "stopping"
+	return ""
 }
--- a/io/agent/owner.go
+++ b/io/agent/owner.go
@@ -207,7 +207,7 @@
 	return nil
 }
 
-// report sends one report and executes the orders in the reply.
+// report sends one report and queues the orders in the reply.
 func (a *Agent) report(ctx context.Context, longPoll bool) error {
 	o := a.owner.current()
 	if o.Epoch == 0 {
@@ -237,7 +237,7 @@
 	if acknowledged {
 		process.Wake(a.wakeRenewal)
 	}
-	a.executeOrders(ctx, orders, reply.Epoch)
+	a.enqueueOrders(orders, reply.Epoch)
 	return nil
 }
 
--- a/io/agent/state.go
+++ b/io/agent/state.go
@@ -34,6 +34,8 @@
 	state     runState
 	decidedAt time.Time
 	reason    string
+	// stopOrdered is true once the owner has ordered the run to stop.
+	stopOrdered bool
 	// leaseEnded is true if the agent has reported, while the start was not
 	// answered, that the worker's lease had ended.
 	leaseEnded bool
@@ -253,6 +255,9 @@
 func (s *state) acceptOrder(o job.Order, now time.Time) bool {
 	k := runKey{o.Task, o.Run}
 	if o.Kind == job.OrderStop {
+		if r := s.runs[k]; r != nil {
+			r.stopOrdered = true
+		}
 		return true
 	}
 	if o.Traits != (job.TaskTraits{}) {
@@ -266,14 +271,28 @@
 	return true
 }
 
-// recordOutcome records the outcome of an order.
+// isWithdrawn reports whether the run of a start has been stopped or ordered to stop.
+func (s *state) isWithdrawn(o job.Order) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.runs[runKey{o.Task, o.Run}]
+	return r == nil || r.state == runClosed || r.stopOrdered
+}
+
+// recordOutcome records the outcome of an order. A run that is closed stays closed:
+// the answer to a start may arrive after that to the stop which ended the run.
 func (s *state) recordOutcome(o job.Order, outcome runState, reason string, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.worker == nil || o.Worker != s.worker.ID || o.Incarnation != s.worker.Incarnation {
 		return
 	}
-	s.runs[runKey{o.Task, o.Run}] = &localRun{state: outcome, decidedAt: now, reason: reason}
+	k := runKey{o.Task, o.Run}
+	r := s.runs[k]
+	if r != nil && r.state == runClosed && outcome == runStarted {
+		return
+	}
+	s.runs[k] = &localRun{state: outcome, decidedAt: now, reason: reason, stopOrdered: r != nil && r.stopOrdered}
 }
 
 // checkOrder reports whether o may still be executed: it must be for the
