A start is sent only while the agent's knowledge of withdrawals is recent

Cause, as a class: nothing on the way of a start has a bound on the age of what the decision was based on.

Change: a reply says how long the owner held the report, how old the owner's knowledge of cancellations is, and whether it has all pending orders (job.Freshness). The agent sends a start only within 0.9 s of a time at which it had all orders of the owner, and within cancel_ms - 1 s of a time at which the owner knew all cancellations; else the start is closed as outdated and the owner places the task again. The owner reads the cancellations with its ownership check. If it cannot for too long, the agent reads them, with the ownership, itself (7034), and starts only if the store does not serve the agent either.

The bound: no start of a job leaves an agent later than cancel_ms - 1 s after the acknowledged cancellation, nor 0.9 s after the owner has learned that the task is done, whatever the load.

Builds: an earlier owner sends no freshness, its replies count as current; an earlier agent ignores the field.

--- a/core/event/job.go
+++ b/core/event/job.go
@@ -58,6 +58,10 @@
 		"The agent changed its view of its worker's state.", "None."}
 	OwnerFollowed = Event{7032, "owner-followed", hclog.Info,
 		[]string{"epoch", "address"}, "The agent now accepts orders from another owner.", "None."}
+	CancellationsRead = Event{7034, "cancellations-read", hclog.Info,
+		[]string{"count", "elapsed", "reason"},
+		"Before it started a task, the agent read the cancelled jobs from the store, because the owner had not for too long; count is their number. If a reason is given, it could not, and started the task.",
+		"If the event repeats, look for 7022 of the store at the owner."}
 	TasksThrottled = Event{7033, "tasks-throttled", hclog.Info,
 		[]string{"worker", "count", "throttle"},
 		"Best-effort tasks were limited to a share of their processors, in percent.", "None."}
@@ -66,4 +70,4 @@
 var jobEvents = []Event{SubmissionAccepted, SubmissionRefused, CancellationAnswered, StateUnknown, RequestRelayed,
 	TaskDecided, WorkerDecided, OwnershipTaken, OwnershipLost, DependencyLost, DependencyRegained,
 	ConfigurationInForce, SettingsReloaded, MessageRefused, LogLinesDropped, OrderCarriedOut, WorkerSeen, OwnerFollowed,
-	TasksThrottled}
+	TasksThrottled, CancellationsRead}
--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -166,6 +166,15 @@
 	}
 }
 
+// ConfirmCancellations cancels the jobs with the given IDs: those with an acknowledged
+// cancellation that the store had at began or later.
+func (c *Cell) ConfirmCancellations(ids []string, began, now time.Time) {
+	for _, id := range ids {
+		c.Cancel(id, now)
+	}
+	c.cancellationsKnownAt = later(c.cancellationsKnownAt, began)
+}
+
 // endJob sets the final state of a job and stops its remaining runs.
 func (c *Cell) endJob(j *jobRow, s State, now time.Time) {
 	if j.state.IsFinal() {
--- a/core/job/keys.go
+++ b/core/job/keys.go
@@ -19,12 +19,14 @@
 	KeyLearned = KeyRoot + "lessons"
 	// KeyOwnerLease exists while the owner renews its lease.
 	KeyOwnerLease = KeyRoot + "alive"
+	// KeyCancellations is the prefix of the keys of durable cancellations. A key
+	// exists until the final state of the job is durable.
+	KeyCancellations = KeyRoot + "cancelled/"
 
-	keyJobs      = KeyRoot + "job/"
-	keyProgress  = KeyRoot + "progress/"
-	keyCancelled = KeyRoot + "cancelled/"
-	keyFinal     = KeyRoot + "final/"
-	keyAgents    = KeyRoot + "agent/"
+	keyJobs     = KeyRoot + "job/"
+	keyProgress = KeyRoot + "progress/"
+	keyFinal    = KeyRoot + "final/"
+	keyAgents   = KeyRoot + "agent/"
 )
 
 // JobKey returns the key of a live Job; its value is never changed.
@@ -35,7 +37,7 @@
 
 // CancelledKey returns the key that exists once the cancellation of a live job
 // is durable.
-func CancelledKey(id string) string { return keyCancelled + id }
+func CancelledKey(id string) string { return KeyCancellations + id }
 
 // FinalKey returns the key of the Final of a job that has ended.
 func FinalKey(id string) string { return keyFinal + id }
@@ -74,7 +76,7 @@
 		prefix string
 		kind   KeyKind
 	}{
-		{keyJobs, KeyKindJob}, {keyProgress, KeyKindProgress}, {keyCancelled, KeyKindCancelled},
+		{keyJobs, KeyKindJob}, {keyProgress, KeyKindProgress}, {KeyCancellations, KeyKindCancelled},
 		{keyFinal, KeyKindFinal}, {keyAgents, KeyKindAgent},
 	} {
 		if id, ok := strings.CutPrefix(key, k.prefix); ok {
--- a/core/job/message.go
+++ b/core/job/message.go
@@ -131,6 +131,8 @@
 	LeaseEnded bool `json:"lease-ended,omitempty"`
 	// Left is true once the worker has announced its departure.
 	Left bool `json:"left,omitempty"`
+	// ReceivedAt is when the owner received the report.
+	ReceivedAt time.Time `json:"-"`
 }
 
 // OrderKind is the kind of an Order.
@@ -191,4 +193,19 @@
 	// Traits are the traits of the listed tasks by name; a former process of
 	// the agent may have started them.
 	Traits map[string]TaskTraits `json:"traits,omitempty"`
+	// Freshness is nil in a reply of an owner of an earlier build.
+	Freshness *Freshness `json:"freshness,omitempty"`
+}
+
+// Freshness tells how old the knowledge is on which the orders of a reply depend. The
+// agent starts a run only while this knowledge is recent enough, however long the
+// order, the reply or the call to the worker take on their way.
+type Freshness struct {
+	// Held is how long the owner held the report before it made the reply.
+	Held time.Duration `json:"held-ns"`
+	// CancellationsAge is how long before the reply the owner last knew all
+	// acknowledged cancellations.
+	CancellationsAge time.Duration `json:"cancellations-age-ns"`
+	// Partial is true if there are orders for the agent that are not in the reply.
+	Partial bool `json:"partial,omitempty"`
 }
--- a/core/job/reply.go
+++ b/core/job/reply.go
@@ -16,9 +16,15 @@
 		return out
 	}
 	out.LeaseUntil = w.confirmedClock.clock + maxLeaseExtension
-	if c.roster[r.Agent].durable && len(w.pending) > 0 && !w.delivery.excludes(r.LongPoll, now) {
+	complete := len(w.pending) == 0
+	if c.roster[r.Agent].durable && !complete && !w.delivery.excludes(r.LongPoll, now) {
 		w.delivery = delivery{w.sequence, r.LongPoll, now}
 		out.addOrders(w.pending, r.SharedPayloads)
+		complete = true
+	}
+	out.Freshness = &Freshness{CancellationsAge: Age(c.cancellationsKnownAt, now), Partial: !complete}
+	if !r.ReceivedAt.IsZero() {
+		out.Freshness.Held = now.Sub(r.ReceivedAt)
 	}
 	out.Interference = c.interferenceOn(w)
 	for i := range r.Running {
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -292,6 +292,9 @@
 	workers              *table.Table[string, workerRow]
 	roster               map[string]rosterRow
 	ownershipConfirmedAt time.Time
+	// cancellationsKnownAt is a time at which the cell knew all acknowledged
+	// cancellations of its jobs.
+	cancellationsKnownAt time.Time
 	// storedLearned are the learned parameters in the newest write;
 	// learnedCheckedAt is when they were last compared with the current ones.
 	storedLearned    LearnedParameters
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -77,8 +77,10 @@
 
 // Agent is the process that runs next to a worker.
 type Agent struct {
-	cfg          platform.Settings
-	log          hclog.Logger
+	cfg platform.Settings
+	log hclog.Logger
+	// startedAt is when the process started.
+	startedAt    time.Time
 	worker       *platform.Worker
 	store        *platform.Store
 	reportClient *httpjson.Client
@@ -88,6 +90,8 @@
 	// acknowledged is signalled after an immediate renewal, which acknowledges
 	// ended runs, and ends the wait of renewLoop for it.
 	wakeReport, wakeRenewal, acknowledged chan struct{}
+	// wakeConfirm wakes confirmLoop.
+	wakeConfirm chan struct{}
 	// workerLeft is signalled when the worker has announced its departure.
 	workerLeft chan struct{}
 	// orders are executed by executeAny and executeStops.
@@ -100,16 +104,18 @@
 
 // New returns an agent with the given settings.
 func New(cfg platform.Settings, l hclog.Logger) *Agent {
+	startedAt := time.Now()
 	return &Agent{
-		cfg: cfg, log: l,
+		cfg: cfg, log: l, startedAt: startedAt,
 		worker:        platform.NewWorker(platform.NewHTTPClient(), cfg.WorkerAddress),
 		store:         platform.NewStore(platform.NewHTTPClient(), cfg.StoreAddress, platform.WithObserver(process.CountStoreCall)),
 		reportClient:  httpjson.NewClient(reportTimeout),
 		pollClient:    httpjson.NewClient(longPollWait + reportTimeout),
-		state:         newState(time.Now().UnixNano(), cfg.Bounds.MaxWorkerLease),
+		state:         newState(startedAt.UnixNano(), cfg.Bounds),
 		wakeReport:    make(chan struct{}, 1),
 		wakeRenewal:   make(chan struct{}, 1),
 		acknowledged:  make(chan struct{}, 1),
+		wakeConfirm:   make(chan struct{}, 1),
 		workerLeft:    make(chan struct{}, 1),
 		owner:         newOwnerView(cfg.Seeds, cfg.PeerPort),
 		throttleSlots: make(chan struct{}, throttleCalls),
@@ -137,7 +143,7 @@
 	process.AddSignals(&g)
 	process.AddListener(&g, controlListener, shutdownTimeout)
 	process.AddListener(&g, metricsListener, shutdownTimeout)
-	for _, f := range append(actors, a.awaitDeparture, a.renewLoop, a.immediateRenewLoop, a.reportLoop, a.pollLoop, a.watchOwner) {
+	for _, f := range append(actors, a.awaitDeparture, a.renewLoop, a.immediateRenewLoop, a.reportLoop, a.pollLoop, a.watchOwner, a.confirmLoop) {
 		process.AddActor(&g, f)
 	}
 	for range orderExecutors {
--- /dev/null
+++ b/io/agent/freshness.go
@@ -0,0 +1,211 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"rosemarygap/core/event"
+	"rosemarygap/core/job"
+	"rosemarygap/core/status"
+	"rosemarygap/io/process"
+	"rosemarygap/platform"
+
+	"github.com/pkg/errors"
+)
+
+// Limits on the age of what a start depends on. Together they bound the time between
+// the cancellation of a job, or the end of a task, and the last start of it, whatever
+// the order met on its way: a queue of the owner or of the agent, a slow link, a
+// worker that answers nothing.
+const (
+	// maxOrdersAge is the longest time since the agent had all orders of the owner.
+	// The platform lets no task start 1 s after the end of an earlier run of it was
+	// acknowledged.
+	maxOrdersAge = 900 * time.Millisecond
+	// defaultCancelDelay applies if the settings have no Bounds.MaxCancelDelay.
+	// cancelMargin is how much earlier than that the last start is sent.
+	defaultCancelDelay = 3 * time.Second
+	cancelMargin       = time.Second
+	// storeFailureValidity is how long the agent, after it could not read the
+	// cancellations either, trusts that no entry can store one.
+	storeFailureValidity = time.Second
+	// cancellationsTimeout is the timeout for reading the cancellations.
+	cancellationsTimeout = 600 * time.Millisecond
+	// confirmPause is the pause before a start is considered again that waits for
+	// the cancellations to be read.
+	confirmPause = 20 * time.Millisecond
+)
+
+// freshness is what the agent knows about the age of its knowledge.
+type freshness struct {
+	// ordersCompleteAt is a time at which the agent had all orders of the owner.
+	ordersCompleteAt time.Time
+	// cancellationsKnownAt is a time at which the owner, or the agent by its own
+	// reading, knew all acknowledged cancellations.
+	cancellationsKnownAt time.Time
+	// storeFailedAt is when the agent last failed to read the cancellations.
+	storeFailedAt time.Time
+}
+
+// apply applies a reply to a report that was sent at sentAt and received at now.
+func (f *freshness) apply(r *job.Freshness, sentAt, now time.Time) {
+	if r == nil {
+		// An owner of an earlier build does not tell.
+		f.ordersCompleteAt, f.cancellationsKnownAt = now, now
+		return
+	}
+	if r.Partial {
+		return
+	}
+	// The reply was made at this time or later.
+	madeAt := sentAt.Add(r.Held)
+	f.ordersCompleteAt = later(f.ordersCompleteAt, madeAt)
+	f.cancellationsKnownAt = later(f.cancellationsKnownAt, madeAt.Add(-r.CancellationsAge))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// startPermission tells whether a start may be sent now.
+type startPermission int
+
+const (
+	startPermitted startPermission = iota
+	// startOutdated means that the owner may have withdrawn the start long ago.
+	startOutdated
+	// startUnconfirmed means that the cancellations have to be read first.
+	startUnconfirmed
+)
+
+// permitStart tells whether a start may be sent at now. If neither the owner nor the
+// agent is served by the store, it permits the start: the store is then most likely
+// down for everyone, and nobody can cancel a job.
+func (s *state) permitStart(now time.Time) startPermission {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := &s.freshness
+	switch {
+	case job.Age(f.ordersCompleteAt, now) > maxOrdersAge:
+		return startOutdated
+	case job.Age(f.cancellationsKnownAt, now) <= s.maxCancellationsAge, job.Age(f.storeFailedAt, now) <= storeFailureValidity:
+		return startPermitted
+	default:
+		return startUnconfirmed
+	}
+}
+
+// recordCancellations applies the cancellations that the store had at began or later,
+// if err is nil, and otherwise that they could not be read.
+func (s *state) recordCancellations(ids []string, began time.Time, err error, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		s.freshness.storeFailedAt = now
+		return
+	}
+	s.freshness.cancellationsKnownAt = later(s.freshness.cancellationsKnownAt, began)
+	s.freshness.storeFailedAt = time.Time{}
+	for k, r := range s.runs {
+		if t, err := job.ParseTask(k.task); err == nil && slices.Contains(ids, t.Job) {
+			r.jobCancelled = true
+		}
+	}
+}
+
+// isJobCancelled reports whether the agent has read that the job of a start is
+// cancelled.
+func (s *state) isJobCancelled(o job.Order) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.runs[runKey{o.Task, o.Run}]
+	return r != nil && r.jobCancelled
+}
+
+// confirmLoop reads the cancellations from the store whenever a start waits for that.
+// This is needed only while the owner cannot read them.
+func (a *Agent) confirmLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-a.wakeConfirm:
+		}
+		if a.state.permitStart(time.Now()) != startUnconfirmed {
+			continue
+		}
+		began := time.Now()
+		ids, err := a.readCancellations(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		a.state.recordCancellations(ids, began, err, time.Now())
+		event.CancellationsRead.Emit(a.log, event.Count(len(ids)), event.Elapsed(time.Since(began)), event.Reason(status.Code(errorText(err))))
+	}
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// readCancellations returns the IDs of the jobs with a durable cancellation whose
+// final state is not durable yet. If there is a later owner, whose final states the
+// agent does not know, the agent follows it, which supersedes the waiting starts.
+func (a *Agent) readCancellations(ctx context.Context) ([]string, error) {
+	callCtx, cancel := context.WithTimeout(ctx, cancellationsTimeout)
+	defer cancel()
+	var ids []string
+	for after, more := "", true; more; {
+		var p platform.Page
+		var err error
+		if p, err = a.store.List(callCtx, job.KeyCancellations, after); err != nil {
+			return nil, errors.Wrap(err, "read cancellations")
+		}
+		for _, i := range p.Items {
+			_, id := job.ParseKey(i.Key)
+			ids, after = append(ids, id), i.Key
+		}
+		more = p.More && len(p.Items) > 0
+	}
+	i, err := a.store.Get(callCtx, job.KeyOwner)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the owner")
+	}
+	var o job.Ownership
+	if err := json.Unmarshal(i.Value, &o); err != nil {
+		return nil, errors.Wrap(err, job.KeyOwner)
+	}
+	a.setOwner(o)
+	return ids, nil
+}
+
+// mayHaveBeenSent reports whether a call for the start may have reached the worker: one
+// of this process, or of the process before, whose starts the owner repeats.
+func (a *Agent) mayHaveBeenSent(o *queuedOrder) bool {
+	return o.calls > 0 || time.Since(a.startedAt) < unansweredStartTTL
+}
+
+// refuseStart ends a start that must not be sent any more. It returns the outcome for
+// the log, or "" if the run must be stopped first.
+func (a *Agent) refuseStart(o *queuedOrder, reason string) string {
+	if a.mayHaveBeenSent(o) {
+		o.revoke()
+		return ""
+	}
+	a.closeRun(o.Order, reason)
+	return reason
+}
+
+// postponeStart has a start considered again after the cancellations were read.
+func (a *Agent) postponeStart(o queuedOrder) {
+	process.Wake(a.wakeConfirm)
+	time.AfterFunc(confirmPause, func() { a.orders.push(o) })
+}
--- a/io/agent/lease_end_test.go
+++ b/io/agent/lease_end_test.go
@@ -14,7 +14,7 @@
 func TestNoStartAfterReportedLeaseEnd(t *testing.T) {
 	is := is.New(t)
 	s, _, now := newTestState(t)
-	orders, _ := s.applyReply(testReply(testOrder(1, job.OrderStart)), now)
+	orders, _ := s.applyReply(testReply(testOrder(1, job.OrderStart)), now, now)
 	is.Equal(len(orders), 1)
 	_, ok := s.checkOrder(orders[0], 1)
 	is.True(ok)
@@ -33,7 +33,7 @@
 	// An order that arrives later starts.
 	next := testOrder(2, job.OrderStart)
 	next.Run = 2
-	orders, _ = s.applyReply(testReply(next), now)
+	orders, _ = s.applyReply(testReply(next), now, now)
 	_, ok = s.checkOrder(orders[0], 1)
 	is.True(ok)
 }
--- a/io/agent/order_queue.go
+++ b/io/agent/order_queue.go
@@ -18,6 +18,8 @@
 	firstCallAt time.Time
 	// revoked is true for a start that must be made impossible by a stop of its run.
 	revoked bool
+	// unconfirmed is true for a start that waits for the cancellations to be read.
+	unconfirmed bool
 	// calls is the number of calls that were made to start the run or, if isStop, to
 	// stop it.
 	calls int
@@ -27,7 +29,7 @@
 func (o *queuedOrder) isStop() bool { return o.Kind == job.OrderStop || o.revoked }
 
 // revoke makes the next call for a start stop its run.
-func (o *queuedOrder) revoke() { o.revoked, o.calls = true, 0 }
+func (o *queuedOrder) revoke() { o.revoked, o.unconfirmed, o.calls = true, false, 0 }
 
 // beginCall records a call for the order.
 func (o *queuedOrder) beginCall(now time.Time) {
--- a/io/agent/order_queue_test.go
+++ b/io/agent/order_queue_test.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
-	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -15,74 +13,118 @@
 
 	"rosemarygap/core/job"
 	"rosemarygap/platform"
+	"rosemarygap/platform/platformtest"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 )
 
-// call is a call that reached a testTransport.
+// call is a call of an order that reached a testWorker.
 type call struct {
-	path, task string
-	at         time.Time
+	kind job.OrderKind
+	task string
+	at   time.Time
 }
 
-// testTransport is an HTTP transport to a worker. It answers calls at once, or not at
-// all while silent is true.
-type testTransport struct {
-	mu     sync.Mutex
-	silent bool
-	calls  []call
+// testWorker is an HTTP transport to a worker that records the calls that reach it. It
+// loses all answers while silent is true.
+type testWorker struct {
+	handler http.Handler
+	mu      sync.Mutex
+	silent  bool
+	calls   []call
 }
 
-func (x *testTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	var body struct {
-		Task string `json:"task"`
-	}
-	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
-		return nil, err
-	}
-	x.mu.Lock()
-	x.calls = append(x.calls, call{r.URL.Path, body.Task, time.Now()})
-	silent := x.silent
-	x.mu.Unlock()
-	if silent {
+func newTestWorker(silent bool) *testWorker {
+	w := &testWorker{silent: silent}
+	w.handler = platformtest.WorkerHandler(w)
+	return w
+}
+
+func (w *testWorker) RoundTrip(r *http.Request) (*http.Response, error) {
+	rec := httptest.NewRecorder()
+	w.handler.ServeHTTP(rec, r)
+	if w.isSilent() {
 		<-r.Context().Done()
 		return nil, r.Context().Err()
 	}
-	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(`{"clock-ms":1}`))}, nil
+	return rec.Result(), nil
+}
+
+func (w *testWorker) isSilent() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.silent
+}
+
+func (w *testWorker) setSilent(silent bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.silent = silent
 }
 
-func (x *testTransport) setSilent(silent bool) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.silent = silent
+func (w *testWorker) record(k job.OrderKind, task string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.calls = append(w.calls, call{k, task, time.Now()})
 }
 
-// first returns the time of the first call for a task to a path that ends in suffix,
-// or the zero time if there is none.
-func (x *testTransport) first(suffix, task string) time.Time {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	for _, c := range x.calls {
-		if strings.HasSuffix(c.path, suffix) && c.task == task {
+// first returns the time of the first call of a kind for a task, or the zero time if
+// there is none.
+func (w *testWorker) first(k job.OrderKind, task string) time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, c := range w.calls {
+		if c.kind == k && c.task == task {
 			return c.at
 		}
 	}
 	return time.Time{}
 }
 
+// last returns the time of the last call of a kind.
+func (w *testWorker) last(k job.OrderKind) time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var at time.Time
+	for _, c := range w.calls {
+		if c.kind == k {
+			at = c.at
+		}
+	}
+	return at
+}
+
+func (w *testWorker) Start(s platform.StartRequest) (time.Duration, error) {
+	w.record(job.OrderStart, s.Task)
+	return time.Second, nil
+}
+
+func (w *testWorker) Stop(_, task string, _, _ int64) (time.Duration, error) {
+	w.record(job.OrderStop, task)
+	return time.Second, nil
+}
+
+func (w *testWorker) Throttle(string, string, int64, int64, int) (time.Duration, error) {
+	return time.Second, nil
+}
+
+func (w *testWorker) Renew(platform.RenewRequest) (job.RunList, error) {
+	return job.RunList{Incarnation: 100, Clock: time.Second}, nil
+}
+
 // testAgent is an agent in epoch 1 whose orders are executed until the test ends.
 type testAgent struct {
 	*Agent
-	worker *testTransport
+	worker *testWorker
 	next   int64
 }
 
 func newTestAgent(t *testing.T, silent bool) *testAgent {
-	x := &testTransport{silent: silent}
+	w := newTestWorker(silent)
 	a := New(platform.Settings{Name: "agent"}, hclog.NewNullLogger())
 	a.state, _, _ = newTestState(t)
-	a.worker = platform.NewWorker(&http.Client{Transport: x}, netip.MustParseAddrPort("127.0.0.1:1"))
+	a.worker = platform.NewWorker(&http.Client{Transport: w}, netip.MustParseAddrPort("127.0.0.1:1"))
 	ctx, cancel := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
 	for range orderExecutors {
@@ -92,7 +134,7 @@
 		wg.Go(func() { _ = a.executeStops(ctx) })
 	}
 	t.Cleanup(func() { cancel(); wg.Wait() })
-	return &testAgent{Agent: a, worker: x}
+	return &testAgent{Agent: a, worker: w}
 }
 
 func testTask(n int) string { return fmt.Sprintf("%016x.0.0.0", n) }
@@ -106,7 +148,7 @@
 		o.Task = task
 		r.Orders = append(r.Orders, o)
 	}
-	orders, _ := a.state.applyReply(r, time.Now())
+	orders, _ := a.state.applyReply(r, time.Now(), time.Now())
 	a.enqueueOrders(orders, r.Epoch)
 }
 
@@ -121,13 +163,13 @@
 		}
 		time.Sleep(100 * time.Millisecond)
 		last := testTask(39)
-		is.True(a.worker.first("run-start", last).IsZero()) // still waits
+		is.True(a.worker.first(job.OrderStart, last).IsZero()) // still waits
 		a.receive(job.OrderStop, last)
 		time.Sleep(10 * time.Second)
 		a.worker.setSilent(false)
 		time.Sleep(10 * time.Second)
-		is.True(a.worker.first("run-start", last).IsZero())
-		is.True(!a.worker.first("run-stop", last).IsZero())
+		is.True(a.worker.first(job.OrderStart, last).IsZero())
+		is.True(!a.worker.first(job.OrderStop, last).IsZero())
 	})
 }
 
@@ -137,11 +179,11 @@
 		is := is.New(t)
 		a := newTestAgent(t, false)
 		r := testReply(testOrder(1, job.OrderStart), testOrder(2, job.OrderStop))
-		orders, _ := a.state.applyReply(r, time.Now())
+		orders, _ := a.state.applyReply(r, time.Now(), time.Now())
 		a.enqueueOrders(orders, 1)
 		time.Sleep(time.Second)
-		is.True(a.worker.first("run-start", r.Orders[0].Task).IsZero())
-		is.True(!a.worker.first("run-stop", r.Orders[0].Task).IsZero())
+		is.True(a.worker.first(job.OrderStart, r.Orders[0].Task).IsZero())
+		is.True(!a.worker.first(job.OrderStop, r.Orders[0].Task).IsZero())
 	})
 }
 
@@ -161,7 +203,7 @@
 		a.receive(job.OrderStop, stopped...)
 		time.Sleep(10 * time.Second)
 		for _, task := range stopped {
-			at := a.worker.first("run-stop", task)
+			at := a.worker.first(job.OrderStop, task)
 			is.True(!at.IsZero())
 			is.True(at.Sub(sentAt) <= 60/stopExecutors*workerCallTimeout)
 		}
--- a/io/agent/orders.go
+++ b/io/agent/orders.go
@@ -37,6 +37,8 @@
 		switch {
 		case outcome != "":
 			a.logOutcome(&o, outcome)
+		case o.unconfirmed:
+			a.postponeStart(o)
 		case o.isStop() && o.calls > 0:
 			time.AfterFunc(retryPause, func() { a.orders.push(o) })
 		default:
@@ -73,10 +75,19 @@
 		return "withdrawn"
 	}
 	leaseUntil, ok := a.state.checkOrder(o.Order, o.epoch)
-	if !ok || o.calls >= maxStartAttempts {
+	switch permission := a.state.permitStart(time.Now()); {
+	case !ok, o.calls >= maxStartAttempts:
 		o.revoke()
 		return ""
+	case a.state.isJobCancelled(o.Order):
+		return a.refuseStart(o, "cancelled")
+	case permission == startOutdated:
+		return a.refuseStart(o, "outdated")
+	case permission == startUnconfirmed:
+		o.unconfirmed = true
+		return ""
 	}
+	o.unconfirmed = false
 	o.beginCall(time.Now())
 	err := a.startOnce(ctx, o, leaseUntil)
 	var refused *platform.OrderRefusedError
--- a/io/agent/owner.go
+++ b/io/agent/owner.go
@@ -213,7 +213,8 @@
 	if o.Epoch == 0 {
 		return status.ErrNoOwner
 	}
-	r := a.state.report(a.cfg.Name, longPoll, time.Now())
+	sentAt := time.Now()
+	r := a.state.report(a.cfg.Name, longPoll, sentAt)
 	if r.Worker == nil {
 		process.Pause(ctx, reportInterval, nil)
 		return nil
@@ -233,7 +234,7 @@
 		return nil
 	}
 	a.state.removeReported(r.Absent)
-	orders, acknowledged := a.state.applyReply(&reply, time.Now())
+	orders, acknowledged := a.state.applyReply(&reply, sentAt, time.Now())
 	if acknowledged {
 		process.Wake(a.wakeRenewal)
 	}
--- a/io/agent/state.go
+++ b/io/agent/state.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rosemarygap/core/job"
+	"rosemarygap/platform"
 )
 
 // runKey identifies a run.
@@ -36,6 +37,9 @@
 	reason    string
 	// stopOrdered is true once the owner has ordered the run to stop.
 	stopOrdered bool
+	// jobCancelled is true once the agent itself has read the cancellation of the
+	// run's job.
+	jobCancelled bool
 	// leaseEnded is true if the agent has reported, while the start was not
 	// answered, that the worker's lease had ended.
 	leaseEnded bool
@@ -91,10 +95,19 @@
 	// incarnation.
 	unansweredStarts map[runKey]unansweredStart
 	throttle         throttle
+	freshness        freshness
+	// maxCancellationsAge is how old the knowledge of the cancellations may be at a
+	// start.
+	maxCancellationsAge time.Duration
 }
 
-func newState(processID int64, maxLease time.Duration) *state {
-	return &state{processID: processID, maxLease: maxLease, runs: map[runKey]*localRun{}, traits: map[string]job.TaskTraits{},
+func newState(processID int64, b platform.Bounds) *state {
+	cancelDelay := b.MaxCancelDelay
+	if cancelDelay == 0 {
+		cancelDelay = defaultCancelDelay
+	}
+	return &state{processID: processID, maxLease: b.MaxWorkerLease, maxCancellationsAge: cancelDelay - cancelMargin,
+		runs: map[runKey]*localRun{}, traits: map[string]job.TaskTraits{},
 		unansweredStarts: map[runKey]unansweredStart{}, throttle: newThrottle()}
 }
 
@@ -153,6 +166,7 @@
 		return false
 	}
 	s.epoch, s.applied = epoch, 0
+	s.freshness = freshness{}
 	for k, r := range s.runs {
 		if r.state == runClosed {
 			delete(s.runs, k)
@@ -216,9 +230,9 @@
 	return unreachable, unreachable > job.AddClockDrift(remaining)+leaseMargin
 }
 
-// applyReply applies the owner's reply. It returns the orders to execute, and
-// whether more ended runs were acknowledged.
-func (s *state) applyReply(r *job.Reply, now time.Time) (orders []job.Order, acknowledged bool) {
+// applyReply applies the owner's reply to a report that was sent at sentAt. It returns
+// the orders to execute, and whether more ended runs were acknowledged.
+func (s *state) applyReply(r *job.Reply, sentAt, now time.Time) (orders []job.Order, acknowledged bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if r.Epoch != s.epoch {
@@ -234,6 +248,7 @@
 	for task, t := range r.Traits {
 		s.traits[task] = t
 	}
+	s.freshness.apply(r.Freshness, sentAt, now)
 	r.CompleteOrders()
 	for _, o := range r.Orders {
 		if o.Sequence <= s.applied {
--- a/io/agent/state_test.go
+++ b/io/agent/state_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rosemarygap/core/job"
+	"rosemarygap/platform"
 
 	"github.com/matryer/is"
 )
@@ -14,7 +15,7 @@
 // newTestState returns a state in epoch 1 that has a worker and its list of
 // runs.
 func newTestState(t *testing.T) (*state, job.Worker, time.Time) {
-	s := newState(1, testMaxLease)
+	s := newState(1, platform.Bounds{MaxWorkerLease: testMaxLease})
 	w := job.Worker{ID: "i-1", Incarnation: 100, Service: "svc", Sequence: 1}
 	is.New(t).True(s.enterEpoch(1))
 	s.applyHeartbeat(w)
@@ -39,7 +40,7 @@
 	s, w, now := newTestState(t)
 	w.Draining, w.Sequence = true, 2
 	s.applyHeartbeat(w)
-	orders, _ := s.applyReply(testReply(testOrder(1, job.OrderStart)), now)
+	orders, _ := s.applyReply(testReply(testOrder(1, job.OrderStart)), now, now)
 	is.Equal(len(orders), 0)
 	_, ok := s.checkOrder(testOrder(1, job.OrderStart), 1)
 	is.True(!ok)
@@ -54,13 +55,13 @@
 func TestOrdersAreExecutedOnce(t *testing.T) {
 	is := is.New(t)
 	s, _, now := newTestState(t)
-	orders, _ := s.applyReply(testReply(testOrder(1, job.OrderStart)), now)
+	orders, _ := s.applyReply(testReply(testOrder(1, job.OrderStart)), now, now)
 	is.Equal(len(orders), 1)
-	orders, _ = s.applyReply(testReply(testOrder(1, job.OrderStart)), now)
+	orders, _ = s.applyReply(testReply(testOrder(1, job.OrderStart)), now, now)
 	is.Equal(len(orders), 0)
 	other := testOrder(2, job.OrderStart)
 	other.Incarnation = 99
-	orders, _ = s.applyReply(testReply(other), now)
+	orders, _ = s.applyReply(testReply(other), now, now)
 	is.Equal(len(orders), 0)
 }
 
@@ -69,7 +70,7 @@
 	is := is.New(t)
 	s, _, now := newTestState(t)
 	is.True(s.enterEpoch(2))
-	orders, _ := s.applyReply(testReply(testOrder(1, job.OrderStart)), now)
+	orders, _ := s.applyReply(testReply(testOrder(1, job.OrderStart)), now, now)
 	is.Equal(len(orders), 0)
 	_, ok := s.checkOrder(testOrder(1, job.OrderStart), 1)
 	is.True(!ok)
@@ -82,7 +83,7 @@
 	is := is.New(t)
 	s, _, now := newTestState(t)
 	o := testOrder(1, job.OrderStart)
-	s.applyReply(testReply(o), now)
+	s.applyReply(testReply(o), now, now)
 	r, _ := s.nextRenewal()
 	requestedAt := now.Add(10 * time.Millisecond)
 	s.recordOutcome(o, runClosed, "room", now.Add(20*time.Millisecond))
@@ -125,7 +126,7 @@
 	s, _, now := newTestState(t)
 	r, _ := s.nextRenewal()
 	is.Equal(r.leaseUntil, time.Duration(0)) // no lease has been granted yet
-	s.applyReply(testReply(), now)
+	s.applyReply(testReply(), now, now)
 	r, _ = s.nextRenewal()
 	is.Equal(r.leaseUntil, time.Second+leaseDuration)
 	silent, ended := s.unreachableFor(now.Add(leaseDuration + time.Second))
--- a/io/agent/throttle_test.go
+++ b/io/agent/throttle_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rosemarygap/core/job"
+	"rosemarygap/platform"
 
 	"github.com/matryer/is"
 )
@@ -93,7 +94,7 @@
 // A command that a run may not have received is sent again.
 func TestUnknownShareIsSentAgain(t *testing.T) {
 	is := is.New(t)
-	s := newState(1, testMaxLease)
+	s := newState(1, platform.Bounds{MaxWorkerLease: testMaxLease})
 	s.throttle.sentShares[runKey{"heavy", 1}] = fullShare
 	s.markShareUnknown(runKey{"heavy", 1})
 	got := s.throttle.commands(testRuns(10), testTraits)
--- /dev/null
+++ b/io/scheduler/cancellations_test.go
@@ -0,0 +1,54 @@
+package scheduler
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"rosemarygap/core/job"
+	"rosemarygap/io/standin/fleet"
+	"rosemarygap/platform/platformtest"
+
+	"github.com/matryer/is"
+)
+
+// The owner learns a cancellation within its ownership check, whatever its watch
+// delivers, and does not count it as known if the store does not answer.
+func TestOwnershipCheckReadsCancellations(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	store := fleet.NewStore()
+	s, _ := newTestScheduler(t, platformtest.StoreHandler(store))
+	read := make(chan cancellationsRead, 10)
+	go func() {
+		for {
+			select {
+			case x := <-s.messages:
+				switch x := x.(type) {
+				case ownershipCheckStarted:
+					close(x.handled)
+				case cancellationsRead:
+					read <- x
+				}
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	session, err := s.claim(ctx)
+	is.NoErr(err)
+	store.Put(job.CancelledKey(testID), []byte("{}"))
+	began := time.Now()
+	is.NoErr(s.checkAndRenew(ctx, session))
+	x := <-read
+	is.Equal(x.ids, []string{testID})
+	is.True(!x.began.Before(began))
+	is.NoErr(s.checkAndRenew(ctx, session)) // within cancellationsInterval
+	is.Equal(len(read), 0)
+
+	session.cancellationsReadAt = time.Time{}
+	store.SetFaults(fleet.StoreFaults{Down: true})
+	is.True(s.checkAndRenew(ctx, session) != nil)
+	is.Equal(len(read), 0)
+}
--- a/io/scheduler/control.go
+++ b/io/scheduler/control.go
@@ -47,6 +47,8 @@
 		session  *ownerSession
 		items    []platform.Item
 		revision int64
+		// began is when the reading of the items began.
+		began time.Time
 	}
 	// ownershipLost is sent at the end of a session.
 	ownershipLost struct {
@@ -285,6 +287,10 @@
 			c.cell.ConfirmOwnership(x.began)
 			c.applyNotices(x.began)
 		}
+	case cancellationsRead:
+		if c.cell != nil && c.session == x.session {
+			c.cell.ConfirmCancellations(x.ids, x.began, time.Now())
+		}
 	case notice:
 		c.queueNotice(x)
 	case advisorResult:
@@ -358,9 +364,7 @@
 		}
 	}
 	cell.FinishLoaded(now)
-	for _, id := range cancelled {
-		cell.Cancel(id, now)
-	}
+	cell.ConfirmCancellations(cancelled, x.began, now)
 }
 
 // endSession drops the cell and stops scheduling.
--- a/io/scheduler/election.go
+++ b/io/scheduler/election.go
@@ -52,8 +52,9 @@
 	// the journal's key.
 	ownerRevision, journalRevision int64
 	leaseID                        int64
-	// renewedAt is when the last renewal of the lease was attempted.
-	renewedAt time.Time
+	// renewedAt is when the last renewal of the lease was attempted, and
+	// cancellationsReadAt when the last reading of the cancellations began.
+	renewedAt, cancellationsReadAt time.Time
 	// done is closed when the ownership ends.
 	done chan struct{}
 }
@@ -202,6 +203,7 @@
 	case <-callCtx.Done():
 		return callCtx.Err()
 	}
+	cancellations := s.readCancellations(callCtx, session)
 	began := time.Now()
 	i, err := s.store.Get(callCtx, job.KeyOwner)
 	switch {
@@ -211,6 +213,9 @@
 		return errSuperseded
 	}
 	s.sendToControl(callCtx, ownershipConfirmed{began})
+	if err := s.confirmCancellations(callCtx, session, cancellations); err != nil {
+		return err
+	}
 	if time.Since(session.renewedAt) < renewInterval {
 		return nil
 	}
@@ -274,9 +279,10 @@
 // goroutine. It retries until the ownership ends.
 func (s *Scheduler) loadState(ctx context.Context, session *ownerSession) error {
 	for ctx.Err() == nil {
+		began := time.Now()
 		items, revision, err := listAll(ctx, s.store, job.KeyRoot)
 		if err == nil {
-			s.sendToControl(ctx, loadedState{session, items, revision})
+			s.sendToControl(ctx, loadedState{session, items, revision, began})
 			return nil
 		}
 		s.mirror.storeHealth.Observe(err)
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -194,10 +194,12 @@
 // with its reply. The response to a long poll waits until there are orders or
 // longPollWait has passed.
 func (s *Scheduler) handleReport(x echo.Context) error {
+	receivedAt := time.Now()
 	var r job.Report
 	if err := httpjson.Decode(x, &r); err != nil {
 		return err
 	}
+	r.ReceivedAt = receivedAt
 	r.SharedPayloads = x.QueryParam(agent.SharedPayloadsParameter) != ""
 	timeout := reportTimeout
 	if r.LongPoll {
