io/agent: renewals of the lease do not wait for the stops of unanswered starts

A dozen of them take as long as the lease, 5 s, whose end stops everything on the worker.

Evidence: TestRenewalsDoNotWaitForUnansweredStops fails before (a renewal with 15 such starts takes 6 s) and passes now.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -12,6 +12,8 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
+	"sync"
 	"time"
 
 	"rosemarygap/core/event"
@@ -92,6 +94,8 @@
 	wakeReport, wakeRenewal, acknowledged chan struct{}
 	// wakeConfirm wakes confirmLoop.
 	wakeConfirm chan struct{}
+	// wakeCancel wakes cancelLoop.
+	wakeCancel chan struct{}
 	// workerLeft is signalled when the worker has announced its departure.
 	workerLeft chan struct{}
 	// orders are executed by executeAny and executeStops.
@@ -116,6 +120,7 @@
 		wakeRenewal:   make(chan struct{}, 1),
 		acknowledged:  make(chan struct{}, 1),
 		wakeConfirm:   make(chan struct{}, 1),
+		wakeCancel:    make(chan struct{}, 1),
 		workerLeft:    make(chan struct{}, 1),
 		owner:         newOwnerView(cfg.Seeds, cfg.PeerPort),
 		throttleSlots: make(chan struct{}, throttleCalls),
@@ -143,7 +148,8 @@
 	process.AddSignals(&g)
 	process.AddListener(&g, controlListener, shutdownTimeout)
 	process.AddListener(&g, metricsListener, shutdownTimeout)
-	for _, f := range append(actors, a.awaitDeparture, a.renewLoop, a.immediateRenewLoop, a.reportLoop, a.pollLoop, a.watchOwner, a.confirmLoop) {
+	for _, f := range append(actors, a.awaitDeparture, a.renewLoop, a.immediateRenewLoop, a.reportLoop, a.pollLoop, a.watchOwner, a.confirmLoop,
+		a.cancelLoop) {
 		process.AddActor(&g, f)
 	}
 	for range orderExecutors {
@@ -247,23 +253,48 @@
 	if a.state.applyRunList(r, runs, requestedAt, time.Now()) {
 		process.Wake(a.wakeReport)
 	}
-	a.cancelUnansweredStarts(ctx, r)
+	if len(a.state.startsToCancel(r, time.Now())) > 0 {
+		process.Wake(a.wakeCancel)
+	}
 	a.throttleBestEffort(ctx, r)
 	return true
 }
 
+// cancelLoop cancels unanswered starts of earlier incarnations whenever a renewal finds
+// some. Renewals do not wait for it.
+func (a *Agent) cancelLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-a.wakeCancel:
+			if r, ok := a.state.currentWorker(); ok {
+				a.cancelUnansweredStarts(ctx, r)
+			}
+		}
+	}
+}
+
 // cancelUnansweredStarts stops the runs whose starts had no answer from an
 // earlier incarnation, so that the starts cannot take effect on the current
 // one.
 func (a *Agent) cancelUnansweredStarts(ctx context.Context, r renewal) {
-	for _, k := range a.state.startsToCancel(r, time.Now()) {
-		callCtx, cancel := context.WithTimeout(ctx, workerCallTimeout)
-		_, err := a.worker.Stop(callCtx, r.worker, k.task, k.run, r.epoch)
-		cancel()
-		a.workerHealth.Observe(err)
-		if err == nil {
-			a.state.removeUnanswered(k)
+	for batch := range slices.Chunk(a.state.startsToCancel(r, time.Now()), stopExecutors) {
+		var wg sync.WaitGroup
+		for _, k := range batch {
+			wg.Go(func() { a.cancelUnansweredStart(ctx, r, k) })
 		}
+		wg.Wait()
+	}
+}
+
+func (a *Agent) cancelUnansweredStart(ctx context.Context, r renewal, k runKey) {
+	callCtx, cancel := context.WithTimeout(ctx, workerCallTimeout)
+	defer cancel()
+	_, err := a.worker.Stop(callCtx, r.worker, k.task, k.run, r.epoch)
+	a.workerHealth.Observe(err)
+	if err == nil {
+		a.state.removeUnanswered(k)
 	}
 }
 
--- a/io/agent/order_queue_test.go
+++ b/io/agent/order_queue_test.go
@@ -27,12 +27,13 @@
 }
 
 // testWorker is an HTTP transport to a worker that records the calls that reach it. It
-// loses all answers while silent is true.
+// answers no orders while silent is true.
 type testWorker struct {
-	handler http.Handler
-	mu      sync.Mutex
-	silent  bool
-	calls   []call
+	handler  http.Handler
+	mu       sync.Mutex
+	silent   bool
+	calls    []call
+	renewals []time.Time
 }
 
 func newTestWorker(silent bool) *testWorker {
@@ -43,18 +44,22 @@
 
 func (w *testWorker) RoundTrip(r *http.Request) (*http.Response, error) {
 	rec := httptest.NewRecorder()
-	w.handler.ServeHTTP(rec, r)
-	if w.isSilent() {
+	if dropsConnection(func() { w.handler.ServeHTTP(rec, r) }) {
 		<-r.Context().Done()
 		return nil, r.Context().Err()
 	}
 	return rec.Result(), nil
 }
 
-func (w *testWorker) isSilent() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.silent
+// dropsConnection calls f and reports whether it aborts the handler.
+func dropsConnection(f func()) (dropped bool) {
+	defer func() {
+		if v := recover(); v != nil {
+			dropped = v == http.ErrAbortHandler
+		}
+	}()
+	f()
+	return false
 }
 
 func (w *testWorker) setSilent(silent bool) {
@@ -63,10 +68,15 @@
 	w.silent = silent
 }
 
-func (w *testWorker) record(k job.OrderKind, task string) {
+// record records a call of an order and returns the answer.
+func (w *testWorker) record(k job.OrderKind, task string) (time.Duration, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.calls = append(w.calls, call{k, task, time.Now()})
+	if w.silent {
+		return 0, platformtest.ErrDropConnection
+	}
+	return time.Second, nil
 }
 
 // first returns the time of the first call of a kind for a task, or the zero time if
@@ -96,13 +106,11 @@
 }
 
 func (w *testWorker) Start(s platform.StartRequest) (time.Duration, error) {
-	w.record(job.OrderStart, s.Task)
-	return time.Second, nil
+	return w.record(job.OrderStart, s.Task)
 }
 
 func (w *testWorker) Stop(_, task string, _, _ int64) (time.Duration, error) {
-	w.record(job.OrderStop, task)
-	return time.Second, nil
+	return w.record(job.OrderStop, task)
 }
 
 func (w *testWorker) Throttle(string, string, int64, int64, int) (time.Duration, error) {
@@ -110,6 +118,9 @@
 }
 
 func (w *testWorker) Renew(platform.RenewRequest) (job.RunList, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.renewals = append(w.renewals, time.Now())
 	return job.RunList{Incarnation: 100, Clock: time.Second}, nil
 }
 
@@ -133,6 +144,7 @@
 	for range stopExecutors {
 		wg.Go(func() { _ = a.executeStops(ctx) })
 	}
+	wg.Go(func() { _ = a.cancelLoop(ctx) })
 	t.Cleanup(func() { cancel(); wg.Wait() })
 	return &testAgent{Agent: a, worker: w}
 }
@@ -209,3 +221,33 @@
 		}
 	})
 }
+
+// Renewals do not wait for the stops of starts that an earlier incarnation of the
+// worker has not answered. With one call after the other, a dozen of them took longer
+// than the lease.
+func TestRenewalsDoNotWaitForUnansweredStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := newTestAgent(t, true)
+		for n := range 15 {
+			o := testOrder(1, job.OrderStart)
+			o.Task, o.Incarnation = testTask(n), 99
+			a.state.recordUnanswered(o, time.Now())
+		}
+		for range 3 {
+			begin := time.Now()
+			is.True(a.renew(t.Context(), 0))
+			is.True(time.Since(begin) < retryPause)
+		}
+		is.Equal(len(a.worker.renewals), 3)
+		time.Sleep(10 * time.Second)
+		a.worker.setSilent(false)
+		a.renew(t.Context(), 0)
+		time.Sleep(time.Second)
+		for n := range 15 {
+			is.True(!a.worker.first(job.OrderStop, testTask(n)).IsZero())
+		}
+		r, _ := a.state.nextRenewal()
+		is.Equal(len(a.state.startsToCancel(r, time.Now())), 0)
+	})
+}
--- a/io/agent/state.go
+++ b/io/agent/state.go
@@ -373,6 +373,17 @@
 	return r, true
 }
 
+// currentWorker returns the worker and the epoch as a renewal that extends no lease. The
+// result ok is false if the worker or the owner is unknown or the worker left.
+func (s *state) currentWorker() (r renewal, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.worker == nil || s.left || s.epoch == 0 {
+		return renewal{}, false
+	}
+	return renewal{worker: s.worker.ID, incarnation: s.worker.Incarnation, epoch: s.epoch}, true
+}
+
 // applyRunList applies the worker's answer to r, which was requested at
 // requestedAt. It reports whether a report should be sent at once.
 func (s *state) applyRunList(r renewal, runs job.RunList, requestedAt, now time.Time) (changed bool) {
