io/agent: a stopped start may still take effect on the worker's next incarnation

Cause: an answered stop removed the mark of a start without an answer. A worker that crashes and returns under its ID knows neither the stop nor the end of the run, so that the start, carried out late, takes effect there. And the owner heard of the new incarnation before the agent had made the start impossible on it.

A start to a worker with another ID needs none of this: the call names it.

TestStoppedStartMayTakeEffectOnNextIncarnation uses functions that the code before lacks.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -286,6 +286,7 @@
 		}
 		wg.Wait()
 	}
+	process.Wake(a.wakeReport)
 }
 
 func (a *Agent) cancelUnansweredStart(ctx context.Context, r renewal, k runKey) {
@@ -294,7 +295,7 @@
 	_, err := a.worker.Stop(callCtx, r.worker, k.task, k.run, r.epoch)
 	a.workerHealth.Observe(err)
 	if err == nil {
-		a.state.removeUnanswered(k)
+		a.state.recordStopped(k, r.incarnation)
 	}
 }
 
--- a/io/agent/order_queue_test.go
+++ b/io/agent/order_queue_test.go
@@ -231,7 +231,7 @@
 		a := newTestAgent(t, true)
 		for n := range 15 {
 			o := testOrder(1, job.OrderStart)
-			o.Task, o.Incarnation = testTask(n), 99
+			o.Task, o.Incarnation = testTask(n), 99 // an earlier one
 			a.state.recordUnanswered(o, time.Now())
 		}
 		for range 3 {
--- a/io/agent/orders.go
+++ b/io/agent/orders.go
@@ -140,7 +140,7 @@
 	_, err := a.worker.Stop(callCtx, o.Worker, o.Task, o.Run, o.epoch)
 	switch {
 	case err == nil:
-		a.state.removeUnanswered(runKey{o.Task, o.Run})
+		a.state.recordStopped(runKey{o.Task, o.Run}, o.Incarnation)
 		a.closeRun(o.Order, "stopped")
 		return "stopped"
 	case errors.Is(err, platform.ErrFenced), errors.Is(err, platform.ErrOtherIncarnation):
--- a/io/agent/owner.go
+++ b/io/agent/owner.go
@@ -216,7 +216,7 @@
 	sentAt := time.Now()
 	r := a.state.report(a.cfg.Name, longPoll, sentAt)
 	if r.Worker == nil {
-		process.Pause(ctx, reportInterval, nil)
+		process.Pause(ctx, retryPause, nil)
 		return nil
 	}
 	client := a.reportClient
--- a/io/agent/state.go
+++ b/io/agent/state.go
@@ -48,10 +48,17 @@
 	absent bool
 }
 
-// unansweredStart is a start that the worker did not answer.
+// unansweredStart is a start that the worker did not answer. It may take effect up to
+// unansweredStartTTL later, also on a later incarnation under the same ID, which does
+// not know that its predecessor stopped the run or ended it.
 type unansweredStart struct {
-	recordedAt  time.Time
+	recordedAt time.Time
+	// worker and incarnation identify the worker that the start was sent to.
+	worker      string
 	incarnation int64
+	// stoppedOn is the newest incarnation on which a stop has made the start
+	// impossible.
+	stoppedOn int64
 }
 
 // state is what the agent knows about its worker and its orders. All fields are
@@ -176,13 +183,19 @@
 }
 
 // report returns the report to send to the owner. A long poll has no lists
-// of runs.
+// of runs. The report has no worker while starts that were sent to an earlier
+// incarnation may take effect on the current one.
 func (s *state) report(name string, longPoll bool, now time.Time) job.Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := job.Report{Agent: name, Process: s.processID, Epoch: s.epoch, LongPoll: longPoll, Applied: s.applied,
 		Worker: s.worker, Clock: s.workerClock, Left: s.left}
-	if longPoll || s.worker == nil {
+	if s.worker != nil && len(s.startsInTransit(s.worker.ID, s.worker.Incarnation, now)) > 0 {
+		// The owner would start the tasks of the earlier incarnation elsewhere, and
+		// others here.
+		r.Worker = nil
+	}
+	if longPoll || r.Worker == nil {
 		return r
 	}
 	r.Unreachable, r.LeaseEnded = s.unreachableFor(now)
@@ -471,17 +484,23 @@
 	}
 }
 
-// startsToCancel returns the unanswered starts that were sent to another
-// incarnation than that of r, and removes those that can no longer take effect.
+// startsToCancel returns the unanswered starts that were sent to an earlier incarnation
+// than that of r and may still take effect on it. It removes those that can no longer
+// take effect at all.
 func (s *state) startsToCancel(r renewal, now time.Time) []runKey {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.startsInTransit(r.worker, r.incarnation, now)
+}
+
+// startsInTransit implements startsToCancel. The caller holds s.mu.
+func (s *state) startsInTransit(worker string, incarnation int64, now time.Time) []runKey {
 	var out []runKey
 	for k, u := range s.unansweredStarts {
 		switch {
 		case now.Sub(u.recordedAt) > unansweredStartTTL:
 			delete(s.unansweredStarts, k)
-		case u.incarnation != r.incarnation:
+		case u.worker == worker && u.incarnation != incarnation && u.stoppedOn != incarnation:
 			out = append(out, k)
 		}
 	}
@@ -493,14 +512,18 @@
 func (s *state) recordUnanswered(o job.Order, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.unansweredStarts[runKey{o.Task, o.Run}] = unansweredStart{now, o.Incarnation}
+	s.unansweredStarts[runKey{o.Task, o.Run}] = unansweredStart{recordedAt: now, worker: o.Worker, incarnation: o.Incarnation}
 }
 
-// removeUnanswered records that the start of k can no longer take effect.
-func (s *state) removeUnanswered(k runKey) {
+// recordStopped records that a stop has made an unanswered start of k impossible on an
+// incarnation of the worker.
+func (s *state) recordStopped(k runKey, incarnation int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.unansweredStarts, k)
+	if u, ok := s.unansweredStarts[k]; ok {
+		u.stoppedOn = incarnation
+		s.unansweredStarts[k] = u
+	}
 }
 
 // throttleCommands returns the shares to send to best-effort tasks.
--- a/io/agent/state_test.go
+++ b/io/agent/state_test.go
@@ -147,6 +147,40 @@
 	s.applyHeartbeat(w)
 	r, _ = s.nextRenewal()
 	is.Equal(len(s.startsToCancel(r, now)), 1)
-	s.removeUnanswered(runKey{"00000000000000aa.0.0.0", 1})
+	s.recordStopped(runKey{"00000000000000aa.0.0.0", 1}, 200)
 	is.Equal(len(s.startsToCancel(r, now)), 0)
 }
+
+// A stop that the worker answered does not protect its next incarnation, which starts
+// without any knowledge. The owner hears of that incarnation only once the start is
+// impossible there: it would start the task elsewhere.
+func TestStoppedStartMayTakeEffectOnNextIncarnation(t *testing.T) {
+	is := is.New(t)
+	s, w, now := newTestState(t)
+	k := runKey{"00000000000000aa.0.0.0", 1}
+	s.recordUnanswered(testOrder(1, job.OrderStart), now)
+	s.recordStopped(k, w.Incarnation)
+	is.Equal(s.report("agent", false, now).Worker.Incarnation, w.Incarnation)
+	for _, w.Incarnation = range []int64{200, 300} {
+		s.applyHeartbeat(w)
+		r, _ := s.nextRenewal()
+		is.Equal(s.startsToCancel(r, now), []runKey{k})
+		is.Equal(s.report("agent", false, now).Worker, nil)
+		s.recordStopped(k, w.Incarnation)
+		is.Equal(s.report("agent", false, now).Worker.Incarnation, w.Incarnation)
+	}
+	w.Incarnation = 400
+	s.applyHeartbeat(w)
+	is.Equal(s.report("agent", false, now).Worker, nil)
+	is.True(s.report("agent", false, now.Add(unansweredStartTTL+time.Second)).Worker != nil) // too late to take effect
+}
+
+// A start that was sent to another worker cannot take effect: the call names it.
+func TestUnansweredStartOfOtherWorker(t *testing.T) {
+	is := is.New(t)
+	s, w, now := newTestState(t)
+	s.recordUnanswered(testOrder(1, job.OrderStart), now)
+	w.ID, w.Incarnation = "i-2", 200
+	s.applyHeartbeat(w)
+	is.True(s.report("agent", false, now).Worker != nil)
+}
