core/job: a job waits until a worker has begun a run, not until one is ordered

Cause: a job counted as started with its first start order. A worker that answers nothing delays the start for seconds, and an agent may refuse it.

Change: started is set when a worker lists a run or its end.

TestJobWaitsUntilRunIsListed fails before and passes now.

--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -197,13 +197,19 @@
 	c.recordRun(s, t, w, c.runNumber(t.starts), now)
 	w.enqueueStart(j, s, t)
 	c.logEvent(EventStart, t, w, "placed", now)
-	if !j.started {
-		j.started, j.dirty = true, true
-		j.state = Running
+	if !j.ordered {
+		j.ordered, j.state = true, Running
 		c.events[len(c.events)-1].SinceAcceptance = sinceAcceptance(j, now)
 	}
 }
 
+// markStarted records that a worker has begun a run of the job.
+func (j *jobRow) markStarted() {
+	if !j.started && !j.state.IsFinal() {
+		j.started, j.dirty = true, true
+	}
+}
+
 // runsPerEpoch is the size of the range of run numbers that each epoch has for
 // one task. Retries are delayed, so no owner uses up its range.
 const runsPerEpoch = 1 << 20
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -254,6 +254,7 @@
 		w.pendingEnds = append(w.pendingEnds, pendingEnd{e.Number, ""})
 		return
 	}
+	j.markStarted()
 	w.pendingEnds = append(w.pendingEnds, pendingEnd{e.Number, j.ID})
 	assigned := t.state == taskAssigned && t.worker == w && t.run == e.Run
 	c.logEvent(EventEnd, t, w, string(e.Outcome), now)
@@ -415,9 +416,7 @@
 		t.partial = true
 		c.observeRun(j, s, t, r, now)
 		c.logEvent(EventStart, t, w, "adopted", now)
-		if !j.started {
-			j.started, j.dirty, j.state = true, true, Running
-		}
+		j.state = Running
 		return
 	}
 	c.logEvent(EventUnexpectedRun, t, w, "unexpected-run", now)
@@ -430,6 +429,7 @@
 const lateStartAge = time.Second
 
 func (c *Cell) observeRun(j *jobRow, s *stepRow, t *taskRow, r *Run, now time.Time) {
+	j.markStarted()
 	t.lastListed = now
 	if !t.running {
 		t.running, t.firstPercent, t.firstListed = true, r.Percent, now
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -119,8 +119,10 @@
 	// started.
 	acceptedThisEpoch bool
 	state             State
-	started           bool
-	cancelled         bool
+	// ordered is true once a run has been ordered in this epoch. started is true
+	// once a worker has listed a run: a start may be refused, or wait for long.
+	ordered, started bool
+	cancelled        bool
 	// criticalPath is the longest chain of estimates of one occurrence.
 	criticalPath time.Duration
 	// work is the estimated work of one occurrence in processor seconds.
