core/job: a reply that grants no lease tells its age, too

Cause: the reply of an owner that has not confirmed its ownership since the worker joined left the freshness out, as one of an earlier build does, and counted as current though orders were pending.

TestReplyWithoutLeaseTellsItsAge fails before (nil dereference) and passes now.

--- a/core/job/freshness_test.go
+++ b/core/job/freshness_test.go
@@ -25,6 +25,19 @@
 	tc.is.Equal(tc.Reply(&r, tc.now).Freshness, &Freshness{Held: 300 * time.Millisecond, CancellationsAge: 1300 * time.Millisecond})
 }
 
+// Also a reply that grants no lease, and thus has no orders, tells its age: without it
+// the agent would take the reply for that of an earlier build, and as current.
+func TestReplyWithoutLeaseTellsItsAge(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	w := tc.workers.Get("agent-0")
+	w.confirmedClock = clockReading{}
+	w.enqueueOrder(Order{Kind: OrderStop, Task: Task{Job: testJob(1).ID}.String(), Run: 1})
+	r := tc.testWorkers["agent-0"].report
+	reply := tc.Reply(&r, tc.now)
+	tc.is.Equal(len(reply.Orders), 0)
+	tc.is.True(reply.Freshness.Partial)
+}
+
 // A cancellation that was read from the store stops the job, also if the job arrives
 // later, and counts as known from the beginning of the reading.
 func TestReadCancellationsStopJobs(t *testing.T) {
--- a/core/job/reply.go
+++ b/core/job/reply.go
@@ -11,20 +11,19 @@
 	}
 	out.Worker, out.Incarnation = w.ID, w.Incarnation
 	out.Acknowledged = w.durableEnds
+	out.Freshness = &Freshness{CancellationsAge: Age(c.cancellationsKnownAt, now), Partial: len(w.pending) > 0}
+	if !r.ReceivedAt.IsZero() {
+		out.Freshness.Held = now.Sub(r.ReceivedAt)
+	}
 	if !w.canGrantLease() {
 		// Without a lease the worker would refuse to start tasks.
 		return out
 	}
 	out.LeaseUntil = w.confirmedClock.clock + maxLeaseExtension
-	complete := len(w.pending) == 0
-	if c.roster[r.Agent].durable && !complete && !w.delivery.excludes(r.LongPoll, now) {
+	if c.roster[r.Agent].durable && len(w.pending) > 0 && !w.delivery.excludes(r.LongPoll, now) {
 		w.delivery = delivery{w.sequence, r.LongPoll, now}
 		out.addOrders(w.pending, r.SharedPayloads)
-		complete = true
-	}
-	out.Freshness = &Freshness{CancellationsAge: Age(c.cancellationsKnownAt, now), Partial: !complete}
-	if !r.ReceivedAt.IsZero() {
-		out.Freshness.Held = now.Sub(r.ReceivedAt)
+		out.Freshness.Partial = false
 	}
 	out.Interference = c.interferenceOn(w)
 	for i := range r.Running {
