io/agent: a start is not repeated once the worker lists the run

Cause: a start without an answer was repeated although a list already showed the run. A worker that crashes and returns under its ID executes the repetition: it does not know that the run has ended.

Change: a list that has the run settles its start, and a late answer does not bring it back. A start that was reported as ended with its lease is still revoked.

--- a/io/agent/order_queue_test.go
+++ b/io/agent/order_queue_test.go
@@ -34,6 +34,7 @@
 	silent   bool
 	calls    []call
 	renewals []time.Time
+	running  []job.Run
 }
 
 func newTestWorker(silent bool) *testWorker {
@@ -121,7 +122,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.renewals = append(w.renewals, time.Now())
-	return job.RunList{Incarnation: 100, Clock: time.Second}, nil
+	return job.RunList{Incarnation: 100, Clock: time.Second, Running: w.running}, nil
 }
 
 // testAgent is an agent in epoch 1 whose orders are executed until the test ends.
@@ -251,3 +252,18 @@
 		is.Equal(len(a.state.startsToCancel(r, time.Now())), 0)
 	})
 }
+
+// A start whose answers are lost needs no further call once the worker lists the run,
+// and is not made impossible by a stop, which would throw away the run's work.
+func TestListedRunIsNotStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := newTestAgent(t, true)
+		a.receive(job.OrderStart, testTask(1))
+		time.Sleep(time.Duration(maxStartAttempts)*workerCallTimeout - 50*time.Millisecond) // in the last call
+		a.worker.running = []job.Run{{Task: testTask(1), Run: 1}}
+		is.True(a.renew(t.Context(), 0))
+		time.Sleep(10 * time.Second)
+		is.True(a.worker.first(job.OrderStop, testTask(1)).IsZero())
+	})
+}
--- a/io/agent/orders.go
+++ b/io/agent/orders.go
@@ -70,9 +70,11 @@
 // the worker starts to drain, it revokes the start, so that no attempt can still take
 // effect.
 func (a *Agent) attemptStart(ctx context.Context, o *queuedOrder) string {
-	if a.state.isWithdrawn(o.Order) {
-		// The stop, which is an order of its own, settles the run.
-		return "withdrawn"
+	if a.state.isSettled(o.Order) {
+		if o.calls == 0 {
+			return "withdrawn"
+		}
+		return "settled"
 	}
 	leaseUntil, ok := a.state.checkOrder(o.Order, o.epoch)
 	switch permission := a.state.permitStart(time.Now()); {
--- a/io/agent/state.go
+++ b/io/agent/state.go
@@ -299,16 +299,17 @@
 	return true
 }
 
-// isWithdrawn reports whether the run of a start has been stopped or ordered to stop.
-func (s *state) isWithdrawn(o job.Order) bool {
+// isSettled reports whether a start needs no further call: the worker has listed the run,
+// or the run has been stopped or ordered to stop.
+func (s *state) isSettled(o job.Order) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.runs[runKey{o.Task, o.Run}]
 	return r == nil || r.state == runClosed || r.stopOrdered
 }
 
-// recordOutcome records the outcome of an order. A run that is closed stays closed:
-// the answer to a start may arrive after that to the stop which ended the run.
+// recordOutcome records the outcome of an order. The answer to a start is ignored if it
+// arrives after the stop that ended the run, or after a list with the run.
 func (s *state) recordOutcome(o job.Order, outcome runState, reason string, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -317,7 +318,7 @@
 	}
 	k := runKey{o.Task, o.Run}
 	r := s.runs[k]
-	if r != nil && r.state == runClosed && outcome == runStarted {
+	if outcome == runStarted && (r == nil || r.state == runClosed) {
 		return
 	}
 	s.runs[k] = &localRun{state: outcome, decidedAt: now, reason: reason, stopOrdered: r != nil && r.stopOrdered}
@@ -446,9 +447,9 @@
 	return len(runs.Running) != len(s.runList.Running)
 }
 
-// matchRuns compares the ordered runs with the newest list. It removes the
-// answered runs that are listed, marks the absent ones, and reports whether it
-// marked any. The caller holds s.mu.
+// matchRuns compares the ordered runs with the newest list. It removes those that
+// are listed, marks the absent ones, and reports whether it marked any. The caller
+// holds s.mu.
 func (s *state) matchRuns(requestedAt time.Time) bool {
 	listed := make(map[runKey]bool, len(s.runList.Running)+len(s.runList.Ended))
 	for _, r := range s.runList.Running {
@@ -460,10 +461,10 @@
 	found := false
 	for k, r := range s.runs {
 		switch {
+		case listed[k] && r.state == runOrdered && r.leaseEnded:
+			// The owner may have started the task elsewhere: the start is revoked.
 		case listed[k]:
-			if r.state != runOrdered {
-				delete(s.runs, k)
-			}
+			delete(s.runs, k)
 		case r.state == runClosed && r.decidedAt.Before(requestedAt) && !r.absent:
 			r.absent = true
 			found = true
--- a/io/agent/state_test.go
+++ b/io/agent/state_test.go
@@ -184,3 +184,27 @@
 	s.applyHeartbeat(w)
 	is.True(s.report("agent", false, now).Worker != nil)
 }
+
+// A list that has the run answers its start: another call could reach the next
+// incarnation of the worker, which would execute what the list shows as ended.
+func TestListedRunIsNotStartedAgain(t *testing.T) {
+	for name, list := range map[string]job.RunList{
+		"running": {Running: []job.Run{{Task: "00000000000000aa.0.0.0", Run: 1}}},
+		"ended":   {Ended: []job.End{{Number: 1, Task: "00000000000000aa.0.0.0", Run: 1, Outcome: job.EndDone}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, _, now := newTestState(t)
+			o := testOrder(1, job.OrderStart)
+			s.applyReply(testReply(o), now, now)
+			is.True(!s.isSettled(o))
+			r, _ := s.nextRenewal()
+			list.Incarnation, list.Clock = 100, 2*time.Second
+			s.applyRunList(r, list, now, now)
+			is.True(s.isSettled(o))
+			s.recordOutcome(o, runStarted, "", now) // the answer arrives late
+			r, _ = s.nextRenewal()
+			is.Equal(len(s.runs), 0)
+		})
+	}
+}
--- a/io/standin/fleet/ledger.go
+++ b/io/standin/fleet/ledger.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rosemarygap/core/job"
+	"rosemarygap/platform"
 )
 
 // Ledger records what workers and callers observe, and collects violations of the
@@ -126,18 +127,21 @@
 // start of the job must have reached a worker.
 const maxCancelDelay = 3 * time.Second
 
-// RecordStart records and checks the start of a run of the named task on a worker,
-// whose order reached the worker at arrived. It returns the resources that the task
-// needs.
-func (l *Ledger) RecordStart(worker, name string, arrived time.Time) job.Resources {
+// RecordStart records and checks the start of a run on a worker, whose order reached
+// the worker at arrived. It returns the resources that the task needs.
+func (l *Ledger) RecordStart(worker string, s platform.StartRequest, arrived time.Time) job.Resources {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	name := s.Task
 	t, err := job.ParseTask(name)
 	r := l.jobs[t.Job]
 	if err != nil || r == nil || t.Step >= len(r.job.Steps) || t.Index >= r.job.Steps[t.Step].Tasks {
 		l.addViolation("worker %s starts %q, which no caller submitted", worker, name)
 		return job.Resources{}
 	}
+	if s.Payload != r.job.Payload || s.Checkpoint != "" {
+		l.addViolation("worker %s starts %s with payload %q and checkpoint %q, which no caller submitted", worker, name, s.Payload, s.Checkpoint)
+	}
 	if late := arrived.Sub(r.cancelledAt); !r.cancelledAt.IsZero() && late > maxCancelDelay {
 		l.addViolation("worker %s starts %s %v after the cancellation of its job was acknowledged", worker, name, late)
 	}
@@ -175,6 +179,19 @@
 	}
 }
 
+// ActiveCancelled returns the tasks of cancelled jobs that are running.
+func (l *Ledger) ActiveCancelled() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []string
+	for name, n := range l.active {
+		if t, err := job.ParseTask(name); n > 0 && err == nil && !l.jobs[t.Job].cancelledAt.IsZero() {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // CheckRefusals records a violation for each job in started whose submissions were
 // all refused.
 func (l *Ledger) CheckRefusals(started map[string]bool) {
--- a/io/standin/fleet/ledger_test.go
+++ b/io/standin/fleet/ledger_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rosemarygap/core/job"
+	"rosemarygap/platform"
 
 	"github.com/matryer/is"
 )
@@ -14,25 +15,32 @@
 	return job.Job{ID: "00000000000000aa", Steps: []job.Step{{Tasks: 1, Need: need}, {Tasks: 1, Need: need, After: []int{0}}}}
 }
 
+func sampleStart(task string) platform.StartRequest { return platform.StartRequest{Task: task, Run: 1} }
+
 // TestLedgerReportsEachViolation checks that the ledger detects each kind of
 // violation.
 func TestLedgerReportsEachViolation(t *testing.T) {
 	first, second := "00000000000000aa.0.0.0", "00000000000000aa.0.1.0"
 	for name, violate := range map[string]func(l *Ledger){
-		"unknown job":     func(l *Ledger) { l.RecordStart("w", "00000000000000bb.0.0.0", time.Now()) },
-		"concurrent runs": func(l *Ledger) { l.RecordStart("w", first, time.Now()); l.RecordStart("v", first, time.Now()) },
+		"unknown job":   func(l *Ledger) { l.RecordStart("w", sampleStart("00000000000000bb.0.0.0"), time.Now()) },
+		"other payload": func(l *Ledger) { l.RecordStart("w", platform.StartRequest{Task: first, Payload: "x"}, time.Now()) },
+		"checkpoint":    func(l *Ledger) { l.RecordStart("w", platform.StartRequest{Task: first, Checkpoint: "x"}, time.Now()) },
+		"concurrent runs": func(l *Ledger) {
+			l.RecordStart("w", sampleStart(first), time.Now())
+			l.RecordStart("v", sampleStart(first), time.Now())
+		},
 		"run after done": func(l *Ledger) {
-			l.RecordStart("w", first, time.Now())
+			l.RecordStart("w", sampleStart(first), time.Now())
 			l.RecordEnd(first, job.EndDone, false)
-			l.RecordStart("w", first, time.Now())
+			l.RecordStart("w", sampleStart(first), time.Now())
 		},
-		"step order":            func(l *Ledger) { l.RecordStart("w", second, time.Now()) },
+		"step order":            func(l *Ledger) { l.RecordStart("w", sampleStart(second), time.Now()) },
 		"false done state":      func(l *Ledger) { l.CheckState("00000000000000aa", job.Done) },
 		"false cancelled state": func(l *Ledger) { l.CheckState("00000000000000aa", job.Cancelled) },
 		"false failed state":    func(l *Ledger) { l.CheckState("00000000000000aa", job.Failed) },
 		"start after cancellation": func(l *Ledger) {
 			l.RecordCancellation("00000000000000aa", true)
-			l.RecordStart("w", first, time.Now().Add(maxCancelDelay+time.Millisecond))
+			l.RecordStart("w", sampleStart(first), time.Now().Add(maxCancelDelay+time.Millisecond))
 		},
 		"run after refusal": func(l *Ledger) { l.CheckRefusals(map[string]bool{"00000000000000aa": true}) },
 	} {
@@ -53,7 +61,7 @@
 	l.RecordSubmission(sampleJob())
 	l.RecordResponse(sampleJob().ID, true, false)
 	for _, name := range []string{"00000000000000aa.0.0.0", "00000000000000aa.0.1.0"} {
-		l.RecordStart("w", name, time.Now())
+		l.RecordStart("w", sampleStart(name), time.Now())
 		l.RecordEnd(name, job.EndDone, false)
 	}
 	l.CheckState(sampleJob().ID, job.Done)
@@ -69,6 +77,7 @@
 	is := is.New(t)
 	l := NewLedger()
 	j := sampleJob()
+	j.Payload = "ms=100"
 	j.Steps = []job.Step{{Tasks: 5, Need: job.Resources{Processors: 1000, Memory: 10}}}
 	l.RecordSubmission(j)
 	w := NewWorker("w", "svc", addr("127.0.0.1:1"), addr("127.0.0.1:2"), l)
@@ -78,3 +87,18 @@
 	}
 	is.Equal(len(l.Violations()), 1)
 }
+
+// TestLedgerListsRunsOfCancelledJobs checks that a run of a cancelled job is listed
+// until it ends.
+func TestLedgerListsRunsOfCancelledJobs(t *testing.T) {
+	is := is.New(t)
+	l := NewLedger()
+	l.RecordSubmission(sampleJob())
+	name := "00000000000000aa.0.0.0"
+	l.RecordStart("w", sampleStart(name), time.Now())
+	is.Equal(l.ActiveCancelled(), nil)
+	l.RecordCancellation("00000000000000aa", true)
+	is.Equal(l.ActiveCancelled(), []string{name})
+	l.RecordEnd(name, job.EndStopped, false)
+	is.Equal(l.ActiveCancelled(), nil)
+}
--- a/io/standin/fleet/soak_test.go
+++ b/io/standin/fleet/soak_test.go
@@ -3,10 +3,12 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -29,6 +31,8 @@
 const (
 	faultDuration = 12 * time.Second
 	settleTimeout = 40 * time.Second
+	// runOnTimeout is how long tasks of cancelled jobs may run on after that.
+	runOnTimeout = 3400 * time.Millisecond
 )
 
 // regressionSeeds are seeds that found faults in the past, with the cause of the
@@ -44,11 +48,29 @@
 // what callers and workers observe. A seed determines the sequence of random
 // numbers from which faults and jobs are drawn.
 func TestSoak(t *testing.T) {
+	runSeeds(t, slices.Sorted(maps.Keys(regressionSeeds)), mixedFaults)
+}
+
+// TestSoakSilentWorkers is TestSoak with more jobs of many tasks, more cancellations,
+// and workers that answer no orders: what an agent has received waits, and must not
+// take effect once the job is cancelled.
+func TestSoakSilentWorkers(t *testing.T) { runSeeds(t, nil, silentWorkers) }
+
+// faultMix selects the faults and jobs of a run.
+type faultMix int
+
+const (
+	mixedFaults faultMix = iota
+	silentWorkers
+)
+
+// runSeeds runs the chosen seeds and further ones.
+func runSeeds(t *testing.T, further []uint64, m faultMix) {
 	chosen := map[uint64]bool{}
 	for i := range *seedCount {
 		chosen[*firstSeed+uint64(i)] = true
 	}
-	for s := range regressionSeeds {
+	for _, s := range further {
 		chosen[s] = true
 	}
 	slots := make(chan struct{}, *parallel)
@@ -60,7 +82,7 @@
 		go func() {
 			defer wg.Done()
 			defer func() { <-slots }()
-			t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { soakSeed(t, seed) })
+			t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { soakSeed(t, seed, m) })
 		}()
 	}
 }
@@ -68,6 +90,7 @@
 // testRun is a test in progress with its deployment.
 type testRun struct {
 	*deployment
+	mix      faultMix
 	mu       sync.Mutex
 	rng      *rand.Rand
 	faultLog []string
@@ -79,8 +102,9 @@
 	wg             sync.WaitGroup
 }
 
-func soakSeed(t *testing.T, seed uint64) {
+func soakSeed(t *testing.T, seed uint64, m faultMix) {
 	r := newTestRun(t, int(seed), 3, *agentCount)
+	r.mix = m
 	defer func() {
 		if t.Failed() {
 			r.keepLogs(seed)
@@ -93,7 +117,11 @@
 	go func() { defer r.wg.Done(); r.sendJobs(seed, stop) }()
 	go func() { defer r.wg.Done(); r.updateConfigurations(stop) }()
 	for time.Since(start) < faultDuration {
-		r.injectFault(time.Since(start))
+		if r.mix == silentWorkers && r.randIntN(2) == 0 {
+			r.silenceWorkers(time.Since(start))
+		} else {
+			r.injectFault(time.Since(start))
+		}
 		time.Sleep(time.Duration(200+r.randIntN(900)) * time.Millisecond)
 	}
 	close(stop)
@@ -200,13 +228,43 @@
 		a.worker.SetFaults(false, 4)
 		r.runLater(length, func() { a.worker.SetFaults(false, 0) })
 	}
+	r.logFault(at, name, length)
+}
+
+func (r *testRun) logFault(at time.Duration, name string, length time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.faultLog = append(r.faultLog, fmt.Sprintf("%5.2f s  %s (%s)", at.Seconds(), name, length))
 }
 
-// sendJobs starts a caller for a new job every 120 ms until stop is closed, and
-// waits for the callers.
+// silenceWorkers makes one worker or all workers leave orders unanswered for some
+// seconds.
+func (r *testRun) silenceWorkers(at time.Duration) {
+	length := time.Duration(1000+r.randIntN(5000)) * time.Millisecond
+	a := r.agents[r.randIntN(len(r.agents))]
+	switch r.randIntN(3) {
+	case 0:
+		a.worker.SetSilent(true)
+		r.runLater(length, func() { a.worker.SetSilent(false) })
+		r.logFault(at, "worker of "+a.name+" answers no orders", length)
+	case 1:
+		a.worker.SetFaults(false, 1)
+		r.runLater(length, func() { a.worker.SetFaults(false, 0) })
+		r.logFault(at, "worker of "+a.name+" drops all responses", length)
+	case 2:
+		for _, a := range r.agents {
+			a.worker.SetSilent(true)
+			r.runLater(length, func() { a.worker.SetSilent(false) })
+		}
+		r.logFault(at, "no worker answers orders", length)
+	}
+}
+
+// jobInterval is the time between two new jobs for a deployment with six agents.
+const jobInterval = 120 * time.Millisecond
+
+// sendJobs starts callers for new jobs until stop is closed, and waits for the callers.
+// The rate of the jobs is proportional to the number of agents.
 func (r *testRun) sendJobs(seed uint64, stop <-chan struct{}) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -214,11 +272,18 @@
 		select {
 		case <-stop:
 			return
-		case <-time.After(120 * time.Millisecond):
+		case <-time.After(jobInterval * 6 / time.Duration(len(r.agents))):
 		}
 		wg.Add(1)
 		j := r.randomJob(seed, n)
 		toAll, cancel := r.randIntN(8) == 0, r.randIntN(10) == 0
+		if r.mix == silentWorkers {
+			cancel = cancel || r.randIntN(3) == 0
+			if r.randIntN(4) == 0 {
+				// More orders for an agent than it executes at a time.
+				j.Steps[0].Tasks, j.Steps[0].Need.Processors, j.Steps[0].Need.Memory = 10+r.randIntN(30), 100, 10
+			}
+		}
 		go func() {
 			defer wg.Done()
 			r.submitAndFollow(j, toAll, cancel)
@@ -258,6 +323,9 @@
 		time.Sleep(200 * time.Millisecond)
 	}
 	if accepted && cancel {
+		if r.mix == silentWorkers {
+			time.Sleep(time.Duration(r.randIntN(1000)) * time.Millisecond)
+		}
 		code, _ := r.request(c, r.schedulers[r.randIntN(3)], http.MethodDelete, "/jobs/"+j.ID, nil)
 		r.ledger.RecordCancellation(j.ID, code/100 == 2)
 	}
@@ -358,6 +426,7 @@
 		p.toStore.ResetConnections()
 		if p.worker != nil {
 			p.worker.SetFaults(false, 0)
+			p.worker.SetSilent(false)
 			p.toWorker.ResetConnections()
 		}
 		r.start(p)
@@ -388,6 +457,11 @@
 		}
 	}
 	r.ledger.CheckRefusals(started)
+	for end := time.Now().Add(runOnTimeout); time.Now().Before(end) && len(r.ledger.ActiveCancelled()) > 0; time.Sleep(100 * time.Millisecond) {
+	}
+	for _, task := range r.ledger.ActiveCancelled() {
+		r.t.Errorf("task %s of a cancelled job still runs", task)
+	}
 	for _, violation := range r.ledger.Violations() {
 		r.t.Error(violation)
 	}
--- a/io/standin/fleet/worker.go
+++ b/io/standin/fleet/worker.go
@@ -46,9 +46,11 @@
 	// orderCount is the number of start and stop orders that passed checkCall. If
 	// dropEvery is greater than 0, the worker drops the connection instead of
 	// responding when orderCount is divisible by dropEvery. When orderCount is also
-	// divisible by 2*dropEvery, a start takes effect late.
+	// divisible by 2*dropEvery, and dropEvery is not 1, a start takes effect late.
 	dropEvery, orderCount int
-	fencingToken          int64
+	// silent is true while the worker answers no orders, although it executes them.
+	silent       bool
+	fencingToken int64
 	// leaseEnd is the end of the lease on the worker's clock.
 	leaseEnd time.Duration
 	// running and highestRun are maps by task name. The values of highestRun are
@@ -188,6 +190,9 @@
 	}
 	w.incarnationStart, w.heartbeatSeq, w.fencingToken, w.leaseEnd, w.lastEndNumber = time.Now(), 0, 0, 0, 0
 	w.running, w.highestRun, w.ended = map[string]*task{}, map[string]int64{}, nil
+	// The connections of calls that wait break.
+	close(w.changed)
+	w.changed = make(chan struct{})
 }
 
 // SetFaults sets whether the worker is unreachable. If dropEvery is greater than 0,
@@ -235,17 +240,45 @@
 	return w.dropEvery > 0 && w.orderCount%w.dropEvery == 0
 }
 
+// SetSilent sets whether the worker answers no orders.
+func (w *Worker) SetSilent(silent bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.silent = silent
+}
+
+// silence is how long a silent worker holds an order, which is longer than any agent
+// waits for the answer.
+const silence = 600 * time.Millisecond
+
+// answer returns the answer to an order, unless the worker is silent.
+func (w *Worker) answer(clock time.Duration, err error) (time.Duration, error) {
+	w.mu.Lock()
+	silent := w.silent
+	w.mu.Unlock()
+	if !silent {
+		return clock, err
+	}
+	time.Sleep(silence)
+	return 0, platformtest.ErrDropConnection
+}
+
 // Start implements platformtest.Worker.
 func (w *Worker) Start(s platform.StartRequest) (time.Duration, error) {
-	arrived := time.Now()
+	return w.answer(w.start(s, time.Now()))
+}
+
+// start executes an order to start a run that arrived at the given time.
+func (w *Worker) start(s platform.StartRequest, arrived time.Time) (time.Duration, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.checkCall(s.Worker, s.Token); err != nil {
 		return w.clock(), err
 	}
 	if w.dropsResponse() {
-		// Every second order without a response takes effect 2 s later.
-		if w.orderCount%(2*w.dropEvery) == 0 {
+		// Every second order without a response takes effect 2 s later, unless all
+		// responses are dropped.
+		if w.dropEvery > 1 && w.orderCount%(2*w.dropEvery) == 0 {
 			time.AfterFunc(2*time.Second, func() {
 				w.mu.Lock()
 				defer w.mu.Unlock()
@@ -276,7 +309,7 @@
 		return &platform.OrderRefusedError{Reason: "late"}
 	}
 	w.extendLease(s.LeaseUntil)
-	need := w.ledger.RecordStart(w.id, s.Task, arrived)
+	need := w.ledger.RecordStart(w.id, s, arrived)
 	used := need
 	for _, t := range w.running {
 		used = used.Plus(t.need)
@@ -303,6 +336,10 @@
 
 // Stop implements platformtest.Worker.
 func (w *Worker) Stop(worker, name string, run, token int64) (time.Duration, error) {
+	return w.answer(w.stop(worker, name, run, token))
+}
+
+func (w *Worker) stop(worker, name string, run, token int64) (time.Duration, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.checkCall(worker, token); err != nil {
