io/agent: a refusal after an unanswered call does not close the start

Cause: the first call for a start had no answer, the second was refused with room, late or a 503. The run counted as absent and its task was placed elsewhere, though the first call could still take effect. Only old rules that out.

TestRefusalAfterUnansweredCall fails before and passes now.

Change: such a start is revoked: the run is stopped before it counts as absent.

--- a/io/agent/freshness.go
+++ b/io/agent/freshness.go
@@ -187,23 +187,6 @@
 	return ids, nil
 }
 
-// mayHaveBeenSent reports whether a call for the start may have reached the worker: one
-// of this process, or of the process before, whose starts the owner repeats.
-func (a *Agent) mayHaveBeenSent(o *queuedOrder) bool {
-	return o.calls > 0 || time.Since(a.startedAt) < unansweredStartTTL
-}
-
-// refuseStart ends a start that must not be sent any more. It returns the outcome for
-// the log, or "" if the run must be stopped first.
-func (a *Agent) refuseStart(o *queuedOrder, reason string) string {
-	if a.mayHaveBeenSent(o) {
-		o.revoke()
-		return ""
-	}
-	a.closeRun(o.Order, reason)
-	return reason
-}
-
 // postponeStart has a start considered again after the cancellations were read.
 func (a *Agent) postponeStart(o queuedOrder) {
 	process.Wake(a.wakeConfirm)
--- a/io/agent/order_queue.go
+++ b/io/agent/order_queue.go
@@ -18,6 +18,8 @@
 	firstCallAt time.Time
 	// revoked is true for a start that must be made impossible by a stop of its run.
 	revoked bool
+	// unanswered is true for a start of which a call had no answer.
+	unanswered bool
 	// unconfirmed is true for a start that waits for the cancellations to be read.
 	unconfirmed bool
 	// calls is the number of calls that were made to start the run or, if isStop, to
--- a/io/agent/order_queue_test.go
+++ b/io/agent/order_queue_test.go
@@ -32,6 +32,7 @@
 	handler  http.Handler
 	mu       sync.Mutex
 	silent   bool
+	refusal  error // of starts, while not silent
 	calls    []call
 	renewals []time.Time
 	running  []job.Run
@@ -107,7 +108,11 @@
 }
 
 func (w *testWorker) Start(s platform.StartRequest) (time.Duration, error) {
-	return w.record(job.OrderStart, s.Task)
+	clock, err := w.record(job.OrderStart, s.Task)
+	if err == nil {
+		err = w.refusal
+	}
+	return clock, err
 }
 
 func (w *testWorker) Stop(_, task string, _, _ int64) (time.Duration, error) {
@@ -267,3 +272,27 @@
 		is.True(a.worker.first(job.OrderStop, testTask(1)).IsZero())
 	})
 }
+
+// A refusal of the second call for a start says nothing about the first one, which had
+// no answer and may take effect seconds later: the run must be stopped before it counts
+// as absent and its task starts elsewhere.
+func TestRefusalAfterUnansweredCall(t *testing.T) {
+	for _, refusal := range []error{&platform.OrderRefusedError{Reason: "room"}, &platform.OrderRefusedError{Reason: "late"}, platform.ErrNoEffect} {
+		t.Run(refusal.Error(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				a := newTestAgent(t, true)
+				a.worker.refusal = refusal
+				time.Sleep(unansweredStartTTL) // no process before this one has sent starts
+				a.receive(job.OrderStart, testTask(1))
+				time.Sleep(workerCallTimeout / 2)
+				a.worker.setSilent(false)
+				time.Sleep(time.Second)
+				a.receive(job.OrderStart, testTask(2))
+				time.Sleep(time.Second)
+				is.True(!a.worker.first(job.OrderStop, testTask(1)).IsZero())
+				is.True(a.worker.first(job.OrderStop, testTask(2)).IsZero()) // refused at once
+			})
+		})
+	}
+}
--- a/io/agent/orders.go
+++ b/io/agent/orders.go
@@ -98,14 +98,13 @@
 		a.state.recordOutcome(o.Order, runStarted, "", time.Now())
 		return "started"
 	case errors.As(err, &refused):
-		a.closeRun(o.Order, refused.Reason)
-		return refused.Reason
+		return a.refuseStart(o, refused.Reason)
 	case errors.Is(err, platform.ErrNoEffect):
-		a.closeRun(o.Order, "unhealthy")
-		return "unhealthy"
+		return a.refuseStart(o, "unhealthy")
 	case errors.Is(err, platform.ErrFenced), errors.Is(err, platform.ErrOtherIncarnation):
 		return "superseded"
 	}
+	o.unanswered = true
 	a.state.recordUnanswered(o.Order, time.Now())
 	if ctx.Err() != nil {
 		return "stopping"
@@ -121,6 +120,20 @@
 	return err
 }
 
+// refuseStart ends a start that the worker refused or that must not be sent any more. It
+// returns the outcome for the log, or "" if the run must be stopped first, because a
+// call for it may still take effect: one without an answer, or one of the process
+// before this, whose starts the owner repeats. The worker refuses any further call for
+// an old run.
+func (a *Agent) refuseStart(o *queuedOrder, reason string) string {
+	if reason != platform.RefusedOldRun && (o.unanswered || time.Since(a.startedAt) < unansweredStartTTL) {
+		o.revoke()
+		return ""
+	}
+	a.closeRun(o.Order, reason)
+	return reason
+}
+
 // closeRun records that a run was refused or stopped, and requests a new list of
 // runs. The run is reported as absent only if it is missing in that list.
 func (a *Agent) closeRun(o job.Order, reason string) {
