--- a/io/standin/fleet/ledger.go
+++ b/io/standin/fleet/ledger.go
@@ -17,8 +17,9 @@
 	// active is the number of current runs of each task.
 	active map[string]int
 	done   map[string]bool
-	// lostEnds contains the tasks that were done on a worker that crashed before
-	// the end of the run was acknowledged. These tasks may run again.
+	// lostEnds contains the tasks that were done on a worker that crashed, or whose
+	// lease ended, before the end of the run was acknowledged. These tasks may run
+	// again.
 	lostEnds   map[string]bool
 	violations []string
 }
@@ -163,8 +164,8 @@
 }
 
 // RecordEnd records the end of a run of the named task. If outcome is empty, no run
-// ends. If lost is true, the worker crashed after the task was done, but before the
-// end of its run was acknowledged.
+// ends. If lost is true, the worker crashed or its lease ended after the task was done, but
+// before the end of its run was acknowledged.
 func (l *Ledger) RecordEnd(name string, outcome job.Outcome, lost bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/io/standin/fleet/worker.go
+++ b/io/standin/fleet/worker.go
@@ -137,6 +137,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.excludeStalledTime()
+	if w.clock() > w.leaseEnd {
+		w.loseEnds()
+	}
 	for _, name := range slices.Sorted(maps.Keys(w.running)) {
 		t := w.running[name]
 		switch {
@@ -150,6 +153,15 @@
 	}
 }
 
+// loseEnds records that the tasks whose ends are not acknowledged may run again: the
+// lease has ended, so that the scheduler takes their runs for lost. The caller holds
+// mu.
+func (w *Worker) loseEnds() {
+	for _, e := range w.ended {
+		w.ledger.RecordEnd(e.Task, "", e.Outcome == job.EndDone)
+	}
+}
+
 // excludeStalledTime delays the start times of the running tasks by the time in
 // which they were stalled, so that the progress of a task depends on its start time
 // alone. The caller holds mu.
@@ -185,9 +197,7 @@
 	for name := range w.running {
 		w.ledger.RecordEnd(name, job.EndLapsed, false)
 	}
-	for _, e := range w.ended {
-		w.ledger.RecordEnd(e.Task, "", e.Outcome == job.EndDone)
-	}
+	w.loseEnds()
 	w.incarnationStart, w.heartbeatSeq, w.fencingToken, w.leaseEnd, w.lastEndNumber = time.Now(), 0, 0, 0, 0
 	w.running, w.highestRun, w.ended = map[string]*task{}, map[string]int64{}, nil
 	// The connections of calls that wait break.
--- a/io/standin/fleet/worker_test.go
+++ b/io/standin/fleet/worker_test.go
@@ -38,3 +38,30 @@
 		is.Equal(list.Running[0].Percent, 50)
 	})
 }
+
+// A task that was done may run again once the lease of its worker has ended, unless the
+// end was acknowledged before.
+func TestEndIsLostWithLease(t *testing.T) {
+	for name, acknowledged := range map[string]int64{"lost": 0, "acknowledged": 1} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				l := NewLedger()
+				j := sampleJob()
+				j.Payload = "ms=100"
+				l.RecordSubmission(j)
+				w := NewWorker("w", "svc", netip.AddrPort{}, netip.AddrPort{}, l)
+				_, err := w.Start(startRequest(w, "00000000000000aa.0.0.0", time.Second))
+				is.NoErr(err)
+				time.Sleep(200 * time.Millisecond)
+				w.advance()
+				_, err = w.Renew(platform.RenewRequest{Worker: "w", Token: 1, Acknowledged: acknowledged})
+				is.NoErr(err)
+				time.Sleep(2 * time.Second)
+				w.advance()
+				l.RecordStart("v", startRequest(w, "00000000000000aa.0.0.0", time.Second), time.Now())
+				is.Equal(len(l.Violations()) > 0, acknowledged == 1)
+			})
+		})
+	}
+}
