--- a/io/standin/fleet/harness_test.go
+++ b/io/standin/fleet/harness_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -175,7 +176,11 @@
 		d.t.Error(err)
 		return
 	}
-	cmd := exec.Command(d.bin, p.role)
+	bin := d.bin
+	if *earlierBuild != "" && strings.ContainsAny(p.name[len(p.name)-1:], "13579") {
+		bin = *earlierBuild
+	}
+	cmd := exec.Command(bin, p.role)
 	cmd.Env = append(os.Environ(), platform.SettingsPathEnv+"="+p.settings)
 	cmd.Stdout, cmd.Stderr = f, f
 	if err := cmd.Start(); err != nil {
--- a/io/standin/fleet/soak_test.go
+++ b/io/standin/fleet/soak_test.go
@@ -20,11 +20,13 @@
 
 // Flags that set the extent of TestSoak.
 var (
-	seedCount  = flag.Int("soak-seeds", 2, "number of seeds that TestSoak runs")
-	firstSeed  = flag.Uint64("soak-first", 1, "first seed of TestSoak")
-	parallel   = flag.Int("soak-parallel", 2, "maximum number of concurrent deployments")
-	logDir     = flag.String("soak-keep", "", "directory for the logs of failed seeds")
-	agentCount = flag.Int("soak-agents", 6, "number of agents of a deployment")
+	seedCount = flag.Int("soak-seeds", 2, "number of seeds that TestSoak runs")
+	firstSeed = flag.Uint64("soak-first", 1, "first seed of TestSoak")
+	parallel  = flag.Int("soak-parallel", 2, "maximum number of concurrent deployments")
+	logDir    = flag.String("soak-keep", "", "directory for the logs of failed seeds")
+	// earlierBuild is for the update of a deployment from one build to the next.
+	earlierBuild = flag.String("soak-earlier-build", "", "path of an earlier build of the program, which the processes with odd numbers run")
+	agentCount   = flag.Int("soak-agents", 6, "number of agents of a deployment")
 )
 
 // Phases of the run of a seed.
