--- a/io/agent/freshness_test.go
+++ b/io/agent/freshness_test.go
@@ -53,8 +53,7 @@
 	a.next++
 	r := testReply(testOrder(a.next, job.OrderStart))
 	r.Orders[0].Task, r.Freshness = task, &f
-	orders, _ := a.state.applyReply(r, time.Now(), time.Now())
-	a.enqueueOrders(orders, r.Epoch)
+	a.apply(r)
 }
 
 // An agent that hears nothing from the owner must not start what the owner may have
--- a/io/agent/order_queue_test.go
+++ b/io/agent/order_queue_test.go
@@ -166,6 +166,11 @@
 		o.Task = task
 		r.Orders = append(r.Orders, o)
 	}
+	a.apply(r)
+}
+
+// apply applies a reply that took no time.
+func (a *testAgent) apply(r *job.Reply) {
 	orders, _ := a.state.applyReply(r, time.Now(), time.Now())
 	a.enqueueOrders(orders, r.Epoch)
 }
@@ -197,8 +202,7 @@
 		is := is.New(t)
 		a := newTestAgent(t, false)
 		r := testReply(testOrder(1, job.OrderStart), testOrder(2, job.OrderStop))
-		orders, _ := a.state.applyReply(r, time.Now(), time.Now())
-		a.enqueueOrders(orders, 1)
+		a.apply(r)
 		time.Sleep(time.Second)
 		is.True(a.worker.first(job.OrderStart, r.Orders[0].Task).IsZero())
 		is.True(!a.worker.first(job.OrderStop, r.Orders[0].Task).IsZero())
--- a/io/agent/orders.go
+++ b/io/agent/orders.go
@@ -66,9 +66,9 @@
 }
 
 // attemptStart makes one call to start a run. It repeats a call without an answer,
-// which is safe because a worker starts a run only once. If no attempt is answered, or
-// the worker starts to drain, it revokes the start, so that no attempt can still take
-// effect.
+// which is safe because a worker starts a run only once. If no attempt is answered, the
+// worker starts to drain or its lease was reported to have ended, it revokes the start,
+// so that no attempt can still take effect.
 func (a *Agent) attemptStart(ctx context.Context, o *queuedOrder) string {
 	if a.state.isSettled(o.Order) {
 		if o.calls == 0 {
--- a/io/standin/fleet/cancellation_test.go
+++ b/io/standin/fleet/cancellation_test.go
@@ -17,12 +17,7 @@
 	c := &http.Client{}
 	defer c.CloseIdleConnections()
 	r.awaitReady(c)
-	first := oneStepJob("00000000000000bf", 1, "ms=10")
-	if code := r.submit(c, r.schedulers[0], first); code != http.StatusOK {
-		t.Fatalf("submission: status %d, want 200", code)
-	}
-	r.awaitState(c, first.ID, job.Done)
-	r.finalJobs[first.ID] = true
+	r.awaitFirstJob(c)
 	w := r.agents[0].worker
 	w.SetFaults(false, 1)
 	var ids []string
@@ -51,3 +46,14 @@
 	}
 	r.checkResults()
 }
+
+// awaitFirstJob waits until a job has been done, so that there is an owner that knows
+// the workers.
+func (r *testRun) awaitFirstJob(c *http.Client) {
+	first := oneStepJob("00000000000000bf", 1, "ms=10")
+	if code := r.submit(c, r.schedulers[0], first); code != http.StatusOK {
+		r.t.Fatalf("submission: status %d, want 200", code)
+	}
+	r.awaitState(c, first.ID, job.Done)
+	r.finalJobs[first.ID] = true
+}
--- a/io/standin/fleet/diagnosis_test.go
+++ b/io/standin/fleet/diagnosis_test.go
@@ -144,3 +144,28 @@
 	end := "decision=end reason=failed task=" + j.ID
 	requireInOrder(t, r.story(j.ID), "submission-accepted", end, end, end, "decision=final reason=failed task="+j.ID)
 }
+
+// TestWayOfAWithdrawnStart diagnoses a start that waits for a worker which answers no
+// orders, and is withdrawn when its job is cancelled.
+func TestWayOfAWithdrawnStart(t *testing.T) {
+	r := newTestRun(t, 60007, 2, 1)
+	c := &http.Client{}
+	defer c.CloseIdleConnections()
+	r.awaitReady(c)
+	r.awaitFirstJob(c)
+	r.agents[0].worker.SetSilent(true)
+	j := oneStepJob("00000000000000a4", 30, "ms=10000")
+	j.Steps[0].Need.Processors = 100
+	if code := r.submit(c, r.schedulers[0], j); code != http.StatusOK {
+		t.Fatalf("submission: status %d, want 200", code)
+	}
+	time.Sleep(200 * time.Millisecond)
+	if code, _ := r.request(c, r.schedulers[1], http.MethodDelete, "/jobs/"+j.ID, nil); code != http.StatusOK {
+		t.Fatalf("cancellation: status %d, want 200", code)
+	}
+	time.Sleep(time.Second)
+	r.agents[0].worker.SetSilent(false)
+	r.awaitState(c, j.ID, job.Cancelled)
+	requireInOrder(t, r.story(j.ID), "decision=start reason=placed", "cancellation-answered outcome=cancelled",
+		"decision=stop reason=cancelled", "order-carried-out decision=start outcome=withdrawn waited=", "order-carried-out decision=stop outcome=stopped")
+}
