io/agent: a short cancel_ms leaves time for starts

Cause: cancel_ms - 1 s is the age up to which the knowledge of the cancellations is recent enough. With cancel_ms of 1 s or less, no start would ever be sent.

Change: half of cancel_ms at least. Found by reading; TestMaxCancellationsAge.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -5,9 +5,9 @@
 //
 // Invariant: the agent starts only runs that the owner of the newest known
 // epoch ordered, and none after it answered a heartbeat which says that the
-// worker is draining, or after it received a stop of the run. It sends a start only
-// while its knowledge of what was withdrawn is recent. The agent has no durable state: it gets the list of runs
-// from the worker.
+// worker is draining, or after it received a stop of the run. It sends a start
+// only while its knowledge of what was withdrawn is recent. The agent has no
+// durable state: it gets the list of runs from the worker.
 package agent
 
 import (
--- a/io/agent/freshness.go
+++ b/io/agent/freshness.go
@@ -37,6 +37,16 @@
 	confirmPause = 20 * time.Millisecond
 )
 
+// maxCancellationsAge returns how old the knowledge of the cancellations may be at a start
+// that must reach the worker within cancelDelay of a cancellation; 0 means that the
+// settings do not say.
+func maxCancellationsAge(cancelDelay time.Duration) time.Duration {
+	if cancelDelay == 0 {
+		cancelDelay = defaultCancelDelay
+	}
+	return max(cancelDelay-cancelMargin, cancelDelay/2)
+}
+
 // freshness is what the agent knows about the age of its knowledge.
 type freshness struct {
 	// ordersCompleteAt is a time at which the agent had all orders of the owner.
--- a/io/agent/freshness_test.go
+++ b/io/agent/freshness_test.go
@@ -109,6 +109,14 @@
 	is.Equal(f, freshness{ordersCompleteAt: now, cancellationsKnownAt: now})
 }
 
+// Settings with a short delay, or none, leave time for starts.
+func TestMaxCancellationsAge(t *testing.T) {
+	is := is.New(t)
+	is.Equal(maxCancellationsAge(3*time.Second), 2*time.Second)
+	is.Equal(maxCancellationsAge(0), 2*time.Second)
+	is.Equal(maxCancellationsAge(800*time.Millisecond), 400*time.Millisecond)
+}
+
 // The owner may not know a cancellation that another entry acknowledged while the
 // owner was cut off from the store.
 func TestNoStartOfJobThatOnlyTheStoreKnowsAsCancelled(t *testing.T) {
--- a/io/agent/state.go
+++ b/io/agent/state.go
@@ -93,11 +93,7 @@
 }
 
 func newState(processID int64, b platform.Bounds) *state {
-	cancelDelay := b.MaxCancelDelay
-	if cancelDelay == 0 {
-		cancelDelay = defaultCancelDelay
-	}
-	return &state{processID: processID, maxLease: b.MaxWorkerLease, maxCancellationsAge: cancelDelay - cancelMargin,
+	return &state{processID: processID, maxLease: b.MaxWorkerLease, maxCancellationsAge: maxCancellationsAge(b.MaxCancelDelay),
 		runs: map[runKey]*localRun{}, traits: map[string]job.TaskTraits{},
 		unansweredStarts: map[runKey]unansweredStart{}, throttle: newThrottle()}
 }
