io/scheduler: the owner renews its lease although it cannot read the cancellations

Cause: the ownership check read the cancellations before it renewed the lease, and returned without a renewal if that failed or took long. Two such checks in a row cost the ownership.

Change: the renewal comes first. TestLeaseIsRenewedWithoutCancellations fails before and passes now.

--- a/io/scheduler/cancellations_test.go
+++ b/io/scheduler/cancellations_test.go
@@ -7,9 +7,11 @@
 
 	"rosemarygap/core/job"
 	"rosemarygap/io/standin/fleet"
+	"rosemarygap/platform"
 	"rosemarygap/platform/platformtest"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 )
 
 // The owner learns a cancellation within its ownership check, whatever its watch
@@ -52,3 +54,24 @@
 	is.True(s.checkAndRenew(ctx, session) != nil)
 	is.Equal(len(read), 0)
 }
+
+// listlessStore is a store that serves no lists.
+type listlessStore struct{ *fleet.Store }
+
+func (listlessStore) List(string, string) (platform.Page, error) {
+	return platform.Page{}, platform.ErrNoEffect
+}
+
+// The owner keeps its ownership if it cannot read the cancellations: agents read them
+// themselves then.
+func TestLeaseIsRenewedWithoutCancellations(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s, _ := newTestScheduler(t, platformtest.StoreHandler(listlessStore{fleet.NewStore()}))
+	go s.discardMessages(ctx)
+	session, err := s.claim(ctx)
+	is.NoErr(err)
+	is.True(errors.Is(s.checkAndRenew(ctx, session), platform.ErrNoEffect))
+	is.True(!session.renewedAt.IsZero())
+}
--- a/io/scheduler/election.go
+++ b/io/scheduler/election.go
@@ -213,17 +213,22 @@
 		return errSuperseded
 	}
 	s.sendToControl(callCtx, ownershipConfirmed{began})
-	if err := s.confirmCancellations(callCtx, session, cancellations); err != nil {
+	if err := s.renewLease(callCtx, session); err != nil {
 		return err
 	}
+	return s.confirmCancellations(callCtx, session, cancellations)
+}
+
+// renewLease renews the owner's lease if a renewal is due.
+func (s *Scheduler) renewLease(ctx context.Context, session *ownerSession) error {
 	if time.Since(session.renewedAt) < renewInterval {
 		return nil
 	}
 	session.renewedAt = time.Now()
-	err = s.store.RenewLease(callCtx, session.leaseID)
+	err := s.store.RenewLease(ctx, session.leaseID)
 	_, alive := s.mirror.ownership()
 	if errors.Is(err, platform.ErrNotFound) || err == nil && !alive {
-		return s.replaceLease(callCtx, session)
+		return s.replaceLease(ctx, session)
 	}
 	return err
 }
