--- a/core/job/age.go
+++ b/core/job/age.go
@@ -8,3 +8,11 @@
 func Age(t, now time.Time) time.Duration {
 	return max(now.Sub(t), now.Round(0).Sub(t.Round(0)))
 }
+
+// Later returns the later of two times.
+func Later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -172,7 +172,7 @@
 	for _, id := range ids {
 		c.Cancel(id, now)
 	}
-	c.cancellationsKnownAt = later(c.cancellationsKnownAt, began)
+	c.cancellationsKnownAt = Later(c.cancellationsKnownAt, began)
 }
 
 // endJob sets the final state of a job and stops its remaining runs.
--- a/core/job/health.go
+++ b/core/job/health.go
@@ -86,20 +86,13 @@
 // extendPause doubles the pause between two tasks.
 func (h *health) extendPause(now time.Time) {
 	h.pause = min(max(2*h.pause, probationBasePause), probationMaxPause)
-	h.until = later(h.until, now.Add(h.pause))
+	h.until = Later(h.until, now.Add(h.pause))
 }
 
-func (h *health) recordRefusal(now time.Time) { h.until = later(h.until, now.Add(refusalPause)) }
+func (h *health) recordRefusal(now time.Time) { h.until = Later(h.until, now.Add(refusalPause)) }
 
 func (h *health) recordSuccess() { *h = health{} }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // updateHealth updates the health of a worker with the outcome of a run. The
 // failure of a task that has failed on another worker before is not counted,
 // as the task may be the cause.
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -289,7 +289,7 @@
 		return
 	}
 	for _, t := range w.sortedTasks() {
-		if !t.stopping && now.Sub(later(t.lastListed, t.orderedAt)) > vanishLimit {
+		if !t.stopping && now.Sub(Later(t.lastListed, t.orderedAt)) > vanishLimit {
 			c.stopTask(t, "vanished", now)
 		}
 	}
--- a/io/agent/freshness.go
+++ b/io/agent/freshness.go
@@ -72,15 +72,8 @@
 	}
 	// The reply was made at this time or later.
 	madeAt := sentAt.Add(r.Held)
-	f.ordersCompleteAt = later(f.ordersCompleteAt, madeAt)
-	f.cancellationsKnownAt = later(f.cancellationsKnownAt, madeAt.Add(-r.CancellationsAge))
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
+	f.ordersCompleteAt = job.Later(f.ordersCompleteAt, madeAt)
+	f.cancellationsKnownAt = job.Later(f.cancellationsKnownAt, madeAt.Add(-r.CancellationsAge))
 }
 
 // startPermission tells whether a start may be sent now.
@@ -120,7 +113,7 @@
 		s.freshness.storeFailedAt = now
 		return
 	}
-	s.freshness.cancellationsKnownAt = later(s.freshness.cancellationsKnownAt, began)
+	s.freshness.cancellationsKnownAt = job.Later(s.freshness.cancellationsKnownAt, began)
 	s.freshness.storeFailedAt = time.Time{}
 	s.freshness.cancelled = make(map[string]bool, len(ids))
 	for _, id := range ids {
