core/job: learned interference refers to the size of the worker

Cause: interference was learned and assumed for each processor, whatever the size of the worker. On workers of 64 and 96 processors the prior of an unknown image was four to six times too high: wide best-effort jobs waited up to 20 s for a worker without interference, and the agents throttled them at once. Samples of workers of several sizes contradicted each other.

Change: use counts relative to a worker of 16 processors, in the samples, the predictions, what the agents get and the agents' own prior. Workers of 16 processors are treated as before.

--- a/core/job/interference.go
+++ b/core/job/interference.go
@@ -34,6 +34,30 @@
 	maxPreviousSampleAge = time.Second
 )
 
+// referenceProcessors is the size of worker to which learned interference refers. The
+// utilization that one processor of a best-effort image adds is in inverse proportion
+// to the size of the worker, which shares its caches and memory among more tasks.
+const referenceProcessors = 16
+
+// InterferenceScale returns by how much larger than the reference a worker of the given
+// capacity is. A processor there counts as 1/InterferenceScale of a processor in learned
+// interference.
+func InterferenceScale(capacity Resources) float64 {
+	if capacity.Processors <= 0 {
+		return 1
+	}
+	return float64(capacity.Processors) / (referenceProcessors * processorUnit)
+}
+
+// scaled returns the usage divided by scale.
+func (u usage) scaled(scale float64) usage {
+	out := make(usage, len(u))
+	for image, processors := range u {
+		out[image] = processors / scale
+	}
+	return out
+}
+
 // Utilization returns the utilization inferred from a tail latency, given as a
 // share of its target. The latency is assumed to grow with 1/(1-utilization), as
 // in a queue.
@@ -195,7 +219,7 @@
 		return
 	}
 	w.lastSample = now
-	u := usage{}
+	u, scale := usage{}, InterferenceScale(w.Capacity)
 	sums, counts := map[servingJob]float64{}, map[servingJob]float64{}
 	var serving []servingJob
 	for i := range r.Running {
@@ -204,7 +228,7 @@
 		switch {
 		case t == nil:
 		case s.spec.BestEffort:
-			u[s.spec.Image] += row.ProcessorUse()
+			u[s.spec.Image] += row.ProcessorUse() / scale
 		case s.spec.TailTarget > 0 && row.Percent == fullPercent:
 			k := servingJob{t.name.Job, s.spec.Image}
 			if counts[k] == 0 {
@@ -226,6 +250,7 @@
 	if w.servingProcessors == 0 || w.bestEffortProcessors == 0 {
 		return nil
 	}
+	scale := InterferenceScale(w.Capacity)
 	out := map[string]map[string]float64{}
 	for s := range w.servingTasks {
 		if out[s.image] != nil {
@@ -233,7 +258,7 @@
 		}
 		out[s.image] = map[string]float64{}
 		for image := range w.bestEffortByImage {
-			out[s.image][image] = c.interference.regressionOf(s.image).upperEffect(image, throttleDeviations)
+			out[s.image][image] = c.interference.regressionOf(s.image).upperEffect(image, throttleDeviations) / scale
 		}
 	}
 	return out
--- a/core/job/interference_test.go
+++ b/core/job/interference_test.go
@@ -41,3 +41,44 @@
 		}
 	}
 }
+
+// An image that interferes on a small worker must not keep its tasks off a worker four
+// times as large, where the same processors are a quarter of the share. Load pattern:
+// wide best-effort jobs beside serving tasks on workers of several sizes.
+func TestInterferenceRefersToWorkerSize(t *testing.T) {
+	is := is.New(t)
+	tc := newTestCluster(t, 0)
+	tc.LoadLearned(LearnedParameters{Interference: map[string]map[string]float64{"feeds": {"heavy": 0.08}}})
+	predict := func(agent string, processors int) (excess, added float64) {
+		w := tc.addWorker(agent)
+		w.report.Worker.Capacity.Processors = processors
+		tc.deliverReport(agent)
+		row := tc.workers.Get(agent)
+		row.reserveCapacity("feed", &Step{Image: "feeds", TailTarget: time.Second, Need: Resources{Processors: 1000}}, 1)
+		tc.interference.loadOf("feed").peak = 0.5
+		return tc.newScorer(&Step{Image: "heavy", BestEffort: true, Need: Resources{Processors: 7000}}, tc.now).predictOverload(row)
+	}
+	smallExcess, small := predict("small", 16000)
+	largeExcess, large := predict("large", 64000)
+	is.True(smallExcess > 0)
+	is.Equal(largeExcess, 0.0)
+	is.True(small > 3.9*large && small < 4.1*large)
+}
+
+// Samples of workers of several sizes must agree on the effect of an image: use on a
+// large worker counts in proportion.
+func TestSamplesReferToWorkerSize(t *testing.T) {
+	is := is.New(t)
+	is.Equal(InterferenceScale(Resources{Processors: 16000}), 1.0)
+	is.Equal(InterferenceScale(Resources{Processors: 64000}), 4.0)
+	is.Equal(InterferenceScale(Resources{}), 1.0) // a heartbeat without a capacity
+	is.Equal(usage{"heavy": 8}.scaled(4), usage{"heavy": 2})
+	tc := newTestCluster(t, 1)
+	w := tc.workers.Get("agent-0")
+	w.Capacity.Processors = 64000
+	w.reserveCapacity("feed", &Step{Image: "feeds", TailTarget: time.Second, Need: Resources{Processors: 1000}}, 1)
+	w.reserveCapacity("build", &Step{Image: "heavy", BestEffort: true, Need: Resources{Processors: 1000}}, 1)
+	tc.LoadLearned(LearnedParameters{Interference: map[string]map[string]float64{"feeds": {"heavy": 0.08}}})
+	upper := tc.interference.regressionOf("feeds").upperEffect("heavy", throttleDeviations)
+	is.Equal(tc.interferenceOn(w)["feeds"]["heavy"], upper/4) // what the agent gets is for this worker
+}
--- a/core/job/overload.go
+++ b/core/job/overload.go
@@ -29,8 +29,9 @@
 		return p.serving
 	}
 	p.at, p.serving = now, p.serving[:0]
+	use := w.bestEffortByImage.scaled(InterferenceScale(w.Capacity))
 	for k := range w.servingTasks {
-		utilization := c.interference.loadOf(k.job).peak + c.interference.predict(k.image, w.bestEffortByImage)
+		utilization := c.interference.loadOf(k.job).peak + c.interference.predict(k.image, use)
 		p.serving = append(p.serving, servingUtilization{k.image, utilization})
 	}
 	return p.serving
@@ -41,7 +42,8 @@
 	cell *Cell
 	step *Step
 	now  time.Time
-	// increases is the utilization that the task adds, by serving image.
+	// increases is the utilization that the task adds on a worker of the reference
+	// size, by serving image.
 	increases map[string]float64
 }
 
@@ -49,7 +51,8 @@
 	return &scorer{cell: c, step: s, now: now, increases: map[string]float64{}}
 }
 
-// increase returns the utilization that a task of the step adds to a serving image.
+// increase returns the utilization that a task of the step adds to a serving image on a
+// worker of the reference size.
 func (r *scorer) increase(image string) float64 {
 	v, ok := r.increases[image]
 	if !ok {
@@ -64,8 +67,9 @@
 // exceed placementUtilizationLimit beside one more task of the step, and how much
 // utilization the task would add: both are maxima over the serving tasks.
 func (r *scorer) predictOverload(w *workerRow) (excess, added float64) {
+	scale := InterferenceScale(w.Capacity)
 	for _, u := range r.cell.servingUtilizations(w, r.now) {
-		increase := r.increase(u.image)
+		increase := r.increase(u.image) / scale
 		excess, added = max(excess, u.utilization+increase-placementUtilizationLimit), max(added, increase)
 	}
 	return excess, added
--- a/io/agent/state.go
+++ b/io/agent/state.go
@@ -472,6 +472,7 @@
 	if s.worker == nil || s.worker.ID != worker {
 		return nil
 	}
+	s.throttle.scale = job.InterferenceScale(s.worker.Capacity)
 	return s.throttle.update(s.runList.Running, s.traits, now)
 }
 
--- a/io/agent/throttle.go
+++ b/io/agent/throttle.go
@@ -28,7 +28,8 @@
 const (
 	// priorInterference is added to the learned interference of an image, so that
 	// images whose interference is unknown are throttled too. It is a
-	// utilization per processor; images that interfere strongly have about 0.08.
+	// utilization per processor of a worker of the reference size (see
+	// job.InterferenceScale); images that interfere strongly have about 0.08.
 	priorInterference = 0.015
 	// adjustInterval is the least time between two adjustments.
 	adjustInterval = 350 * time.Millisecond
@@ -60,12 +61,14 @@
 	// of a best-effort image adds to a serving image, by serving and
 	// best-effort image.
 	interference map[string]map[string]float64
+	// scale is job.InterferenceScale of the worker.
+	scale float64
 	// sharing is true while serving and best-effort tasks run on the worker.
 	sharing bool
 }
 
 func newThrottle() throttle {
-	return throttle{shares: map[string]int{}, sentShares: map[runKey]int{}}
+	return throttle{shares: map[string]int{}, sentShares: map[runKey]int{}, scale: 1}
 }
 
 // command sets the share of a run.
@@ -170,7 +173,7 @@
 	weights := map[string]float64{}
 	total := 0.0
 	for image, processors := range sample.processors {
-		perProcessor := interference[image] + priorInterference
+		perProcessor := interference[image] + priorInterference/t.scale
 		weights[image] = perProcessor / largest
 		total += perProcessor * processors * weights[image]
 	}
@@ -191,7 +194,7 @@
 func (t *throttle) maxInterference(interference map[string]float64, sample loadSample) float64 {
 	largest := 0.0
 	for image := range sample.processors {
-		largest = max(largest, interference[image]+priorInterference)
+		largest = max(largest, interference[image]+priorInterference/t.scale)
 	}
 	return largest
 }
--- a/io/agent/throttle_test.go
+++ b/io/agent/throttle_test.go
@@ -100,3 +100,16 @@
 	got := s.throttle.commands(testRuns(10), testTraits)
 	is.Equal(sharesByTask(got)["heavy"], fullShare)
 }
+
+// Images of unknown interference must not be throttled on a large worker as if their
+// processors were the same share of a small one.
+func TestPriorInterferenceRefersToWorkerSize(t *testing.T) {
+	is := is.New(t)
+	share := func(scale float64) int {
+		th := newThrottle()
+		th.scale = scale
+		th.interference = map[string]map[string]float64{"feeds": {"heavy": 0.02}}
+		return sharesByTask(th.update(testRuns(110), testTraits, time.Unix(1000, 0)))["light"]
+	}
+	is.True(share(1) < share(8))
+}
