core/job: evacuate availability zones, and limit how many tasks of a step are away

No decision took the evacuation of a zone into account. A cell with WithEvacuation places nothing in an evacuated zone and nothing at all before it knows the evacuations. It withdraws starts that are on their way, stops batch tasks whose checkpoint saves more than the bound, and lets long-running tasks leave one after the other. Without the option, decisions and messages are as before.

disruption.go has the limit Step.MaxUnavailable for every stop of a ready long-running task that the cell orders by itself.

--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -31,6 +31,10 @@
 	EventLate EventKind = "late"
 	// EventProbation is a failed run of a worker that is on probation.
 	EventProbation EventKind = "probation"
+	// EventZoneEvacuated and EventZoneReopened are the begin and the end of the
+	// evacuation of a zone.
+	EventZoneEvacuated EventKind = "zone-evacuated"
+	EventZoneReopened  EventKind = "zone-reopened"
 )
 
 // Event is a scheduling decision or an observed change, for the log.
@@ -46,6 +50,10 @@
 	// SinceAcceptance is the time from the acceptance of the job to its first
 	// start or to its end; it is 0 for other events.
 	SinceAcceptance time.Duration
+	// Zone and Count are the zone and the number of tasks in it, for
+	// EventZoneEvacuated and EventZoneReopened.
+	Zone  string
+	Count int
 }
 
 // sinceAcceptance returns the time from the acceptance of a job to now. It is
@@ -306,6 +314,7 @@
 		c.expireWorkers(now)
 		c.moveStuckTasks(now)
 		c.moveThrottledTasks(now)
+		c.evacuateZones(now)
 		c.completeOccurrences(now)
 		c.dropEndedJobs()
 	}
--- a/core/job/choose.go
+++ b/core/job/choose.go
@@ -153,6 +153,8 @@
 	switch {
 	case !w.hasRecentReport(now), w.ended, w.Draining, w.unknownRuns > 0, w.Service != k.queue.Service:
 		return false
+	case !c.evacuations.allowsStarts(w.Zone):
+		return false
 	case k.step.spec.Label != "" && !slices.Contains(w.Labels, k.step.spec.Label):
 		return false
 	}
--- a/core/job/message.go
+++ b/core/job/message.go
@@ -208,4 +208,9 @@
 	CancellationsAge time.Duration `json:"cancellations-age-ns"`
 	// Partial is true if there are orders for the agent that are not in the reply.
 	Partial bool `json:"partial,omitempty"`
+	// EvacuationsAge is how long before the reply the owner last knew all evacuations
+	// of zones. It is nil if zones cannot be evacuated.
+	EvacuationsAge *time.Duration `json:"evacuations-age-ns,omitempty"`
+	// ZoneEvacuated is true if the zone of the agent's worker was evacuated then.
+	ZoneEvacuated bool `json:"zone-evacuated,omitempty"`
 }
--- a/core/job/migrate.go
+++ b/core/job/migrate.go
@@ -88,7 +88,7 @@
 		for _, t := range w.tasks {
 			if t.speed.migrating {
 				moving++
-			} else if gain := c.migrationGain(w, t, now); gain > 0 {
+			} else if gain := c.migrationGain(w, t, now); gain > 0 && c.mayStop(t, now) {
 				wanted = append(wanted, migration{t, gain})
 			}
 		}
--- a/core/job/policy.go
+++ b/core/job/policy.go
@@ -10,7 +10,7 @@
 	learns  bool
 }
 
-// Option changes the policy of a cell.
+// Option sets the policy of a cell, or what it takes into account.
 type Option func(*Cell)
 
 // WithArrivalOrder orders jobs by their time of acceptance, whatever their
--- a/core/job/reply.go
+++ b/core/job/reply.go
@@ -15,6 +15,10 @@
 	if !r.ReceivedAt.IsZero() {
 		out.Freshness.Held = now.Sub(r.ReceivedAt)
 	}
+	if e := &c.evacuations; e.bound > 0 {
+		age := Age(e.knownAt, now)
+		out.Freshness.EvacuationsAge, out.Freshness.ZoneEvacuated = &age, e.isEvacuated(w.Zone)
+	}
 	if !w.canGrantLease() {
 		// Without a lease the worker would refuse to start tasks.
 		return out
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -320,6 +320,7 @@
 	meanWork      meanWork
 	interference  interferenceModel
 	policy        policy
+	evacuations   evacuations
 }
 
 // rosterRow is the state of an agent that may have received orders.
--- a/core/job/stats.go
+++ b/core/job/stats.go
@@ -9,11 +9,17 @@
 	Waiting map[int]int
 	// ReportAges is the age of the newest report of each worker.
 	ReportAges map[string]time.Duration
+	// EvacuatedZoneTasks counts the tasks that are assigned to workers in each
+	// evacuated zone.
+	EvacuatedZoneTasks map[string]int
 }
 
 // Stats returns the values for the metrics.
 func (c *Cell) Stats(now time.Time) Stats {
-	out := Stats{Waiting: map[int]int{}, ReportAges: make(map[string]time.Duration, c.workers.Len())}
+	out := Stats{Waiting: map[int]int{}, ReportAges: make(map[string]time.Duration, c.workers.Len()), EvacuatedZoneTasks: map[string]int{}}
+	for zone := range c.evacuations.zones {
+		out.EvacuatedZoneTasks[zone], _ = c.tasksIn(zone)
+	}
 	for _, q := range c.queues {
 		out.Waiting[q.Priority] = 0
 	}
--- a/core/job/types.go
+++ b/core/job/types.go
@@ -112,9 +112,9 @@
 	// BestEffort is true for tasks that run on processors that other tasks
 	// leave unused.
 	BestEffort bool `json:"fills,omitempty"`
-	// MaxUnavailable is how many long-running tasks of the step may be stopped
-	// at a time. The scheduler does not use it: it never moves long-running
-	// tasks that are ready.
+	// MaxUnavailable is how many long-running tasks of the step may be unavailable
+	// when the scheduler stops a ready one by its own decision, that one included.
+	// 0 counts as 1.
 	MaxUnavailable int `json:"may-be-away,omitempty"`
 }
 
--- a/core/job/worker_speed.go
+++ b/core/job/worker_speed.go
@@ -75,7 +75,7 @@
 			continue
 		}
 		for _, t := range w.sortedTasks() {
-			if reason := c.moveReason(w, t, now); reason != "" {
+			if reason := c.moveReason(w, t, now); reason != "" && c.mayStop(t, now) {
 				if reason == reasonStalled {
 					w.health.recordStall(now)
 				}
