io/agent: refuse a start in an evacuated zone, whatever it waited in

A start may wait in a queue, a reply or a paused agent while its zone is evacuated. Before each call for a start the agent now checks its knowledge of its worker's zone: from the owner's reply if that is younger than evacuate-ms - 1 s, and otherwise from its own reading of the store, which runs beside that of the cancellations. If the store does not serve the agent either, the last known state of the zone counts. The knowledge outlives a change of owner. Without evacuate-ms, nothing is read or checked.

--- a/io/agent/freshness.go
+++ b/io/agent/freshness.go
@@ -24,16 +24,17 @@
 	// acknowledged.
 	maxOrdersAge = 900 * time.Millisecond
 	// defaultCancelDelay applies if the settings have no Bounds.MaxCancelDelay.
-	// cancelMargin is how much earlier than that the last start is sent.
+	// startMargin is how much earlier than a bound the last start is sent.
 	defaultCancelDelay = 3 * time.Second
-	cancelMargin       = time.Second
+	startMargin        = time.Second
 	// storeFailureValidity is how long the agent, after it could not read the
-	// cancellations either, trusts that no entry can store one.
+	// cancellations or evacuations either, trusts that nobody can store one.
 	storeFailureValidity = time.Second
-	// cancellationsTimeout is the timeout for reading the cancellations.
-	cancellationsTimeout = 600 * time.Millisecond
+	// confirmTimeout is the timeout for reading the cancellations, and that for
+	// reading the evacuations.
+	confirmTimeout = 600 * time.Millisecond
 	// confirmPause is the pause before a start is considered again that waits for
-	// the cancellations to be read.
+	// the store to be read.
 	confirmPause = 20 * time.Millisecond
 )
 
@@ -44,7 +45,7 @@
 	if cancelDelay == 0 {
 		cancelDelay = defaultCancelDelay
 	}
-	return max(cancelDelay-cancelMargin, cancelDelay/2)
+	return max(cancelDelay-startMargin, cancelDelay/2)
 }
 
 // freshness is what the agent knows about the age of its knowledge.
@@ -83,8 +84,11 @@
 	startPermitted startPermission = iota
 	// startOutdated means that the owner may have withdrawn the start long ago.
 	startOutdated
-	// startUnconfirmed means that the cancellations have to be read first.
+	// startUnconfirmed means that the cancellations and evacuations have to be read
+	// first.
 	startUnconfirmed
+	// startEvacuated means that the zone of the worker is evacuated.
+	startEvacuated
 )
 
 // permitStart tells whether a start may be sent at now. If neither the owner nor the
@@ -98,7 +102,7 @@
 	case job.Age(f.ordersCompleteAt, now) > maxOrdersAge:
 		return startOutdated
 	case job.Age(f.cancellationsKnownAt, now) <= s.maxCancellationsAge, job.Age(f.storeFailedAt, now) <= storeFailureValidity:
-		return startPermitted
+		return s.zone.permit(s.maxEvacuationsAge, now)
 	default:
 		return startUnconfirmed
 	}
@@ -130,8 +134,8 @@
 	return err == nil && s.freshness.cancelled[t.Job]
 }
 
-// confirmLoop reads the cancellations from the store whenever a start waits for that.
-// This is needed only while the owner cannot read them.
+// confirmLoop reads the cancellations and evacuations from the store whenever a start
+// waits for that. This is needed only while the owner cannot read them.
 func (a *Agent) confirmLoop(ctx context.Context) error {
 	for {
 		select {
@@ -143,11 +147,22 @@
 			continue
 		}
 		began := time.Now()
+		evacuations := a.readEvacuations(ctx)
 		ids, err := a.readCancellations(ctx)
+		var zones zonesRead
+		if evacuations != nil {
+			zones = <-evacuations
+		}
 		if ctx.Err() != nil {
 			return nil
 		}
 		a.state.recordCancellations(ids, began, err, time.Now())
+		if evacuations != nil {
+			a.state.recordEvacuations(zones, time.Now())
+		}
+		if err == nil {
+			err = zones.err
+		}
 		event.CancellationsRead.Emit(a.log, event.Count(len(ids)), event.Elapsed(time.Since(began)), event.Reason(status.Code(errorText(err))))
 	}
 }
@@ -163,20 +178,15 @@
 // final state is not durable yet. If there is a later owner, whose final states the
 // agent does not know, the agent follows it, which supersedes the waiting starts.
 func (a *Agent) readCancellations(ctx context.Context) ([]string, error) {
-	callCtx, cancel := context.WithTimeout(ctx, cancellationsTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	var ids []string
-	for after, more := "", true; more; {
-		var p platform.Page
-		var err error
-		if p, err = a.store.List(callCtx, job.KeyCancellations, after); err != nil {
-			return nil, errors.Wrap(err, "read cancellations")
-		}
-		for _, i := range p.Items {
-			_, id := job.ParseKey(i.Key)
-			ids, after = append(ids, id), i.Key
-		}
-		more = p.More && len(p.Items) > 0
+	items, err := a.listAll(callCtx, job.KeyCancellations)
+	if err != nil {
+		return nil, errors.Wrap(err, "read cancellations")
+	}
+	ids := make([]string, len(items))
+	for n, i := range items {
+		_, ids[n] = job.ParseKey(i.Key)
 	}
 	i, err := a.store.Get(callCtx, job.KeyOwner)
 	if err != nil {
@@ -190,7 +200,24 @@
 	return ids, nil
 }
 
-// postponeStart has a start considered again after the cancellations were read.
+// listAll returns all items of the store under prefix.
+func (a *Agent) listAll(ctx context.Context, prefix string) ([]platform.Item, error) {
+	var items []platform.Item
+	for after, more := "", true; more; {
+		p, err := a.store.List(ctx, prefix, after)
+		if err != nil {
+			return nil, err
+		}
+		items = append(items, p.Items...)
+		more = p.More && len(p.Items) > 0
+		if more {
+			after = p.Items[len(p.Items)-1].Key
+		}
+	}
+	return items, nil
+}
+
+// postponeStart has a start considered again after the store was read.
 func (a *Agent) postponeStart(o queuedOrder) {
 	process.Wake(a.wakeConfirm)
 	time.AfterFunc(confirmPause, func() { a.orders.push(o) })
--- a/io/agent/order_queue.go
+++ b/io/agent/order_queue.go
@@ -20,7 +20,7 @@
 	revoked bool
 	// unanswered is true for a start of which a call had no answer.
 	unanswered bool
-	// unconfirmed is true for a start that waits for the cancellations to be read.
+	// unconfirmed is true for a start that waits for the store to be read.
 	unconfirmed bool
 	// calls is the number of calls that were made to start the run or, if isStop, to
 	// stop it.
--- a/io/agent/orders.go
+++ b/io/agent/orders.go
@@ -85,6 +85,8 @@
 		return a.refuseStart(o, "cancelled")
 	case permission == startOutdated:
 		return a.refuseStart(o, "outdated")
+	case permission == startEvacuated:
+		return a.refuseStart(o, "evacuated")
 	case permission == startUnconfirmed:
 		o.unconfirmed = true
 		return ""
--- a/io/agent/state.go
+++ b/io/agent/state.go
@@ -90,11 +90,17 @@
 	// maxCancellationsAge is how old the knowledge of the cancellations may be at a
 	// start.
 	maxCancellationsAge time.Duration
+	// zone is what is known about the evacuation of the worker's zone.
+	// maxEvacuationsAge is how old that may be at a start; it never changes and is 0
+	// if zones cannot be evacuated.
+	zone              zoneKnowledge
+	maxEvacuationsAge time.Duration
 }
 
 func newState(processID int64, b platform.Bounds) *state {
 	return &state{processID: processID, maxLease: b.MaxWorkerLease, maxCancellationsAge: maxCancellationsAge(b.MaxCancelDelay),
-		runs: map[runKey]*localRun{}, traits: map[string]job.TaskTraits{},
+		maxEvacuationsAge: maxEvacuationsAge(b.MaxEvacuationDelay),
+		runs:              map[runKey]*localRun{}, traits: map[string]job.TaskTraits{},
 		unansweredStarts: map[runKey]unansweredStart{}, throttle: newThrottle()}
 }
 
@@ -113,6 +119,9 @@
 			return false, false
 		}
 		changed = w.Draining != old.Draining || w.Capacity != old.Capacity
+		if w.Zone != old.Zone {
+			s.zone = zoneKnowledge{}
+		}
 		s.worker = &w
 		return false, changed
 	case w.Incarnation < old.Incarnation, w.ID != old.ID && w.Incarnation == old.Incarnation:
@@ -125,6 +134,9 @@
 // setWorker makes w the worker and drops the state of the earlier incarnation,
 // except for its unanswered starts. The caller holds s.mu.
 func (s *state) setWorker(w job.Worker) {
+	if s.worker == nil || s.worker.Zone != w.Zone {
+		s.zone = zoneKnowledge{}
+	}
 	s.worker, s.left = &w, false
 	s.runList, s.runListEpoch, s.workerClock, s.leaseDeadline = job.RunList{}, 0, 0, 0
 	s.grantedUntil, s.acknowledged, s.answeredAt = 0, 0, time.Time{}
@@ -242,6 +254,7 @@
 		s.traits[task] = t
 	}
 	s.freshness.apply(r.Freshness, sentAt, now)
+	s.zone.apply(r.Freshness, sentAt, now)
 	r.CompleteOrders()
 	for _, o := range r.Orders {
 		if o.Sequence <= s.applied {
