io/scheduler: the owner reads the evacuated zones

The owner lists the keys of evacuated zones every second, in a goroutine of its session: a list that is slow or fails does not hold up the renewal of its lease. A watch may deliver nothing for seconds, and its history may be compacted. A reading that ends before the state is loaded is kept for the new cell, which places nothing without one. Without evacuate-ms in the settings, the owner makes no such call.

Events 7040 and 7041 tell of a zone that is evacuated or reopened, the metric rosemarygap_evacuated_zone_tasks what is still there.

--- a/core/event/fields.go
+++ b/core/event/fields.go
@@ -98,6 +98,9 @@
 // process calls.
 func Dependency(name string) Field { return Field{"dependency", name} }
 
+// Zone returns the field with the name of an availability zone.
+func Zone(name string) Field { return Field{"zone", name} }
+
 // Incarnation returns the field with the incarnation number of a worker, which
 // rises with each start of the worker.
 func Incarnation(n int64) Field { return Field{"incarnation", n} }
--- a/core/event/job.go
+++ b/core/event/job.go
@@ -60,14 +60,21 @@
 		[]string{"epoch", "address"}, "The agent now accepts orders from another owner.", "None."}
 	CancellationsRead = Event{7034, "cancellations-read", hclog.Info,
 		[]string{"count", "elapsed", "reason"},
-		"Before it started a task, the agent read the cancelled jobs from the store, because the owner had not for too long; count is their number. If a reason is given, it could not, and started the task.",
+		"Before it started a task, the agent read the cancelled jobs and, if zones can be evacuated, the evacuated zones from the store, because the owner had not for too long; count is the number of the jobs. If a reason is given, it could not, and started the task.",
 		"If the event repeats, look for 7022 of the store at the owner."}
 	TasksThrottled = Event{7033, "tasks-throttled", hclog.Info,
 		[]string{"worker", "count", "throttle"},
 		"Best-effort tasks were limited to a share of their processors, in percent.", "None."}
+	ZoneEvacuated = Event{7040, "zone-evacuated", hclog.Info,
+		[]string{"zone", "count", "reason", "epoch"},
+		"The owner, which is the entry that schedules, learned that a zone is evacuated and starts nothing there; count is the number of tasks still there. The reason no-worker means that no worker is in the zone.",
+		"If the reason is no-worker, check the name of the zone."}
+	ZoneReopened = Event{7041, "zone-reopened", hclog.Info,
+		[]string{"zone", "count", "epoch"},
+		"The owner learned that the evacuation of a zone has ended, so that tasks may start there; count is the number of tasks still there.", "None."}
 )
 
 var jobEvents = []Event{SubmissionAccepted, SubmissionRefused, CancellationAnswered, StateUnknown, RequestRelayed,
 	TaskDecided, WorkerDecided, OwnershipTaken, OwnershipLost, DependencyLost, DependencyRegained,
 	ConfigurationInForce, SettingsReloaded, MessageRefused, LogLinesDropped, OrderCarriedOut, WorkerSeen, OwnerFollowed,
-	TasksThrottled, CancellationsRead}
+	TasksThrottled, CancellationsRead, ZoneEvacuated, ZoneReopened}
--- a/io/scheduler/control.go
+++ b/io/scheduler/control.go
@@ -93,6 +93,9 @@
 	session *ownerSession
 	// earlyChanges are the changes that arrive while the state is loading.
 	earlyChanges []change
+	// earlyEvacuations is the newest reading of the evacuated zones while the state is
+	// loading.
+	earlyEvacuations *evacuationsRead
 	// loadedRevision is the revision of the loaded state, which contains all
 	// changes up to it.
 	loadedRevision int64
@@ -186,6 +189,14 @@
 func (c *control) logEvents() {
 	liveJobsGauge.Set(float64(c.cell.Len()))
 	for _, e := range c.cell.Events() {
+		switch e.Kind {
+		case job.EventZoneEvacuated:
+			event.ZoneEvacuated.Emit(c.log, event.Zone(e.Zone), event.Count(e.Count), event.Reason(status.Code(e.Reason)), event.Epoch(c.cell.Epoch()))
+			continue
+		case job.EventZoneReopened:
+			event.ZoneReopened.Emit(c.log, event.Zone(e.Zone), event.Count(e.Count), event.Epoch(c.cell.Epoch()))
+			continue
+		}
 		countDecision(e)
 		if e.Kind == job.EventWorker {
 			event.WorkerDecided.Emit(c.log, event.Worker(e.Worker), event.Decision(string(e.Kind)),
@@ -276,7 +287,7 @@
 func (c *control) handleMessage(x any) {
 	switch x := x.(type) {
 	case *ownerSession:
-		c.session, c.earlyChanges = x, nil
+		c.session, c.earlyChanges, c.earlyEvacuations = x, nil, nil
 	case ownershipCheckStarted:
 		if c.cell != nil {
 			c.cell.BeginOwnershipCheck()
@@ -291,6 +302,8 @@
 		if c.cell != nil && c.session == x.session {
 			c.cell.ConfirmCancellations(x.ids, x.began, time.Now())
 		}
+	case evacuationsRead:
+		c.applyEvacuations(x)
 	case notice:
 		c.queueNotice(x)
 	case advisorResult:
@@ -304,13 +317,25 @@
 	}
 }
 
+// applyEvacuations applies a reading of the evacuated zones to the cell. While the state
+// is loading, it keeps the reading for later.
+func (c *control) applyEvacuations(x evacuationsRead) {
+	switch {
+	case c.session != x.session:
+	case c.cell == nil:
+		c.earlyEvacuations = &x
+	default:
+		c.cell.ConfirmEvacuations(x.zones, x.began, time.Now())
+	}
+}
+
 // startSession creates the cell from the loaded state and starts scheduling.
 func (c *control) startSession(x loadedState) {
 	if c.session != x.session {
 		return
 	}
 	now := time.Now()
-	cell := job.New(x.session.ownership.Epoch, now)
+	cell := job.New(x.session.ownership.Epoch, now, job.WithEvacuation(c.s.cfg.Bounds.MaxEvacuationDelay))
 	if cfg := c.s.mirror.cfg.Load(); cfg != nil {
 		cell.SetConfiguration(cfg)
 	}
@@ -318,8 +343,11 @@
 	c.cell, c.loadedRevision, c.journalNumber, c.committing = cell, x.revision, 0, false
 	epochGauge.Set(float64(cell.Epoch()))
 	takeovers.Inc()
+	if e := c.earlyEvacuations; e != nil {
+		c.applyEvacuations(*e)
+	}
 	earlyChanges := c.earlyChanges
-	c.earlyChanges = nil
+	c.earlyChanges, c.earlyEvacuations = nil, nil
 	for _, e := range earlyChanges {
 		c.applyChange(e)
 	}
@@ -385,5 +413,5 @@
 	liveJobsGauge.Set(0)
 	c.gauges.clear()
 	c.pendingReports = nil
-	c.cell, c.session, c.earlyChanges, c.notices = nil, nil, nil, nil
+	c.cell, c.session, c.earlyChanges, c.earlyEvacuations, c.notices = nil, nil, nil, nil, nil
 }
--- a/io/scheduler/election.go
+++ b/io/scheduler/election.go
@@ -154,8 +154,18 @@
 	s.sendToControl(ctx, session)
 	loaded := make(chan error, 1)
 	go func() { loaded <- s.loadState(ctx, session) }()
+	followCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	followed := make(chan error, 1)
+	if s.cfg.Bounds.MaxEvacuationDelay > 0 {
+		go func() { followed <- s.followEvacuations(followCtx, session) }()
+	} else {
+		followed <- nil
+	}
 	reason := s.keepOwnership(ctx, session)
 	close(session.done)
+	cancel()
+	<-followed
 	<-loaded
 	s.sendToControl(context.WithoutCancel(ctx), ownershipLost{session, reason})
 }
--- a/io/scheduler/metrics.go
+++ b/io/scheduler/metrics.go
@@ -48,6 +48,9 @@
 	for priority, n := range stats.Waiting {
 		g.set.GetOrCreateGauge(fmt.Sprintf(`rosemarygap_waiting_tasks{priority="%d"}`, priority), nil).Set(float64(n))
 	}
+	for zone, n := range stats.EvacuatedZoneTasks {
+		g.set.GetOrCreateGauge(fmt.Sprintf(`rosemarygap_evacuated_zone_tasks{zone=%q}`, zone), nil).Set(float64(n))
+	}
 	for worker, age := range stats.ReportAges {
 		g.set.GetOrCreateGauge(fmt.Sprintf(`rosemarygap_worker_report_age_seconds{worker=%q}`, worker), nil).Set(age.Seconds())
 	}
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -75,6 +75,8 @@
 	advisorRequests chan advisorRequest
 	// noticeHealth logs when notices cannot be delivered to the owner.
 	noticeHealth *process.Dependency
+	// evacuationsHealth logs when the evacuated zones cannot be read.
+	evacuationsHealth *process.Dependency
 }
 
 // New returns a scheduler with the given settings.
@@ -88,7 +90,7 @@
 		reports: make(chan agentReport, maxMessageBatch), messages: make(chan any, maxMessageBatch),
 		superseded: make(chan struct{}, 1), stop: make(chan struct{}),
 		ownershipCheckRequests: make(chan struct{}, 1), peerClient: httpjson.NewClient(noticeTimeout),
-		noticeHealth:  process.NewDependency("owner", l),
+		noticeHealth: process.NewDependency("owner", l), evacuationsHealth: process.NewDependency("evacuations", l),
 		advisor:       platform.NewAdvisor(platform.NewHTTPClient(), cfg.AdvisorAddress),
 		advisorHealth: process.NewDependency("advisor", l), advisorRequests: make(chan advisorRequest, maxAdvisorRequests)}
 }
