io/standin/fleet: zones, their evacuation, and a soak test with both

The stand-in workers were all in one zone, and nothing checked starts by zone. Workers can now be spread over zones, the store can lose a key, and the ledger reports a start that reaches a worker in an evacuated zone after the bound, which is longer if the store was disturbed.

TestLedgerReportsEachViolation covers the new check.

--- a/io/standin/fleet/harness_test.go
+++ b/io/standin/fleet/harness_test.go
@@ -82,8 +82,23 @@
 	ledger     *Ledger
 	schedulers []*process
 	agents     []*process
+	// zones is the number of zones of the workers; evacuationDelay is the bound on
+	// evacuations in the settings, or 0.
+	zones           int
+	evacuationDelay time.Duration
 }
 
+// deploymentOption changes a deployment before its processes start.
+type deploymentOption func(*deployment)
+
+// withZones spreads the workers over n zones, which can be evacuated within delay.
+func withZones(n int, delay time.Duration) deploymentOption {
+	return func(d *deployment) { d.zones, d.evacuationDelay = n, delay }
+}
+
+// zoneName returns the name of zone n.
+func zoneName(n int) string { return fmt.Sprintf("zone-%d", n) }
+
 func (d *deployment) vmIP(n int) netip.Addr {
 	return netip.AddrFrom4([4]byte{127, byte(d.network / 250), byte(1 + d.network%250), byte(n)})
 }
@@ -92,7 +107,7 @@
 
 // newDeployment starts the given numbers of schedulers, and of agents with their
 // workers.
-func newDeployment(t *testing.T, network, schedulers, agents int) *deployment {
+func newDeployment(t *testing.T, network, schedulers, agents int, options ...deploymentOption) *deployment {
 	bin, err := buildProgram()
 	if err != nil {
 		t.Fatal(err)
@@ -101,6 +116,9 @@
 	// A concurrent execution of these tests on this machine needs other addresses.
 	network = (network + os.Getpid()*networkStride) % maxNetworks
 	d := &deployment{t: t, ctx: ctx, dir: t.TempDir(), bin: bin, network: network, store: NewStore(), ledger: NewLedger()}
+	for _, o := range options {
+		o(d)
+	}
 	t.Cleanup(func() {
 		for _, p := range append(d.schedulers, d.agents...) {
 			p.signal(syscall.SIGKILL)
@@ -122,6 +140,9 @@
 	for i := range agents {
 		p := &process{name: fmt.Sprintf("agent-%d", i), role: "agent", ip: d.vmIP(21 + i)}
 		p.worker = NewWorker(fmt.Sprintf("i-%d", i), "svc", addrPort(p.ip, appPort), addrPort(p.ip, controlPort), d.ledger)
+		if d.zones > 0 {
+			p.worker.SetZone(zoneName(i % d.zones))
+		}
 		d.serve(addrPort(p.ip, workerPort), platformtest.WorkerHandler(p.worker))
 		p.toWorker = d.startLink(addrPort(p.ip, appPort), addrPort(p.ip, workerPort))
 		d.launch(p, platform.Settings{ControlListen: addrPort(p.ip, controlPort), WorkerAddress: addrPort(p.ip, appPort), Service: "svc", Seeds: seeds})
@@ -156,6 +177,7 @@
 	s.Name, s.Zone, s.IP, s.PeerPort = p.name, "z", p.ip, peerPort
 	s.MemoryLimitMiB, s.CPUShare, s.StoreAddress, s.MinLeaseTTL = 284, 0.5, addrPort(p.ip, storePort), time.Second
 	s.Bounds.MaxWorkerLease, s.Bounds.StopGrace = maxLease, 6*time.Second
+	s.Bounds.MaxEvacuationDelay = d.evacuationDelay
 	p.settings = filepath.Join(d.dir, p.name+".toml")
 	p.log = filepath.Join(d.dir, p.name+".log")
 	if err := os.WriteFile(p.settings, []byte(platformtest.EncodeSettings(s)), 0o600); err != nil {
--- a/io/standin/fleet/ledger.go
+++ b/io/standin/fleet/ledger.go
@@ -22,6 +22,7 @@
 	// again.
 	lostEnds   map[string]bool
 	violations []string
+	zones      zoneRecords
 }
 
 // jobRecord is what callers know of a job.
@@ -37,7 +38,7 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{jobs: map[string]*jobRecord{}, active: map[string]int{}, done: map[string]bool{}, lostEnds: map[string]bool{}}
+	return &Ledger{jobs: map[string]*jobRecord{}, active: map[string]int{}, done: map[string]bool{}, lostEnds: map[string]bool{}, zones: newZoneRecords()}
 }
 
 // addViolation records a violation of a guarantee. The caller holds mu.
--- a/io/standin/fleet/ledger_test.go
+++ b/io/standin/fleet/ledger_test.go
@@ -42,6 +42,16 @@
 			l.RecordCancellation("00000000000000aa", true)
 			l.RecordStart("w", sampleStart(first), time.Now().Add(maxCancelDelay+time.Millisecond))
 		},
+		"start after evacuation": func(l *Ledger) {
+			l.RecordEvacuation("a", time.Second)
+			l.RecordZoneOfStart("a", "w", first, time.Now().Add(time.Second+time.Millisecond))
+		},
+		"start after evacuation with a disturbed store": func(l *Ledger) {
+			l.RecordEvacuation("a", time.Second)
+			l.RecordStoreFault(true)
+			l.RecordStoreFault(false)
+			l.RecordZoneOfStart("a", "w", first, time.Now().Add(time.Second+outerDelay+time.Millisecond))
+		},
 		"run after refusal": func(l *Ledger) { l.CheckRefusals(map[string]bool{"00000000000000aa": true}) },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -60,7 +70,12 @@
 	l := NewLedger()
 	l.RecordSubmission(sampleJob())
 	l.RecordResponse(sampleJob().ID, true, false)
+	l.RecordEvacuation("a", time.Second)
+	l.RecordEvacuation("b", 0)
+	l.RecordReopening("b")
 	for _, name := range []string{"00000000000000aa.0.0.0", "00000000000000aa.0.1.0"} {
+		l.RecordZoneOfStart("a", "w", name, time.Now())
+		l.RecordZoneOfStart("b", "v", name, time.Now())
 		l.RecordStart("w", sampleStart(name), time.Now())
 		l.RecordEnd(name, job.EndDone, false)
 	}
--- a/io/standin/fleet/soak_faults_test.go
+++ b/io/standin/fleet/soak_faults_test.go
@@ -47,16 +47,16 @@
 		}
 	case 6:
 		name = "store down"
-		r.store.SetFaults(StoreFaults{Down: true})
-		r.runLater(length, func() { r.store.SetFaults(StoreFaults{}) })
+		r.setStoreFaults(StoreFaults{Down: true})
+		r.runLater(length, func() { r.setStoreFaults(StoreFaults{}) })
 	case 7:
 		name = "store slow"
-		r.store.SetFaults(StoreFaults{Delay: 100 * time.Millisecond})
-		r.runLater(length, func() { r.store.SetFaults(StoreFaults{}) })
+		r.setStoreFaults(StoreFaults{Delay: 100 * time.Millisecond})
+		r.runLater(length, func() { r.setStoreFaults(StoreFaults{}) })
 	case 8:
 		name = "store drops responses"
-		r.store.SetFaults(StoreFaults{DropResponseEvery: 3})
-		r.runLater(length, func() { r.store.SetFaults(StoreFaults{}) })
+		r.setStoreFaults(StoreFaults{DropResponseEvery: 3})
+		r.runLater(length, func() { r.setStoreFaults(StoreFaults{}) })
 	case 9:
 		name = "store compacts its history"
 		r.store.Compact()
@@ -90,6 +90,12 @@
 	r.logFault(at, name, length)
 }
 
+// setStoreFaults replaces the faults of the store and tells the ledger.
+func (r *testRun) setStoreFaults(f StoreFaults) {
+	r.ledger.RecordStoreFault(f != StoreFaults{})
+	r.store.SetFaults(f)
+}
+
 func (r *testRun) logFault(at time.Duration, name string, length time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/io/standin/fleet/soak_test.go
+++ b/io/standin/fleet/soak_test.go
@@ -68,12 +68,21 @@
 	runSeeds(t, slices.Sorted(maps.Keys(silentRegressionSeeds)), silentWorkers)
 }
 
+// TestSoakEvacuations is TestSoak with zones that are evacuated and reopened.
+func TestSoakEvacuations(t *testing.T) {
+	if *earlierBuild != "" {
+		t.Skip("the processes of an earlier build may not know evacuations")
+	}
+	runSeeds(t, nil, evacuations)
+}
+
 // faultMix selects the faults and jobs of a run.
 type faultMix int
 
 const (
 	mixedFaults faultMix = iota
 	silentWorkers
+	evacuations
 )
 
 // runSeeds runs the chosen seeds and further ones.
@@ -115,7 +124,11 @@
 }
 
 func soakSeed(t *testing.T, seed uint64, m faultMix) {
-	r := newTestRun(t, int(seed), 3, *agentCount)
+	var options []deploymentOption
+	if m == evacuations {
+		options = append(options, withZones(soakZones, soakEvacuationDelay))
+	}
+	r := newTestRun(t, int(seed), 3, *agentCount, options...)
 	r.mix = m
 	defer func() {
 		if t.Failed() {
@@ -128,6 +141,10 @@
 	r.wg.Add(2)
 	go func() { defer r.wg.Done(); r.sendJobs(seed, stop) }()
 	go func() { defer r.wg.Done(); r.updateConfigurations(stop) }()
+	if m == evacuations {
+		r.wg.Add(1)
+		go func() { defer r.wg.Done(); r.evacuateZones(seed, stop) }()
+	}
 	for time.Since(start) < faultDuration {
 		if r.mix == silentWorkers && r.randIntN(2) == 0 {
 			r.silenceWorkers(time.Since(start))
@@ -318,7 +335,7 @@
 // healAndWait ends all faults, restarts stopped processes, and waits until each
 // accepted job has ended, for at most settleTimeout.
 func (r *testRun) healAndWait() {
-	r.store.SetFaults(StoreFaults{})
+	r.setStoreFaults(StoreFaults{})
 	for _, p := range append(r.schedulers[:3:3], r.agents...) {
 		p.signal(syscall.SIGCONT)
 		p.toStore.SetFaults(LinkFaults{})
--- a/io/standin/fleet/store.go
+++ b/io/standin/fleet/store.go
@@ -86,6 +86,15 @@
 	s.notifyWatches()
 }
 
+// Delete removes a key unconditionally, as an operator does to end an evacuation.
+func (s *Store) Delete(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.apply(platform.Item{Key: key, Revision: s.revision, Removed: true})
+	s.notifyWatches()
+}
+
 func (s *Store) notifyWatches() {
 	close(s.changed)
 	s.changed = make(chan struct{})
--- a/io/standin/fleet/worker.go
+++ b/io/standin/fleet/worker.go
@@ -34,6 +34,7 @@
 	service  string
 	address  netip.AddrPort
 	agent    netip.AddrPort
+	zone     string
 	capacity job.Resources
 	ledger   *Ledger
 	client   *http.Client
@@ -81,11 +82,15 @@
 // agent, and records its runs in l. The heartbeats contain address as the worker's
 // own address.
 func NewWorker(id, service string, address, agent netip.AddrPort, l *Ledger) *Worker {
-	return &Worker{id: id, service: service, address: address, agent: agent, ledger: l, incarnationStart: time.Now(),
+	return &Worker{id: id, service: service, zone: "z", address: address, agent: agent, ledger: l, incarnationStart: time.Now(),
 		capacity: job.Resources{Processors: 4000, Memory: 8000}, client: &http.Client{Timeout: heartbeatTimeout},
 		running: map[string]*task{}, highestRun: map[string]int64{}, stalledUntil: time.Now(), changed: make(chan struct{}), startedJobs: map[string]bool{}}
 }
 
+// SetZone sets the zone of the worker, which is z by default. It must be called before
+// Run.
+func (w *Worker) SetZone(zone string) { w.zone = zone }
+
 // Run sends heartbeats and advances the tasks until ctx is done.
 func (w *Worker) Run(ctx context.Context) {
 	beat := time.NewTicker(heartbeatPeriod)
@@ -107,7 +112,7 @@
 func (w *Worker) heartbeat(ctx context.Context) {
 	w.mu.Lock()
 	w.heartbeatSeq++
-	h := job.Worker{ID: w.id, Incarnation: w.incarnationStart.UnixMilli(), Service: w.service, Address: w.address, Zone: "z",
+	h := job.Worker{ID: w.id, Incarnation: w.incarnationStart.UnixMilli(), Service: w.service, Address: w.address, Zone: w.zone,
 		Labels: []string{"a", "r1"}, Capacity: w.capacity, Draining: w.draining, Sequence: w.heartbeatSeq, Clock: w.clock()}
 	unreachable := w.unreachable
 	w.mu.Unlock()
@@ -319,6 +324,7 @@
 		return &platform.OrderRefusedError{Reason: "late"}
 	}
 	w.extendLease(s.LeaseUntil)
+	w.ledger.RecordZoneOfStart(w.zone, w.id, s.Task, arrived)
 	need := w.ledger.RecordStart(w.id, s, arrived)
 	used := need
 	for _, t := range w.running {
