--- a/core/job/choose.go
+++ b/core/job/choose.go
@@ -36,6 +36,9 @@
 func (c *Cell) setRoom(all []candidate) {
 	free, capacity := 0, 0
 	for _, w := range c.workers.All {
+		if !c.evacuations.allowsStarts(w.Zone) {
+			continue
+		}
 		free += max(0, w.freeProcessors())
 		capacity += w.Capacity.Processors
 	}
--- a/core/job/history_test.go
+++ b/core/job/history_test.go
@@ -31,6 +31,9 @@
 	// failed counts all failures, durableFailures those that were not lost in
 	// a crash of the worker.
 	failed, durableFailures map[string]int
+	// evacuated are the evacuated zones; each worker is a zone. It is nil if zones
+	// cannot be evacuated.
+	evacuated map[string]bool
 }
 
 // durableStore is the content of the store.
@@ -89,7 +92,11 @@
 func (h *history) takeOver() *owner {
 	h.epoch++
 	h.store.journal++
-	o := &owner{Cell: New(h.epoch, h.now), journal: h.store.journal, unreachableWorkers: map[int]bool{}}
+	var options []Option
+	if h.evacuated != nil {
+		options = append(options, WithEvacuation(time.Second))
+	}
+	o := &owner{Cell: New(h.epoch, h.now, options...), journal: h.store.journal, unreachableWorkers: map[int]bool{}}
 	o.SetConfiguration(h.cfg)
 	for _, a := range slices.Sorted(maps.Keys(h.store.agents)) {
 		o.LoadAgent(a)
@@ -110,6 +117,7 @@
 		o.Cancel(id, h.now)
 	}
 	h.owners = append(h.owners, o)
+	h.readEvacuations()
 	return o
 }
 
@@ -191,7 +199,7 @@
 	}
 	r := Report{Agent: h.agent(s.number), Process: s.process, Epoch: s.epoch, Applied: s.applied,
 		Clock: s.clock, Listed: true, Ended: slices.Clone(s.ended), Absent: slices.Clone(s.absent),
-		Worker: &Worker{ID: h.agent(s.number), Incarnation: s.incarnation, Service: "svc",
+		Worker: &Worker{ID: h.agent(s.number), Incarnation: s.incarnation, Service: "svc", Zone: h.agent(s.number),
 			Capacity: Resources{Processors: 4000, Memory: 4000}}}
 	for _, task := range slices.Sorted(maps.Keys(s.running)) {
 		r.Running = append(r.Running, Run{Task: task, Run: s.running[task], Percent: int(h.now.UnixMilli()/100) % 100})
@@ -249,6 +257,10 @@
 		s.absent = append(s.absent, AbsentRun{o.Task, o.Run, "old"})
 		return
 	}
+	if h.evacuated[h.agent(s.number)] {
+		s.absent = append(s.absent, AbsentRun{o.Task, o.Run, "evacuated"})
+		return
+	}
 	h.checkStart(s, o)
 	s.running[o.Task] = o.Run
 	s.lease = max(s.lease, min(s.granted, s.clock+historyLease))
@@ -405,11 +417,33 @@
 	h.tick()
 }
 
+// toggleEvacuation evacuates or reopens a zone. The newest owner may not read it.
+func (h *history) toggleEvacuation() {
+	zone := h.agent(rapid.IntRange(0, len(h.workers)-1).Draw(h.t, "zone"))
+	h.evacuated[zone] = !h.evacuated[zone]
+	if rapid.Bool().Draw(h.t, "read") {
+		h.readEvacuations()
+	}
+}
+
+// readEvacuations tells the newest owner the evacuated zones.
+func (h *history) readEvacuations() {
+	var zones []string
+	for zone, evacuated := range h.evacuated {
+		if evacuated {
+			zones = append(zones, zone)
+		}
+	}
+	h.newestOwner().ConfirmEvacuations(zones, h.now, h.now)
+}
+
 // finishAll ends all faults and lets all jobs finish.
 func (h *history) finishAll() {
 	last := h.newestOwner()
 	last.storeUnreachable = false
 	clear(last.unreachableWorkers)
+	clear(h.evacuated)
+	h.readEvacuations()
 	for range 400 {
 		for _, s := range h.workers {
 			h.checkOwnership(last)
@@ -440,3 +474,20 @@
 		h.finishAll()
 	})
 }
+
+// TestHistoriesWithEvacuation checks the same while zones are evacuated and reopened, and
+// agents refuse starts that the owner would not have ordered if it had known.
+func TestHistoriesWithEvacuation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := newHistory(t)
+		h.evacuated = map[string]bool{}
+		h.takeOver()
+		for n := range rapid.IntRange(5, 120).Draw(t, "length") {
+			if rapid.IntRange(0, 5).Draw(t, "evacuation") == 0 {
+				h.toggleEvacuation()
+			}
+			h.randomEvent(n)
+		}
+		h.finishAll()
+	})
+}
