core/job: a new owner logs an evacuated zone once its workers have reported

The event counted the tasks of the zone at the first report of any of its workers, which was too few. TestReplacedOwnerOrdersStartInZone guards against a replaced owner that goes on ordering starts while its knowledge of the zones ages.

--- a/core/job/evacuation.go
+++ b/core/job/evacuation.go
@@ -12,10 +12,10 @@
 	// takes elsewhere may still be free. It covers the stop, up to 400 ms on the
 	// platform, a report and the next start.
 	leaveWindow = 3 * time.Second
-	// unknownZoneDelay is how long after the begin of an evacuation the zone counts as
-	// unknown if no worker in it has reported. All agents report to a new owner within
-	// this time.
-	unknownZoneDelay = 2 * time.Second
+	// workersReportTime is how long agents take to report to a new owner, and a worker
+	// of a new zone to appear. A zone in which no worker has reported until then is
+	// logged as unknown.
+	workersReportTime = 2 * time.Second
 )
 
 // reasonEvacuated is the reason for stopping a task in an evacuated zone.
@@ -176,13 +176,17 @@
 	return time.Duration(remaining * float64(c.runTimeRatios.estimate(k.job, k.step)))
 }
 
-// logEvacuations appends an event for each new evacuation. It waits until a worker of
-// the zone has reported, so that a new owner counts its tasks.
+// logEvacuations appends an event for each new evacuation. A new owner waits until the
+// workers have reported their tasks.
 func (c *Cell) logEvacuations(now time.Time) {
 	for _, zone := range slices.Sorted(maps.Keys(c.evacuations.zones)) {
 		z := c.evacuations.zones[zone]
 		tasks, hasWorker := c.tasksIn(zone)
-		if z.logged || !hasWorker && now.Sub(z.since) < unknownZoneDelay {
+		knownSince := c.ownedSince
+		if !hasWorker {
+			knownSince = Later(knownSince, z.since)
+		}
+		if z.logged || now.Sub(knownSince) < workersReportTime {
 			continue
 		}
 		z.logged = true
--- a/io/agent/evacuations_test.go
+++ b/io/agent/evacuations_test.go
@@ -109,6 +109,20 @@
 	})
 }
 
+// A replaced owner that does not know it may order starts while its knowledge of the zones
+// ages. The agent learns of its successor when it reads them.
+func TestReplacedOwnerOrdersStartInZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, s := newZonedAgent(t, false)
+		putOwner(t, s, 2)
+		a.receiveStart(testTask(1), ageOf(4500*time.Millisecond, false))
+		time.Sleep(time.Second)
+		is := is.New(t)
+		is.True(a.worker.first(job.OrderStart, testTask(1)).IsZero())
+		is.Equal(a.state.report("agent", false, time.Now()).Epoch, int64(2))
+	})
+}
+
 // What the agent knows of its zone outlives the owner that told it: the successor may not
 // have read the evacuations yet while the store serves nobody.
 func TestZoneKnowledgeOutlivesOwner(t *testing.T) {
