--- a/core/job/evacuation.go
+++ b/core/job/evacuation.go
@@ -37,6 +37,10 @@
 	reopenedAt map[string]time.Time
 	// leaving is the long-running task that was last stopped, by service.
 	leaving map[string]leavingTask
+	// withoutRoom are the steps for whose tasks the current sweep found no room. All
+	// tasks of a step need the same, and in a full deployment hundreds of them would
+	// be compared with each worker ten times a second.
+	withoutRoom map[*stepRow]bool
 }
 
 // evacuatedZone is an evacuation that is in force.
@@ -57,7 +61,7 @@
 func WithEvacuation(bound time.Duration) Option {
 	return func(c *Cell) {
 		c.evacuations = evacuations{bound: bound, zones: map[string]*evacuatedZone{},
-			reopenedAt: map[string]time.Time{}, leaving: map[string]leavingTask{}}
+			reopenedAt: map[string]time.Time{}, leaving: map[string]leavingTask{}, withoutRoom: map[*stepRow]bool{}}
 	}
 }
 
@@ -117,6 +121,7 @@
 	if len(c.evacuations.zones) == 0 {
 		return
 	}
+	clear(c.evacuations.withoutRoom)
 	for _, w := range c.workers.All {
 		if !c.evacuations.isEvacuated(w.Zone) {
 			continue
@@ -146,8 +151,11 @@
 		return false
 	case !t.spec.LongRunning:
 		return t.checkpoint != "" && c.expectedRemaining(&k, t) > c.evacuations.bound
-	case !w.hasRecentReport(now) || c.isRoomContested(k.queue.Service, now) || !k.step.allowsDisruption(t, now) ||
-		!c.hasRoomElsewhere(w, &k, t, false, now):
+	case !w.hasRecentReport(now) || c.isRoomContested(k.queue.Service, now) || c.evacuations.withoutRoom[k.step] ||
+		!k.step.allowsDisruption(t, now):
+		return false
+	case !c.hasRoomElsewhere(w, &k, t, false, now):
+		c.evacuations.withoutRoom[k.step] = true
 		return false
 	}
 	c.evacuations.leaving[k.queue.Service] = leavingTask{t.name.String(), now}
