--- a/core/job/choose.go
+++ b/core/job/choose.go
@@ -36,6 +36,9 @@
 func (c *Cell) setRoom(all []candidate) {
 	free, capacity := 0, 0
 	for _, w := range c.workers.All {
+		if !c.evacuations.allowsStarts(w.Zone) {
+			continue
+		}
 		free += max(0, w.freeProcessors())
 		capacity += w.Capacity.Processors
 	}
@@ -153,6 +156,8 @@
 	switch {
 	case !w.hasRecentReport(now), w.ended, w.Draining, w.unknownRuns > 0, w.Service != k.queue.Service:
 		return false
+	case !c.evacuations.allowsStarts(w.Zone):
+		return false
 	case k.step.spec.Label != "" && !slices.Contains(w.Labels, k.step.spec.Label):
 		return false
 	}
