io/scheduler: refuse malformed jobs of notices and of the store

A job with a negative count of tasks or a reference to an unknown step, in a notice or in the store, ended the owner by a panic, and each successor when it loaded the store. A start time after the year 9999 ended the submission by a panic without an answer. Jobs are now validated where they are decoded, and submissions have limits below which sums cannot overflow. A job whose progress cannot be decoded is not loaded: its tasks that are done would run again.

--- a/core/job/types.go
+++ b/core/job/types.go
@@ -24,7 +24,9 @@
 package job
 
 import (
+	"encoding/json"
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -127,6 +129,17 @@
 	idDigits        = 16
 )
 
+// Limits on the values of a submitted job. They are far above any real value. Sums
+// over all tasks of a job cannot overflow below them.
+const (
+	maxProcessors   = 1_000_000_000
+	maxMemory       = 1_000_000_000_000
+	maxAccelerators = 1_000_000
+	maxEstimate     = 365 * 24 * time.Hour
+	// maxYear is the last year that a time in JSON can have.
+	maxYear = 9999
+)
+
 // ValidID reports whether id is a well-formed job ID: 16 hexadecimal digits.
 func ValidID(id string) bool {
 	if len(id) != idDigits {
@@ -163,6 +176,57 @@
 	return nil
 }
 
+// ValidateSubmission is Validate with further limits on the values of a job that is
+// not stored yet. Jobs that earlier builds have accepted may exceed these limits.
+func (j *Job) ValidateSubmission() error {
+	if err := j.Validate(); err != nil {
+		return err
+	}
+	s := &j.Schedule
+	if year := s.First.UTC().Year(); year < 0 || year > maxYear || s.Times > 0 && s.Period > math.MaxInt64/time.Duration(s.Times) {
+		return status.At(status.ErrOutOfRange, "schedule", s.First.UTC().String()+", "+s.Period.String())
+	}
+	for i := range j.Steps {
+		if err := j.Steps[i].checkLimits(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// DecodeJob decodes the value of JobKey(id). The error says that the value is not that
+// of a valid job with this ID.
+func DecodeJob(id string, value []byte) (Job, error) {
+	var j Job
+	if err := json.Unmarshal(value, &j); err != nil {
+		return Job{}, errors.Wrap(err, "decode job")
+	}
+	if j.ID != id {
+		return Job{}, status.At(status.ErrUnknownRef, "id", j.ID)
+	}
+	return j, j.Validate()
+}
+
+// checkLimits checks the limits of ValidateSubmission.
+func (s *Step) checkLimits(number int) error {
+	at := func(field, v string) error {
+		return status.At(status.ErrOutOfRange, fmt.Sprintf("steps.%d.%s", number, field), v)
+	}
+	switch {
+	case s.Need.Processors > maxProcessors:
+		return at("need.processors-milli", strconv.Itoa(s.Need.Processors))
+	case s.Need.Memory > maxMemory:
+		return at("need.memory-mib", strconv.FormatInt(s.Need.Memory, 10))
+	case s.Need.Accelerators > maxAccelerators:
+		return at("need.accelerators", strconv.Itoa(s.Need.Accelerators))
+	case s.Estimate < 0 || s.Estimate > maxEstimate:
+		return at("estimate", s.Estimate.String())
+	case s.TailTarget < 0 || s.TailTarget > maxEstimate:
+		return at("tail-target", s.TailTarget.String())
+	}
+	return nil
+}
+
 func (s *Step) check(number int) error {
 	at := func(field string, v int) error {
 		return status.At(status.ErrOutOfRange, fmt.Sprintf("steps.%d.%s", number, field), strconv.Itoa(v))
--- a/io/scheduler/caller.go
+++ b/io/scheduler/caller.go
@@ -148,7 +148,7 @@
 		return job.Job{}, errors.WithMessage(status.ErrMalformedJSON, err.Error())
 	}
 	j.ID, j.Queue, j.Accepted, j.AcceptedQueue = r.id, r.queue.ID(), time.Now(), *r.queue
-	return j, j.Validate()
+	return j, j.ValidateSubmission()
 }
 
 // storeJob makes j durable. The write requires that the store has neither a
--- a/io/scheduler/control.go
+++ b/io/scheduler/control.go
@@ -222,8 +222,8 @@
 	case job.KeyKindOwner:
 		c.handleOwnerChange(x)
 	case job.KeyKindJob:
-		var j job.Job
-		if err := json.Unmarshal(x.value, &j); err != nil {
+		j, err := job.DecodeJob(x.id, x.value)
+		if err != nil {
 			c.logRejected(job.JobKey(x.id), err)
 			return
 		}
@@ -329,6 +329,9 @@
 // loadItems adds the items of the store to a cell.
 func (c *control) loadItems(cell *job.Cell, x loadedState, now time.Time) {
 	progress := map[string]job.Progress{}
+	// unreadable are the jobs whose progress cannot be decoded. Without it, their tasks
+	// that are done would run again, so these jobs are not loaded.
+	unreadable := map[string]bool{}
 	var cancelled []string
 	var jobs []job.Job
 	for _, i := range x.items {
@@ -337,13 +340,16 @@
 		switch kind {
 		case job.KeyKindJob:
 			var j job.Job
-			if err = json.Unmarshal(i.Value, &j); err == nil {
+			if j, err = job.DecodeJob(id, i.Value); err == nil {
 				jobs = append(jobs, j)
 			}
 		case job.KeyKindProgress:
 			var p job.Progress
-			err = json.Unmarshal(i.Value, &p)
-			progress[id] = p
+			if err = json.Unmarshal(i.Value, &p); err == nil {
+				progress[id] = p
+			} else {
+				unreadable[id] = true
+			}
 		case job.KeyKindCancelled:
 			cancelled = append(cancelled, id)
 		case job.KeyKindAgent:
@@ -359,6 +365,9 @@
 		}
 	}
 	for _, j := range jobs {
+		if unreadable[j.ID] {
+			continue
+		}
 		if err := cell.Load(j, progress[j.ID], now); err != nil {
 			c.logRejected(job.ProgressKey(j.ID), err)
 		}
--- a/io/scheduler/relay.go
+++ b/io/scheduler/relay.go
@@ -212,7 +212,7 @@
 		return status.At(status.ErrBadName, "id", r.id())
 	}
 	if r.Job != nil {
-		return r.Job.Validate()
+		return r.Job.ValidateSubmission()
 	}
 	return nil
 }
