core/job: limits for departures, overdue occurrences and restored ratios

A report that was sent before the report of its worker's departure and arrived after it made the worker usable again; what was placed there waited for the end of the lease. A job with many occurrences that were long due opened all of them at once, up to hundreds of millions of tasks. A stored ratio of run times that no run can have given turned estimates negative.

TestDelayedReportDoesNotBringBackLeftWorker, TestOverdueOccurrencesAreOpenedInTurn and TestImpossibleRatiosAreNotRestored failed before. TestAbsurdLoadsLeaveLearnedParametersFinite shows that loads in reports cannot make the stored parameters impossible to encode.

--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -312,13 +312,31 @@
 	c.placeTasks(now)
 }
 
+// Limits of the open occurrences of one job. A job may have 100,000 occurrences that
+// are due at once; their tasks and their stored progress must not exceed the memory of
+// the owner and the size of a value in the store. At least one occurrence is open.
+const (
+	maxOpenOccurrences = 256
+	maxOpenTasks       = 1 << 14
+)
+
+// mayOpenAnother reports whether the limits let the job open one more occurrence.
+func (j *jobRow) mayOpenAnother() bool {
+	tasks := 0
+	for i := range j.Steps {
+		tasks += j.Steps[i].Tasks
+	}
+	n := len(j.occurrences)
+	return n == 0 || n < maxOpenOccurrences && (n+1)*tasks <= maxOpenTasks
+}
+
 // openDueOccurrences opens the occurrences that are due.
 func (c *Cell) openDueOccurrences(now time.Time) {
 	for _, j := range c.jobs.All {
 		if j.Schedule.Times == 0 || j.state.IsFinal() {
 			continue
 		}
-		for j.nextOccurrence < j.Schedule.Times && !now.Before(j.Schedule.Due(j.nextOccurrence)) {
+		for j.nextOccurrence < j.Schedule.Times && j.mayOpenAnother() && !now.Before(j.Schedule.Due(j.nextOccurrence)) {
 			j.openOccurrence(j.nextOccurrence)
 			j.nextOccurrence++
 			j.dirty = true
--- a/core/job/learned.go
+++ b/core/job/learned.go
@@ -9,6 +9,10 @@
 // interference between two images is learned within some seconds.
 const learnedCheckInterval = 2 * time.Second
 
+// maxStoredRatio is the highest ratio of a run time to its estimate that an owner
+// restores. Above it, an estimate could overflow.
+const maxStoredRatio = 1000
+
 // LearnedParameters are the parameters that an owner has learned and that its
 // successor would have to learn again. They only improve placement, so losing
 // them is harmless.
@@ -40,7 +44,9 @@
 		c.interference.regressionOf(serving).restore(effects)
 	}
 	for queue, ratio := range l.RunTimeRatios {
-		c.runTimeRatios.byQueue[queue] = ratio
+		if ratio > 0 && ratio <= maxStoredRatio {
+			c.runTimeRatios.byQueue[queue] = ratio
+		}
 	}
 	c.storedLearned = c.learnedParameters()
 }
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -16,6 +16,12 @@
 	return r.Worker.ID == w.ID && r.Clock < w.clock
 }
 
+// precedesDeparture reports whether r may have been sent before the departure that w
+// announced: the worker has answered nothing since then.
+func (w *workerRow) precedesDeparture(r *Report) bool {
+	return w.left && !r.Left && r.Worker.ID == w.ID && r.Worker.Incarnation == w.Incarnation && r.Clock <= w.clock
+}
+
 // formerProcessWindow is how long a report of an agent's former process may be
 // in transit. After that, a lower process number belongs to a new process that
 // started while the clock of its VM was set back.
@@ -36,7 +42,7 @@
 			sequence: lastSequence(r, c.epoch), tasks: map[Task]*taskRow{}, servingTasks: map[servingJob]int{}, bestEffortByImage: usage{}})
 		c.logEvent(EventWorker, nil, w, "joined", now)
 	}
-	if r.Process < w.process && now.Sub(w.lastReport) < formerProcessWindow || w.supersedes(r) {
+	if r.Process < w.process && now.Sub(w.lastReport) < formerProcessWindow || w.supersedes(r) || w.precedesDeparture(r) {
 		return false
 	}
 	w.lastReport = now
