core/job: a task does not count as stalled while its agent is silent

Stalls were judged by the time since the last progress that was reported. An agent that was silent for 1.4 s, or a long poll that reached the owner before the first list after a silence, made all tasks of the worker count as stalled: they were stopped and started elsewhere. Stalls are now judged by what the worker listed last. TestSilentAgentKeepsItsRuns failed before.

--- a/core/job/faults_test.go
+++ b/core/job/faults_test.go
@@ -94,3 +94,55 @@
 		is.New(t).True(estimate > 0)
 	}
 }
+
+// newClusterWithRun returns a cluster of two workers and the worker that runs the only
+// task of a job, which is half done.
+func newClusterWithRun(t *testing.T, s Step) (*testCluster, *testWorker) {
+	tc := newTestCluster(t, 2)
+	tc.submit(testJob(1, s))
+	w := tc.testWorkers["agent-0"]
+	if len(w.report.Running) == 0 {
+		w = tc.testWorkers["agent-1"]
+	}
+	w.report.Running[0].Percent = 50
+	tc.deliverReports()
+	return tc, w
+}
+
+// deliverOthers delivers the reports of all agents but one for d.
+func (tc *testCluster) deliverOthers(silent *testWorker, d time.Duration) {
+	for end := tc.now.Add(d); tc.now.Before(end); {
+		tc.now = tc.now.Add(20 * time.Millisecond)
+		for agent, w := range tc.testWorkers {
+			if w != silent {
+				tc.deliverReport(agent)
+			}
+		}
+	}
+}
+
+// A worker whose agent is silent must keep its runs until its lease has certainly
+// ended. Its tasks must not count as stalled because nobody told their progress,
+// neither in the silence nor when a long poll, which has no list, ends it.
+func TestSilentAgentKeepsItsRuns(t *testing.T) {
+	serving := step(1, 100)
+	serving.LongRunning = true
+	for name, s := range map[string]Step{"batch": step(1, 100), "long-running": serving} {
+		for _, silence := range []time.Duration{stallLimit + 60*time.Millisecond, 5 * time.Second, 10 * time.Second} {
+			tc, w := newClusterWithRun(t, s)
+			tc.deliverOthers(w, silence)
+			poll := w.report
+			poll.LongPoll = true
+			tc.Receive(&poll, tc.now)
+			tc.Tick(tc.now)
+			tc.deliverOthers(w, 2*sweepInterval)
+			w.report.Clock += silence
+			w.report.Running[0].Percent = fullPercent
+			tc.deliverReports()
+			tc.deliverReports()
+			if tc.countStarts() != 1 || len(w.report.Running) != 1 {
+				t.Errorf("%s, silent for %v: %d starts, running: %v", name, silence, tc.countStarts(), w.report.Running)
+			}
+		}
+	}
+}
--- a/core/job/worker_speed.go
+++ b/core/job/worker_speed.go
@@ -103,7 +103,9 @@
 	return candidate{job: j, occ: j.occurrence(t.name.Occurrence), step: s, number: t.name.Step, queue: q}, true
 }
 
-// moveReason returns the reason for moving a task to another worker, or "".
+// moveReason returns the reason for moving a task to another worker, or "". A task
+// counts as stalled only by what its worker listed: an agent that is silent tells
+// nothing about the progress.
 func (c *Cell) moveReason(w *workerRow, t *taskRow, now time.Time) string {
 	k, ok := c.moveCandidate(t)
 	if !ok {
@@ -112,10 +114,10 @@
 	j, s := k.job, k.step
 	switch {
 	case s.spec.LongRunning:
-		if t.percent < fullPercent && now.Sub(t.orderedAt) > startupLimit && c.hasRoomElsewhere(w, &k, t, false, now) {
+		if t.percent < fullPercent && t.lastListed.Sub(t.orderedAt) > startupLimit && c.hasRoomElsewhere(w, &k, t, false, now) {
 			return reasonStalled
 		}
-	case now.Sub(t.lastProgress) > stallLimit && now.Sub(w.lastProgress) > stallLimit && !t.throttled:
+	case t.lastListed.Sub(t.lastProgress) > stallLimit && t.lastListed.Sub(w.lastProgress) > stallLimit && !t.throttled:
 		if c.hasRoomElsewhere(w, &k, t, false, now) {
 			return reasonStalled
 		}
