core: what ran out while a VM was suspended is not used after it

The monotonic clock stands still in a suspension. An entry that woke took its history of the membership for complete although its view had expired (a request id could be granted twice), an owner of a cell sent leases before it had verified its ownership, and an owner on the users' platform placed tasks by old reports and expired tickets. These times are now taken by the wall clock, too. clocktest.AfterSuspension makes such times for tests.

--- a/core/caller/dedup.go
+++ b/core/caller/dedup.go
@@ -123,7 +123,7 @@
 	// This entry's view expired before the read, and another entry has replaced
 	// the view since this entry last verified it. Entries may have joined and
 	// left unobserved.
-	if len(d.view) > 0 && r.StartedAt.Sub(d.verifiedAt) > d.viewTTL && r.SeqBefore != d.changeSeq {
+	if len(d.view) > 0 && elapsed(d.verifiedAt, r.StartedAt) > d.viewTTL && r.SeqBefore != d.changeSeq {
 		d.history.CompleteSince = now
 	}
 	if len(members) == 2 && d.joining {
--- a/core/job/advice.go
+++ b/core/job/advice.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strconv"
 	"time"
+
+	"rosemarygap/core/clock"
 )
 
 // Limits of requests to an advisor.
@@ -48,7 +50,7 @@
 		return true
 	}
 	a := &k.step.tickets
-	if now.Add(ticketMargin).Before(a.expires) && len(a.byWorker) > 0 {
+	if !clock.Expired(a.expires, now.Add(ticketMargin)) && len(a.byWorker) > 0 {
 		return true
 	}
 	if now.Sub(a.requestedAt) < advisorRetryInterval {
--- a/core/job/choose.go
+++ b/core/job/choose.go
@@ -144,7 +144,7 @@
 
 // hasRecentReport reports whether the state of w is known and up to date.
 func (w *workerRow) hasRecentReport(now time.Time) bool {
-	return w.listed && w.unreachable == 0 && now.Sub(w.lastReport) <= maxReportAge
+	return w.listed && w.unreachable == 0 && Age(w.lastReport, now) <= maxReportAge
 }
 
 // isUsable reports whether w may get tasks of the candidate, apart from its
--- a/core/job/faults_test.go
+++ b/core/job/faults_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"rosemarygap/core/clock/clocktest"
+
 	"github.com/matryer/is"
 )
 
@@ -146,3 +148,26 @@
 		}
 	}
 }
+
+// An owner that was suspended must not use what ran out meanwhile, although its
+// monotonic clock stood still: reports of workers, tickets of the advisor, and its
+// knowledge of the cancellations.
+func TestSuspendedOwnerUsesNothingOld(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	tc.now = time.Now()
+	tc.ConfirmCancellations(nil, tc.now, tc.now)
+	tc.deliverReports()
+	tc.Add(testJob(1, step(1, 100)), tc.now)
+	woken := clocktest.AfterSuspension(tc.now, 5*time.Second)
+	tc.Tick(woken)
+	w := tc.workers.Get("agent-0")
+	tc.is.Equal(len(w.tasks), 0) // the worker may have ended
+	r := tc.testWorkers["agent-0"].report
+	tc.is.True(tc.Reply(&r, woken).Freshness.CancellationsAge >= 5*time.Second)
+
+	queue := &Queue{RequiresTicket: true}
+	s := stepRow{tickets: advisorTickets{byWorker: map[string]string{"w": "ticket"}, expires: tc.now.Add(3 * time.Second)}, spec: &Step{}}
+	k := candidate{queue: queue, step: &s, job: &jobRow{}, occ: &occurrenceRow{}}
+	tc.is.True(tc.ensureTickets(&k, tc.now))
+	tc.is.True(!tc.ensureTickets(&k, woken))
+}
--- a/core/worker/lease.go
+++ b/core/worker/lease.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"rosemarygap/core/clock"
 	"rosemarygap/core/wire"
 )
 
@@ -56,7 +57,7 @@
 // inFlight, whose response to the previous message is outstanding. It returns no
 // messages if ownership was not verified for longer than Timings.Hold.
 func (c *Cell) Commands(now time.Time, inFlight map[string]bool) []Command {
-	if now.Sub(c.lastVerified) > c.timings.Hold {
+	if clock.Elapsed(c.lastVerified, now) > c.timings.Hold {
 		return nil
 	}
 	var out []Command
