io/agent: late departures, ages from the future, unknown kinds of orders

A departure names no incarnation. An age that no owner can mean made knowledge newer than its reply, so that outdated starts were permitted. An order of an unknown kind was carried out as a start.

TestDelayedDepartureDoesNotEndNextIncarnation, TestReplyFromTheFutureIsNotTrusted and TestOrderOfUnknownKindIsIgnored failed before. TestSuspendedAgentSendsNoStart shows that a suspension lets no old start through.

--- a/io/agent/freshness.go
+++ b/io/agent/freshness.go
@@ -70,10 +70,11 @@
 	if r.Partial {
 		return
 	}
-	// The reply was made at this time or later.
-	madeAt := sentAt.Add(r.Held)
+	// The reply was made at this time or later. Values that no owner can mean must not
+	// make the knowledge newer than that.
+	madeAt := sentAt.Add(max(0, min(r.Held, now.Sub(sentAt))))
 	f.ordersCompleteAt = job.Later(f.ordersCompleteAt, madeAt)
-	f.cancellationsKnownAt = job.Later(f.cancellationsKnownAt, madeAt.Add(-r.CancellationsAge))
+	f.cancellationsKnownAt = job.Later(f.cancellationsKnownAt, madeAt.Add(-max(0, r.CancellationsAge)))
 }
 
 // startPermission tells whether a start may be sent now.
--- a/io/agent/state.go
+++ b/io/agent/state.go
@@ -60,6 +60,10 @@
 	worker   *job.Worker
 	// left is true once the worker has announced its departure.
 	left bool
+	// replaced is true if the worker replaced an earlier incarnation under the same ID.
+	// firstClock is the worker's clock reading in its first answer.
+	replaced   bool
+	firstClock time.Duration
 	// epoch is the newest known epoch, and applied the sequence number of
 	// the last order received in it.
 	epoch   int64
@@ -125,6 +129,7 @@
 // setWorker makes w the worker and drops the state of the earlier incarnation,
 // except for its unanswered starts. The caller holds s.mu.
 func (s *state) setWorker(w job.Worker) {
+	s.replaced, s.firstClock = s.worker != nil && s.worker.ID == w.ID, 0
 	s.worker, s.left = &w, false
 	s.runList, s.runListEpoch, s.workerClock, s.leaseDeadline = job.RunList{}, 0, 0, 0
 	s.grantedUntil, s.acknowledged, s.answeredAt = 0, 0, time.Time{}
@@ -133,13 +138,18 @@
 }
 
 // recordDeparture records that the worker announced its departure. It reports
-// whether this is new.
+// whether this is new. The announcement names no incarnation and may arrive as late as
+// any call, so that it may be that of the incarnation before: it counts only once the
+// worker has answered for unansweredStartTTL. Otherwise the end of its lease tells.
 func (s *state) recordDeparture(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.worker == nil || s.worker.ID != id || s.left {
 		return false
 	}
+	if s.replaced && s.workerClock-s.firstClock < unansweredStartTTL {
+		return false
+	}
 	s.left = true
 	return true
 }
@@ -248,6 +258,10 @@
 			continue
 		}
 		s.applied = o.Sequence
+		if o.Kind != job.OrderStart && o.Kind != job.OrderStop {
+			// A later build may have further kinds.
+			continue
+		}
 		if o.Worker != s.worker.ID || o.Incarnation != s.worker.Incarnation {
 			continue
 		}
@@ -393,6 +407,7 @@
 		// An earlier process of the agent may have granted a lease of the maximum
 		// duration.
 		s.leaseDeadline = max(s.leaseDeadline, runs.Clock+s.maxLease)
+		s.firstClock = runs.Clock
 	}
 	s.workerClock, s.answeredAt = max(s.workerClock, runs.Clock), now
 	if runs.Clock < s.runList.Clock || r.epoch != s.epoch {
