io/entry, io/platform, core/worker: malformed stored values and peers' messages

A key under control/ that no entry writes, such as control/x, ended every entry by a panic, again after each restart. Announcements that other entries relay were not checked, and a negative age made one outlive its time to live: an endpoint or an entry that had left stayed in use. Jobs that other entries forward were not checked. A report with a negative or overflowing rest of the lease made running tasks count as lost.

--- a/core/peer/feed.go
+++ b/core/peer/feed.go
@@ -167,7 +167,8 @@
 // onChange, which returns the key of the announcement, for each new announcement, and
 // onRefresh for each bit of the bitmap. Both receive the assumed time of the
 // announcement: ages count from sentAt, so a delayed response doesn't extend the
-// lifetime of an announcement.
+// lifetime of an announcement. A negative age counts as 0: the announcement would
+// outlive its time to live.
 func (m *Mirror[T]) Apply(d Delta[T], sentAt time.Time, onChange func(v T, announcedAt time.Time) Key,
 	onRefresh func(k Key, announcedAt time.Time)) {
 	if d.Cursor.Generation != m.cursor.Generation {
@@ -182,10 +183,10 @@
 	}
 	for _, c := range d.Changes {
 		if c.Index >= 0 && c.Index < len(m.keys) {
-			m.keys[c.Index] = onChange(c.Value, sentAt.Add(-c.Age.Std()))
+			m.keys[c.Index] = onChange(c.Value, sentAt.Add(-max(0, c.Age.Std())))
 		}
 	}
-	announcedAt := sentAt.Add(-d.Window.Std())
+	announcedAt := sentAt.Add(-max(0, d.Window.Std()))
 	for i, k := range m.keys {
 		if k.ID != "" && i/8 < len(d.Refreshed) && d.Refreshed[i/8]&(1<<(i%8)) != 0 {
 			onRefresh(k, announcedAt)
--- a/core/peer/roster.go
+++ b/core/peer/roster.go
@@ -131,7 +131,7 @@
 	if received.Member.ID == r.self.ID {
 		return false
 	}
-	lastSeen := sentAt.Add(-received.Age.Std())
+	lastSeen := sentAt.Add(-max(0, received.Age.Std()))
 	row := &rosterRow{received.Member, received.Revision, received.Removed, lastSeen}
 	old := r.rows[received.Member.ID]
 	switch {
--- a/core/worker/suspension_test.go
+++ b/core/worker/faults_test.go
@@ -1,11 +1,13 @@
 package worker
 
 import (
+	"math"
 	"net/netip"
 	"testing"
 	"time"
 
 	"rosemarygap/core/clock/clocktest"
+	"rosemarygap/core/wire"
 
 	"github.com/matryer/is"
 )
@@ -25,3 +27,17 @@
 	c.VerifyEnd(woken)
 	is.Equal(len(c.Commands(woken, nil)), 1)
 }
+
+// A report with a remaining lease that no worker can have must not make the leases of
+// the worker count as ended while its tasks run: they would start elsewhere, too.
+func TestReportWithImpossibleLeaseIsIgnored(t *testing.T) {
+	for _, left := range []time.Duration{-time.Second, math.MinInt64, math.MaxInt64} {
+		is := is.New(t)
+		now := time.Unix(1000, 0)
+		c := NewCell(0, Timings{Grant: 6 * time.Second, Hold: 10 * time.Second})
+		c.ensureWorker("worker-1").leaseBound = now.Add(time.Minute)
+		r := &Report{Worker: "worker-1", Stamp: Stamp{Incarnation: 1, Time: 1}, LeaseLeft: wire.Duration(left)}
+		c.Receive(Command{Worker: "worker-1"}, r, now)
+		is.True(!c.leasesExpired(c.workers.Get("worker-1"), now.Add(time.Second)))
+	}
+}
--- a/core/worker/lease.go
+++ b/core/worker/lease.go
@@ -174,6 +174,10 @@
 	return !j.Cancelling && !c.ending[j.ID]
 }
 
+// maxLeaseLeft is longer than any lease. A report with a longer or a negative remaining
+// time of the lease is malformed.
+const maxLeaseLeft = 24 * time.Hour
+
 // Receive processes a worker's response to cmd and reports whether it is the
 // worker's first one in this epoch. Late responses to earlier messages are ignored.
 func (c *Cell) Receive(cmd Command, r *Report, now time.Time) bool {
@@ -184,6 +188,9 @@
 	if w.report != nil && !isNewerStamp(r.Stamp, w.report.Stamp) {
 		return false
 	}
+	if r.LeaseLeft < 0 || r.LeaseLeft.Std() > maxLeaseLeft {
+		return false
+	}
 	if !w.expandDelta(r) {
 		return false
 	}
--- a/core/worker/record.go
+++ b/core/worker/record.go
@@ -74,6 +74,12 @@
 // record of the end of an attempt has no effect unless that attempt is the current
 // one and is running.
 func (c *Cell) Apply(r Record) {
+	switch {
+	case r.Kind == KindSubmitted && r.Job == nil, (r.Kind == KindLent || r.Kind == KindBorrowed) && r.Transfer == nil:
+		// Without its content a record is malformed; a panic would end each entry that
+		// loads the cell.
+		return
+	}
 	switch r.Kind {
 	case KindOpened, KindTimings:
 		c.takeoverWait = r.Wait.Std()
--- a/io/entry/exchange.go
+++ b/io/entry/exchange.go
@@ -113,13 +113,16 @@
 	c.applyShares()
 	state.endpoints.Apply(r.response.Endpoints, r.sentAt,
 		func(a endpoint.Announcement, announcedAt time.Time) peer.Key {
-			c.applyEndpointAnnouncement(a, announcedAt, now, false)
+			c.applyReceivedAnnouncement(a, announcedAt, now)
 			latest, _, _ := c.endpoints.Latest(a.ID)
 			return peer.Key{ID: latest.ID, Incarnation: a.Incarnation}
 		},
 		func(k peer.Key, announcedAt time.Time) { c.refreshEndpoint(k, announcedAt, now) })
 	state.workers.Apply(r.response.Workers, r.sentAt,
 		func(n peer.WorkerAnnouncement, announcedAt time.Time) peer.Key {
+			if n.ID == "" {
+				return peer.Key{}
+			}
 			c.applyWorkerAnnouncement(n, announcedAt, now)
 			return peer.Key{ID: c.announcedWorkers.Get(n.ID).announcement.ID, Incarnation: n.Incarnation}
 		},
@@ -127,6 +130,14 @@
 	c.receiveQuotas(r.response.QuotaTransfers, r.response.QuotaRequests)
 }
 
+// applyReceivedAnnouncement applies an announcement of an endpoint that another entry
+// sent, unless it is malformed.
+func (c *control) applyReceivedAnnouncement(a endpoint.Announcement, announcedAt, now time.Time) {
+	if a.Check() == nil {
+		c.applyEndpointAnnouncement(a, announcedAt, now, false)
+	}
+}
+
 // refreshWorker records that another entry received an announcement of a worker that
 // was made at announcedAt.
 func (c *control) refreshWorker(k peer.Key, announcedAt, now time.Time) {
@@ -204,7 +215,7 @@
 func (m exchangeReceived) handle(c *control, now time.Time) {
 	c.handleRosterChange(c.peering.roster.RecordContact(m.request.From, now))
 	for _, a := range m.request.Leaving {
-		c.applyEndpointAnnouncement(a, now, now, false)
+		c.applyReceivedAnnouncement(a, now, now)
 	}
 	c.receiveQuotas(m.request.QuotaTransfers, m.request.QuotaRequests)
 	c.receiveGossip(m.request.From.ID, m.request.Interference, now)
--- a/io/entry/registration.go
+++ b/io/entry/registration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"time"
 
 	"rosemarygap/core/event"
@@ -176,7 +177,9 @@
 		c.applyOwnerKey(cell, kv)
 		return
 	}
-	c.applyMemberKey(kv, now)
+	if id, ok := strings.CutPrefix(kv.Key, coreplatform.EntryPrefix); ok && id != "" {
+		c.applyMemberKey(id, kv, now)
+	}
 }
 
 func (c *control) applyOwnerKey(cell int, kv platform.KeyValue) {
@@ -206,8 +209,7 @@
 // applyMemberKey applies a change of the registration of an entry. It makes a step of the
 // registration due, because the read of the members that follows the step takes the
 // change into account.
-func (c *control) applyMemberKey(kv platform.KeyValue, now time.Time) {
-	id := kv.Key[len(coreplatform.EntryPrefix):]
+func (c *control) applyMemberKey(id string, kv platform.KeyValue, now time.Time) {
 	c.dirty = true
 	c.registration.due = time.Time{}
 	if kv.Deleted {
@@ -217,7 +219,7 @@
 		return
 	}
 	var m peer.Member
-	if json.Unmarshal(kv.Value, &m) != nil {
+	if json.Unmarshal(kv.Value, &m) != nil || m.ID != id {
 		return
 	}
 	if c.members.Get(id) == nil {
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -69,6 +69,9 @@
 	if err := httpjson.Decode(c, &j); err != nil {
 		return httpjson.WriteError(c, err)
 	}
+	if err := j.Check(); err != nil {
+		return httpjson.WriteError(c, err)
+	}
 	if err := s.control.SubmitHere(c.Request().Context(), j); err != nil {
 		return httpjson.WriteError(c, err)
 	}
--- a/io/platform/journal.go
+++ b/io/platform/journal.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
+	"strconv"
 
 	core "rosemarygap/core/platform"
 	"rosemarygap/core/status"
@@ -117,6 +119,10 @@
 	return errors.Wrap(json.Unmarshal(kv.Value, v), "decode value")
 }
 
+// maxSeq is the highest sequence number that a journal reaches. Above it, the number of
+// the next batch could overflow.
+const maxSeq = math.MaxInt64 / 2
+
 // readSnapshotHead reads the first part of the snapshot and updates the journal's
 // fields about the snapshot.
 func (j *Journal[R, S]) readSnapshotHead(ctx context.Context) (core.Snapshot[S], error) {
@@ -129,6 +135,9 @@
 		if err := json.Unmarshal(kv.Value, &s); err != nil {
 			return s, errors.Wrap(err, "decode snapshot")
 		}
+		if s.Seq < 0 || s.Seq > maxSeq {
+			return s, status.At(status.ErrOutOfRange, "snapshot.seq", strconv.FormatInt(s.Seq, 10))
+		}
 	}
 	j.snapshotRevision, j.snapshotSeq, j.snapshotPartKeys = kv.Revision, s.Seq, s.PartKeys
 	return s, nil
