io/scheduler: reports and ownerships that are malformed or late

A report with a later epoch ended the ownership without a look at the store, so that one agent with a malformed epoch ended each owner in turn; the store is asked now, unless this entry is cut off from it. The watch of all keys could bring an earlier owner back after the watch of the lease had delivered a later one.

TestReportCannotEndOwnershipAlone, TestMalformedReportIsRefused and TestEarlierOwnershipIsNotRestored failed before.

--- a/core/job/message.go
+++ b/core/job/message.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"rosemarygap/core/status"
 )
 
 // Worker is the description of a worker in its heartbeat.
@@ -135,6 +137,25 @@
 	ReceivedAt time.Time `json:"-"`
 }
 
+// maxNameBytes is the maximum length of the names in a report. The name of an agent is
+// part of a key in the store.
+const maxNameBytes = 500
+
+// Validate returns an error with a status code if the report names no agent or describes
+// an impossible worker.
+func (r *Report) Validate() error {
+	switch w := r.Worker; {
+	case r.Agent == "" || len(r.Agent) > maxNameBytes:
+		return status.At(status.ErrBadName, "agent", r.Agent[:min(len(r.Agent), maxNameBytes)])
+	case w == nil:
+	case w.ID == "" || len(w.ID) > maxNameBytes:
+		return status.At(status.ErrBadName, "worker.id", w.ID[:min(len(w.ID), maxNameBytes)])
+	case w.Capacity.Processors < 0 || w.Capacity.Memory < 0 || w.Capacity.Accelerators < 0:
+		return status.At(status.ErrOutOfRange, "worker.capacity", "")
+	}
+	return nil
+}
+
 // OrderKind is the kind of an Order.
 type OrderKind string
 
--- a/io/scheduler/control.go
+++ b/io/scheduler/control.go
@@ -262,7 +262,7 @@
 	}
 	if c.cell.Receive(x.report, time.Now()) {
 		x.reply <- reportResult{err: status.ErrStaleEpoch}
-		c.s.signalSuperseded()
+		c.s.questionOwnership()
 		return
 	}
 	if x.report.LongPoll {
--- a/io/scheduler/malformed_test.go
+++ b/io/scheduler/malformed_test.go
@@ -1,18 +1,26 @@
 package scheduler
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
 	"math"
 	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
 	"rosemarygap/core/job"
+	"rosemarygap/core/status"
+	"rosemarygap/io/agent"
 	"rosemarygap/io/standin/fleet"
 	"rosemarygap/platform"
 	"rosemarygap/platform/platformtest"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 )
 
 // malformedJobs are values that are not those of an accepted job. The counts and
@@ -85,3 +93,61 @@
 		})
 	}
 }
+
+// A report must not name an epoch that takes the ownership from this entry unless the
+// store says so, too: one agent with a malformed epoch would end every owner in turn.
+func TestReportCannotEndOwnershipAlone(t *testing.T) {
+	is := is.New(t)
+	c := newTestControl(t)
+	reply := make(chan reportResult, 1)
+	c.handleReport(agentReport{&job.Report{Agent: "agent", Epoch: math.MaxInt64, Worker: &job.Worker{ID: "i"}}, reply})
+	is.True(errors.Is((<-reply).err, status.ErrStaleEpoch))
+	is.Equal(len(c.s.superseded), 0)
+	is.Equal(len(c.s.ownershipCheckRequests), 1) // tells in the case of a true successor
+	is.True(c.cell != nil)
+}
+
+// A report without a name or with an impossible worker must be refused: the key of its
+// agent would make all writes of the journal fail.
+func TestMalformedReportIsRefused(t *testing.T) {
+	c := newTestControl(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = c.run(ctx) }()
+	worker := job.Worker{ID: "i", Incarnation: 1, Service: "svc"}
+	negative := worker
+	negative.Capacity.Processors = -1
+	nameless := worker
+	nameless.ID = ""
+	for name, r := range map[string]job.Report{
+		"no agent":          {Epoch: 1, Worker: &worker},
+		"long agent":        {Epoch: 1, Agent: strings.Repeat("a", 2000), Worker: &worker},
+		"no worker ID":      {Epoch: 1, Agent: "agent", Worker: &nameless},
+		"negative capacity": {Epoch: 1, Agent: "agent", Worker: &negative},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b, err := json.Marshal(&r)
+			is.NoErr(err)
+			w := httptest.NewRecorder()
+			c.s.peerHandler().ServeHTTP(w, httptest.NewRequest(http.MethodPost, agent.ReportPath, bytes.NewReader(b)))
+			is.Equal(w.Code, http.StatusBadRequest)
+		})
+	}
+}
+
+// A change of the ownership that the slower watch of all keys delivers after the watch of
+// the lease must not bring an earlier owner back, nor may a malformed one remove the owner.
+func TestEarlierOwnershipIsNotRestored(t *testing.T) {
+	is := is.New(t)
+	s, _ := newTestScheduler(t, platformtest.StoreHandler(fleet.NewStore()))
+	owner := func(epoch int64) job.Ownership {
+		return job.Ownership{Epoch: epoch, Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(epoch))}
+	}
+	s.mirror.apply(t.Context(), platform.Item{Key: job.KeyOwnerLease, Value: mustJSON(owner(7)), Revision: 20})
+	for _, value := range []string{string(mustJSON(owner(6))), `{"epoch":9,"address":7}`, `null`, `[]`} {
+		s.mirror.apply(t.Context(), platform.Item{Key: job.KeyOwner, Value: []byte(value), Revision: 10})
+		o, _ := s.mirror.ownership()
+		is.Equal(o, owner(7))
+	}
+}
--- a/io/scheduler/mirror.go
+++ b/io/scheduler/mirror.go
@@ -258,7 +258,7 @@
 	switch kind {
 	case job.KeyKindOwner:
 		if !i.Removed {
-			return json.Unmarshal(i.Value, &m.owner)
+			return m.updateOwner(i)
 		}
 	case job.KeyKindOwnerLease:
 		return m.updateOwnerLease(i)
--- a/io/scheduler/owner_lease.go
+++ b/io/scheduler/owner_lease.go
@@ -90,6 +90,12 @@
 	if i.Removed {
 		return nil
 	}
+	return m.updateOwner(i)
+}
+
+// updateOwner applies an ownership unless a later one is known: the two watches that
+// deliver ownerships are not ordered. The caller holds m.mu.
+func (m *mirror) updateOwner(i platform.Item) error {
 	var o job.Ownership
 	err := json.Unmarshal(i.Value, &o)
 	if err == nil && o.Epoch > m.owner.Epoch {
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -156,6 +156,17 @@
 	}
 }
 
+// questionOwnership is called when an agent knows of a later owner. The store tells
+// whether there is one: an agent with a malformed epoch must not end every owner in turn.
+// While this entry is cut off from the store, the agent is taken at its word.
+func (s *Scheduler) questionOwnership() {
+	if s.storeOutage.CutOff() {
+		s.signalSuperseded()
+		return
+	}
+	s.requestOwnershipCheck()
+}
+
 // signalSuperseded tells the election goroutine that another entry has become
 // the owner.
 func (s *Scheduler) signalSuperseded() { process.Wake(s.superseded) }
@@ -199,6 +210,9 @@
 	if err := httpjson.Decode(x, &r); err != nil {
 		return err
 	}
+	if err := r.Validate(); err != nil {
+		return err
+	}
 	r.ReceivedAt = receivedAt
 	r.SharedPayloads = x.QueryParam(agent.SharedPayloadsParameter) != ""
 	timeout := reportTimeout
