Command evacuate: drains all workers of an availability zone in one change

Operators had to drain the workers of a zone one by one. The call PUT /api/zones/ZONE/draining, rosemarygap evacuate ZONE [--undo] [--wait] and a button on the workers page of the console change the list of draining workers for all workers that have announced themselves in the zone. A zone without a known worker is refused with unknown-reference and its name.

--- a/io/commandline/commandline.go
+++ b/io/commandline/commandline.go
@@ -38,6 +38,7 @@
 	Cancel    *CancelCommand    `arg:"subcommand:cancel" help:"cancel batch jobs"`
 	Jobs      *JobsCommand      `arg:"subcommand:jobs" help:"list batch jobs"`
 	Drain     *DrainCommand     `arg:"subcommand:drain" help:"stop placing batch work on a worker"`
+	Evacuate  *EvacuateCommand  `arg:"subcommand:evacuate" help:"stop placing batch work on all workers of an availability zone"`
 	Events    *EventsCommand    `arg:"subcommand:events" help:"show recent events"`
 }
 
--- a/io/commandline/options.go
+++ b/io/commandline/options.go
@@ -127,6 +127,14 @@
 	return firstError(c.Target.Check, c.WaitOptions.Check)
 }
 
+// Check implements Command.
+func (c *EvacuateCommand) Check() error {
+	if !operator.ValidName(c.Zone) {
+		return badSetting("ZONE", c.Zone)
+	}
+	return firstError(c.Target.Check, c.WaitOptions.Check)
+}
+
 // Check implements Command.
 func (c *EventsCommand) Check() error {
 	if c.Number < 0 || c.Number > maxEventNumber {
--- a/io/commandline/settings_test.go
+++ b/io/commandline/settings_test.go
@@ -45,6 +45,7 @@
 		{"apply x.json --entry 127.0.0.1:1 --revision -2", "--revision", "-2"},
 		{"apply x.json --entry 127.0.0.1:1 --wait-limit 0s", "--wait-limit", "0s"},
 		{"drain Worker --entry 127.0.0.1:1", "WORKER", "Worker"},
+		{"evacuate Kelowna --entry 127.0.0.1:1", "ZONE", "Kelowna"},
 		{"events --entry 127.0.0.1:1 --event 10000", "--event", "10000"},
 		{"events --entry 127.0.0.1:1 --after -1", "--after", "-1"},
 		{entry + "--lease-ttl 999ms", "--lease-ttl", "999ms"},
--- a/io/operator/console.go
+++ b/io/operator/console.go
@@ -91,6 +91,7 @@
 	e.POST("/jobs/cancel", s.postCancel, limitFormSize)
 	e.GET("/workers", s.showWorkers)
 	e.POST("/workers/drain", s.postDrain, limitFormSize)
+	e.POST("/workers/evacuate", s.postEvacuate, limitFormSize)
 	e.GET("/events", s.showEvents)
 	e.GET("/login", s.showLogin)
 	e.POST("/login", s.postLogin, limitFormSize)
--- a/io/operator/console_test.go
+++ b/io/operator/console_test.go
@@ -252,7 +252,7 @@
 	code, page := b.do("POST", "/config", form)
 	is.Equal(code, http.StatusUnauthorized)
 	is.Equal(formValues(t, page).Get(quotaField), "77") // the input is kept
-	for _, path := range []string{"/jobs", "/jobs/cancel", "/workers/drain"} {
+	for _, path := range []string{"/jobs", "/jobs/cancel", "/workers/drain", "/workers/evacuate"} {
 		code, _ = b.do("POST", path, url.Values{})
 		is.Equal(code, http.StatusUnauthorized)
 	}
--- a/io/operator/console_workers.go
+++ b/io/operator/console_workers.go
@@ -10,7 +10,8 @@
 // workersBody is the template data of the workers page.
 type workersBody struct {
 	Workers []entry.Worker
-	// ChangeID is the change id of the next drain. It makes the form
+	Zones   []zoneRow
+	// ChangeID is the change id of the next drain or evacuation. It makes the form
 	// idempotent: a form that is sent twice changes the configuration once.
 	ChangeID string
 }
@@ -23,5 +24,5 @@
 		r = errorResponse(err)
 	}
 	return s.render(c, page{Name: "workers", Refusal: r, Done: done,
-		Body: workersBody{rows, uuid.NewString()}})
+		Body: workersBody{rows, zonesOf(rows), uuid.NewString()}})
 }
--- a/io/operator/drain.go
+++ b/io/operator/drain.go
@@ -46,6 +46,12 @@
 // conflict. If a recent change of the worker has the change id of req,
 // setDraining returns the newest configuration without a further change.
 func (s *Server) setDraining(ctx context.Context, worker string, req DrainRequest) (accepted *core.AcceptedConfig, errResp *ErrorResponse) {
+	return s.drainWorkers(ctx, []string{worker}, req.changeIDFor(worker), req.Draining)
+}
+
+// drainWorkers starts or ends the draining of workers like setDraining, in one change
+// with the given change id.
+func (s *Server) drainWorkers(ctx context.Context, workers []string, changeID string, draining bool) (accepted *core.AcceptedConfig, errResp *ErrorResponse) {
 	for range maxDrainAttempts {
 		latest, err := readConfig(ctx, s.store, s.control.Snapshot().Config)
 		if err != nil {
@@ -54,10 +60,10 @@
 		if latest.config.Revision == 0 {
 			return nil, s.rejectChange(status.RetryIn(status.ErrNoConfiguration, configRetryDelay))
 		}
-		if latest.config.HasRecentChange(req.changeIDFor(worker)) {
+		if latest.config.HasRecentChange(changeID) {
 			return latest.config, nil
 		}
-		accepted, errResp = s.applyDraining(ctx, latest.config, worker, req)
+		accepted, errResp = s.applyDraining(ctx, latest.config, workers, changeID, draining)
 		if errResp == nil || !errors.Is(errResp.Err(), status.ErrConfigConflict) {
 			return accepted, errResp
 		}
@@ -66,12 +72,14 @@
 }
 
 // applyDraining makes one attempt to apply the change to the configuration base.
-func (s *Server) applyDraining(ctx context.Context, base *core.AcceptedConfig, worker string, req DrainRequest) (*core.AcceptedConfig, *ErrorResponse) {
+func (s *Server) applyDraining(ctx context.Context, base *core.AcceptedConfig, workers []string, changeID string, draining bool) (*core.AcceptedConfig, *ErrorResponse) {
 	d := base.Document
-	d.SetDraining(worker, req.Draining)
+	for _, worker := range workers {
+		d.SetDraining(worker, draining)
+	}
 	b, err := json.Marshal(d)
 	if err != nil {
 		return nil, s.rejectChange(errors.Wrap(err, "encode document"))
 	}
-	return s.applyChange(ctx, editRequest{base.Revision, req.changeIDFor(worker), b})
+	return s.applyChange(ctx, editRequest{base.Revision, changeID, b})
 }
--- a/io/operator/drain_test.go
+++ b/io/operator/drain_test.go
@@ -22,9 +22,9 @@
 	return []entry.Worker{{ID: "worker-1", Heard: true}, {ID: "worker-2", Heard: true}}, nil
 }
 
-// drainForms returns the values of the drain forms of the workers page, in the order
-// of the page.
-func drainForms(t *testing.T, page string) []url.Values {
+// formsWith returns the values of the forms of a page that have the given field, in the
+// order of the page.
+func formsWith(t *testing.T, page, field string) []url.Values {
 	var forms []url.Values
 	for _, e := range elements(t, page, "form", "input") {
 		switch {
@@ -34,7 +34,7 @@
 			forms[len(forms)-1].Set(e.attrs["name"], e.attrs["value"])
 		}
 	}
-	return slices.DeleteFunc(forms, func(f url.Values) bool { return !f.Has("draining") })
+	return slices.DeleteFunc(forms, func(f url.Values) bool { return !f.Has(field) })
 }
 
 // An operator drains one worker, returns to the same page with the back button of the
@@ -48,7 +48,7 @@
 	b.handler = NewServer(twoWorkerControl{ctl}, standin.NewStore(), hclog.NewNullLogger()).Handler()
 	is.Equal(len(ctl.config.Document.Draining), 0)
 	_, page := b.do("GET", "/workers", nil)
-	forms := drainForms(t, page)
+	forms := formsWith(t, page, "draining")
 	is.Equal(len(forms), 2)
 	for i, form := range forms {
 		is.Equal(form.Get("draining"), "true")
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -84,6 +84,7 @@
 	e.GET("/api/endpoints", s.listEndpoints)
 	e.GET("/api/workers", s.listWorkers)
 	e.PUT("/api/workers/:id/draining", s.putDraining, s.requireToken)
+	e.PUT("/api/zones/:zone/draining", s.putZoneDraining, s.requireToken)
 	e.GET("/api/jobs", s.listJobs)
 	e.POST("/api/jobs", s.submitJob, s.requireToken)
 	e.DELETE("/api/jobs/:id", s.cancelJob, s.requireToken)
--- a/io/standin/deployment/walk_test.go
+++ b/io/standin/deployment/walk_test.go
@@ -264,6 +264,7 @@
 
 	w.applyDuringOutage(is, file)
 	w.drainWorker(is)
+	w.evacuateZone(is)
 
 	// The command that follows the events must have printed all of these changes.
 	is.True(strings.Count(followed(), " config-accepted ") >= 5)
@@ -327,3 +328,21 @@
 	events := w.mustRun("events", "--all", "--job", row.ID)
 	is.True(strings.Contains(events, "job-accepted") && strings.Contains(events, "task-finished"))
 }
+
+// evacuateZone evacuates a zone, waits until nothing runs there, and ends the evacuation.
+// A zone without workers must be refused.
+func (w *walkthrough) evacuateZone(is *is.I) {
+	w.t.Helper()
+	code, _, stderr := w.run("evacuate", "nowhere")
+	is.Equal(code, process.ExitRefused)
+	is.True(strings.HasPrefix(stderr, `code=unknown-reference path="zone" value="nowhere"`))
+	code, out, stderr := w.run("evacuate", "kelowna", "--wait", "--wait-limit", "20s")
+	is.Equal(code, process.ExitOK)
+	is.True(strings.Contains(stderr, "progress zone=kelowna workers="))
+	var accepted operator.AcceptedConfig
+	is.NoErr(json.Unmarshal([]byte(out), &accepted))
+	is.True(len(accepted.Document.Draining) > 1)
+	accepted = operator.AcceptedConfig{}
+	is.NoErr(json.Unmarshal([]byte(w.mustRun("evacuate", "kelowna", "--undo")), &accepted))
+	is.True(len(accepted.Document.Draining) <= 1) // the worker of drainWorker may be in another zone
+}
