--- a/io/scheduler/control.go
+++ b/io/scheduler/control.go
@@ -78,7 +78,7 @@
 	journalRevision int64
 	// cancelled are the jobs whose cancellations prevented the write.
 	cancelled []string
-	err             error
+	err       error
 }
 
 // control is the state of the control goroutine, which schedules while this
