core/job, io/agent: a late removal from the roster is repaired

An agent whose worker left deletes its key until that is answered. A repetition could take effect after the next worker of the agent had got tasks; a successor of the owner then did not wait for this agent and started its tasks elsewhere while they ran. The agent stops repeating once another worker has sent a heartbeat, and the owner stores the key again. TestLateRemovalOfAgentIsRepaired failed before.

--- a/core/job/durable.go
+++ b/core/job/durable.go
@@ -58,7 +58,7 @@
 func (c *Cell) addAgentWrites(w *Writes, entries *int) {
 	for agent, row := range c.workers.All {
 		r := c.roster[agent]
-		if !r.durable && !r.writing && len(row.pending) > 0 && *entries > 0 {
+		if !r.durable && !r.writing && len(row.pending)+len(row.tasks) > 0 && *entries > 0 {
 			r.writing = true
 			c.removedAgents = slices.DeleteFunc(c.removedAgents, func(a string) bool { return a == agent })
 			c.roster[agent] = r
--- a/core/job/faults_test.go
+++ b/core/job/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -171,3 +172,25 @@
 	tc.is.True(tc.ensureTickets(&k, tc.now))
 	tc.is.True(!tc.ensureTickets(&k, woken))
 }
+
+// An agent removes itself from the stored roster when its worker has left. The removal can
+// take effect after the next worker of this agent got tasks, since it is repeated until
+// it is answered. The agent must be stored again: a successor would not wait for it, and
+// would start its tasks elsewhere while they run.
+func TestLateRemovalOfAgentIsRepaired(t *testing.T) {
+	tc, w := newClusterWithRun(t, step(1, 100))
+	agent := w.report.Agent
+	tc.is.True(tc.roster[agent].durable)
+	tc.AgentDeparted(agent)
+	tc.is.Equal(tc.commitWrites().AddedAgents, []string{agent})
+	tc.is.True(tc.roster[agent].durable)
+
+	// The agent of a worker that has left is not stored again.
+	left := w.report
+	left.Left = true
+	left.Running = nil
+	tc.Receive(&left, tc.now)
+	tc.Tick(tc.now)
+	tc.AgentDeparted(agent)
+	tc.is.True(!slices.Contains(tc.commitWrites().AddedAgents, agent))
+}
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -133,10 +133,16 @@
 }
 
 // AgentDeparted records that the agent removed itself from the stored roster,
-// which it does when its worker has left.
+// which it does when its worker has left. If the agent has a worker with tasks, the
+// removal was late, and the agent is stored again.
 func (c *Cell) AgentDeparted(agent string) {
 	if c.workers.Get(agent) == nil {
 		delete(c.roster, agent)
+		return
+	}
+	if r, ok := c.roster[agent]; ok {
+		r.durable = false
+		c.roster[agent] = r
 	}
 }
 
--- a/io/agent/owner.go
+++ b/io/agent/owner.go
@@ -250,7 +250,7 @@
 		return nil
 	case <-a.workerLeft:
 	}
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && a.state.hasLeft() {
 		callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 		_, _, err := a.store.Commit(callCtx, platform.Transaction{Deletes: []string{job.AgentKey(a.cfg.Name)}})
 		cancel()
@@ -259,7 +259,7 @@
 		}
 		process.Pause(ctx, retryPause, nil)
 	}
-	return nil
+	return waitForShutdown(ctx)
 }
 
 // waitForShutdown waits until ctx ends. An actor that has completed its work
--- a/io/agent/state.go
+++ b/io/agent/state.go
@@ -154,6 +154,14 @@
 	return true
 }
 
+// hasLeft reports whether the worker has announced its departure and no other worker has
+// sent a heartbeat since.
+func (s *state) hasLeft() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.left
+}
+
 // enterEpoch makes epoch the newest known epoch, after which orders of earlier
 // epochs are ignored. It reports whether the epoch is new.
 func (s *state) enterEpoch(epoch int64) bool {
