--- a/io/standin/fleet/ledger.go
+++ b/io/standin/fleet/ledger.go
@@ -33,6 +33,8 @@
 	// mayBeAccepted is true if a submission was accepted or has an unknown
 	// outcome.
 	mayBeAccepted bool
+	// told is the final state that a caller was told, or empty.
+	told job.State
 }
 
 // NewLedger returns an empty ledger.
@@ -83,12 +85,17 @@
 	}
 }
 
-// CheckState checks the state of a job that was returned to a caller. It expects
-// that every job can be completed, so the failed state is a violation.
+// CheckState checks the final state of a job that was returned to a caller, by a query or
+// by the answer to a cancellation. It expects that every job can be completed, so the
+// failed state is a violation. So is a second final state.
 func (l *Ledger) CheckState(id string, s job.State) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.jobs[id]
+	if r.told != "" && r.told != s {
+		l.addViolation("job %s is reported as %s after it was reported as %s", id, s, r.told)
+	}
+	r.told = s
 	switch {
 	case s == job.Done && !l.allDone(r):
 		l.addViolation("job %s is reported as done before all its tasks are done", id)
--- a/io/standin/fleet/ledger_test.go
+++ b/io/standin/fleet/ledger_test.go
@@ -38,6 +38,15 @@
 		"false done state":      func(l *Ledger) { l.CheckState("00000000000000aa", job.Done) },
 		"false cancelled state": func(l *Ledger) { l.CheckState("00000000000000aa", job.Cancelled) },
 		"false failed state":    func(l *Ledger) { l.CheckState("00000000000000aa", job.Failed) },
+		"done after acknowledged cancellation": func(l *Ledger) {
+			l.RecordCancellation("00000000000000aa", true)
+			l.CheckState("00000000000000aa", job.Cancelled)
+			for _, name := range []string{first, second} {
+				l.RecordStart("w", sampleStart(name), time.Now())
+				l.RecordEnd(name, job.EndDone, false)
+			}
+			l.CheckState("00000000000000aa", job.Done)
+		},
 		"start after cancellation": func(l *Ledger) {
 			l.RecordCancellation("00000000000000aa", true)
 			l.RecordStart("w", sampleStart(first), time.Now().Add(maxCancelDelay+time.Millisecond))
@@ -65,6 +74,7 @@
 		l.RecordEnd(name, job.EndDone, false)
 	}
 	l.CheckState(sampleJob().ID, job.Done)
+	l.CheckState(sampleJob().ID, job.Done)
 	l.CheckRefusals(map[string]bool{sampleJob().ID: true})
 	is.Equal(l.Violations(), nil)
 	is.Equal(l.Unfinished(map[string]bool{sampleJob().ID: true}), nil)
--- a/io/standin/fleet/soak_test.go
+++ b/io/standin/fleet/soak_test.go
@@ -225,8 +225,11 @@
 		if r.mix == silentWorkers {
 			time.Sleep(time.Duration(r.randIntN(1000)) * time.Millisecond)
 		}
-		code, _ := r.request(c, r.schedulers[r.randIntN(3)], http.MethodDelete, "/jobs/"+j.ID, nil)
+		code, b := r.request(c, r.schedulers[r.randIntN(3)], http.MethodDelete, "/jobs/"+j.ID, nil)
 		r.ledger.RecordCancellation(j.ID, code/100 == 2)
+		if s, err := platformtest.DecodeState(b); code == http.StatusOK && err == nil {
+			r.ledger.CheckState(j.ID, s)
+		}
 	}
 	for range 8 {
 		if !accepted || r.pollState(c, j.ID) {
