--- a/core/job/durable.go
+++ b/core/job/durable.go
@@ -33,9 +33,10 @@
 // limited number of entries.
 const (
 	progressEntries = 1
-	// finalEntries counts the write of the final state and the deletions of
-	// the job, its progress and its cancellation.
-	finalEntries = 4
+	// finalEntries counts the write of the final state, the deletions of the job,
+	// its progress and its cancellation, and the condition that there is no
+	// cancellation.
+	finalEntries = 5
 )
 
 // PendingWrites returns the changes to write now, which take at most the given
@@ -57,7 +58,7 @@
 func (c *Cell) addAgentWrites(w *Writes, entries *int) {
 	for agent, row := range c.workers.All {
 		r := c.roster[agent]
-		if !r.durable && !r.writing && len(row.pending) > 0 && *entries > 0 {
+		if !r.durable && !r.writing && len(row.pending)+len(row.tasks) > 0 && *entries > 0 {
 			r.writing = true
 			c.removedAgents = slices.DeleteFunc(c.removedAgents, func(a string) bool { return a == agent })
 			c.roster[agent] = r
