--- a/io/agent/evacuations.go
+++ b/io/agent/evacuations.go
@@ -39,10 +39,9 @@
 		// An owner of an earlier build does not tell.
 		z.update(now, false)
 	case r.EvacuationsAge == nil:
-		z.update(sentAt.Add(r.Held), false)
+		z.update(replyMadeAt(r, sentAt, now), false)
 	default:
-		// The reply was made at sentAt + Held or later.
-		z.update(sentAt.Add(r.Held-*r.EvacuationsAge), r.ZoneEvacuated)
+		z.update(replyMadeAt(r, sentAt, now).Add(-max(0, *r.EvacuationsAge)), r.ZoneEvacuated)
 	}
 }
 
--- a/io/agent/evacuations_test.go
+++ b/io/agent/evacuations_test.go
@@ -176,3 +176,19 @@
 		is.True(!a.worker.first(job.OrderStart, testTask(1)).IsZero())
 	})
 }
+
+// A reply with an impossible age must not make what the agent knows of its zone newer than
+// the reply, as an evacuation that follows would then go unnoticed.
+func TestZoneKnowledgeIsNotFromTheFuture(t *testing.T) {
+	is := is.New(t)
+	sentAt := time.Unix(1000, 0)
+	now := sentAt.Add(100 * time.Millisecond)
+	future, none := -time.Hour, time.Duration(0)
+	for _, f := range []job.Freshness{
+		{Held: time.Hour}, {Held: time.Hour, EvacuationsAge: &none}, {EvacuationsAge: &future},
+	} {
+		var z zoneKnowledge
+		z.apply(&f, sentAt, now)
+		is.True(!z.knownAt.After(now))
+	}
+}
--- a/io/agent/freshness.go
+++ b/io/agent/freshness.go
@@ -71,13 +71,17 @@
 	if r.Partial {
 		return
 	}
-	// The reply was made at this time or later. Values that no owner can mean must not
-	// make the knowledge newer than that.
-	madeAt := sentAt.Add(max(0, min(r.Held, now.Sub(sentAt))))
+	madeAt := replyMadeAt(r, sentAt, now)
 	f.ordersCompleteAt = job.Later(f.ordersCompleteAt, madeAt)
 	f.cancellationsKnownAt = job.Later(f.cancellationsKnownAt, madeAt.Add(-max(0, r.CancellationsAge)))
 }
 
+// replyMadeAt returns a time at or before which a reply to a report was made that was
+// sent at sentAt and received at now. A malformed r.Held must not make knowledge newer.
+func replyMadeAt(r *job.Freshness, sentAt, now time.Time) time.Time {
+	return sentAt.Add(max(0, min(r.Held, now.Sub(sentAt))))
+}
+
 // startPermission tells whether a start may be sent now.
 type startPermission int
 
