core/job: forecasts of the end of new jobs, and the decisions of admission

Jobs were never refused for lack of room, so wide best-effort jobs that arrived beyond all room were accepted and given up. The cell now forecasts when a new job of a queue would end, and Admission decides by the newest forecast whether an entry refuses a job, and after which time the caller may return.

A late job yields to jobs on time that arrive later, so the forecast divides the wait beyond the objective by the share of the rate that the inflow leaves.

--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -31,6 +31,9 @@
 	EventLate EventKind = "late"
 	// EventProbation is a failed run of a worker that is on probation.
 	EventProbation EventKind = "probation"
+	// EventRoomAfterRefusal is room for a queue soon after a forecast that refused its
+	// jobs; Task is the ID of the queue.
+	EventRoomAfterRefusal EventKind = "room-after-refusal"
 )
 
 // Event is a scheduling decision or an observed change, for the log.
@@ -46,6 +49,12 @@
 	// SinceAcceptance is the time from the acceptance of the job to its first
 	// start or to its end; it is 0 for other events.
 	SinceAcceptance time.Duration
+	// Forecast is true for the end of a job for which there was a forecast.
+	// ForecastError is by how much the end differs from it. TooLate is true if the
+	// job ended after lateFactor times its latency objective.
+	Forecast      bool
+	ForecastError time.Duration
+	TooLate       bool
 }
 
 // sinceAcceptance returns the time from the acceptance of a job to now. It is
@@ -111,7 +120,10 @@
 	if c.jobs.Get(j.ID) != nil || c.endedJobs[j.ID] {
 		return
 	}
-	c.add(j).acceptedThisEpoch = true
+	row := c.add(j)
+	row.acceptedThisEpoch = true
+	c.expectEnd(row, now)
+	c.observeInflow(row, now)
 	if c.earlyCancellations[j.ID] {
 		delete(c.earlyCancellations, j.ID)
 		c.Cancel(j.ID, now)
@@ -121,6 +133,7 @@
 func (c *Cell) add(j Job) *jobRow {
 	row := c.jobs.Put(j.ID, jobRow{Job: j, state: Queued, criticalPath: criticalPathOf(j.Steps), work: j.work()})
 	c.meanWork.observe(j.Queue, row.work)
+	c.forecaster.observe(row)
 	if j.Schedule.Times == 0 {
 		row.openOccurrence(0)
 		row.nextOccurrence = 1
@@ -188,7 +201,9 @@
 			c.stopTask(t, string(s), now)
 		}
 	}
-	c.events = append(c.events, Event{Kind: EventFinal, Task: j.ID, Reason: string(s), SinceAcceptance: sinceAcceptance(j, now)})
+	e := Event{Kind: EventFinal, Task: j.ID, Reason: string(s), SinceAcceptance: sinceAcceptance(j, now)}
+	c.compareEnd(&e, j, now)
+	c.events = append(c.events, e)
 }
 
 // startTask reserves capacity for a new run of t on w and orders its start.
@@ -343,6 +358,9 @@
 		expired = append(expired, agent)
 	}
 	for _, agent := range expired {
+		if w := c.workers.Get(agent); w != nil && !w.left {
+			c.forecaster.missing[agent] = true
+		}
 		c.workers.Delete(agent)
 		c.removeAgent(agent)
 	}
--- a/core/job/load_test.go
+++ b/core/job/load_test.go
@@ -115,6 +115,8 @@
 	// share is the share of their processors that best-effort tasks get, by
 	// agent.
 	share map[string]float64
+	// offer submits a generated job. By default, the job is accepted at once.
+	offer func(Job)
 }
 
 func newSim(t *testing.T, load *workload, seed uint64, options []Option) *sim {
@@ -126,6 +128,7 @@
 	}})
 	s := &sim{testCluster: tc, workload: load, rng: rand.New(rand.NewPCG(seed, 7)), begin: tc.now, jobs: map[string]*simJob{},
 		done: map[string]time.Time{}, failed: map[string]bool{}, progress: map[string]float64{}, share: map[string]float64{}}
+	s.offer = func(j Job) { s.Add(j, s.now) }
 	for i := range load.Workers {
 		tc.addWorker(fmt.Sprintf("agent-%02d", i))
 	}
@@ -164,7 +167,7 @@
 	}
 	criticalPath := time.Duration(st.Steps) * duration
 	s.jobs[id] = &simJob{st, float64(st.Steps*tasks*st.ProcessorsMilli) / 1000 * duration.Seconds(), s.now, criticalPath}
-	s.Add(j, s.now)
+	s.offer(j)
 }
 
 // advanceWorkers advances the tasks of each worker by a tick and delivers the
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -35,6 +35,7 @@
 		w = c.workers.Put(r.Agent, workerRow{agent: r.Agent, Worker: *r.Worker, process: r.Process, lastReport: now,
 			sequence: lastSequence(r, c.epoch), tasks: map[Task]*taskRow{}, servingTasks: map[servingJob]int{}, bestEffortByImage: usage{}})
 		c.logEvent(EventWorker, nil, w, "joined", now)
+		delete(c.forecaster.missing, r.Agent)
 	}
 	if r.Process < w.process && now.Sub(w.lastReport) < formerProcessWindow || w.supersedes(r) {
 		return false
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -141,6 +141,8 @@
 	// writing is true while the progress is being written; finalDurable is
 	// true once the final state is durable.
 	writing, finalDurable bool
+	// expectedEnd is when the forecast at the acceptance expected the end of the job.
+	expectedEnd time.Time
 }
 
 func (j *jobRow) occurrence(k int) *occurrenceRow {
@@ -320,6 +322,7 @@
 	meanWork      meanWork
 	interference  interferenceModel
 	policy        policy
+	forecaster    forecaster
 }
 
 // rosterRow is the state of an agent that may have received orders.
@@ -345,7 +348,7 @@
 func New(epoch int64, now time.Time, options ...Option) *Cell {
 	c := &Cell{epoch: epoch, ownedSince: now, queues: map[string]*Queue{},
 		jobs: table.New[string, jobRow](), workers: table.New[string, workerRow](),
-		roster: map[string]rosterRow{}, endedJobs: map[string]bool{}, earlyCancellations: map[string]bool{}, runTimeRatios: newRunTimeRatios(), meanWork: meanWork{}, interference: newInterferenceModel(),
+		roster: map[string]rosterRow{}, endedJobs: map[string]bool{}, earlyCancellations: map[string]bool{}, runTimeRatios: newRunTimeRatios(), meanWork: meanWork{}, interference: newInterferenceModel(), forecaster: newForecaster(),
 		policy: policy{compare: byTimelinessAndPriority, learns: true}}
 	for _, o := range options {
 		o(c)
--- a/core/status/codes.go
+++ b/core/status/codes.go
@@ -70,6 +70,13 @@
 	ErrCrossOrigin     = &Error{"cross-origin", http.StatusForbidden}
 )
 
+// Errors of admission: the job was not stored. ErrNoRoom means that the job would end
+// too late to have a value, ErrCannotBePlaced that no worker can run it.
+var (
+	ErrNoRoom         = &Error{"no-room", http.StatusTooManyRequests}
+	ErrCannotBePlaced = &Error{"cannot-be-placed", http.StatusTooManyRequests}
+)
+
 // All returns every sentinel error.
 func All() []*Error {
 	return []*Error{
@@ -86,5 +93,6 @@
 		ErrConfigInvalid, ErrCellsFixed, ErrNoConfiguration, ErrUnauthorized,
 		ErrWrongType, ErrDuplicateKey, ErrContradiction, ErrAboveCapacity,
 		ErrChangeIDReused, ErrCrossOrigin, ErrJobNotFinished, ErrConfigUnusable,
+		ErrNoRoom, ErrCannotBePlaced,
 	}
 }
