io/scheduler: refuse jobs by the owner's forecast (--admission=forecast)

The replies to notices carry the forecast of the owner, and an entry decides in submit before any call to the store.

That the mirror of an entry does not know a job proves nothing: the answer to an attempt at another entry may have been lost, or its write still be under way, which a read of the store would not show either.

Events 7043 and 7044, codes no-room and cannot-be-placed, three metrics.

--- a/core/event/job.go
+++ b/core/event/job.go
@@ -65,9 +65,17 @@
 	TasksThrottled = Event{7033, "tasks-throttled", hclog.Info,
 		[]string{"worker", "count", "throttle"},
 		"Best-effort tasks were limited to a share of their processors, in percent.", "None."}
+	ForecastIgnored = Event{7043, "forecast-ignored", hclog.Info,
+		[]string{"epoch", "age", "reason"},
+		"This entry ignored the owner's forecast of the end of new jobs, or its record of a queue that is gone, and accepts the jobs.",
+		"If the event lasts, compare the configuration revisions (7024) and the clocks of the entries."}
+	RoomAfterRefusal = Event{7044, "room-after-refusal", hclog.Info,
+		[]string{"queue", "epoch"},
+		"Within a second of a forecast that refuses jobs of the queue, the owner had room for them.",
+		"If the event repeats, compare rosemarygap_forecast_error_seconds with the latency objectives."}
 )
 
 var jobEvents = []Event{SubmissionAccepted, SubmissionRefused, CancellationAnswered, StateUnknown, RequestRelayed,
 	TaskDecided, WorkerDecided, OwnershipTaken, OwnershipLost, DependencyLost, DependencyRegained,
 	ConfigurationInForce, SettingsReloaded, MessageRefused, LogLinesDropped, OrderCarriedOut, WorkerSeen, OwnerFollowed,
-	TasksThrottled, CancellationsRead}
+	TasksThrottled, CancellationsRead, ForecastIgnored, RoomAfterRefusal}
--- a/core/job/admission.go
+++ b/core/job/admission.go
@@ -11,8 +11,8 @@
 
 // Limits of the decisions of an entry.
 const (
-	// maxForecastAge is how long an entry trusts a forecast.
-	maxForecastAge = 1500 * time.Millisecond
+	// MaxForecastAge is how long an entry trusts a forecast.
+	MaxForecastAge = 1500 * time.Millisecond
 	// refusalMargin is the share of the waiting time by which a job must still be too
 	// late to be refused: estimates are wrong by up to half.
 	refusalMargin = 0.75
@@ -71,7 +71,7 @@
 		return ErrForecastFuture
 	case f.Epoch < epoch, f.Epoch < a.epoch:
 		return ErrForecastEpoch
-	case Age(madeAt, now) > maxForecastAge:
+	case Age(madeAt, now) > MaxForecastAge:
 		return ErrForecastStale
 	case f.Epoch == a.epoch && madeAt.Before(a.madeAt):
 		// Replies may arrive in another order than they were sent.
@@ -97,6 +97,8 @@
 
 // Refusal is the refusal of a job.
 type Refusal struct {
+	// Epoch is that of the forecast.
+	Epoch int64
 	// Reason is status.ErrNoRoom or status.ErrCannotBePlaced with the forecast.
 	Reason error
 	// until is the time until the forecast would accept the job, and drain the time
@@ -107,11 +109,11 @@
 // Decide returns the refusal of a new job, or nil if the job is accepted. The newest
 // epoch that the entry knows is epoch.
 func (a *Admission) Decide(j *Job, q *Queue, epoch int64, now time.Time) *Refusal {
-	if a.queues == nil || a.epoch < epoch || Age(a.madeAt, now) > maxForecastAge || !isForecast(j) {
+	if a.queues == nil || a.epoch < epoch || Age(a.madeAt, now) > MaxForecastAge || !isForecast(j) {
 		return nil
 	}
 	if reason := a.misfit(j, q); reason != "" {
-		return &Refusal{Reason: status.At(status.ErrCannotBePlaced, "steps", reason), until: maxRetryAfter}
+		return &Refusal{Epoch: a.epoch, Reason: status.At(status.ErrCannotBePlaced, "steps", reason), until: maxRetryAfter}
 	}
 	f, ok := a.queues[hashName(q.ID())]
 	if !ok || f.bestEffort != j.Steps[0].BestEffort {
@@ -130,7 +132,7 @@
 	}
 	detail := fmt.Sprintf("wait %v, end after %v, objective %v, processors %.0f, age %v", wait.Round(waitUnit),
 		f.end(wait, criticalPath, objective).Round(waitUnit), objective.Round(waitUnit), f.rate, Age(a.madeAt, now).Round(time.Millisecond))
-	return &Refusal{status.At(status.ErrNoRoom, "forecast", detail), f.untilAccepted(wait, criticalPath, objective), f.drain(work)}
+	return &Refusal{a.epoch, status.At(status.ErrNoRoom, "forecast", detail), f.untilAccepted(wait, criticalPath, objective), f.drain(work)}
 }
 
 // runTime returns the expected run time of a job with the given critical path.
@@ -188,7 +190,7 @@
 		return
 	}
 	// Without forecasts, nothing else limits the list.
-	since := now.Add(-maxForecastAge - reportDelay)
+	since := now.Add(-MaxForecastAge - reportDelay)
 	a.accepted = slices.DeleteFunc(a.accepted, func(w acceptedWork) bool { return w.at.Before(since) })
 	a.accepted = append(a.accepted, acceptedWork{now, taskKind{q.Service, j.Steps[0].BestEffort}, q.Priority, j.work()})
 }
--- a/core/job/admission_test.go
+++ b/core/job/admission_test.go
@@ -42,10 +42,10 @@
 		refuse bool
 	}{
 		{"fresh", func(*Forecast) {}, 0, 3, nil, true},
-		{"old enough to be trusted", func(*Forecast) {}, maxForecastAge, 3, nil, true},
-		{"stale at the decision", func(*Forecast) {}, maxForecastAge + 1, 3, nil, false},
+		{"old enough to be trusted", func(*Forecast) {}, MaxForecastAge, 3, nil, true},
+		{"stale at the decision", func(*Forecast) {}, MaxForecastAge + 1, 3, nil, false},
 		{"the owner is replaced before the decision", func(*Forecast) {}, 0, 4, nil, false},
-		{"stale on arrival", func(f *Forecast) { f.Age = maxForecastAge + 1 }, 0, 3, ErrForecastStale, false},
+		{"stale on arrival", func(f *Forecast) { f.Age = MaxForecastAge + 1 }, 0, 3, ErrForecastStale, false},
 		{"from the future", func(f *Forecast) { f.Age = -1 }, 0, 3, ErrForecastFuture, false},
 		{"older epoch", func(f *Forecast) { f.Epoch = 2 }, 0, 3, ErrForecastEpoch, false},
 		{"no epoch", func(f *Forecast) { f.Epoch = 0 }, 0, 3, ErrForecastMalformed, false},
@@ -195,7 +195,7 @@
 // A forecast of 45 queues and the most shapes is not larger than 1 kB.
 func TestForecastSize(t *testing.T) {
 	is := is.New(t)
-	f := Forecast{Epoch: 1 << 30, Age: maxForecastAge - 1, Entries: 99}
+	f := Forecast{Epoch: 1 << 30, Age: MaxForecastAge - 1, Entries: 99}
 	for i := range maxQueues {
 		f.Queues = (&queueForecast{queue: hashName(fmt.Sprint(i)), bestEffort: true, wait: time.Hour, rate: 1e6, ratio: 100, lateShare: 1}).append(f.Queues)
 	}
@@ -247,6 +247,7 @@
 			for i := range o.reports {
 				o.report(i)
 			}
+			o.ConfirmOwnership(o.now)
 			for b.Loop() {
 				if _, ok := o.Forecast(o.now); !ok {
 					b.Fatal("no forecast")
--- a/core/job/forecast_cell.go
+++ b/core/job/forecast_cell.go
@@ -16,6 +16,10 @@
 	// new owner hears of its workers within a second, and a write to the store that
 	// an entry had begun under the earlier owner has taken effect or been given up.
 	minForecastEpochAge = 3 * time.Second
+	// maxForecastConfirmation is the age of the newest confirmation of the ownership
+	// above which there is no forecast: entries may follow another owner by then. The
+	// ownership is confirmed every 350 ms.
+	maxForecastConfirmation = time.Second
 	// minKnownEpochAge is the age of an ownership before it counts all its workers as
 	// known. A worker that is in no roster reports much sooner.
 	minKnownEpochAge = 30 * time.Second
@@ -277,7 +281,7 @@
 // Forecast returns the forecast for new jobs of each queue, and whether there is one.
 // It has no record of a queue in which no job has arrived in this epoch.
 func (c *Cell) Forecast(now time.Time) (Forecast, bool) {
-	if now.Sub(c.ownedSince) < minForecastEpochAge || c.cfg == nil {
+	if now.Sub(c.ownedSince) < minForecastEpochAge || Age(c.ownershipConfirmedAt, now) > maxForecastConfirmation || c.cfg == nil {
 		return Forecast{}, false
 	}
 	out := Forecast{Epoch: c.epoch, Entries: 1}
@@ -371,7 +375,7 @@
 // expectEnd records when the newest forecast expects the end of a new job.
 func (c *Cell) expectEnd(j *jobRow, now time.Time) {
 	f, ok := c.forecaster.newest[j.Queue]
-	if !ok || now.Sub(c.forecaster.madeAt) > maxForecastAge || !isForecast(&j.Job) || f.bestEffort != j.Steps[0].BestEffort {
+	if !ok || now.Sub(c.forecaster.madeAt) > MaxForecastAge || !isForecast(&j.Job) || f.bestEffort != j.Steps[0].BestEffort {
 		return
 	}
 	var objective time.Duration
--- a/core/metric/catalogue.go
+++ b/core/metric/catalogue.go
@@ -12,7 +12,7 @@
 }
 
 var platformMetrics = []Metric{
-	{"rosemarygap_submissions_total", []string{"outcome"}, "jobs submitted to this entry: `accepted` or the error code; `deadline-exceeded` means that the job may have been stored"},
+	{"rosemarygap_submissions_total", []string{"outcome"}, "jobs submitted to this entry: `accepted` or the error code; `deadline-exceeded` means that the job may have been stored, `no-room` and `cannot-be-placed` that it was refused by forecast"},
 	{"rosemarygap_submission_seconds", nil, "time from a submission's arrival to its response, as a histogram"},
 	{"rosemarygap_scheduler_epoch", nil, "epoch of this entry's ownership, 0 while it does not schedule; values above 0 at more than one entry for over 2 s indicate a network partition"},
 	{"rosemarygap_scheduler_live_jobs", nil, "number of jobs that have not ended; reported by the owner"},
@@ -28,6 +28,9 @@
 	{"rosemarygap_takeovers_total", nil, "number of times that this entry became the owner and started to schedule"},
 	{"rosemarygap_first_start_seconds", nil, "time from a job's acceptance to the order to start its first task, as a histogram; reported by the owner"},
 	{"rosemarygap_job_seconds", []string{"state"}, "time from a job's acceptance to its end, as a histogram; reported by the owner"},
+	{"rosemarygap_forecast_error_seconds", nil, "difference between the end of a job and the forecast at its acceptance, as a histogram; reported by the owner with --admission=forecast"},
+	{"rosemarygap_accepted_too_late_total", nil, "accepted jobs that ended after three times their latency objective, when their results had no value; reported by the owner with --admission=forecast"},
+	{"rosemarygap_refused_with_room_total", nil, "forecasts that refused jobs of a queue for which there was room within the next second; reported by the owner"},
 	{"rosemarygap_waiting_tasks", []string{"priority"}, "tasks that are ready to start but have not been started, by the priority of their queue; reported by the owner"},
 	{"rosemarygap_worker_report_age_seconds", []string{"worker"}, "age of the newest report from each worker, as seen by the owner; a worker gets no tasks while it is above 1.5 s"},
 	{"rosemarygap_platform_store_calls_total", []string{"call", "outcome"}, "calls of this process to the platform's store; the outcomes are `ok`, `conflict`, `refused`, `not-found`, `compacted`, `malformed` and `no-answer`"},
--- a/io/commandline/scheduler.go
+++ b/io/commandline/scheduler.go
@@ -50,11 +50,32 @@
 // SchedulerCommand runs the scheduler on an entry VM of the users' platform.
 type SchedulerCommand struct {
 	PlatformOptions
+	Admission string `arg:"--admission,env:ROSEMARYGAP_ADMISSION" default:"off" help:"which jobs are refused: off, or forecast for those that would end when their results have no value"`
+}
+
+// Values of --admission.
+const (
+	admissionOff      = "off"
+	admissionForecast = "forecast"
+)
+
+// Check returns an error for the first invalid setting.
+func (c *SchedulerCommand) Check() error {
+	if c.Admission != admissionOff && c.Admission != admissionForecast {
+		return badSetting("--admission", c.Admission)
+	}
+	return c.PlatformOptions.Check()
 }
 
 // Run runs the scheduler until it gets a stop signal. It logs to the standard
 // output.
-func (c *SchedulerCommand) Run(io.Writer) error { return c.runProcess("scheduler", scheduler.Run) }
+func (c *SchedulerCommand) Run(io.Writer) error {
+	var options []scheduler.Option
+	if c.Admission == admissionForecast {
+		options = append(options, scheduler.WithAdmission())
+	}
+	return c.runProcess("scheduler", scheduler.Run(options...))
+}
 
 // AgentCommand runs the node agent of a worker on the users' platform.
 type AgentCommand struct {
--- a/io/scheduler/caller.go
+++ b/io/scheduler/caller.go
@@ -106,6 +106,10 @@
 func (s *Scheduler) submit(r *request) error {
 	j, err := r.decodeJob()
 	if err == nil {
+		err = s.admit(r.ctx, &j)
+	}
+	if err == nil {
+		s.announce(j.ID)
 		_, err = s.storeOrRelay(r.ctx, &relayRequest{Job: &j})
 	}
 	if err != nil {
@@ -168,6 +172,7 @@
 	}
 	if err == nil {
 		s.mirror.recordAccepted(j, revision)
+		s.recordAdmitted(j)
 		s.notifyOwner(notice{ID: j.ID, Revision: revision, Job: mustJSON(j)})
 	}
 	return err
--- a/io/scheduler/control.go
+++ b/io/scheduler/control.go
@@ -109,6 +109,8 @@
 	journalNumber int64
 	commitResults chan commitResult
 	gauges        *ownerGauges
+	// forecastAt is when the last forecast was made.
+	forecastAt time.Time
 }
 
 func newControl(s *Scheduler) *control {
@@ -173,6 +175,7 @@
 			delete(c.longPolls, agent)
 		}
 	}
+	c.updateForecast(now)
 	c.startCommit(ctx, now)
 	c.requestTickets()
 	c.logEvents()
@@ -186,6 +189,11 @@
 func (c *control) logEvents() {
 	liveJobsGauge.Set(float64(c.cell.Len()))
 	for _, e := range c.cell.Events() {
+		if e.Kind == job.EventRoomAfterRefusal {
+			refusedWithRoom.Inc()
+			event.RoomAfterRefusal.Emit(c.log, event.Queue(e.Task), event.Epoch(c.cell.Epoch()))
+			continue
+		}
 		countDecision(e)
 		if e.Kind == job.EventWorker {
 			event.WorkerDecided.Emit(c.log, event.Worker(e.Worker), event.Decision(string(e.Kind)),
@@ -315,6 +323,9 @@
 		cell.SetConfiguration(cfg)
 	}
 	c.loadItems(cell, x, now)
+	if c.s.admission != nil {
+		c.s.admission.recordLoaded(x, now)
+	}
 	c.cell, c.loadedRevision, c.journalNumber, c.committing = cell, x.revision, 0, false
 	epochGauge.Set(float64(cell.Epoch()))
 	takeovers.Inc()
@@ -384,6 +395,9 @@
 	epochGauge.Set(0)
 	liveJobsGauge.Set(0)
 	c.gauges.clear()
+	if c.s.admission != nil {
+		c.s.admission.retract()
+	}
 	c.pendingReports = nil
 	c.cell, c.session, c.earlyChanges, c.notices = nil, nil, nil, nil
 }
--- a/io/scheduler/metrics.go
+++ b/io/scheduler/metrics.go
@@ -18,6 +18,9 @@
 	journalWriteFailures = metrics.NewCounter("rosemarygap_journal_write_failures_total")
 	takeovers            = metrics.NewCounter("rosemarygap_takeovers_total")
 	firstStartSeconds    = metrics.NewHistogram("rosemarygap_first_start_seconds")
+	forecastErrorSeconds = metrics.NewHistogram("rosemarygap_forecast_error_seconds")
+	acceptedTooLate      = metrics.NewCounter("rosemarygap_accepted_too_late_total")
+	refusedWithRoom      = metrics.NewCounter("rosemarygap_refused_with_room_total")
 )
 
 // gaugeInterval is the time between two updates of the owner's gauges. The
@@ -70,6 +73,12 @@
 		firstStartSeconds.Update(e.SinceAcceptance.Seconds())
 	case e.Kind == job.EventFinal:
 		metrics.GetOrCreateHistogram(fmt.Sprintf(`rosemarygap_job_seconds{state=%q}`, e.Reason)).Update(e.SinceAcceptance.Seconds())
+		if e.Forecast {
+			forecastErrorSeconds.Update(e.ForecastError.Seconds())
+		}
+		if e.TooLate {
+			acceptedTooLate.Inc()
+		}
 	}
 	reason := e.Reason
 	if e.Kind != job.EventEnd && e.Kind != job.EventStop && e.Kind != job.EventFinal {
--- a/io/scheduler/notice.go
+++ b/io/scheduler/notice.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"net/http"
 	"net/netip"
+	"net/url"
+	"strconv"
 	"time"
 
 	"rosemarygap/core/job"
@@ -56,10 +58,30 @@
 		defer cancel()
 		// The owner's watch delivers the change as well, so the loss of a
 		// notice only delays it.
-		s.noticeHealth.Observe(s.peerClient.Call(ctx, http.MethodPost, o.Address, noticePath, &n, nil))
+		_, err := s.postNotice(ctx, o, &n, false)
+		s.noticeHealth.Observe(err)
 	}()
 }
 
+// postNotice sends a notice or, with inquiry, an inquiry to the owner. With admission,
+// it takes over the forecast in the reply.
+func (s *Scheduler) postNotice(ctx context.Context, o job.Ownership, n *notice, inquiry bool) (noticeReply, error) {
+	var reply noticeReply
+	if s.admission == nil {
+		return reply, s.peerClient.Call(ctx, http.MethodPost, o.Address, noticePath, n, nil)
+	}
+	sentAt := time.Now()
+	query := url.Values{forecastParameter: {strconv.FormatBool(s.admission.needsForecast(sentAt))}}
+	if inquiry {
+		query.Set(inquiryParameter, "true")
+	}
+	err := s.peerClient.Call(ctx, http.MethodPost, o.Address, noticePath+"?"+query.Encode(), n, &reply)
+	if err == nil {
+		s.receiveForecast(reply.Forecast, sentAt)
+	}
+	return reply, err
+}
+
 // forwardNotice sends a notice to the control goroutine after noticeDelay.
 func (s *Scheduler) forwardNotice(n notice) {
 	n.receivedAt = time.Now()
@@ -82,11 +104,20 @@
 	if !s.mirror.isOwner.Load() {
 		return status.ErrNotOwner
 	}
-	if a, err := netip.ParseAddrPort(x.Request().RemoteAddr); err == nil {
-		s.recentPeers.record(netip.AddrPortFrom(a.Addr(), s.cfg.PeerPort))
+	from, err := netip.ParseAddrPort(x.Request().RemoteAddr)
+	if err == nil {
+		s.recentPeers.record(netip.AddrPortFrom(from.Addr(), s.cfg.PeerPort))
+	}
+	forecast := x.QueryParam(forecastParameter)
+	if s.admission == nil || forecast == "" {
+		s.forwardNotice(n)
+		return x.JSON(http.StatusOK, struct{}{})
+	}
+	if n.Revision > 0 {
+		s.forwardNotice(n)
 	}
-	s.forwardNotice(n)
-	return x.JSON(http.StatusOK, struct{}{})
+	reply := s.answerNotice(&n, from.Addr(), x.QueryParam(inquiryParameter) != "", forecast == strconv.FormatBool(true))
+	return x.JSON(http.StatusOK, &reply)
 }
 
 // queueNotice queues a notice, unless its change is known, and requests an
--- a/io/scheduler/relay.go
+++ b/io/scheduler/relay.go
@@ -191,6 +191,9 @@
 	if s.storeOutage.CutOff() {
 		return status.RetryIn(status.ErrStoreUnavailable, retryAfter)
 	}
+	if req.Job != nil {
+		s.announce(req.Job.ID)
+	}
 	ctx, cancel := context.WithTimeout(x.Request().Context(), req.Timeout)
 	defer cancel()
 	reply, err := s.carryOut(ctx, &req)
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -75,30 +75,43 @@
 	advisorRequests chan advisorRequest
 	// noticeHealth logs when notices cannot be delivered to the owner.
 	noticeHealth *process.Dependency
+	// admission is nil unless jobs are refused by forecast.
+	admission *admission
 }
 
 // New returns a scheduler with the given settings.
-func New(cfg platform.Settings, l hclog.Logger) *Scheduler {
+func New(cfg platform.Settings, l hclog.Logger, options ...Option) *Scheduler {
 	storeOutage := &outage.Detector{}
 	store := platform.NewStore(platform.NewHTTPClient(), cfg.StoreAddress, platform.WithObserver(func(c platform.StoreCall) {
 		process.CountStoreCall(c)
 		storeOutage.Observe(c.Answered(), time.Now())
 	}))
-	return &Scheduler{cfg: cfg, log: l, store: store, storeOutage: storeOutage, relayClient: httpjson.NewClient(relayTimeout, httpjson.WithDialTimeout(relayDialTimeout)), mirror: newMirror(l, store), processID: time.Now().UnixNano(),
+	s := &Scheduler{cfg: cfg, log: l, store: store, storeOutage: storeOutage, relayClient: httpjson.NewClient(relayTimeout, httpjson.WithDialTimeout(relayDialTimeout)), mirror: newMirror(l, store), processID: time.Now().UnixNano(),
 		reports: make(chan agentReport, maxMessageBatch), messages: make(chan any, maxMessageBatch),
 		superseded: make(chan struct{}, 1), stop: make(chan struct{}),
 		ownershipCheckRequests: make(chan struct{}, 1), peerClient: httpjson.NewClient(noticeTimeout),
 		noticeHealth:  process.NewDependency("owner", l),
 		advisor:       platform.NewAdvisor(platform.NewHTTPClient(), cfg.AdvisorAddress),
 		advisorHealth: process.NewDependency("advisor", l), advisorRequests: make(chan advisorRequest, maxAdvisorRequests)}
+	for _, o := range options {
+		o(s)
+	}
+	return s
+}
+
+// Run returns a function that runs the scheduler until a stop signal, together with the
+// given actors.
+func Run(options ...Option) func(platform.Settings, hclog.Logger, ...process.Actor) error {
+	return func(cfg platform.Settings, l hclog.Logger, actors ...process.Actor) error {
+		return New(cfg, l, options...).run(actors)
+	}
 }
 
-// Run runs the scheduler until a stop signal, together with the given actors.
-func Run(cfg platform.Settings, l hclog.Logger, actors ...process.Actor) error {
+func (s *Scheduler) run(actors []process.Actor) error {
+	cfg, l := s.cfg, s.log
 	if !cfg.CallerListen.IsValid() || !cfg.ReadinessListen.IsValid() {
 		return status.At(status.ErrBadSetting, "listen.front, listen.readiness", cfg.CallerListen.String()+", "+cfg.ReadinessListen.String())
 	}
-	s := New(cfg, l)
 	var g run.Group
 	process.AddActor(&g, s.awaitStop)
 	for _, server := range []struct {
