--- a/core/job/admission.go
+++ b/core/job/admission.go
@@ -80,13 +80,22 @@
 	a.epoch, a.madeAt, a.entries, a.queues, a.shapes = f.Epoch, madeAt, f.Entries, queues, shapes
 	since := madeAt.Add(-reportDelay)
 	a.accepted = slices.DeleteFunc(a.accepted, func(w acceptedWork) bool { return w.at.Before(since) })
-	gone := len(queues)
+	return a.matchQueues(cfg)
+}
+
+// matchQueues returns ErrForecastQueueGone if the forecast has a record of a queue that
+// cfg does not have. It drops a record that may be of two queues.
+func (a *Admission) matchQueues(cfg *Configuration) error {
+	matches := make(map[uint32]int, len(a.queues))
 	for i := range cfg.Queues {
-		if _, ok := queues[hashName(cfg.Queues[i].ID())]; ok {
-			gone--
+		h := hashName(cfg.Queues[i].ID())
+		if _, ok := a.queues[h]; ok {
+			matches[h]++
 		}
 	}
-	if gone > 0 {
+	gone := len(matches) < len(a.queues)
+	maps.DeleteFunc(a.queues, func(h uint32, _ queueForecast) bool { return matches[h] > 1 })
+	if gone {
 		return ErrForecastQueueGone
 	}
 	return nil
--- a/core/job/admission_test.go
+++ b/core/job/admission_test.go
@@ -57,12 +57,24 @@
 			is := is.New(t)
 			a, f, j := NewAdmission(), fullForecast(), wideJob(1)
 			c.change(&f)
-			is.True(errors.Is(a.Receive(&f, now, now, 3, cfg), c.err) || c.err == nil)
+			err := a.Receive(&f, now, now, 3, cfg)
+			is.True(errors.Is(err, c.err))
+			is.Equal(err == nil, c.err == nil)
 			is.Equal(a.Decide(&j, &admissionQueue, c.epoch, now.Add(c.later)) != nil, c.refuse)
 		})
 	}
 }
 
+// A record whose hash is that of two queues must refuse nothing, as it may be of the
+// other queue.
+func TestQueuesWithTheSameHash(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	a, f, j := NewAdmission(), fullForecast(), wideJob(1)
+	is.NoErr(a.Receive(&f, now, now, 3, &Configuration{Queues: []Queue{admissionQueue, admissionQueue}}))
+	is.Equal(a.Decide(&j, &admissionQueue, 3, now), nil)
+}
+
 // Long-running and scheduled jobs, jobs of another kind than that of the forecast, and
 // jobs without an objective are never refused for lack of room.
 func TestJobsThatAreNotRefused(t *testing.T) {
--- a/io/scheduler/admission_test.go
+++ b/io/scheduler/admission_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -17,13 +18,14 @@
 	"rosemarygap/platform"
 	"rosemarygap/platform/platformtest"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
 )
 
 var wideStep = job.Step{Tasks: 20, Need: job.Resources{Processors: 7000, Memory: 1}, Estimate: 2 * time.Second, BestEffort: true}
 
 // crowdedCell returns a cell whose forecast refuses jobs of wideStep.
-func crowdedCell(t *testing.T, epoch int64, now time.Time) *job.Cell {
+func crowdedCell(epoch int64, now time.Time) *job.Cell {
 	c := job.New(epoch, now.Add(-time.Minute))
 	c.SetConfiguration(admissionConfiguration())
 	c.Receive(&job.Report{Agent: "agent", Process: 1, Epoch: epoch, Listed: true, Clock: time.Second,
@@ -47,7 +49,7 @@
 	storeCalls atomic.Int64
 }
 
-func newAdmissionTest(t *testing.T) *admissionTest {
+func newAdmissionTest(t testing.TB) *admissionTest {
 	x := &admissionTest{relayTest: newRelayTest(t)}
 	inner := x.entryStore.handler
 	x.entryStore.handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -61,13 +63,17 @@
 	x.owner.mirror.isOwner.Store(true)
 	x.publish(t, time.Now())
 	_, err := x.entry.postNotice(t.Context(), x.entry.mirror.owner, &notice{ID: "00000000000000ff"}, false)
-	is.New(t).NoErr(err)
+	if err != nil {
+		t.Fatal(err)
+	}
 	return x
 }
 
-func (x *admissionTest) publish(t *testing.T, now time.Time) {
-	f, ok := crowdedCell(t, 1, now).Forecast(now)
-	is.New(t).True(ok)
+func (x *admissionTest) publish(t testing.TB, now time.Time) {
+	f, ok := crowdedCell(1, now).Forecast(now)
+	if !ok {
+		t.Fatal("the cell has no forecast")
+	}
 	x.owner.admission.publish(&f, now)
 }
 
@@ -82,7 +88,10 @@
 func TestRefusalByForecast(t *testing.T) {
 	is := is.New(t)
 	x := newAdmissionTest(t)
+	var log bytes.Buffer
+	x.entry.log = hclog.New(&hclog.LoggerOptions{Output: &log})
 	w := x.submit(wideBody)
+	is.True(strings.Contains(log.String(), "event=7002") && strings.Contains(log.String(), "no-room: forecast=wait"))
 	is.Equal(w.Code, http.StatusTooManyRequests)
 	is.True(strings.Contains(w.Body.String(), "no-room"))
 	after, err := strconv.Atoi(w.Header().Get("Retry-After"))
@@ -238,3 +247,19 @@
 		is.Equal(strings.Contains(string(b), "forecast"), asked)
 	}
 }
+
+// BenchmarkRefusal measures a refusal with the inquiry at the owner, over loopback.
+func BenchmarkRefusal(b *testing.B) {
+	x := newAdmissionTest(b)
+	for i := 0; b.Loop(); i++ {
+		if i%1000 == 0 {
+			b.StopTimer()
+			x.publish(b, time.Now())
+			x.entry.receiveForecast(x.owner.admission.forecast(time.Now()), time.Now())
+			b.StartTimer()
+		}
+		if w := x.submit(wideBody); w.Code != http.StatusTooManyRequests {
+			b.Fatal(w.Code, w.Body)
+		}
+	}
+}
--- a/io/scheduler/caller_test.go
+++ b/io/scheduler/caller_test.go
@@ -36,7 +36,7 @@
 
 // newTestScheduler returns a scheduler with one queue, whose store is served by
 // h, and the handler of the scheduler for client accounts.
-func newTestScheduler(t *testing.T, h http.Handler) (*Scheduler, http.Handler) {
+func newTestScheduler(t testing.TB, h http.Handler) (*Scheduler, http.Handler) {
 	server := httptest.NewServer(h)
 	t.Cleanup(server.Close)
 	cfg := platform.Settings{Name: "entry", IP: netip.MustParseAddr("127.0.0.1"), CPUShare: 1,
--- a/io/scheduler/relay_test.go
+++ b/io/scheduler/relay_test.go
@@ -61,7 +61,7 @@
 	ownerServerAddress netip.AddrPort
 }
 
-func newRelayTest(t *testing.T) *relayTest {
+func newRelayTest(t testing.TB) *relayTest {
 	x := &relayTest{store: fleet.NewStore()}
 	x.entryStore = &cutStore{handler: platformtest.StoreHandler(x.store)}
 	x.ownerStore = &cutStore{handler: platformtest.StoreHandler(x.store)}
