core/job: test that admission refuses nothing where there is room

TestNoRefusalWithRoom runs three recorded loads with slow workers, failing workers and serving tasks. docs/design/admission.md has the figures of a load with small and large jobs, in which admission costs 10 of 263 jobs on time.

--- a/core/job/admission_load_test.go
+++ b/core/job/admission_load_test.go
@@ -37,6 +37,8 @@
 	refused  map[string]*simCaller
 	accepted map[string]time.Time
 	errors   []time.Duration
+	// refusals counts the refusals, also of jobs that were accepted later.
+	refusals int
 }
 
 func newAdmissionSim(t *testing.T, load *workload, seed uint64) *admissionSim {
@@ -61,6 +63,7 @@
 		delete(s.refused, c.job.ID)
 		return
 	}
+	s.refusals++
 	s.refused[c.job.ID] = c
 	after := e.RecordRefused(r, c.job.ID, q, s.now)
 	if after < minRetryAfter || after > maxRetryAfter {
@@ -210,3 +213,13 @@
 	r.refused += o.refused
 	r.known = append(r.known, o.known...)
 }
+
+// Where there is room, no job may be refused, also while workers are slow or fail.
+func TestNoRefusalWithRoom(t *testing.T) {
+	t.Parallel()
+	for _, name := range []string{"slow-workers", "workers-that-fail-all", "builds-that-harm-feeds"} {
+		s := newAdmissionSim(t, readWorkload(t, "testdata/load/"+name+".json"), loadSeeds[0])
+		s.run()
+		is.New(t).Equal(s.refusals, 0)
+	}
+}
--- a/core/job/forecast.go
+++ b/core/job/forecast.go
@@ -91,16 +91,16 @@
 	return uint16(math.Round(min(max(v, least), most)))
 }
 
-func (q *queueForecast) append(b []byte) []byte {
-	rate := saturate(q.rate, 1, bestEffortBit-1)
-	if q.bestEffort {
+func (f *queueForecast) append(b []byte) []byte {
+	rate := saturate(f.rate, 1, bestEffortBit-1)
+	if f.bestEffort {
 		rate |= bestEffortBit
 	}
-	b = binary.BigEndian.AppendUint32(b, q.queue)
-	b = binary.BigEndian.AppendUint16(b, saturate(float64(q.wait)/float64(waitUnit), 0, math.MaxUint16))
+	b = binary.BigEndian.AppendUint32(b, f.queue)
+	b = binary.BigEndian.AppendUint16(b, saturate(float64(f.wait)/float64(waitUnit), 0, math.MaxUint16))
 	b = binary.BigEndian.AppendUint16(b, rate)
-	b = binary.BigEndian.AppendUint16(b, saturate(q.ratio*permille, 1, math.MaxUint16))
-	return binary.BigEndian.AppendUint16(b, saturate(q.lateShare*permille, minLateShare*permille, permille))
+	b = binary.BigEndian.AppendUint16(b, saturate(f.ratio*permille, 1, math.MaxUint16))
+	return binary.BigEndian.AppendUint16(b, saturate(f.lateShare*permille, minLateShare*permille, permille))
 }
 
 func decodeQueueForecast(b []byte) (queueForecast, error) {
