io/standin/fleet: a refusal by forecast with real processes

TestWayOfARefusalByForecast submits jobs beyond all room at two entries until both refuse, finds 7002 with the forecast, and that the refused jobs are unknown afterwards.

--- a/io/standin/fleet/diagnosis_test.go
+++ b/io/standin/fleet/diagnosis_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"os/exec"
@@ -111,6 +112,40 @@
 	requireInOrder(t, r.story(j.ID), "scheduler-1 submission-refused event=7002 reason=status 503 refused without effect")
 }
 
+// TestWayOfARefusalByForecast diagnoses a submission that is refused because the job
+// would end too late, at both entries. The refused jobs must be unknown afterwards.
+func TestWayOfARefusalByForecast(t *testing.T) {
+	t.Setenv("ROSEMARYGAP_ADMISSION", "forecast")
+	r := newTestRun(t, 60008, 2, 1)
+	c := &http.Client{}
+	defer c.CloseIdleConnections()
+	r.awaitReady(c)
+	refused := map[*process]string{}
+	for n, end := 0, time.Now().Add(20*time.Second); len(refused) < 2 && time.Now().Before(end); n++ {
+		p := r.schedulers[n%2]
+		j := oneStepJob(fmt.Sprintf("%016x", 0xb00+n), 40, "ms=500")
+		switch code := r.submit(c, p, j); code {
+		case http.StatusOK:
+		case http.StatusTooManyRequests:
+			refused[p] = j.ID
+		default:
+			t.Fatalf("submission: status %d, want 200 or 429", code)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if len(refused) < 2 {
+		t.Fatalf("%d entries refused a job, want 2", len(refused))
+	}
+	for p, id := range refused {
+		requireInOrder(t, r.story(id), p.name+" submission-refused event=7002 reason=no-room: forecast=wait")
+		for _, q := range r.schedulers {
+			if code, _ := r.request(c, q, http.MethodGet, "/jobs/"+id, nil); code != http.StatusGone {
+				t.Errorf("%s: status %d for the refused job, want 410", q.name, code)
+			}
+		}
+	}
+}
+
 // TestWayOfALateJob diagnoses a job that is late because the tasks on one worker make
 // no progress.
 func TestWayOfALateJob(t *testing.T) {
