--- a/io/scheduler/control.go
+++ b/io/scheduler/control.go
@@ -114,6 +114,8 @@
 	journalNumber int64
 	commitResults chan commitResult
 	gauges        *ownerGauges
+	// forecastAt is when the last forecast was made.
+	forecastAt time.Time
 }
 
 func newControl(s *Scheduler) *control {
@@ -178,6 +180,7 @@
 			delete(c.longPolls, agent)
 		}
 	}
+	c.updateForecast(now)
 	c.startCommit(ctx, now)
 	c.requestTickets()
 	c.logEvents()
@@ -198,6 +201,10 @@
 		case job.EventZoneReopened:
 			event.ZoneReopened.Emit(c.log, event.Zone(e.Zone), event.Count(e.Count), event.Epoch(c.cell.Epoch()))
 			continue
+		case job.EventRoomAfterRefusal:
+			refusedWithRoom.Inc()
+			event.RoomAfterRefusal.Emit(c.log, event.Queue(e.Task), event.Epoch(c.cell.Epoch()))
+			continue
 		}
 		countDecision(e)
 		if e.Kind == job.EventWorker {
@@ -342,6 +349,9 @@
 		cell.SetConfiguration(cfg)
 	}
 	c.loadItems(cell, x, now)
+	if c.s.admission != nil {
+		c.s.admission.recordLoaded(x, now)
+	}
 	c.cell, c.loadedRevision, c.journalNumber, c.committing = cell, x.revision, 0, false
 	epochGauge.Set(float64(cell.Epoch()))
 	takeovers.Inc()
@@ -423,6 +433,9 @@
 	epochGauge.Set(0)
 	liveJobsGauge.Set(0)
 	c.gauges.clear()
+	if c.s.admission != nil {
+		c.s.admission.retract()
+	}
 	c.pendingReports = nil
 	c.cell, c.session, c.earlyChanges, c.earlyEvacuations, c.notices = nil, nil, nil, nil, nil
 }
