core/job: a forecast expects an overload to end

Cause: the forecast let late jobs wait as if the overload of the last 10 s went on for ever.

Change: an overload is expected to go on for twice as long as it has lasted.

--- a/core/job/admission.go
+++ b/core/job/admission.go
@@ -159,11 +159,29 @@
 func (f *queueForecast) end(wait, criticalPath, objective time.Duration) time.Duration {
 	run := f.runTime(criticalPath)
 	if inTime := max(0, objective-run); objective > 0 && wait > inTime {
-		wait = inTime + time.Duration(float64(wait-inTime)/f.lateShare)
+		wait = inTime + f.lateWait(wait-inTime)
 	}
 	return wait + run
 }
 
+// lateWait returns the time in which a late job waits for work that drains in d at the
+// whole rate.
+func (f *queueForecast) lateWait(d time.Duration) time.Duration {
+	if yielded := time.Duration(float64(f.overload) * f.lateShare); d > yielded {
+		return f.overload + d - yielded
+	}
+	return time.Duration(float64(d) / f.lateShare)
+}
+
+// drainedInLateWait returns for how much work, as the time that it takes at the whole
+// rate, a late job has waited after d. It is the inverse of lateWait.
+func (f *queueForecast) drainedInLateWait(d time.Duration) time.Duration {
+	if d > f.overload {
+		return d - f.overload + time.Duration(float64(f.overload)*f.lateShare)
+	}
+	return time.Duration(float64(d) * f.lateShare)
+}
+
 // refuses reports whether a job would end after lateFactor times its objective even
 // if it waited for a quarter less than forecast. A job without an objective, and one
 // for which there is room, is not refused.
@@ -176,7 +194,7 @@
 func (f *queueForecast) untilAccepted(wait, criticalPath, objective time.Duration) time.Duration {
 	run := f.runTime(criticalPath)
 	inTime := max(0, objective-run)
-	longest := inTime + time.Duration(float64(max(0, lateFactor*objective-run-inTime))*f.lateShare)
+	longest := inTime + f.drainedInLateWait(max(0, lateFactor*objective-run-inTime))
 	return wait - time.Duration(float64(longest)/refusalMargin)
 }
 
--- a/core/job/forecast.go
+++ b/core/job/forecast.go
@@ -47,6 +47,9 @@
 	// lateShare is the share of the rate that jobs of the queue get once they are
 	// late. They yield to jobs on time that arrive later.
 	lateShare float64
+	// overload is how much longer lateShare is expected to apply: as long as more work
+	// has arrived than drains. Afterwards, late jobs get the whole rate.
+	overload time.Duration
 }
 
 // workerShape describes the workers of a service with the same capacity.
@@ -67,11 +70,14 @@
 	shapeRecord = 28
 	maxQueues   = 45
 	maxShapes   = 5
-	// waitUnit is the unit of the encoded wait, which is at most 655 s.
-	waitUnit = 10 * time.Millisecond
+	// waitUnit is the unit of the encoded wait, which is at most 655 s, and
+	// overloadUnit that of the encoded duration of an overload, at most 63 s.
+	waitUnit     = 10 * time.Millisecond
+	overloadUnit = 250 * time.Millisecond
 	// bestEffortBit marks a rate of best-effort tasks.
 	bestEffortBit = 1 << 15
 	permille      = 1000
+	percent       = 100
 	// minLateShare bounds the wait of late jobs.
 	minLateShare = 0.01
 	labelBits    = 64
@@ -100,7 +106,8 @@
 	b = binary.BigEndian.AppendUint16(b, saturate(float64(f.wait)/float64(waitUnit), 0, math.MaxUint16))
 	b = binary.BigEndian.AppendUint16(b, rate)
 	b = binary.BigEndian.AppendUint16(b, saturate(f.ratio*permille, 1, math.MaxUint16))
-	return binary.BigEndian.AppendUint16(b, saturate(f.lateShare*permille, minLateShare*permille, permille))
+	return append(b, byte(saturate(f.lateShare*percent, minLateShare*percent, percent)),
+		byte(saturate(float64(f.overload)/float64(overloadUnit), 0, math.MaxUint8)))
 }
 
 func decodeQueueForecast(b []byte) (queueForecast, error) {
@@ -108,7 +115,7 @@
 	q := queueForecast{queue: binary.BigEndian.Uint32(b), bestEffort: rate&bestEffortBit != 0,
 		wait: time.Duration(binary.BigEndian.Uint16(b[4:])) * waitUnit,
 		rate: float64(rate &^ bestEffortBit), ratio: float64(binary.BigEndian.Uint16(b[8:])) / permille,
-		lateShare: float64(binary.BigEndian.Uint16(b[10:])) / permille}
+		lateShare: float64(b[10]) / percent, overload: time.Duration(b[11]) * overloadUnit}
 	if q.rate == 0 || q.ratio == 0 || q.lateShare < minLateShare || q.lateShare > 1 {
 		return q, errors.WithMessage(ErrForecastMalformed, "rate, ratio or share out of range")
 	}
--- a/core/job/forecast_cell.go
+++ b/core/job/forecast_cell.go
@@ -32,6 +32,12 @@
 	// rateWeight is the weight of a new sample in the moving average of a rate, which
 	// covers about the last second.
 	rateWeight = 0.2
+	// maxOverloadShare is the share of the rate that is left for late jobs below which
+	// a queue is overloaded.
+	maxOverloadShare = 0.1
+	// overloadOutlook is how many times longer an overload is expected to go on than it
+	// has lasted.
+	overloadOutlook = 2
 	// inflowTime is the time over which the inflow of work is averaged, with
 	// exponential decay. It covers several arrivals of wide jobs.
 	inflowTime = 10 * time.Second
@@ -57,13 +63,15 @@
 	rates map[taskKind]float64
 	// inflow is the expected work of the jobs that arrived.
 	inflow map[usedBy]*decayingSum
+	// overloadedSince is when the overload of a queue began.
+	overloadedSince map[string]time.Time
 	// missing are the agents whose leases have expired in this epoch.
 	missing map[string]bool
 }
 
 func newForecaster() forecaster {
 	return forecaster{arrivals: map[string]*arrivals{}, newest: map[string]queueForecast{},
-		refusedAt: map[string]time.Time{}, rates: map[taskKind]float64{}, inflow: map[usedBy]*decayingSum{}, missing: map[string]bool{}}
+		refusedAt: map[string]time.Time{}, rates: map[taskKind]float64{}, inflow: map[usedBy]*decayingSum{}, overloadedSince: map[string]time.Time{}, missing: map[string]bool{}}
 }
 
 // observe adds a new job.
@@ -108,6 +116,22 @@
 	s.sum += j.work * c.ratio(j.Queue)
 }
 
+// overload returns how much longer the queue is expected to be overloaded. An overload
+// is expected to go on for overloadOutlook times as long as it has lasted: a burst ends
+// soon, and what lasts for long goes on.
+func (f *forecaster) overload(queue string, lateShare float64, now time.Time) time.Duration {
+	if lateShare > maxOverloadShare {
+		delete(f.overloadedSince, queue)
+		return 0
+	}
+	since, ok := f.overloadedSince[queue]
+	if !ok {
+		since = now
+		f.overloadedSince[queue] = now
+	}
+	return overloadOutlook * now.Sub(since)
+}
+
 // isForecast reports whether forecasts apply to j: long-running and scheduled jobs
 // are not refused.
 func isForecast(j *Job) bool {
@@ -247,6 +271,7 @@
 		out.lateShare = 1 - s.decay(now)/inflowTime.Seconds()/out.rate
 	}
 	out.lateShare = min(max(out.lateShare, minLateShare), 1)
+	out.overload = c.forecaster.overload(q.ID(), out.lateShare, now)
 	arriving := candidate{job: &jobRow{Job: Job{Queue: q.ID(), Accepted: now}}, occ: &occurrenceRow{}, queue: q,
 		deadline: now.Add(q.objective(a.criticalPath)), density: 1 / max(c.meanWork[q.ID()], minRemainingWork)}
 	ahead, hasReady := 0.0, false
