core/peer: an entry without an id is not taken into the roster

A row or a message of another entry without an id became a member that never leaves and never answers, so that no entry got its full share of the slots again. TestMalformedAnnouncementsOfPeersAreIgnored failed before.

--- a/core/peer/roster.go
+++ b/core/peer/roster.go
@@ -128,7 +128,7 @@
 // set of entries changed. The row's age counts from sentAt. A higher incarnation
 // takes precedence, then a higher store revision.
 func (r *Roster) Merge(received RosterRow, sentAt, now time.Time) bool {
-	if received.Member.ID == r.self.ID {
+	if received.Member.ID == r.self.ID || received.Member.ID == "" {
 		return false
 	}
 	lastSeen := sentAt.Add(-max(0, received.Age.Std()))
--- a/io/entry/malformed_test.go
+++ b/io/entry/malformed_test.go
@@ -61,4 +61,5 @@
 	_, announcedAt, ok := c.endpoints.Latest(good.ID)
 	is.True(ok && !announcedAt.After(now))
 	is.True(c.announcedWorkers.Get("") == nil)
+	is.Equal(len(c.peering.roster.Peers()), 0) // an entry without an id would hold a share of all slots
 }
