io/standin/fleet: the ledger checks the count of waiting jobs after the faults

Nothing in the soak noticed jobs that had ended and still counted as waiting. Once the faults are over, each scheduler's count may have no more jobs than may wait. The case 'ended job counts as waiting' of TestLedgerReportsEachViolation fails without the check.

--- a/io/standin/fleet/ledger.go
+++ b/io/standin/fleet/ledger.go
@@ -106,6 +106,25 @@
 	}
 }
 
+// CheckPending checks the number of waiting jobs that a scheduler returned to a caller, and
+// reports whether it can be true: no more jobs can wait than may have been accepted and
+// have not ended for any caller. If last is true, a false number is a violation; before,
+// it may be out of date.
+func (l *Ledger) CheckPending(scheduler string, n int, last bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	most := 0
+	for _, r := range l.jobs {
+		if r.mayBeAccepted && r.told == "" {
+			most++
+		}
+	}
+	if n > most && last {
+		l.addViolation("scheduler %s counts %d waiting jobs, but at most %d can wait", scheduler, n, most)
+	}
+	return n <= most
+}
+
 func (l *Ledger) allDone(r *jobRecord) bool {
 	for i := range r.job.Steps {
 		for n := range r.job.Steps[i].Tasks {
--- a/io/standin/fleet/ledger_test.go
+++ b/io/standin/fleet/ledger_test.go
@@ -47,6 +47,16 @@
 			}
 			l.CheckState("00000000000000aa", job.Done)
 		},
+		"ended job counts as waiting": func(l *Ledger) {
+			l.RecordResponse("00000000000000aa", true, false)
+			l.RecordCancellation("00000000000000aa", true)
+			l.CheckPending("s", 1, true)
+			is.New(t).Equal(l.Violations(), nil) // the job may wait until its end is told
+			l.CheckState("00000000000000aa", job.Cancelled)
+			l.CheckPending("s", 1, false)
+			is.New(t).Equal(l.Violations(), nil) // the count may be out of date
+			l.CheckPending("s", 1, true)
+		},
 		"start after cancellation": func(l *Ledger) {
 			l.RecordCancellation("00000000000000aa", true)
 			l.RecordStart("w", sampleStart(first), time.Now().Add(maxCancelDelay+time.Millisecond))
--- a/io/standin/fleet/soak_test.go
+++ b/io/standin/fleet/soak_test.go
@@ -359,6 +359,7 @@
 		}
 	}
 	r.ledger.CheckRefusals(started)
+	r.checkPending()
 	for end := time.Now().Add(runOnTimeout); time.Now().Before(end) && len(r.ledger.ActiveCancelled()) > 0; time.Sleep(100 * time.Millisecond) {
 	}
 	for _, task := range r.ledger.ActiveCancelled() {
@@ -378,6 +379,29 @@
 	}
 }
 
+// pendingTimeout is how long the count of waiting jobs may be out of date without faults.
+const pendingTimeout = 3 * time.Second
+
+// checkPending checks the count of waiting jobs of each scheduler after the faults.
+func (r *testRun) checkPending() {
+	c := &http.Client{}
+	defer c.CloseIdleConnections()
+	for _, p := range r.schedulers {
+		for end := time.Now().Add(pendingTimeout); ; time.Sleep(100 * time.Millisecond) {
+			last := time.Now().After(end)
+			code, b := r.request(c, p, http.MethodGet, "/jobs/", nil)
+			n, err := platformtest.DecodePending(b)
+			if code == http.StatusOK && err == nil && r.ledger.CheckPending(p.name, n, last) {
+				break
+			}
+			if last {
+				r.t.Errorf("scheduler %s: status %d and %q for the count of waiting jobs", p.name, code, b)
+				break
+			}
+		}
+	}
+}
+
 // keepLogs copies the logs of a failed seed to logDir, if it is set.
 func (r *testRun) keepLogs(seed uint64) {
 	if *logDir == "" {
