core/job: fair shares for scarce room, off by default

An account that sends more than its share made the others late: scarce room was given by deadline or density, whoever asked. With the option WithFairShares, candidates of equal timeliness and priority are taken by weighted max-min fairness of the dominant resource, by account (queue and zone of the job). Scarcity is decided separately for best-effort tasks.

--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -31,6 +31,10 @@
 	EventLate EventKind = "late"
 	// EventProbation is a failed run of a worker that is on probation.
 	EventProbation EventKind = "probation"
+	// EventScarcityBegan and EventScarcityEnded are the begin and the end of scarcity
+	// for a kind of tasks, with fair shares. Reason is the kind.
+	EventScarcityBegan EventKind = "scarcity-began"
+	EventScarcityEnded EventKind = "scarcity-ended"
 )
 
 // Event is a scheduling decision or an observed change, for the log.
@@ -46,6 +50,10 @@
 	// SinceAcceptance is the time from the acceptance of the job to its first
 	// start or to its end; it is 0 for other events.
 	SinceAcceptance time.Duration
+	// Count is the number of accounts with waiting tasks, for EventScarcityBegan.
+	Count int
+	// Elapsed is how long room was scarce, for EventScarcityEnded.
+	Elapsed time.Duration
 }
 
 // sinceAcceptance returns the time from the acceptance of a job to now. It is
@@ -119,7 +127,7 @@
 }
 
 func (c *Cell) add(j Job) *jobRow {
-	row := c.jobs.Put(j.ID, jobRow{Job: j, state: Queued, criticalPath: criticalPathOf(j.Steps), work: j.work()})
+	row := c.jobs.Put(j.ID, jobRow{Job: j, state: Queued, criticalPath: criticalPathOf(j.Steps), work: j.work(), account: c.shares.account(&j)})
 	c.meanWork.observe(j.Queue, row.work)
 	if j.Schedule.Times == 0 {
 		row.openOccurrence(0)
@@ -229,6 +237,7 @@
 	t.speed.reset()
 	w.tasks[t.name] = t
 	w.reserveCapacity(t.name.Job, s.spec, 1)
+	c.countRun(t, s.spec, 1)
 }
 
 // reserveCapacity reserves the capacity of n tasks of a job's step; a negative
@@ -262,6 +271,7 @@
 		return
 	}
 	t.worker.reserveCapacity(t.name.Job, s.spec, -1)
+	c.countRun(t, s.spec, -1)
 	delete(t.worker.tasks, t.name)
 	c.markChanged(t.worker)
 	t.worker = nil
@@ -300,6 +310,7 @@
 // should move, and places waiting tasks. It is called after each message and
 // at least every 100 ms.
 func (c *Cell) Tick(now time.Time) {
+	c.shares.setTime(now)
 	c.openDueOccurrences(now)
 	if now.Sub(c.lastSweep) >= sweepInterval {
 		c.lastSweep = now
--- a/core/job/choose.go
+++ b/core/job/choose.go
@@ -72,7 +72,7 @@
 func (c *Cell) scoredWorkers(k *candidate, r *scorer, rack string, since int64) []scoredWorker {
 	var out []scoredWorker
 	for _, w := range c.workers.All {
-		if w.version <= since || !w.hasRoom(k.step.spec, k.queue.Priority) || !c.isUsable(w, k, r.now) ||
+		if w.version <= since || c.isHeld(w, k.step.spec) || !w.hasRoom(k.step.spec, k.queue.Priority) || !c.isUsable(w, k, r.now) ||
 			rack != "" && !slices.Contains(w.Labels, rack) {
 			continue
 		}
--- a/core/job/density.go
+++ b/core/job/density.go
@@ -1,13 +1,26 @@
 package job
 
-// The value of a job that meets its latency objective is baseValue plus the rest in
-// proportion to its work, relative to the mean work of its queue's jobs, and at most
-// maxValue.
+// The value of a job that meets its latency objective is the base value of its queue
+// plus the rest in proportion to its work, relative to the mean work of the queue's
+// jobs, and at most the queue's maximum value. These are the defaults.
 const (
-	baseValue = 0.3
-	maxValue  = 4
+	defaultBaseValue = 0.3
+	defaultMaxValue  = 4
 )
 
+// value returns the value of a job with the given work, relative to the mean work of
+// the queue's jobs.
+func (q *Queue) value(relativeWork float64) float64 {
+	base, most := q.BaseValue, q.MaxValue
+	if base <= 0 {
+		base = defaultBaseValue
+	}
+	if most <= 0 {
+		most = defaultMaxValue
+	}
+	return min(most, base+(1-base)*relativeWork)
+}
+
 // meanWorkWeight is the weight of a new job in the mean work of its queue's jobs.
 const meanWorkWeight = 0.05
 
@@ -39,17 +52,16 @@
 
 // density returns the value of an occurrence for each processor second that
 // completes it.
-func (c *Cell) density(j *jobRow, o *occurrenceRow) float64 {
+func (c *Cell) density(j *jobRow, o *occurrenceRow, q *Queue) float64 {
 	if j.work <= 0 || c.meanWork[j.Queue] <= 0 {
 		return 0
 	}
-	value := min(maxValue, baseValue+(1-baseValue)*j.work/c.meanWork[j.Queue])
 	remaining := 0.0
 	for i := range o.steps {
 		s := &o.steps[i]
 		remaining += processorSeconds(s.spec, len(s.tasks)-s.done)
 	}
-	return value / max(remaining, minRemainingWork)
+	return q.value(j.work/c.meanWork[j.Queue]) / max(remaining, minRemainingWork)
 }
 
 // minRemainingWork is the least remaining work, in processor seconds, by which
--- a/core/job/load_test.go
+++ b/core/job/load_test.go
@@ -32,11 +32,15 @@
 	// Interference is the utilization that one processor of a best-effort
 	// image adds to a serving image, by serving and best-effort image.
 	Interference map[string]map[string]float64 `json:"pressures"`
+	// Shares is true for the workloads of TestGoldenShares. Each of their streams has
+	// its own random numbers, so that it is the same with and without another one.
+	Shares bool `json:"shares"`
 }
 
 // arrivalStream is a random stream of jobs of one kind during an interval.
 type arrivalStream struct {
 	Queue     string  `json:"queue"`
+	Zone      string  `json:"zone"`
 	PerSecond float64 `json:"per-second"`
 	// From and To delimit the interval, in seconds from the begin of the
 	// simulation.
@@ -56,6 +60,8 @@
 	// their utilization without interference.
 	Serving     bool    `json:"serves"`
 	Utilization float64 `json:"busy"`
+	// Burst is true for the part of an account's work that exceeds its share.
+	Burst bool `json:"burst"`
 }
 
 // workerFault makes a worker fail all its runs, or slows it down by Factor. From
@@ -115,6 +121,8 @@
 	// share is the share of their processors that best-effort tasks get, by
 	// agent.
 	share map[string]float64
+	// streams are the random numbers of each stream of a workload with Shares.
+	streams []*rand.Rand
 }
 
 func newSim(t *testing.T, load *workload, seed uint64, options []Option) *sim {
@@ -123,9 +131,13 @@
 	tc.SetConfiguration(&Configuration{Version: 1, Queues: []Queue{
 		{Host: "host", Prefix: "/queue/", Service: "svc", Priority: 2, MaxFailures: 2, Stretch: 2, Target: time.Second},
 		{Host: "host", Prefix: "/urgent/", Service: "svc", Priority: 0, MaxFailures: 4, Stretch: 1.5, Target: 250 * time.Millisecond},
+		{Host: "host", Prefix: "/other/", Service: "svc", Priority: 2, MaxFailures: 2, Stretch: 2, Target: time.Second},
 	}})
 	s := &sim{testCluster: tc, workload: load, rng: rand.New(rand.NewPCG(seed, 7)), begin: tc.now, jobs: map[string]*simJob{},
 		done: map[string]time.Time{}, failed: map[string]bool{}, progress: map[string]float64{}, share: map[string]float64{}}
+	for i := range load.Streams {
+		s.streams = append(s.streams, rand.New(rand.NewPCG(seed, uint64(i))))
+	}
 	for i := range load.Workers {
 		tc.addWorker(fmt.Sprintf("agent-%02d", i))
 	}
@@ -137,6 +149,9 @@
 	at := s.now.Sub(s.begin).Seconds()
 	for i := range s.workload.Streams {
 		st := &s.workload.Streams[i]
+		if s.workload.Shares {
+			s.rng = s.streams[i]
+		}
 		if at < st.From || at >= st.To || s.rng.Float64() >= st.PerSecond*simTick.Seconds() {
 			continue
 		}
@@ -149,7 +164,7 @@
 	spread := func(v float64) float64 { return v * (0.5 + s.rng.Float64()) }
 	tasks := max(1, int(spread(float64(st.Tasks))))
 	duration := time.Duration(spread(st.Duration) * float64(time.Second))
-	j := Job{ID: id, Queue: "host/" + st.Queue + "/", Accepted: s.now, Payload: duration.String()}
+	j := Job{ID: id, Queue: "host/" + st.Queue + "/", Zone: st.Zone, Accepted: s.now, Payload: duration.String()}
 	for n := range st.Steps {
 		step := Step{Tasks: tasks, Need: Resources{Processors: st.ProcessorsMilli, Memory: 1}, Image: st.Image,
 			BestEffort: st.BestEffort, Checkpoints: st.BestEffort, LongRunning: st.Serving,
@@ -298,18 +313,22 @@
 	servedLargest, servedLarge, servedAll float64
 }
 
-// result returns the results by queue; the key of serving tasks is "serving".
+func byQueue(st *arrivalStream) string { return st.Queue }
+
+func byAccount(st *arrivalStream) string { return st.Queue + "@" + st.Zone }
+
+// result returns the results by group of streams; the key of serving tasks is "serving".
 // The value of a job grows with its work relative to the mean work of the jobs
-// of its queue. A late job earns 15% of its value, an unserved job nothing.
-func (s *sim) result() map[string]*queueResult {
+// of its group. A late job earns 15% of its value, an unserved job nothing.
+func (s *sim) result(group func(*arrivalStream) string) map[string]*queueResult {
 	out := map[string]*queueResult{}
 	sums, mean, count := map[string]float64{}, map[string]float64{}, map[string]float64{}
 	for _, j := range s.jobs {
-		mean[j.stream.Queue] += j.work
-		count[j.stream.Queue]++
+		mean[group(j.stream)] += j.work
+		count[group(j.stream)]++
 	}
 	for id, j := range s.jobs {
-		q := j.stream.Queue
+		q := group(j.stream)
 		if j.stream.Serving {
 			continue
 		}
@@ -334,7 +353,7 @@
 	for q, r := range out {
 		r.valueShare /= sums[q]
 	}
-	s.setServedShares(out)
+	s.setServedShares(out, group)
 	if s.servingTime > 0 {
 		out["serving"] = &queueResult{valueShare: s.servingOnTarget / s.servingTime}
 	}
@@ -342,14 +361,15 @@
 }
 
 // setServedShares sets the shares of served jobs by the size of the jobs.
-func (s *sim) setServedShares(out map[string]*queueResult) {
-	byQueue := map[string][]string{}
+func (s *sim) setServedShares(out map[string]*queueResult, group func(*arrivalStream) string) {
+	byGroup := map[string][]string{}
 	for id, j := range s.jobs {
 		if !j.stream.Serving {
-			byQueue[j.stream.Queue] = append(byQueue[j.stream.Queue], id)
+			q := group(j.stream)
+			byGroup[q] = append(byGroup[q], id)
 		}
 	}
-	for q, ids := range byQueue {
+	for q, ids := range byGroup {
 		slices.SortFunc(ids, func(a, b string) int {
 			return cmp.Or(cmp.Compare(s.jobs[b].work, s.jobs[a].work), cmp.Compare(a, b))
 		})
@@ -392,13 +412,16 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			load := readWorkload(t, file)
+			if load.Shares {
+				t.Skip("a workload of TestGoldenShares")
+			}
 			var table bytes.Buffer
 			total := map[string]float64{}
 			for _, policy := range policies {
 				for _, seed := range loadSeeds {
 					s := newSim(t, load, seed, policy.options)
 					s.run()
-					result := s.result()
+					result := s.result(byQueue)
 					total[policy.name] += writeResult(&table, policy.name, seed, result)
 					if policy.name == "product" {
 						checkSizes(t, seed, result)
--- a/core/job/place.go
+++ b/core/job/place.go
@@ -36,8 +36,12 @@
 	// density is the value of the occurrence for each processor second of its
 	// remaining work.
 	density float64
-	// scarce is true while processors are scarce on all workers together.
+	// scarce is true while processors are scarce on all workers together. With fair
+	// shares, it is true while they are scarce for tasks of the step's kind.
 	scarce bool
+	// share is the weighted share of the account, with the candidates that precede
+	// this one; it is 0 without fair shares and while room is not scarce.
+	share float64
 	// interferenceWait is how long the best-effort tasks of the step wait for
 	// a worker without interference.
 	interferenceWait time.Duration
@@ -60,6 +64,11 @@
 	if len(out) > 0 {
 		c.setRoom(out)
 	}
+	if c.shares != nil {
+		c.setScarcity(out, now)
+		c.sortByShares(out)
+		return out
+	}
 	slices.SortFunc(out, func(a, b candidate) int { return c.policy.compare(&a, &b) })
 	return out
 }
@@ -76,7 +85,7 @@
 		}
 		if !computed {
 			deadline, forecast = c.forecast(j, o, q, now)
-			density = c.density(j, o)
+			density = c.density(j, o, q)
 			computed = true
 		}
 		out = append(out, candidate{job: j, occ: o, step: s, number: i, queue: q, timeliness: forecast, deadline: deadline, density: density})
@@ -110,6 +119,7 @@
 // placeTasks starts the waiting tasks of the candidates, in order, while workers
 // have room for them.
 func (c *Cell) placeTasks(now time.Time) {
+	var held [taskKinds]bool
 	for _, k := range c.candidates(now) {
 		switch {
 		case !c.ensureTickets(&k, now):
@@ -118,6 +128,7 @@
 		default:
 			c.placeStep(&k, now)
 		}
+		c.holdRoom(&k, &held, now)
 	}
 }
 
@@ -134,10 +145,14 @@
 		}
 		if scored == nil {
 			if scored = c.scoredWorkers(k, r, "", since); len(scored) == 0 {
+				if since == allWorkers && k.step.noRoomSince.IsZero() {
+					k.step.noRoomSince = now
+				}
 				k.step.blocked.record(c.version, since, now)
 				return
 			}
 		}
+		k.step.noRoomSince = time.Time{}
 		o := chooseWorker(scored, k, t, now)
 		if o == nil {
 			k.step.blocked.record(c.version, since, now)
@@ -162,7 +177,9 @@
 			}
 		}
 	}
-	c.placeGangOn(k, "", now)
+	if !c.placeGangOn(k, "", now) && k.step.noRoomSince.IsZero() {
+		k.step.noRoomSince = now
+	}
 }
 
 // placeGangOn starts all members of a gang, or none, on workers with the label
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -27,6 +27,7 @@
 	if r.Epoch > c.epoch {
 		return true
 	}
+	c.shares.setTime(now)
 	w := c.workers.Get(r.Agent)
 	if r.Worker == nil {
 		return false
@@ -413,6 +414,7 @@
 	}
 	if t.state == taskWaiting && !j.state.IsFinal() && !j.acceptedThisEpoch {
 		c.recordRun(s, t, w, r.Run, now)
+		c.shares.adopt(j, s.spec)
 		t.partial = true
 		c.observeRun(j, s, t, r, now)
 		c.logEvent(EventStart, t, w, "adopted", now)
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -78,6 +78,9 @@
 	// waiting counts the tasks in state taskWaiting.
 	waiting int
 	blocked blockedStep
+	// noRoomSince is since when no worker has had room for a task of the step, or for
+	// all members of a gang; it is zero if a worker has room.
+	noRoomSince time.Time
 	// tickets are the tickets of the advisor, for queues that require them.
 	tickets advisorTickets
 }
@@ -115,6 +118,8 @@
 // that still has assigned tasks.
 type jobRow struct {
 	Job
+	// account is the account of the job; it is nil without fair shares.
+	account *accountRow
 	// acceptedThisEpoch is true for a job that no earlier owner can have
 	// started.
 	acceptedThisEpoch bool
@@ -265,6 +270,9 @@
 	version int64
 	// predicted must be reset when the tasks of the worker change.
 	predicted predictedUtilization
+	// heldRound is the last placement round, by kind of tasks, in which room on the
+	// worker was held for a step.
+	heldRound [taskKinds]int64
 	// lastProgress is when any task of the worker last made progress or ended.
 	lastProgress time.Time
 	// lastSample is when the worker last gave a sample to the interference
@@ -320,6 +328,8 @@
 	meanWork      meanWork
 	interference  interferenceModel
 	policy        policy
+	// shares is nil unless shares are fair.
+	shares *shares
 }
 
 // rosterRow is the state of an agent that may have received orders.
--- /dev/null
+++ b/core/job/share.go
@@ -0,0 +1,328 @@
+package job
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Parameters of fair shares.
+const (
+	// shareMemory is the time constant with which the use of an account decays.
+	shareMemory = 10 * time.Second
+	// scarcityEndFactor is the share of maxBacklog at which scarcity ends. Backlogs near
+	// the limit cross it many times a second; between two such times, the accounts
+	// with most work would take the room that others release.
+	scarcityEndFactor = 0.5
+	// defaultWeight is the weight of queues that name none.
+	defaultWeight = 1
+)
+
+// taskKind distinguishes the tasks that compete for the same processors.
+type taskKind int
+
+const (
+	regularTasks taskKind = iota
+	bestEffortTasks
+	taskKinds
+)
+
+func (k taskKind) String() string { return [taskKinds]string{"regular", "best-effort"}[k] }
+
+// kind returns the kind of the step's tasks.
+func (s *Step) kind() taskKind {
+	if s.BestEffort {
+		return bestEffortTasks
+	}
+	return regularTasks
+}
+
+// shareWeight returns the weight of the queue's accounts.
+func (q *Queue) shareWeight() float64 {
+	if q.Weight > 0 {
+		return q.Weight
+	}
+	return defaultWeight
+}
+
+// WithFairShares divides scarce room among accounts by weighted max-min fairness of
+// the dominant resource.
+func WithFairShares() Option {
+	return func(c *Cell) { c.shares = &shares{accounts: map[Account]*accountRow{}, now: c.ownedSince} }
+}
+
+// Account is the unit of fair shares: the jobs of a queue that were submitted in one
+// availability zone.
+type Account struct {
+	Queue string
+	// Zone is empty for jobs that were stored without a zone.
+	Zone string
+}
+
+// amount is an amount of processors in thousandths, memory in MiB and accelerators.
+type amount [3]float64
+
+func amountOf(r Resources) amount {
+	return amount{float64(r.Processors), float64(r.Memory), float64(r.Accelerators)}
+}
+
+// plus returns a + f*b.
+func (a amount) plus(f float64, b amount) amount {
+	for i := range a {
+		a[i] += f * b[i]
+	}
+	return a
+}
+
+// dominantShare returns the largest share of the room that a takes in any resource.
+func (a amount) dominantShare(room amount) float64 {
+	share := 0.0
+	for i := range a {
+		if room[i] > 0 {
+			share = max(share, a[i]/room[i])
+		}
+	}
+	return share
+}
+
+// accountUse is what the tasks of one kind of an account use.
+type accountUse struct {
+	// running is what runs of the account reserve.
+	running amount
+	// recent is the average of running over the last shareMemory with exponential
+	// decay, as of the time at.
+	recent amount
+	at     time.Time
+	// planned is running and recent, plus the waiting tasks that come before the
+	// next candidate of the account in the order of round.
+	planned amount
+	round   int64
+}
+
+// advance updates recent to now.
+func (u *accountUse) advance(now time.Time) {
+	if elapsed := now.Sub(u.at); elapsed > 0 {
+		keep := math.Exp(-elapsed.Seconds() / shareMemory.Seconds())
+		u.recent = u.running.plus(keep, u.recent.plus(-1, u.running))
+		u.at = now
+	}
+}
+
+// accountRow is the state of an account by kind of task.
+type accountRow [taskKinds]accountUse
+
+// shares is the state of fair shares of a cell. It is not stored: a new owner begins
+// with the runs that it adopts.
+type shares struct {
+	accounts map[Account]*accountRow
+	// now is the newest time that the cell was given.
+	now time.Time
+	// room is what each kind of tasks can get on all workers together.
+	room   [taskKinds]amount
+	scarce [taskKinds]bool
+	// scarceSince is when the present scarcity began, or zero.
+	scarceSince [taskKinds]time.Time
+	// round is the number of the placement round.
+	round int64
+}
+
+// setTime records the time that the cell was given. It does nothing without fair
+// shares, like the other methods that are called for each run.
+func (s *shares) setTime(now time.Time) {
+	if s != nil {
+		s.now = Later(s.now, now)
+	}
+}
+
+// account returns the account of a job.
+func (s *shares) account(j *Job) *accountRow {
+	if s == nil {
+		return nil
+	}
+	a := Account{j.Queue, j.Zone}
+	row := s.accounts[a]
+	if row == nil {
+		row = &accountRow{}
+		s.accounts[a] = row
+	}
+	return row
+}
+
+// countRun adds the reservation for a run of t, times n, to the account of its job.
+func (c *Cell) countRun(t *taskRow, s *Step, n float64) {
+	if c.shares == nil {
+		return
+	}
+	u := &c.jobs.Get(t.name.Job).account[s.kind()]
+	u.advance(c.shares.now)
+	u.running = u.running.plus(n, amountOf(s.Need))
+}
+
+// adopt counts a run that an earlier owner started as if it had run for long. Without
+// this, a new owner would favour the accounts that its predecessor served last over
+// those that it serves itself.
+func (s *shares) adopt(j *jobRow, step *Step) {
+	if s != nil {
+		u := &j.account[step.kind()]
+		u.recent = u.recent.plus(1, amountOf(step.Need))
+	}
+}
+
+// setScarcity determines the room of each kind of tasks and whether it is scarce.
+// Best-effort tasks can get the processors that serving tasks are expected to leave.
+func (c *Cell) setScarcity(all []candidate, now time.Time) {
+	s := c.shares
+	s.room = [taskKinds]amount{}
+	for _, w := range c.workers.All {
+		s.room[regularTasks] = s.room[regularTasks].plus(1, amountOf(w.Capacity))
+		left := w.Capacity
+		left.Processors = max(0, left.Processors-w.servingProcessors*servingUsePercent/100)
+		s.room[bestEffortTasks] = s.room[bestEffortTasks].plus(1, amountOf(left))
+	}
+	var backlog [taskKinds]float64
+	waiting := [taskKinds]map[*accountRow]bool{{}, {}}
+	for i := range all {
+		k := all[i].step.spec.kind()
+		backlog[k] += processorSeconds(all[i].step.spec, all[i].step.waiting)
+		waiting[k][all[i].job.account] = true
+	}
+	for k := range taskKinds {
+		limit := maxBacklog.Seconds() * s.room[k][0] / processorUnit
+		if s.scarce[k] {
+			limit *= scarcityEndFactor
+		}
+		s.scarce[k] = backlog[k] > limit
+		c.logScarcity(k, len(waiting[k]), now)
+	}
+	for i := range all {
+		all[i].scarce = s.scarce[all[i].step.spec.kind()]
+	}
+}
+
+// logScarcity logs the begin and the end of scarcity.
+func (c *Cell) logScarcity(k taskKind, accounts int, now time.Time) {
+	s := c.shares
+	since := &s.scarceSince[k]
+	switch {
+	case s.scarce[k] && since.IsZero():
+		*since = now
+		c.events = append(c.events, Event{Kind: EventScarcityBegan, Reason: k.String(), Count: accounts})
+	case !s.scarce[k] && !since.IsZero():
+		c.events = append(c.events, Event{Kind: EventScarcityEnded, Reason: k.String(), Elapsed: now.Sub(*since)})
+		*since = time.Time{}
+	}
+}
+
+// sortByShares orders candidates as the policy does. Where room is scarce for their
+// kind, those of equal timeliness and priority are ordered by shares: the account with
+// the least share is next, and its share then includes the waiting tasks of its
+// candidate. Candidates of a kind with enough room precede those of the other kind.
+func (c *Cell) sortByShares(all []candidate) {
+	s := c.shares
+	s.round++
+	compare := func(a, b *candidate) int {
+		if r := byTimeliness(a, b); r != 0 {
+			return r
+		}
+		if r := cmp.Compare(boolRank(a.scarce), boolRank(b.scarce)); r != 0 {
+			return r
+		}
+		if r := cmp.Compare(a.share, b.share); r != 0 {
+			return r
+		}
+		return c.policy.compare(a, b)
+	}
+	slices.SortFunc(all, func(a, b candidate) int { return compare(&a, &b) })
+	if !s.scarce[regularTasks] && !s.scarce[bestEffortTasks] {
+		return
+	}
+	for i := range all {
+		k := &all[i]
+		if !k.scarce {
+			continue
+		}
+		spec := k.step.spec
+		u := &k.job.account[spec.kind()]
+		if u.round != s.round {
+			u.advance(s.now)
+			u.round, u.planned = s.round, u.running.plus(1, u.recent)
+		}
+		k.share = u.planned.dominantShare(s.room[spec.kind()]) / k.queue.shareWeight()
+		u.planned = u.planned.plus(float64(k.step.waiting), amountOf(spec.Need))
+	}
+	slices.SortFunc(all, func(a, b candidate) int { return compare(&a, &b) })
+}
+
+// holdRoom keeps room for the first candidate of its kind that no worker has had room
+// for during the estimate of its tasks: later candidates of the kind get no room on
+// the workers with the most room. Otherwise, narrow tasks of other accounts would take
+// each processor that becomes free before enough of them are free together.
+func (c *Cell) holdRoom(k *candidate, held *[taskKinds]bool, now time.Time) {
+	spec := k.step.spec
+	if c.shares == nil || !k.scarce || held[spec.kind()] || k.step.waiting == 0 ||
+		k.step.noRoomSince.IsZero() || now.Sub(k.step.noRoomSince) < spec.Estimate {
+		return
+	}
+	held[spec.kind()] = true
+	var suitable []*workerRow
+	for _, w := range c.workers.All {
+		if c.isUsable(w, k, now) && w.mostTasks(spec) > 0 {
+			suitable = append(suitable, w)
+		}
+	}
+	slices.SortFunc(suitable, func(a, b *workerRow) int {
+		return cmp.Or(cmp.Compare(b.freeProcessors(), a.freeProcessors()), cmp.Compare(a.ID, b.ID))
+	})
+	tasks := 1
+	if spec.Gang {
+		tasks = len(k.step.tasks)
+	}
+	for _, w := range suitable {
+		if tasks <= 0 {
+			return
+		}
+		tasks -= w.mostTasks(spec)
+		w.heldRound[spec.kind()] = c.shares.round
+	}
+}
+
+// isHeld reports whether w is held for another candidate in this round.
+func (c *Cell) isHeld(w *workerRow, s *Step) bool {
+	return c.shares != nil && w.heldRound[s.kind()] == c.shares.round
+}
+
+// mostTasks returns how many tasks of the step w could run beside its long-running
+// tasks alone.
+func (w *workerRow) mostTasks(s *Step) int {
+	processors := w.Capacity.Processors - w.servingProcessors
+	if s.BestEffort {
+		processors = w.Capacity.Processors - w.servingProcessors*servingUsePercent/100
+	}
+	n := maxStepTasks
+	for _, r := range [][2]int{{processors, s.Need.Processors}, {int(w.Capacity.Memory), int(s.Need.Memory)}, {w.Capacity.Accelerators, s.Need.Accelerators}} {
+		if r[1] > 0 {
+			n = min(n, r[0]/r[1])
+		}
+	}
+	return n
+}
+
+// accountShares returns what runs and is reserved for each account with live jobs, in
+// percent of the room; of the two kinds of tasks, the larger share counts. It returns
+// nil without fair shares.
+func (c *Cell) accountShares() map[Account]float64 {
+	if c.shares == nil {
+		return nil
+	}
+	out := map[Account]float64{}
+	for _, j := range c.jobs.All {
+		a := Account{j.Queue, j.Zone}
+		if _, ok := out[a]; !ok {
+			for k := range taskKinds {
+				out[a] = max(out[a], fullPercent*j.account[k].running.dominantShare(c.shares.room[k]))
+			}
+		}
+	}
+	return out
+}
--- a/core/job/stats.go
+++ b/core/job/stats.go
@@ -9,11 +9,14 @@
 	Waiting map[int]int
 	// ReportAges is the age of the newest report of each worker.
 	ReportAges map[string]time.Duration
+	// AccountShares is what runs and is reserved for each account, in percent of the
+	// room; it is nil without fair shares.
+	AccountShares map[Account]float64
 }
 
 // Stats returns the values for the metrics.
 func (c *Cell) Stats(now time.Time) Stats {
-	out := Stats{Waiting: map[int]int{}, ReportAges: make(map[string]time.Duration, c.workers.Len())}
+	out := Stats{Waiting: map[int]int{}, AccountShares: c.accountShares(), ReportAges: make(map[string]time.Duration, c.workers.Len())}
 	for _, q := range c.queues {
 		out.Waiting[q.Priority] = 0
 	}
--- a/core/job/types.go
+++ b/core/job/types.go
@@ -54,6 +54,9 @@
 	// AcceptedQueue is a copy of the queue at acceptance. It applies once the
 	// configuration no longer has the queue.
 	AcceptedQueue Queue `json:"terms,omitzero"`
+	// Zone is the availability zone of the entry that accepted the job. It is set only
+	// with fair shares; jobs without it were stored without, or by an earlier build.
+	Zone string `json:"zone,omitempty"`
 }
 
 // Schedule makes the steps of a job run several times; each time is an
@@ -255,6 +258,13 @@
 	// external service that decides which workers may run a step.
 	RequiresTicket bool          `json:"advised,omitempty"`
 	AdvisorTiming  AdvisorTiming `json:"advice,omitzero"`
+	// Weight is the weight of the queue's accounts where shares are fair; 0 means 1.
+	Weight float64 `json:"weight,omitempty"`
+	// BaseValue is the part of a job's value that does not depend on its work, where
+	// the value of a job of mean work is 1; 0 means 0.3. MaxValue limits the value of
+	// a job; 0 means 4.
+	BaseValue float64 `json:"base-value,omitempty"`
+	MaxValue  float64 `json:"max-value,omitempty"`
 }
 
 // AdvisorTiming describes how long an advisor takes to answer. The scheduler does
