--- a/core/job/density.go
+++ b/core/job/density.go
@@ -11,7 +11,7 @@
 // value returns the value of a job with the given work, relative to the mean work of
 // the queue's jobs.
 func (q *Queue) value(relativeWork float64) float64 {
-	base, most := q.BaseValue, q.MaxValue
+	base, most := min(q.BaseValue, 1), q.MaxValue
 	if base <= 0 {
 		base = defaultBaseValue
 	}
--- a/core/job/place.go
+++ b/core/job/place.go
@@ -39,9 +39,6 @@
 	// scarce is true while processors are scarce on all workers together. With fair
 	// shares, it is true while they are scarce for tasks of the step's kind.
 	scarce bool
-	// share is the weighted share of the account, with the candidates that precede
-	// this one; it is 0 without fair shares and while room is not scarce.
-	share float64
 	// interferenceWait is how long the best-effort tasks of the step wait for
 	// a worker without interference.
 	interferenceWait time.Duration
@@ -66,7 +63,7 @@
 	}
 	if c.shares != nil {
 		c.setScarcity(out, now)
-		c.sortByShares(out)
+		slices.SortFunc(out, func(a, b candidate) int { return c.compareWithinAccount(&a, &b) })
 		return out
 	}
 	slices.SortFunc(out, func(a, b candidate) int { return c.policy.compare(&a, &b) })
@@ -120,15 +117,15 @@
 // have room for them.
 func (c *Cell) placeTasks(now time.Time) {
 	var held [taskKinds]bool
-	for _, k := range c.candidates(now) {
+	for k := range c.inOrder(c.candidates(now)) {
 		switch {
-		case !c.ensureTickets(&k, now):
+		case !c.ensureTickets(k, now):
 		case k.step.spec.Gang:
-			c.placeGang(&k, now)
+			c.placeGang(k, now)
 		default:
-			c.placeStep(&k, now)
+			c.placeStep(k, now)
 		}
-		c.holdRoom(&k, &held, now)
+		c.holdRoom(k, &held, now)
 	}
 }
 
--- a/core/job/share.go
+++ b/core/job/share.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"container/heap"
+	"iter"
 	"math"
 	"slices"
 	"time"
@@ -94,10 +96,6 @@
 	// decay, as of the time at.
 	recent amount
 	at     time.Time
-	// planned is running and recent, plus the waiting tasks that come before the
-	// next candidate of the account in the order of round.
-	planned amount
-	round   int64
 }
 
 // advance updates recent to now.
@@ -173,6 +171,7 @@
 // Best-effort tasks can get the processors that serving tasks are expected to leave.
 func (c *Cell) setScarcity(all []candidate, now time.Time) {
 	s := c.shares
+	s.round++
 	s.room = [taskKinds]amount{}
 	for _, w := range c.workers.All {
 		s.room[regularTasks] = s.room[regularTasks].plus(1, amountOf(w.Capacity))
@@ -214,44 +213,114 @@
 	}
 }
 
-// sortByShares orders candidates as the policy does. Where room is scarce for their
-// kind, those of equal timeliness and priority are ordered by shares: the account with
-// the least share is next, and its share then includes the waiting tasks of its
-// candidate. Candidates of a kind with enough room precede those of the other kind.
-func (c *Cell) sortByShares(all []candidate) {
-	s := c.shares
-	s.round++
-	compare := func(a, b *candidate) int {
-		if r := byTimeliness(a, b); r != 0 {
-			return r
-		}
-		if r := cmp.Compare(boolRank(a.scarce), boolRank(b.scarce)); r != 0 {
-			return r
-		}
-		if r := cmp.Compare(a.share, b.share); r != 0 {
-			return r
-		}
-		return c.policy.compare(a, b)
+// compareRanks orders candidates by what precedes shares: timeliness, priority, and
+// whether room is scarce. Candidates of a kind with enough room precede the others.
+func compareRanks(a, b *candidate) int {
+	return cmp.Or(byTimeliness(a, b), cmp.Compare(boolRank(a.scarce), boolRank(b.scarce)))
+}
+
+// compareWithinAccount orders the candidates of an account, and all candidates of equal
+// rank while room is not scarce.
+func (c *Cell) compareWithinAccount(a, b *candidate) int {
+	if r := compareRanks(a, b); r != 0 {
+		return r
 	}
-	slices.SortFunc(all, func(a, b candidate) int { return compare(&a, &b) })
-	if !s.scarce[regularTasks] && !s.scarce[bestEffortTasks] {
-		return
+	return c.policy.compare(a, b)
+}
+
+// accountQueue has the candidates of one kind of an account that have the same rank.
+type accountQueue struct {
+	use        *accountUse
+	share      float64
+	candidates []*candidate
+}
+
+// accountHeap is a heap of accounts, of which the one with the least share is first.
+type accountHeap struct {
+	cell   *Cell
+	queues []*accountQueue
+}
+
+func (h *accountHeap) Len() int      { return len(h.queues) }
+func (h *accountHeap) Swap(i, j int) { h.queues[i], h.queues[j] = h.queues[j], h.queues[i] }
+func (h *accountHeap) Push(x any)    { h.queues = append(h.queues, x.(*accountQueue)) }
+
+func (h *accountHeap) Pop() any {
+	last := len(h.queues) - 1
+	q := h.queues[last]
+	h.queues = h.queues[:last]
+	return q
+}
+
+func (h *accountHeap) Less(i, j int) bool {
+	a, b := h.queues[i], h.queues[j]
+	if a.share != b.share {
+		return a.share < b.share
 	}
-	for i := range all {
-		k := &all[i]
-		if !k.scarce {
-			continue
+	return h.cell.policy.compare(a.candidates[0], b.candidates[0]) < 0
+}
+
+// inOrder yields the sorted candidates in the order in which they are placed. While
+// room is scarce, the next candidate of equal rank is one of the account with the least
+// share, which includes what was placed before.
+func (c *Cell) inOrder(all []candidate) iter.Seq[*candidate] {
+	return func(yield func(*candidate) bool) {
+		for len(all) > 0 {
+			n := 1
+			for c.shares != nil && all[0].scarce && n < len(all) && compareRanks(&all[0], &all[n]) == 0 {
+				n++
+			}
+			for k := range c.byShares(all[:n]) {
+				if !yield(k) {
+					return
+				}
+			}
+			all = all[n:]
 		}
-		spec := k.step.spec
-		u := &k.job.account[spec.kind()]
-		if u.round != s.round {
-			u.advance(s.now)
-			u.round, u.planned = s.round, u.running.plus(1, u.recent)
+	}
+}
+
+// byShares yields candidates of equal rank.
+func (c *Cell) byShares(all []candidate) iter.Seq[*candidate] {
+	return func(yield func(*candidate) bool) {
+		if len(all) == 1 {
+			yield(&all[0])
+			return
+		}
+		h := &accountHeap{cell: c}
+		byUse := map[*accountUse]*accountQueue{}
+		for i := range all {
+			k := &all[i]
+			use := &k.job.account[k.step.spec.kind()]
+			q := byUse[use]
+			if q == nil {
+				use.advance(c.shares.now)
+				q = &accountQueue{use: use, share: c.shares.shareOf(use, k)}
+				byUse[use] = q
+				h.queues = append(h.queues, q)
+			}
+			q.candidates = append(q.candidates, k)
+		}
+		heap.Init(h)
+		for h.Len() > 0 {
+			q := h.queues[0]
+			k := q.candidates[0]
+			if !yield(k) {
+				return
+			}
+			q.share = c.shares.shareOf(q.use, k)
+			if q.candidates = q.candidates[1:]; len(q.candidates) == 0 {
+				heap.Pop(h)
+			} else {
+				heap.Fix(h, 0)
+			}
 		}
-		k.share = u.planned.dominantShare(s.room[spec.kind()]) / k.queue.shareWeight()
-		u.planned = u.planned.plus(float64(k.step.waiting), amountOf(spec.Need))
 	}
-	slices.SortFunc(all, func(a, b candidate) int { return compare(&a, &b) })
+}
+
+// shareOf returns the weighted share of the candidate's account.
+func (s *shares) shareOf(u *accountUse, k *candidate) float64 {
+	return u.running.plus(1, u.recent).dominantShare(s.room[k.step.spec.kind()]) / k.queue.shareWeight()
 }
 
 // holdRoom keeps room for the first candidate of its kind that no worker has had room
--- a/core/job/types.go
+++ b/core/job/types.go
@@ -261,7 +261,7 @@
 	// Weight is the weight of the queue's accounts where shares are fair; 0 means 1.
 	Weight float64 `json:"weight,omitempty"`
 	// BaseValue is the part of a job's value that does not depend on its work, where
-	// the value of a job of mean work is 1; 0 means 0.3. MaxValue limits the value of
+	// the value of a job of mean work is 1, and at most 1; 0 means 0.3. MaxValue limits the value of
 	// a job; 0 means 4.
 	BaseValue float64 `json:"base-value,omitempty"`
 	MaxValue  float64 `json:"max-value,omitempty"`
