--- a/core/event/fields.go
+++ b/core/event/fields.go
@@ -85,6 +85,9 @@
 // and path prefix.
 func Queue(id string) Field { return Field{"queue", id} }
 
+// Kind returns the field with a kind of tasks: regular or best-effort.
+func Kind(s string) Field { return Field{"kind", s} }
+
 // Task returns the field with the name of one task of a job.
 func Task(name string) Field { return Field{"task", name} }
 
--- a/core/event/job.go
+++ b/core/event/job.go
@@ -62,6 +62,13 @@
 		[]string{"count", "elapsed", "reason"},
 		"Before it started a task, the agent read the cancelled jobs from the store, because the owner had not for too long; count is their number. If a reason is given, it could not, and started the task.",
 		"If the event repeats, look for 7022 of the store at the owner."}
+	ScarcityBegan = Event{7045, "scarcity-began", hclog.Info,
+		[]string{"kind", "count", "epoch"},
+		"More tasks of a kind are ready than can get room soon, so that the owner divides the room by fair shares; count is the number of accounts, each a queue and a zone, with waiting tasks.",
+		"If the event lasts, compare rosemarygap_account_share of the accounts, and add workers or ask the account with the largest share to send less."}
+	ScarcityEnded = Event{7046, "scarcity-ended", hclog.Info,
+		[]string{"kind", "elapsed", "epoch"},
+		"There is enough room for the tasks of a kind again, after the elapsed time.", "None."}
 	TasksThrottled = Event{7033, "tasks-throttled", hclog.Info,
 		[]string{"worker", "count", "throttle"},
 		"Best-effort tasks were limited to a share of their processors, in percent.", "None."}
@@ -70,4 +77,4 @@
 var jobEvents = []Event{SubmissionAccepted, SubmissionRefused, CancellationAnswered, StateUnknown, RequestRelayed,
 	TaskDecided, WorkerDecided, OwnershipTaken, OwnershipLost, DependencyLost, DependencyRegained,
 	ConfigurationInForce, SettingsReloaded, MessageRefused, LogLinesDropped, OrderCarriedOut, WorkerSeen, OwnerFollowed,
-	TasksThrottled, CancellationsRead}
+	TasksThrottled, CancellationsRead, ScarcityBegan, ScarcityEnded}
--- a/core/metric/catalogue.go
+++ b/core/metric/catalogue.go
@@ -29,6 +29,7 @@
 	{"rosemarygap_first_start_seconds", nil, "time from a job's acceptance to the order to start its first task, as a histogram; reported by the owner"},
 	{"rosemarygap_job_seconds", []string{"state"}, "time from a job's acceptance to its end, as a histogram; reported by the owner"},
 	{"rosemarygap_waiting_tasks", []string{"priority"}, "tasks that are ready to start but have not been started, by the priority of their queue; reported by the owner"},
+	{"rosemarygap_account_share", []string{"queue", "zone"}, "what runs and is reserved for the jobs of a queue that were submitted in a zone, in percent of the room of their kind of tasks; reported by the owner with `--fair-shares zone`, while there are such jobs"},
 	{"rosemarygap_worker_report_age_seconds", []string{"worker"}, "age of the newest report from each worker, as seen by the owner; a worker gets no tasks while it is above 1.5 s"},
 	{"rosemarygap_platform_store_calls_total", []string{"call", "outcome"}, "calls of this process to the platform's store; the outcomes are `ok`, `conflict`, `refused`, `not-found`, `compacted`, `malformed` and `no-answer`"},
 	{"rosemarygap_platform_store_call_seconds", []string{"call"}, "latency of the calls of this process to the platform's store, as a histogram"},
--- a/io/commandline/scheduler.go
+++ b/io/commandline/scheduler.go
@@ -50,11 +50,38 @@
 // SchedulerCommand runs the scheduler on an entry VM of the users' platform.
 type SchedulerCommand struct {
 	PlatformOptions
+	FairShares string `arg:"--fair-shares,env:ROSEMARYGAP_FAIR_SHARES" default:"off" help:"how scarce room is divided: off (by value and deadline, whoever asks) or zone (fairly among the queues and the zones in which jobs were submitted)"`
+}
+
+// Values of --fair-shares.
+const (
+	fairSharesOff  = "off"
+	fairSharesZone = "zone"
+)
+
+// Check returns an error for the first invalid setting.
+func (c *SchedulerCommand) Check() error {
+	if c.FairShares != fairSharesOff && c.FairShares != fairSharesZone {
+		return badSetting("--fair-shares", c.FairShares)
+	}
+	return c.PlatformOptions.Check()
+}
+
+// options returns the options of the scheduler.
+func (c *SchedulerCommand) options() []scheduler.Option {
+	if c.FairShares == fairSharesZone {
+		return []scheduler.Option{scheduler.WithFairShares()}
+	}
+	return nil
 }
 
 // Run runs the scheduler until it gets a stop signal. It logs to the standard
 // output.
-func (c *SchedulerCommand) Run(io.Writer) error { return c.runProcess("scheduler", scheduler.Run) }
+func (c *SchedulerCommand) Run(io.Writer) error {
+	return c.runProcess("scheduler", func(cfg platform.Settings, l hclog.Logger, actors ...process.Actor) error {
+		return scheduler.Run(cfg, l, c.options(), actors...)
+	})
+}
 
 // AgentCommand runs the node agent of a worker on the users' platform.
 type AgentCommand struct {
--- a/io/scheduler/caller.go
+++ b/io/scheduler/caller.go
@@ -104,7 +104,7 @@
 
 // submit stores a job. Submitting a stored job again succeeds.
 func (s *Scheduler) submit(r *request) error {
-	j, err := r.decodeJob()
+	j, err := r.decodeJob(s.jobZone())
 	if err == nil {
 		_, err = s.storeOrRelay(r.ctx, &relayRequest{Job: &j})
 	}
@@ -120,6 +120,15 @@
 	return r.JSONBlob(http.StatusOK, platform.EncodeState(job.Queued))
 }
 
+// jobZone returns the zone of the jobs that this entry accepts. It is empty without fair
+// shares: the stored form of a job is then that of earlier builds.
+func (s *Scheduler) jobZone() string {
+	if !s.fairShares {
+		return ""
+	}
+	return s.cfg.Zone
+}
+
 // callerError returns the error to respond with to a client account. It
 // replaces the errors of a write to the store, which mean that the write had no
 // effect or that its outcome is unknown, and returns other errors unchanged.
@@ -134,7 +143,8 @@
 	}
 }
 
-func (r *request) decodeJob() (job.Job, error) {
+// decodeJob decodes the job of a submission. The zone is that of the entry, or empty.
+func (r *request) decodeJob(zone string) (job.Job, error) {
 	limit := r.cfg.MaxBody
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
@@ -148,6 +158,7 @@
 		return job.Job{}, errors.WithMessage(status.ErrMalformedJSON, err.Error())
 	}
 	j.ID, j.Queue, j.Accepted, j.AcceptedQueue = r.id, r.queue.ID(), time.Now(), *r.queue
+	j.Zone = zone
 	return j, j.Validate()
 }
 
--- a/io/scheduler/control.go
+++ b/io/scheduler/control.go
@@ -186,6 +186,9 @@
 func (c *control) logEvents() {
 	liveJobsGauge.Set(float64(c.cell.Len()))
 	for _, e := range c.cell.Events() {
+		if c.logScarcity(e) {
+			continue
+		}
 		countDecision(e)
 		if e.Kind == job.EventWorker {
 			event.WorkerDecided.Emit(c.log, event.Worker(e.Worker), event.Decision(string(e.Kind)),
@@ -198,6 +201,19 @@
 	}
 }
 
+// logScarcity logs the begin or the end of scarcity. It returns false for other events.
+func (c *control) logScarcity(e job.Event) bool {
+	switch e.Kind {
+	case job.EventScarcityBegan:
+		event.ScarcityBegan.Emit(c.log, event.Kind(e.Reason), event.Count(e.Count), event.Epoch(c.cell.Epoch()))
+	case job.EventScarcityEnded:
+		event.ScarcityEnded.Emit(c.log, event.Kind(e.Reason), event.Elapsed(e.Elapsed), event.Epoch(c.cell.Epoch()))
+	default:
+		return false
+	}
+	return true
+}
+
 // applyChange applies a change of the store to the cell. While the state is
 // loading, it keeps the change for later.
 func (c *control) applyChange(x change) {
@@ -310,7 +326,7 @@
 		return
 	}
 	now := time.Now()
-	cell := job.New(x.session.ownership.Epoch, now)
+	cell := job.New(x.session.ownership.Epoch, now, c.s.cellOptions...)
 	if cfg := c.s.mirror.cfg.Load(); cfg != nil {
 		cell.SetConfiguration(cfg)
 	}
--- a/io/scheduler/metrics.go
+++ b/io/scheduler/metrics.go
@@ -48,6 +48,9 @@
 	for priority, n := range stats.Waiting {
 		g.set.GetOrCreateGauge(fmt.Sprintf(`rosemarygap_waiting_tasks{priority="%d"}`, priority), nil).Set(float64(n))
 	}
+	for a, share := range stats.AccountShares {
+		g.set.GetOrCreateGauge(fmt.Sprintf(`rosemarygap_account_share{queue=%q,zone=%q}`, a.Queue, a.Zone), nil).Set(share)
+	}
 	for worker, age := range stats.ReportAges {
 		g.set.GetOrCreateGauge(fmt.Sprintf(`rosemarygap_worker_report_age_seconds{worker=%q}`, worker), nil).Set(age.Seconds())
 	}
--- a/io/scheduler/relay.go
+++ b/io/scheduler/relay.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"net/url"
+	"strconv"
 	"time"
 
 	"rosemarygap/core/event"
@@ -21,6 +23,12 @@
 // relayRequest.
 const relayPath = "/v1/entries/relay"
 
+// zoneParameter is the query parameter with the zone of a relayed job.
+const zoneParameter = "zone"
+
+// maxZoneBytes is the maximum length of the zone of a relayed job.
+const maxZoneBytes = 256
+
 // Timeouts of relays.
 const (
 	// relayTimeout is the timeout of one relay. An owner that was cut off or has
@@ -147,8 +155,12 @@
 	if deadline, ok := callCtx.Deadline(); ok {
 		sent.Timeout = time.Until(deadline)
 	}
+	path := relayPath
+	if req.Job != nil {
+		sent.Job, path = forEarlierBuilds(req.Job)
+	}
 	var reply relayReply
-	err := relayOutcome(s.relayClient.Call(callCtx, http.MethodPost, target, relayPath, &sent, &reply))
+	err := relayOutcome(s.relayClient.Call(callCtx, http.MethodPost, target, path, &sent, &reply))
 	outcome := "served"
 	if err != nil {
 		outcome = err.Error()
@@ -157,6 +169,19 @@
 	return reply, err
 }
 
+// forEarlierBuilds returns a copy of a job without the fields that entries of earlier
+// builds do not know, since these refuse a relay with unknown fields, and the path to
+// which to relay it. The path has the zone, which earlier builds ignore.
+func forEarlierBuilds(j *job.Job) (*job.Job, string) {
+	out := *j
+	out.Zone = ""
+	out.AcceptedQueue.Weight, out.AcceptedQueue.BaseValue, out.AcceptedQueue.MaxValue = 0, 0, 0
+	if j.Zone == "" {
+		return &out, relayPath
+	}
+	return &out, relayPath + "?" + url.Values{zoneParameter: {j.Zone}}.Encode()
+}
+
 // id returns the ID of the job that the request is about.
 func (r *relayRequest) id() string {
 	if r.Job != nil {
@@ -188,6 +213,11 @@
 	if err := req.check(); err != nil {
 		return err
 	}
+	if req.Job != nil {
+		if req.Job.Zone = x.QueryParam(zoneParameter); len(req.Job.Zone) > maxZoneBytes {
+			return status.At(status.ErrOutOfRange, zoneParameter, strconv.Itoa(len(req.Job.Zone)))
+		}
+	}
 	if s.storeOutage.CutOff() {
 		return status.RetryIn(status.ErrStoreUnavailable, retryAfter)
 	}
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -75,30 +75,50 @@
 	advisorRequests chan advisorRequest
 	// noticeHealth logs when notices cannot be delivered to the owner.
 	noticeHealth *process.Dependency
+	// fairShares is true if jobs get the zone of this entry. cellOptions are the
+	// options of the cells of this entry's ownerships.
+	fairShares  bool
+	cellOptions []job.Option
+}
+
+// Option changes how a scheduler works.
+type Option func(*Scheduler)
+
+// WithFairShares divides scarce room fairly among the queues and availability zones
+// in which jobs were submitted.
+func WithFairShares() Option {
+	return func(s *Scheduler) {
+		s.fairShares = true
+		s.cellOptions = append(s.cellOptions, job.WithFairShares())
+	}
 }
 
 // New returns a scheduler with the given settings.
-func New(cfg platform.Settings, l hclog.Logger) *Scheduler {
+func New(cfg platform.Settings, l hclog.Logger, options ...Option) *Scheduler {
 	storeOutage := &outage.Detector{}
 	store := platform.NewStore(platform.NewHTTPClient(), cfg.StoreAddress, platform.WithObserver(func(c platform.StoreCall) {
 		process.CountStoreCall(c)
 		storeOutage.Observe(c.Answered(), time.Now())
 	}))
-	return &Scheduler{cfg: cfg, log: l, store: store, storeOutage: storeOutage, relayClient: httpjson.NewClient(relayTimeout, httpjson.WithDialTimeout(relayDialTimeout)), mirror: newMirror(l, store), processID: time.Now().UnixNano(),
+	s := &Scheduler{cfg: cfg, log: l, store: store, storeOutage: storeOutage, relayClient: httpjson.NewClient(relayTimeout, httpjson.WithDialTimeout(relayDialTimeout)), mirror: newMirror(l, store), processID: time.Now().UnixNano(),
 		reports: make(chan agentReport, maxMessageBatch), messages: make(chan any, maxMessageBatch),
 		superseded: make(chan struct{}, 1), stop: make(chan struct{}),
 		ownershipCheckRequests: make(chan struct{}, 1), peerClient: httpjson.NewClient(noticeTimeout),
 		noticeHealth:  process.NewDependency("owner", l),
 		advisor:       platform.NewAdvisor(platform.NewHTTPClient(), cfg.AdvisorAddress),
 		advisorHealth: process.NewDependency("advisor", l), advisorRequests: make(chan advisorRequest, maxAdvisorRequests)}
+	for _, o := range options {
+		o(s)
+	}
+	return s
 }
 
 // Run runs the scheduler until a stop signal, together with the given actors.
-func Run(cfg platform.Settings, l hclog.Logger, actors ...process.Actor) error {
+func Run(cfg platform.Settings, l hclog.Logger, options []Option, actors ...process.Actor) error {
 	if !cfg.CallerListen.IsValid() || !cfg.ReadinessListen.IsValid() {
 		return status.At(status.ErrBadSetting, "listen.front, listen.readiness", cfg.CallerListen.String()+", "+cfg.ReadinessListen.String())
 	}
-	s := New(cfg, l)
+	s := New(cfg, l, options...)
 	var g run.Group
 	process.AddActor(&g, s.awaitStop)
 	for _, server := range []struct {
