--- a/core/job/overload_bench_test.go
+++ b/core/job/overload_bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -27,6 +28,33 @@
 	}
 }
 
+// maxMedianDecision is the longest median of a decision at 240 workers and 2,000
+// waiting tasks.
+const maxMedianDecision = time.Millisecond
+
+// BenchmarkFairShares measures the same with fair shares, with the waiting tasks of four
+// zones.
+func BenchmarkFairShares(b *testing.B) {
+	const workers, waitingTasks = 240, 2000
+	o := newOverload(workers, waitingTasks, WithFairShares())
+	var times []time.Duration
+	for i := 0; b.Loop(); i++ {
+		begin := time.Now()
+		o.report(i % workers)
+		times = append(times, time.Since(begin))
+	}
+	b.StopTimer()
+	if n := o.waiting(); n < waitingTasks/2 || !o.shares.scarce[bestEffortTasks] {
+		b.Fatalf("%d tasks wait, want at least %d, and scarce room", n, waitingTasks/2)
+	}
+	slices.Sort(times)
+	median := times[len(times)/2]
+	b.ReportMetric(float64(median.Nanoseconds()), "median-ns")
+	if median > maxMedianDecision {
+		b.Errorf("the median decision takes %s, want at most %s", median, maxMedianDecision)
+	}
+}
+
 // overload is a cell with more work than room.
 type overload struct {
 	*Cell
@@ -35,9 +63,9 @@
 	reports []Report
 }
 
-func newOverload(workers, waitingTasks int) *overload {
+func newOverload(workers, waitingTasks int, options ...Option) *overload {
 	now := time.Unix(1000, 0)
-	o := &overload{Cell: New(1, now), now: now, rng: rand.New(rand.NewPCG(1, 1)), reports: make([]Report, workers)}
+	o := &overload{Cell: New(1, now, options...), now: now, rng: rand.New(rand.NewPCG(1, 1)), reports: make([]Report, workers)}
 	o.SetConfiguration(&Configuration{Version: 1, Queues: []Queue{
 		{Host: "host", Prefix: "/queue/", Service: "svc", Priority: 2, MaxFailures: 2, Stretch: 2, Target: time.Second},
 		{Host: "host", Prefix: "/serving/", Service: "svc", MaxFailures: 2, Stretch: 2, Target: time.Second}}})
@@ -65,8 +93,10 @@
 	o.Tick(now)
 	o.carryOut()
 	for i := range (waitingTasks + 6*workers) / 40 {
-		o.Add(testJob(1000+i, Step{Tasks: 40, Need: Resources{Processors: 1800, Memory: 10}, Estimate: 2 * time.Second,
-			BestEffort: true, Checkpoints: true, Image: fmt.Sprint("build-", i%30)}), now)
+		j := testJob(1000+i, Step{Tasks: 40, Need: Resources{Processors: 1800, Memory: 10}, Estimate: 2 * time.Second,
+			BestEffort: true, Checkpoints: true, Image: fmt.Sprint("build-", i%30)})
+		j.Zone = fmt.Sprint("zone-", i%4)
+		o.Add(j, now)
 	}
 	for range 3 {
 		for i := range o.reports {
--- a/core/job/share_test.go
+++ b/core/job/share_test.go
@@ -64,6 +64,7 @@
 	tc.deliverReports()
 	tc.is.Equal(tc.running(1), lent-4)
 	tc.is.Equal(tc.running(2), 4)
+	tc.is.Equal(tc.Stats(tc.now).AccountShares, map[Account]float64{{testQueue, "a"}: float64(lent-4) / 16 * 100, {testQueue, "b"}: 25})
 }
 
 // Guards against a new owner that favours the account that the old one served last:
