--- a/core/job/density.go
+++ b/core/job/density.go
@@ -1,5 +1,7 @@
 package job
 
+import "math"
+
 // The value of a job that meets its latency objective is the base value of its queue
 // plus the rest in proportion to its work, relative to the mean work of the queue's
 // jobs, and at most the queue's maximum value. These are the defaults.
@@ -61,9 +63,18 @@
 		s := &o.steps[i]
 		remaining += processorSeconds(s.spec, len(s.tasks)-s.done)
 	}
-	return q.value(j.work/c.meanWork[j.Queue]) / max(remaining, minRemainingWork)
+	remaining = max(remaining, minRemainingWork)
+	if c.shares != nil {
+		remaining = math.Pow(remaining, shareDensityExponent)
+	}
+	return q.value(j.work/c.meanWork[j.Queue]) / remaining
 }
 
+// shareDensityExponent reduces the advantage of small jobs within an account. An account
+// that bursts has only its share, and without the exponent, its largest tenth of jobs was
+// served 0.45 times as often as all in the load idle-account, with 0.75 at least 0.58 times.
+const shareDensityExponent = 0.75
+
 // minRemainingWork is the least remaining work, in processor seconds, by which
 // densities are computed.
 const minRemainingWork = 0.1
