core/job: no room is held for a step that fits no worker; histories with fair shares

A gang wider than all workers together held them for ever, since the hold was made before it was known to be of use (TestStepThatNeverFitsHoldsNoRoom). Long-running tasks now count as staying. TestHistoriesWithFairShares compares the reservations of the accounts with the runs after each event.

--- a/core/job/history_test.go
+++ b/core/job/history_test.go
@@ -17,6 +17,7 @@
 // with it.
 type history struct {
 	t       *rapid.T
+	options []Option
 	now     time.Time
 	cfg     *Configuration
 	store   durableStore
@@ -89,7 +90,7 @@
 func (h *history) takeOver() *owner {
 	h.epoch++
 	h.store.journal++
-	o := &owner{Cell: New(h.epoch, h.now), journal: h.store.journal, unreachableWorkers: map[int]bool{}}
+	o := &owner{Cell: New(h.epoch, h.now, h.options...), journal: h.store.journal, unreachableWorkers: map[int]bool{}}
 	o.SetConfiguration(h.cfg)
 	for _, a := range slices.Sorted(maps.Keys(h.store.agents)) {
 		o.LoadAgent(a)
@@ -332,8 +333,8 @@
 	}
 }
 
-func newHistory(t *rapid.T) *history {
-	h := &history{t: t, now: time.Unix(1000, 0), jobs: map[string]Job{}, cancelled: map[string]bool{},
+func newHistory(t *rapid.T, options ...Option) *history {
+	h := &history{t: t, options: options, now: time.Unix(1000, 0), jobs: map[string]Job{}, cancelled: map[string]bool{},
 		failed: map[string]int{}, durableFailures: map[string]int{}, done: map[string]bool{},
 		store: durableStore{map[string]Job{}, map[string][]byte{}, map[string]bool{}, map[string]State{}, map[string]bool{}, 0},
 		cfg: &Configuration{Version: 1, Queues: []Queue{{Host: "host", Prefix: "/queue/", Service: "svc",
--- a/core/job/share.go
+++ b/core/job/share.go
@@ -333,20 +333,25 @@
 		k.step.noRoomSince.IsZero() || now.Sub(k.step.noRoomSince) < spec.Estimate {
 		return
 	}
-	held[spec.kind()] = true
+	tasks := 1
+	if spec.Gang {
+		tasks = len(k.step.tasks)
+	}
 	var suitable []*workerRow
+	room := 0
 	for _, w := range c.workers.All {
-		if c.isUsable(w, k, now) && w.mostTasks(spec) > 0 {
+		if n := w.mostTasks(spec); n > 0 && c.isUsable(w, k, now) && (!k.queue.RequiresTicket || k.step.tickets.byWorker[w.ID] != "") {
 			suitable = append(suitable, w)
+			room += n
 		}
 	}
+	if room < tasks {
+		return // the workers will not have room however long the step waits
+	}
+	held[spec.kind()] = true
 	slices.SortFunc(suitable, func(a, b *workerRow) int {
 		return cmp.Or(cmp.Compare(b.freeProcessors(), a.freeProcessors()), cmp.Compare(a.ID, b.ID))
 	})
-	tasks := 1
-	if spec.Gang {
-		tasks = len(k.step.tasks)
-	}
 	for _, w := range suitable {
 		if tasks <= 0 {
 			return
@@ -364,12 +369,20 @@
 // mostTasks returns how many tasks of the step w could run beside its long-running
 // tasks alone.
 func (w *workerRow) mostTasks(s *Step) int {
-	processors := w.Capacity.Processors - w.servingProcessors
+	left := w.Capacity
+	for _, t := range w.tasks {
+		if t.spec.LongRunning {
+			left = left.Minus(t.spec.Need)
+		}
+	}
 	if s.BestEffort {
-		processors = w.Capacity.Processors - w.servingProcessors*servingUsePercent/100
+		left.Processors += w.servingProcessors * (fullPercent - servingUsePercent) / fullPercent
 	}
 	n := maxStepTasks
-	for _, r := range [][2]int{{processors, s.Need.Processors}, {int(w.Capacity.Memory), int(s.Need.Memory)}, {w.Capacity.Accelerators, s.Need.Accelerators}} {
+	if s.MaxPerWorker > 0 {
+		n = s.MaxPerWorker
+	}
+	for _, r := range [][2]int{{left.Processors, s.Need.Processors}, {int(left.Memory), int(s.Need.Memory)}, {left.Accelerators, s.Need.Accelerators}} {
 		if r[1] > 0 {
 			n = min(n, r[0]/r[1])
 		}
--- a/core/job/share_test.go
+++ b/core/job/share_test.go
@@ -140,6 +140,55 @@
 	}
 }
 
+// Guards against room that is held for ever: a gang that is wider than all workers
+// together would keep all other tasks from them.
+func TestStepThatNeverFitsHoldsNoRoom(t *testing.T) {
+	tc := newShareCluster(t, 1, 2)
+	wide := step(40, 1000)
+	wide.Gang = true
+	tc.submit(zoneJob(1, "a", step(4000, 1000)))
+	tc.submit(zoneJob(2, "b", wide))
+	tc.now = tc.now.Add(time.Second + simTick)
+	tc.deliverReports()
+	for _, w := range tc.testWorkers {
+		w.endRuns(len(w.report.Running))
+	}
+	tc.deliverReports()
+	tc.is.True(tc.running(1) > 28)
+}
+
+// Guards against faults of fair shares through replaced owners, restarts, cuts and lost
+// writes, and against an account that keeps the reservation of a run that has ended.
+func TestHistoriesWithFairShares(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		h := newHistory(t, WithFairShares())
+		for n := range rapid.IntRange(5, 120).Draw(t, "length") {
+			h.randomEvent(n)
+			for _, o := range h.owners {
+				reserved := map[*accountRow]accountRow{}
+				for _, w := range o.workers.All {
+					for name, task := range w.tasks {
+						account := o.jobs.Get(name.Job).account
+						row := reserved[account]
+						k := task.spec.kind()
+						row[k].running = row[k].running.plus(1, amountOf(task.spec.Need))
+						reserved[account] = row
+					}
+				}
+				for _, account := range o.shares.accounts {
+					for k := range taskKinds {
+						if account[k].running != reserved[account][k].running {
+							t.Fatalf("an account has %v reserved, its runs %v", account[k].running, reserved[account][k].running)
+						}
+					}
+				}
+			}
+		}
+		h.finishAll()
+	})
+}
+
 // shareHistory is a random history of accounts that compete for the workers.
 type shareHistory struct {
 	*testCluster
