--- a/io/scheduler/control.go
+++ b/io/scheduler/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"rosemarygap/core/event"
@@ -360,7 +361,8 @@
 		return
 	}
 	now := time.Now()
-	cell := job.New(x.session.ownership.Epoch, now, c.s.cellOptions...)
+	options := append(slices.Clip(c.s.cellOptions), job.WithEvacuation(c.s.cfg.Bounds.MaxEvacuationDelay))
+	cell := job.New(x.session.ownership.Epoch, now, options...)
 	if cfg := c.s.mirror.cfg.Load(); cfg != nil {
 		cell.SetConfiguration(cfg)
 	}
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -104,7 +104,7 @@
 		process.CountStoreCall(c)
 		storeOutage.Observe(c.Answered(), time.Now())
 	}))
-	s := &Scheduler{cfg: cfg, cellOptions: []job.Option{job.WithEvacuation(cfg.Bounds.MaxEvacuationDelay)}, log: l, store: store, storeOutage: storeOutage, relayClient: httpjson.NewClient(relayTimeout, httpjson.WithDialTimeout(relayDialTimeout)), mirror: newMirror(l, store), processID: time.Now().UnixNano(),
+	s := &Scheduler{cfg: cfg, log: l, store: store, storeOutage: storeOutage, relayClient: httpjson.NewClient(relayTimeout, httpjson.WithDialTimeout(relayDialTimeout)), mirror: newMirror(l, store), processID: time.Now().UnixNano(),
 		reports: make(chan agentReport, maxMessageBatch), messages: make(chan any, maxMessageBatch),
 		superseded: make(chan struct{}, 1), stop: make(chan struct{}),
 		ownershipCheckRequests: make(chan struct{}, 1), peerClient: httpjson.NewClient(noticeTimeout),
