core/job, platform, io: cold workers

After a worker has started, its heartbeats say for how long it is still cold. The field was not decoded, so cold workers got as many tasks as others, their slow progress counted as that of slow or stalled workers, and tasks were moved off them and started again.

- platform decodes cold-left-ms.
- The agent passes on what is left at the time of the report, in a query parameter: an owner of an earlier build refuses unknown fields of a body.
- Placement chooses by expected end among workers of which some are cold.
The factor is learned from progress on cold workers.
- Progress on a cold worker is no sample of its speed, of a stall, of a throttle or of the run times of the queue.
- A cold worker gets tasks in steps (ramp.go).
- Event 7042 and two gauges.

--- a/core/event/fields.go
+++ b/core/event/fields.go
@@ -81,6 +81,9 @@
 // thousandths, where 0 means no limit; event 7033 gives it in percent.
 func Throttle(share int) Field { return Field{"throttle", share} }
 
+// Slowdown returns the field with the factor by which tasks take longer, in percent.
+func Slowdown(percent int) Field { return Field{"slowdown", percent} }
+
 // Queue returns the field with the id of a job queue, which consists of its host
 // and path prefix.
 func Queue(id string) Field { return Field{"queue", id} }
--- a/core/event/job.go
+++ b/core/event/job.go
@@ -27,6 +27,10 @@
 		[]string{"worker", "decision", "reason", "age", "epoch"},
 		"The owner, which is the entry that schedules, changed its view of a worker's state.",
 		"If the event repeats for one worker, inspect its VM."}
+	WorkerColdChanged = Event{7042, "worker-cold", hclog.Info,
+		[]string{"worker", "state", "elapsed", "slowdown", "epoch"},
+		"A worker became `cold` by its own heartbeat, for the elapsed time from now, or is `warm` again; slowdown is the factor, in percent, by which the owner expects tasks to take longer on cold workers.",
+		"If a worker stays cold for minutes, or becomes cold without a restart, inspect its VM."}
 	OwnershipTaken = Event{7020, "ownership-taken", hclog.Info,
 		[]string{"entry", "epoch", "count"},
 		"This entry became the owner and started to schedule; count is the number of jobs that have not ended.", "None."}
@@ -68,6 +72,6 @@
 )
 
 var jobEvents = []Event{SubmissionAccepted, SubmissionRefused, CancellationAnswered, StateUnknown, RequestRelayed,
-	TaskDecided, WorkerDecided, OwnershipTaken, OwnershipLost, DependencyLost, DependencyRegained,
+	TaskDecided, WorkerDecided, WorkerColdChanged, OwnershipTaken, OwnershipLost, DependencyLost, DependencyRegained,
 	ConfigurationInForce, SettingsReloaded, MessageRefused, LogLinesDropped, OrderCarriedOut, WorkerSeen, OwnerFollowed,
 	TasksThrottled, CancellationsRead}
--- a/core/job/advice.go
+++ b/core/job/advice.go
@@ -54,7 +54,7 @@
 	if now.Sub(a.requestedAt) < advisorRetryInterval {
 		return false
 	}
-	r := c.newScorer(k.step.spec, now)
+	r := c.newScorer(k, now)
 	var scored []scoredWorker
 	for _, w := range c.workers.All {
 		if c.isUsable(w, k, now) {
--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -29,6 +29,9 @@
 	// EventLate is a run that a worker listed for the first time long after the run
 	// had been ordered to stop, so that its start was executed too late.
 	EventLate EventKind = "late"
+	// EventCold is a worker that became cold, and EventWarm one that no longer is.
+	EventCold EventKind = "cold"
+	EventWarm EventKind = "warm"
 	// EventProbation is a failed run of a worker that is on probation.
 	EventProbation EventKind = "probation"
 )
@@ -46,6 +49,11 @@
 	// SinceAcceptance is the time from the acceptance of the job to its first
 	// start or to its end; it is 0 for other events.
 	SinceAcceptance time.Duration
+	// ColdLeft is for how long the worker of EventCold is still cold. Slowdown is the
+	// learned factor by which tasks take longer on cold workers, for EventCold and
+	// EventWarm.
+	ColdLeft time.Duration
+	Slowdown float64
 }
 
 // sinceAcceptance returns the time from the acceptance of a job to now. It is
@@ -304,6 +312,7 @@
 	if now.Sub(c.lastSweep) >= sweepInterval {
 		c.lastSweep = now
 		c.expireWorkers(now)
+		c.logWarmWorkers(now)
 		c.moveStuckTasks(now)
 		c.moveThrottledTasks(now)
 		c.completeOccurrences(now)
--- a/core/job/choose.go
+++ b/core/job/choose.go
@@ -63,6 +63,14 @@
 	// interferes is true if a task of the step would push serving tasks there
 	// above placementUtilizationLimit.
 	interferes bool
+	// ramp limits the tasks on the worker.
+	ramp ramp
+	// rank, time and tieScore rank the workers if tasks are placed by their expected
+	// end. time is how long a task is expected to run there, and the lowest rank is
+	// best. tieScore is the score without what time and rank stand for.
+	rank     int
+	time     time.Duration
+	tieScore int
 }
 
 // scoredWorkers returns the usable workers that have room for a task of the
@@ -76,8 +84,12 @@
 			rack != "" && !slices.Contains(w.Labels, rack) {
 			continue
 		}
-		o := scoredWorker{worker: w}
+		o := scoredWorker{worker: w, ramp: c.rampOf(w, r.now)}
+		if !o.ramp.allows(w, k.step.spec) {
+			continue
+		}
 		r.setScore(&o)
+		r.byEnd = r.byEnd || w.isCold(r.now) && !k.step.spec.LongRunning
 		out = append(out, o)
 	}
 	return out
@@ -100,15 +112,39 @@
 // interfere with serving tasks on that worker, chooseWorker returns nil until
 // the candidate's interferenceWait is over, as a worker without interference may
 // get room in the meantime.
-func chooseWorker(scored []scoredWorker, k *candidate, t *taskRow, now time.Time) *scoredWorker {
+func chooseWorker(scored []scoredWorker, k *candidate, t *taskRow, r *scorer) *scoredWorker {
+	now := r.now
+	best := r.choose(scored, k, t)
+	if best != nil && best.interferes {
+		if t.waitingSince.IsZero() {
+			t.waitingSince = now
+		}
+		if now.Sub(t.waitingSince) < k.interferenceWait {
+			return nil
+		}
+	}
+	return best
+}
+
+// isEligible reports whether t may start on a scored worker now.
+func (r *scorer) isEligible(o *scoredWorker, k *candidate, t *taskRow) bool {
+	w, s := o.worker, k.step.spec
+	if k.queue.RequiresTicket && k.step.tickets.byWorker[w.ID] == "" {
+		return false
+	}
+	return w.hasRoom(s, k.queue.Priority) && w.allowsAnother(s, t.name) && w.acceptsTasks(r.now) && o.ramp.allows(w, s)
+}
+
+// choose returns the best worker that has room for t, or nil.
+func (r *scorer) choose(scored []scoredWorker, k *candidate, t *taskRow) *scoredWorker {
+	if r.byEnd {
+		return r.chooseEarliest(scored, k, t)
+	}
 	var best *scoredWorker
 	bestScore := 0
 	for i := range scored {
 		o := &scored[i]
-		if k.queue.RequiresTicket && k.step.tickets.byWorker[o.worker.ID] == "" {
-			continue
-		}
-		if !o.worker.hasRoom(k.step.spec, k.queue.Priority) || !o.worker.allowsAnother(k.step.spec, t.name) || !o.worker.acceptsTasks(now) {
+		if !r.isEligible(o, k, t) {
 			continue
 		}
 		score := o.score
@@ -119,14 +155,6 @@
 			best, bestScore = o, score
 		}
 	}
-	if best != nil && best.interferes {
-		if t.waitingSince.IsZero() {
-			t.waitingSince = now
-		}
-		if now.Sub(t.waitingSince) < k.interferenceWait {
-			return nil
-		}
-	}
 	return best
 }
 
@@ -252,10 +280,11 @@
 			o.interferes = excess > 0
 		}
 	}
-	if s.Rack != "" && !slices.Contains(w.Labels, s.Rack) {
+	if r.isRemote(w) {
 		o.score -= remoteDataPenalty
 	}
 	if w.speed.isSlow() {
 		o.score -= slowPenalty
 	}
+	r.setEnd(o)
 }
--- a/core/job/load_test.go
+++ b/core/job/load_test.go
@@ -29,6 +29,11 @@
 	Seconds   float64         `json:"seconds"`
 	Streams   []arrivalStream `json:"streams"`
 	Faults    []workerFault   `json:"faults"`
+	// Cold are replacements of workers by cold ones.
+	Cold []coldWorkers `json:"cold"`
+	// Compares are the names of the baselines that are simulated, or empty for those
+	// of policies.
+	Compares []string `json:"compares"`
 	// Interference is the utilization that one processor of a best-effort
 	// image adds to a serving image, by serving and best-effort image.
 	Interference map[string]map[string]float64 `json:"pressures"`
@@ -68,6 +73,47 @@
 	Factor float64 `json:"factor"`
 }
 
+// coldWorkers are Workers workers, from the number First on, that are replaced by cold
+// ones at From. For Left, their tasks take Factor times as long. Times are in seconds.
+type coldWorkers struct {
+	First   int     `json:"first"`
+	Workers int     `json:"workers"`
+	From    float64 `json:"from-s"`
+	Left    float64 `json:"left-s"`
+	Factor  float64 `json:"factor"`
+}
+
+// simPolicy is a policy, or the lack of what placement is told.
+type simPolicy struct {
+	name    string
+	options []Option
+	// hidesCold is true if workers do not tell that they are cold.
+	hidesCold bool
+}
+
+// featureBaselines are baselines of which each workload names those that it is
+// compared with.
+var featureBaselines = []simPolicy{
+	{name: "cold-untold", hidesCold: true},
+}
+
+// simulated returns the policies that are simulated under the workload.
+func (l *workload) simulated() []simPolicy {
+	out := []simPolicy{{name: "product"}}
+	if len(l.Compares) == 0 {
+		out = nil
+		for _, p := range policies {
+			out = append(out, simPolicy{name: p.name, options: p.options})
+		}
+	}
+	for _, b := range featureBaselines {
+		if slices.Contains(l.Compares, b.name) {
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
 // policies are the default policy and the baselines.
 var policies = []struct {
 	name    string
@@ -101,6 +147,7 @@
 type sim struct {
 	*testCluster
 	workload *workload
+	policy   simPolicy
 	rng      *rand.Rand
 	begin    time.Time
 	jobs     map[string]*simJob
@@ -117,14 +164,14 @@
 	share map[string]float64
 }
 
-func newSim(t *testing.T, load *workload, seed uint64, options []Option) *sim {
+func newSim(t *testing.T, load *workload, seed uint64, policy simPolicy) *sim {
 	tc := newTestCluster(t, 0)
-	tc.Cell = New(1, tc.now, options...)
+	tc.Cell = New(1, tc.now, policy.options...)
 	tc.SetConfiguration(&Configuration{Version: 1, Queues: []Queue{
 		{Host: "host", Prefix: "/queue/", Service: "svc", Priority: 2, MaxFailures: 2, Stretch: 2, Target: time.Second},
 		{Host: "host", Prefix: "/urgent/", Service: "svc", Priority: 0, MaxFailures: 4, Stretch: 1.5, Target: 250 * time.Millisecond},
 	}})
-	s := &sim{testCluster: tc, workload: load, rng: rand.New(rand.NewPCG(seed, 7)), begin: tc.now, jobs: map[string]*simJob{},
+	s := &sim{testCluster: tc, workload: load, policy: policy, rng: rand.New(rand.NewPCG(seed, 7)), begin: tc.now, jobs: map[string]*simJob{},
 		done: map[string]time.Time{}, failed: map[string]bool{}, progress: map[string]float64{}, share: map[string]float64{}}
 	for i := range load.Workers {
 		tc.addWorker(fmt.Sprintf("agent-%02d", i))
@@ -173,6 +220,7 @@
 	for n := range s.workload.Workers {
 		agent := fmt.Sprintf("agent-%02d", n)
 		w := s.testWorkers[agent]
+		s.replaceByCold(n, w)
 		s.advance(n, agent, w)
 		s.deliverReport(agent)
 		// Acknowledged ends are no longer listed. A task keeps its progress
@@ -197,6 +245,7 @@
 			speed /= max(1, f.Factor)
 		}
 	}
+	speed /= s.coldFactor(n)
 	share := s.throttleShare(agent, w)
 	for _, r := range slices.Clone(w.report.Running) {
 		task, _ := ParseTask(r.Task)
@@ -225,6 +274,50 @@
 	}
 }
 
+// replaceByCold replaces worker n by a cold one if that is due, and sets for how long it
+// is still cold.
+func (s *sim) replaceByCold(n int, w *testWorker) {
+	at := s.now.Sub(s.begin).Seconds()
+	for _, f := range s.workload.Cold {
+		elapsed := at - f.From
+		if n < f.First || n >= f.First+f.Workers || elapsed < 0 || elapsed > f.Left {
+			continue
+		}
+		if elapsed < simTick.Seconds() {
+			s.restart(w)
+		}
+		if s.policy.hidesCold {
+			continue
+		}
+		next := *w.report.Worker
+		next.ColdLeft = time.Duration((f.Left - elapsed) * float64(time.Second))
+		w.report.Worker = &next
+	}
+}
+
+// restart replaces a worker by another incarnation. The runs and the ends of the earlier
+// one are lost.
+func (s *sim) restart(w *testWorker) {
+	for _, r := range w.report.Running {
+		delete(s.progress, r.Task)
+	}
+	next := *w.report.Worker
+	next.Incarnation++
+	w.report.Worker, w.report.Running, w.report.Ended = &next, nil, nil
+	w.lastEnd, w.acknowledged = 0, 0
+}
+
+// coldFactor returns by how much tasks take longer on worker n now.
+func (s *sim) coldFactor(n int) float64 {
+	at := s.now.Sub(s.begin).Seconds()
+	for _, f := range s.workload.Cold {
+		if n >= f.First && n < f.First+f.Workers && at >= f.From && at < f.From+f.Left {
+			return f.Factor
+		}
+	}
+	return 1
+}
+
 // throttleShare sets the tail latencies of the worker's serving tasks and returns
 // the share of processors for its best-effort tasks. The share is 0 above the
 // tail target, and increases by a third per tick at low utilization.
@@ -394,9 +487,9 @@
 			load := readWorkload(t, file)
 			var table bytes.Buffer
 			total := map[string]float64{}
-			for _, policy := range policies {
+			for _, policy := range load.simulated() {
 				for _, seed := range loadSeeds {
-					s := newSim(t, load, seed, policy.options)
+					s := newSim(t, load, seed, policy)
 					s.run()
 					result := s.result()
 					total[policy.name] += writeResult(&table, policy.name, seed, result)
--- a/core/job/message.go
+++ b/core/job/message.go
@@ -21,6 +21,10 @@
 	Sequence int64 `json:"sequence"`
 	// Clock is the reading of the worker's monotonic clock.
 	Clock time.Duration `json:"clock-ns"`
+	// ColdLeft is for how long the worker is still cold, from the time of the
+	// message: until then, its tasks take longer. It is not in the body of a report,
+	// since an owner of an earlier build refuses unknown fields.
+	ColdLeft time.Duration `json:"-"`
 }
 
 // Outcome is how a run ended.
--- a/core/job/overload.go
+++ b/core/job/overload.go
@@ -41,12 +41,20 @@
 	cell *Cell
 	step *Step
 	now  time.Time
+	// runTime is the expected run time of a task on a worker of the expected speed.
+	runTime time.Duration
+	// byEnd is true if workers are chosen by the expected end of the task.
+	byEnd bool
 	// increases is the utilization that the task adds, by serving image.
 	increases map[string]float64
 }
 
-func (c *Cell) newScorer(s *Step, now time.Time) *scorer {
-	return &scorer{cell: c, step: s, now: now, increases: map[string]float64{}}
+func (c *Cell) newScorer(k *candidate, now time.Time) *scorer {
+	runTime := c.runTimeRatios.estimate(k.job, k.step)
+	if runTime <= 0 {
+		runTime = assumedTaskTime
+	}
+	return &scorer{cell: c, step: k.step.spec, now: now, runTime: runTime, increases: map[string]float64{}}
 }
 
 // increase returns the utilization that a task of the step adds to a serving image.
--- a/core/job/place.go
+++ b/core/job/place.go
@@ -125,7 +125,7 @@
 // room for the next one.
 func (c *Cell) placeStep(k *candidate, now time.Time) {
 	since := k.step.blocked.since(now)
-	r := c.newScorer(k.step.spec, now)
+	r := c.newScorer(k, now)
 	var scored []scoredWorker
 	for i := range k.step.tasks {
 		t := &k.step.tasks[i]
@@ -138,7 +138,7 @@
 				return
 			}
 		}
-		o := chooseWorker(scored, k, t, now)
+		o := chooseWorker(scored, k, t, r)
 		if o == nil {
 			k.step.blocked.record(c.version, since, now)
 			return
@@ -169,12 +169,12 @@
 // rack, or on any workers if rack is empty. It reports whether the gang started.
 func (c *Cell) placeGangOn(k *candidate, rack string, now time.Time) bool {
 	s := k.step
-	r := c.newScorer(s.spec, now)
+	r := c.newScorer(k, now)
 	scored := c.scoredWorkers(k, r, rack, allWorkers)
 	var placed []*taskRow
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		o := chooseWorker(scored, k, t, now)
+		o := chooseWorker(scored, k, t, r)
 		if o == nil || now.Before(t.notBefore) {
 			break
 		}
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -160,6 +160,7 @@
 	if r.Worker.ID == w.ID && r.Worker.Incarnation == w.Incarnation {
 		if r.Worker.Sequence >= w.Sequence {
 			w.Worker = *r.Worker
+			c.setColdLeft(w, r.Worker.ColdLeft, now)
 		}
 		return
 	}
@@ -167,6 +168,8 @@
 	w.Worker = *r.Worker
 	w.listed, w.processedEnds, w.durableEnds, w.pendingEnds = false, 0, 0, nil
 	w.clock, w.unknownRuns, w.health, w.speed = r.Clock, 0, health{}, workerSpeed{}
+	w.coldSince, w.coldUntil = time.Time{}, time.Time{}
+	c.setColdLeft(w, r.Worker.ColdLeft, now)
 	for _, t := range pendingStarts {
 		t.stopping = false
 		c.stopTask(t, "worker-restarted", now)
@@ -263,7 +266,8 @@
 		j.dirty = true
 	}
 	if assigned {
-		if c.policy.learns {
+		// The run time on a cold worker says nothing about later ones.
+		if c.policy.learns && !w.wasColdSince(t.orderedAt) {
 			c.runTimeRatios.observe(j, s, t, e.Outcome, now)
 		}
 		c.releaseTask(s, t)
@@ -448,8 +452,13 @@
 	}
 	t.throttled = r.Throttled
 	t.worker.endProbationIfReady(t, now)
-	if s.spec.BestEffort {
+	switch {
+	case !s.spec.BestEffort:
+	case !t.worker.isCold(now):
 		t.speed.observe(t.percent, r.Throttled, now)
+	case !t.speed.migrating:
+		// The slow progress on a cold worker is no throttle.
+		t.speed.reset()
 	}
 	c.observeWorkerSpeed(j, s, t, now)
 }
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -260,6 +260,11 @@
 	pendingEnds []pendingEnd
 	health      health
 	speed       workerSpeed
+	// coldUntil is when the worker stops being cold, and coldSince when this owner
+	// first knew it as cold. Both are zero for a worker that was never cold.
+	coldSince, coldUntil time.Time
+	// coldLogged is true while the log has the worker as cold.
+	coldLogged bool
 	// version is that of the cell when the worker last changed in a way that may
 	// make it suitable for a blocked step.
 	version int64
@@ -320,6 +325,10 @@
 	meanWork      meanWork
 	interference  interferenceModel
 	policy        policy
+	// coldUntil is when the last worker that was cold stops being cold, and
+	// coldSpeed what was learned from the tasks of cold workers.
+	coldUntil time.Time
+	coldSpeed coldSpeed
 }
 
 // rosterRow is the state of an agent that may have received orders.
--- a/core/job/stats.go
+++ b/core/job/stats.go
@@ -9,6 +9,10 @@
 	Waiting map[int]int
 	// ReportAges is the age of the newest report of each worker.
 	ReportAges map[string]time.Duration
+	// ColdWorkers counts the workers that are cold. ColdFactor is the learned factor by
+	// which tasks take longer there.
+	ColdWorkers int
+	ColdFactor  float64
 }
 
 // Stats returns the values for the metrics.
@@ -30,7 +34,11 @@
 			}
 		}
 	}
+	out.ColdFactor = c.coldSpeed.factor()
 	for _, w := range c.workers.All {
+		if w.isCold(now) {
+			out.ColdWorkers++
+		}
 		out.ReportAges[w.ID] = now.Sub(w.lastReport)
 	}
 	return out
--- a/core/job/worker_speed.go
+++ b/core/job/worker_speed.go
@@ -48,7 +48,14 @@
 		return
 	}
 	done := time.Duration(t.percent-t.firstPercent) * estimate / fullPercent
-	t.worker.speed.observe(float64(done) / float64(elapsed))
+	speed := float64(done) / float64(elapsed)
+	if w := t.worker; w.wasColdSince(t.firstListed) {
+		if w.isCold(now) {
+			c.coldSpeed.observe(speed)
+		}
+		return
+	}
+	t.worker.speed.observe(speed)
 }
 
 // Limits for moving tasks to other workers.
@@ -112,10 +119,10 @@
 	j, s := k.job, k.step
 	switch {
 	case s.spec.LongRunning:
-		if t.percent < fullPercent && now.Sub(t.orderedAt) > startupLimit && c.hasRoomElsewhere(w, &k, t, false, now) {
+		if t.percent < fullPercent && now.Sub(Later(t.orderedAt, w.coldUntil)) > startupLimit && c.hasRoomElsewhere(w, &k, t, false, now) {
 			return reasonStalled
 		}
-	case now.Sub(t.lastProgress) > stallLimit && now.Sub(w.lastProgress) > stallLimit && !t.throttled:
+	case now.Sub(Later(t.lastProgress, w.coldUntil)) > stallLimit && now.Sub(w.lastProgress) > stallLimit && !t.throttled:
 		if c.hasRoomElsewhere(w, &k, t, false, now) {
 			return reasonStalled
 		}
@@ -138,12 +145,16 @@
 // and is not slow. If withoutInterference is true, t must not interfere with
 // serving tasks there.
 func (c *Cell) hasRoomElsewhere(w *workerRow, k *candidate, t *taskRow, withoutInterference bool, now time.Time) bool {
-	r := c.newScorer(k.step.spec, now)
+	r := c.newScorer(k, now)
 	for _, other := range c.workers.All {
 		if other == w || other.speed.isSlow() || !other.hasRoom(k.step.spec, k.queue.Priority) || !c.isUsable(other, k, now) ||
 			!other.allowsAnother(k.step.spec, t.name) {
 			continue
 		}
+		// On a cold worker, a task that makes progress would hardly end earlier.
+		if other.isCold(now) && now.Sub(t.lastProgress) <= stallLimit || !c.rampOf(other, now).allows(other, k.step.spec) {
+			continue
+		}
 		o := scoredWorker{worker: other}
 		if r.setScore(&o); !withoutInterference || !o.interferes {
 			return true
--- a/core/metric/catalogue.go
+++ b/core/metric/catalogue.go
@@ -16,7 +16,7 @@
 	{"rosemarygap_submission_seconds", nil, "time from a submission's arrival to its response, as a histogram"},
 	{"rosemarygap_scheduler_epoch", nil, "epoch of this entry's ownership, 0 while it does not schedule; values above 0 at more than one entry for over 2 s indicate a network partition"},
 	{"rosemarygap_scheduler_live_jobs", nil, "number of jobs that have not ended; reported by the owner"},
-	{"rosemarygap_task_decisions_total", []string{"decision", "reason"}, "decisions of the owner and reports that it processed: `start` is a start order or an attempt adopted from an earlier owner; `stop` is a stop order; `end` (reported by the worker), `absent` (it will never start) and `lost` (with the worker or its lease) are ends of an attempt; `final` is the end of a job; `worker` is a worker that joined, restarted or ended; `probation` is a failed attempt of a worker on probation; `late` is an attempt that was listed for the first time over a second after it was ordered to stop, so alert on it; `unusual` is a reported attempt that does not match the assignment of its task"},
+	{"rosemarygap_task_decisions_total", []string{"decision", "reason"}, "decisions of the owner and reports that it processed: `start` is a start order or an attempt adopted from an earlier owner; `stop` is a stop order; `end` (reported by the worker), `absent` (it will never start) and `lost` (with the worker or its lease) are ends of an attempt; `final` is the end of a job; `worker` is a worker that joined, restarted or ended; `cold` and `warm` are a worker that became cold or no longer is; `probation` is a failed attempt of a worker on probation; `late` is an attempt that was listed for the first time over a second after it was ordered to stop, so alert on it; `unusual` is a reported attempt that does not match the assignment of its task"},
 	{"rosemarygap_journal_write_seconds", nil, "latency of the owner's writes to the store, as a histogram"},
 	{"rosemarygap_journal_write_failures_total", nil, "writes to the store that failed or got no response; they are retried"},
 	{"rosemarygap_orders_total", []string{"order", "outcome"}, "orders that the agent executed on its worker"},
@@ -30,6 +30,8 @@
 	{"rosemarygap_job_seconds", []string{"state"}, "time from a job's acceptance to its end, as a histogram; reported by the owner"},
 	{"rosemarygap_waiting_tasks", []string{"priority"}, "tasks that are ready to start but have not been started, by the priority of their queue; reported by the owner"},
 	{"rosemarygap_worker_report_age_seconds", []string{"worker"}, "age of the newest report from each worker, as seen by the owner; a worker gets no tasks while it is above 1.5 s"},
+	{"rosemarygap_cold_workers", nil, "workers that say in their heartbeats that they are still cold; reported by the owner"},
+	{"rosemarygap_cold_worker_slowdown", nil, "learned factor by which tasks take longer on cold workers, 2 until a task has run on one; reported by the owner"},
 	{"rosemarygap_platform_store_calls_total", []string{"call", "outcome"}, "calls of this process to the platform's store; the outcomes are `ok`, `conflict`, `refused`, `not-found`, `compacted`, `malformed` and `no-answer`"},
 	{"rosemarygap_platform_store_call_seconds", []string{"call"}, "latency of the calls of this process to the platform's store, as a histogram"},
 }
--- a/io/agent/owner.go
+++ b/io/agent/owner.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 
@@ -24,6 +25,9 @@
 	// SharedPayloadsParameter is the query parameter of an agent that understands
 	// job.Reply.Payloads. Its value is not empty.
 	SharedPayloadsParameter = "shared-payloads"
+	// ColdLeftParameter is the query parameter with the nanoseconds for which the
+	// agent's worker is still cold. It is absent if the worker is not cold.
+	ColdLeftParameter = "cold-left-ns"
 	// OwnerPath returns the newest job.Ownership that the entry knows.
 	OwnerPath = "/v1/owner"
 )
@@ -224,7 +228,11 @@
 		client = a.pollClient
 	}
 	var reply job.Reply
-	if err := client.Call(ctx, http.MethodPost, o.Address, ReportPath+"?"+SharedPayloadsParameter+"=1", &r, &reply); err != nil {
+	path := ReportPath + "?" + SharedPayloadsParameter + "=1"
+	if left := r.Worker.ColdLeft; left > 0 {
+		path += "&" + ColdLeftParameter + "=" + strconv.FormatInt(int64(left), 10)
+	}
+	if err := client.Call(ctx, http.MethodPost, o.Address, path, &r, &reply); err != nil {
 		return err
 	}
 	if reply.Epoch > o.Epoch {
--- a/io/agent/server.go
+++ b/io/agent/server.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return err
 	}
-	w, err := platform.DecodeHeartbeat(x.Param("id"), b)
+	w, ignored, err := platform.DecodeHeartbeat(x.Param("id"), b)
 	if err == nil && w.Address != a.cfg.WorkerAddress {
 		err = status.At(status.ErrUnknownRef, "address", w.Address.String())
 	}
@@ -38,6 +38,9 @@
 		event.MessageRefused.Emit(a.log, event.Dependency("worker"), event.Reason(status.Code(err.Error())))
 		return status.At(status.ErrMalformedJSON, "heartbeat", x.Param("id"))
 	}
+	if ignored != "" {
+		event.MessageRefused.Emit(a.log, event.Dependency("worker"), event.Reason(status.Code("ignored field "+ignored)))
+	}
 	newIncarnation, changed := a.state.applyHeartbeat(w)
 	if newIncarnation || changed {
 		state := "ready"
--- a/io/agent/state.go
+++ b/io/agent/state.go
@@ -58,6 +58,8 @@
 	// maxLease is the longest lease that a worker accepts.
 	maxLease time.Duration
 	worker   *job.Worker
+	// coldUntil is when the worker stops being cold by its newest heartbeat.
+	coldUntil time.Time
 	// left is true once the worker has announced its departure.
 	left bool
 	// epoch is the newest known epoch, and applied the sequence number of
@@ -107,6 +109,7 @@
 	switch {
 	case old == nil:
 		s.setWorker(w)
+		s.coldUntil = time.Now().Add(w.ColdLeft)
 		return true, true
 	case w.ID == old.ID && w.Incarnation == old.Incarnation:
 		if w.Sequence <= old.Sequence {
@@ -114,11 +117,13 @@
 		}
 		changed = w.Draining != old.Draining || w.Capacity != old.Capacity
 		s.worker = &w
+		s.coldUntil = time.Now().Add(w.ColdLeft)
 		return false, changed
 	case w.Incarnation < old.Incarnation, w.ID != old.ID && w.Incarnation == old.Incarnation:
 		return false, false
 	}
 	s.setWorker(w)
+	s.coldUntil = time.Now().Add(w.ColdLeft)
 	return true, true
 }
 
@@ -175,6 +180,11 @@
 		// others here.
 		r.Worker = nil
 	}
+	if left := s.coldUntil.Sub(now); r.Worker != nil && r.Worker.ColdLeft > 0 {
+		w := *r.Worker
+		w.ColdLeft = max(0, left)
+		r.Worker = &w
+	}
 	if longPoll || r.Worker == nil {
 		return r
 	}
@@ -412,7 +422,7 @@
 		return false
 	}
 	w := *s.worker
-	w.Incarnation, w.Sequence, w.Draining = runs.Incarnation, 0, true
+	w.Incarnation, w.Sequence, w.Draining, w.ColdLeft = runs.Incarnation, 0, true, 0
 	s.setWorker(w)
 	return true
 }
--- a/io/scheduler/control.go
+++ b/io/scheduler/control.go
@@ -187,6 +187,11 @@
 	liveJobsGauge.Set(float64(c.cell.Len()))
 	for _, e := range c.cell.Events() {
 		countDecision(e)
+		if e.Kind == job.EventCold || e.Kind == job.EventWarm {
+			event.WorkerColdChanged.Emit(c.log, event.Worker(e.Worker), event.State(string(e.Kind)), event.Elapsed(e.ColdLeft),
+				event.Slowdown(int(100*e.Slowdown)), event.Epoch(c.cell.Epoch()))
+			continue
+		}
 		if e.Kind == job.EventWorker {
 			event.WorkerDecided.Emit(c.log, event.Worker(e.Worker), event.Decision(string(e.Kind)),
 				event.Reason(status.Code(e.Reason)), event.Age(e.ReportAge), event.Epoch(c.cell.Epoch()))
--- a/io/scheduler/metrics.go
+++ b/io/scheduler/metrics.go
@@ -48,6 +48,8 @@
 	for priority, n := range stats.Waiting {
 		g.set.GetOrCreateGauge(fmt.Sprintf(`rosemarygap_waiting_tasks{priority="%d"}`, priority), nil).Set(float64(n))
 	}
+	g.set.GetOrCreateGauge("rosemarygap_cold_workers", nil).Set(float64(stats.ColdWorkers))
+	g.set.GetOrCreateGauge("rosemarygap_cold_worker_slowdown", nil).Set(stats.ColdFactor)
 	for worker, age := range stats.ReportAges {
 		g.set.GetOrCreateGauge(fmt.Sprintf(`rosemarygap_worker_report_age_seconds{worker=%q}`, worker), nil).Set(age.Seconds())
 	}
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -12,6 +12,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -201,6 +202,9 @@
 	}
 	r.ReceivedAt = receivedAt
 	r.SharedPayloads = x.QueryParam(agent.SharedPayloadsParameter) != ""
+	if left, err := strconv.ParseInt(x.QueryParam(agent.ColdLeftParameter), 10, 64); err == nil && r.Worker != nil {
+		r.Worker.ColdLeft = time.Duration(left)
+	}
 	timeout := reportTimeout
 	if r.LongPoll {
 		timeout = longPollWait
