core/job: placement by expected end, waits for a rack, reservations

A worker outside of the rack that holds the data got a fixed penalty, whatever the time there, so a task started elsewhere as soon as its rack was full. With far-factor above 1 in the settings, tasks of steps that name a rack now go where they are expected to end first (expected_end.go).

A task of lower priority does not wait if a start elsewhere meets its objective and the wait would risk that.

--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -204,13 +204,38 @@
 	t.starts++
 	c.recordRun(s, t, w, c.runNumber(t.starts), now)
 	w.enqueueStart(j, s, t)
-	c.logEvent(EventStart, t, w, "placed", now)
+	c.logEvent(EventStart, t, w, c.startReason(s.spec, w, now), now)
 	if !j.ordered {
 		j.ordered, j.state = true, Running
 		c.events[len(c.events)-1].SinceAcceptance = sinceAcceptance(j, now)
 	}
 }
 
+// Reasons for a start. Those other than ReasonPlaced are given only where placement
+// depends on them.
+const (
+	ReasonPlaced = "placed"
+	// ReasonPlacedInRack and ReasonPlacedRemote are given for a task that is placed by
+	// its expected end, in the rack of its data or elsewhere.
+	ReasonPlacedInRack = "placed-in-rack"
+	ReasonPlacedRemote = "placed-off-rack"
+	// ReasonPlacedCold is given for a start on a cold worker that is not remote.
+	ReasonPlacedCold = "placed-cold"
+)
+
+// startReason returns the reason for a start of a task of s on w, for the log.
+func (c *Cell) startReason(s *Step, w *workerRow, now time.Time) string {
+	switch {
+	case c.usesExpectedEnd(s) && c.rackFactor(s, w) > 1:
+		return ReasonPlacedRemote
+	case w.isCold(now):
+		return ReasonPlacedCold
+	case c.usesExpectedEnd(s):
+		return ReasonPlacedInRack
+	}
+	return ReasonPlaced
+}
+
 // markStarted records that a worker has begun a run of the job.
 func (j *jobRow) markStarted() {
 	if !j.started && !j.state.IsFinal() {
@@ -242,7 +267,7 @@
 // reserveCapacity reserves the capacity of n tasks of a job's step; a negative
 // n frees it.
 func (w *workerRow) reserveCapacity(job string, s *Step, n int) {
-	w.predicted.at = time.Time{}
+	w.predicted.at, w.releases.at = time.Time{}, time.Time{}
 	w.used.Memory += int64(n) * s.Need.Memory
 	w.used.Accelerators += n * s.Need.Accelerators
 	if s.BestEffort {
--- a/core/job/choose.go
+++ b/core/job/choose.go
@@ -65,6 +65,8 @@
 	interferes bool
 	// ramp limits the tasks on the worker.
 	ramp ramp
+	// reserved is the room that steps of higher rank reserve on the worker.
+	reserved room
 	// rank, time and tieScore rank the workers if tasks are placed by their expected
 	// end. time is how long a task is expected to run there, and the lowest rank is
 	// best. tieScore is the score without what time and rank stand for.
@@ -84,8 +86,8 @@
 			rack != "" && !slices.Contains(w.Labels, rack) {
 			continue
 		}
-		o := scoredWorker{worker: w, ramp: c.rampOf(w, r.now)}
-		if !o.ramp.allows(w, k.step.spec) {
+		o := scoredWorker{worker: w, ramp: c.rampOf(w, r.now), reserved: c.reserved[w]}
+		if !o.ramp.allows(w, k.step.spec) || !w.fitsBeside(o.reserved, k.step.spec) {
 			continue
 		}
 		r.setScore(&o)
@@ -132,7 +134,7 @@
 	if k.queue.RequiresTicket && k.step.tickets.byWorker[w.ID] == "" {
 		return false
 	}
-	return w.hasRoom(s, k.queue.Priority) && w.allowsAnother(s, t.name) && w.acceptsTasks(r.now) && o.ramp.allows(w, s)
+	return w.hasRoom(s, k.queue.Priority) && w.allowsAnother(s, t.name) && w.acceptsTasks(r.now) && o.ramp.allows(w, s) && w.fitsBeside(o.reserved, s)
 }
 
 // choose returns the best worker that has room for t, or nil.
--- a/core/job/expected_end.go
+++ b/core/job/expected_end.go
@@ -14,13 +14,22 @@
 
 // timeOn returns how long a task of the scorer's step is expected to run on w.
 func (r *scorer) timeOn(w *workerRow) time.Duration {
-	d := r.runTime
+	d := times(r.runTime, r.cell.rackFactor(r.step, w))
 	if w.speed.isSlow() {
 		d = times(d, 1/max(w.speed.average, minWorkerSpeed))
 	}
 	return r.cell.coldTime(w, d, r.now)
 }
 
+// recordPlaced updates what depends on the tasks of a scored worker after one of the
+// step was assigned to it.
+func (r *scorer) recordPlaced(o *scoredWorker) {
+	r.setScore(o)
+	if r.spread != nil {
+		r.spread.add(o.worker)
+	}
+}
+
 // Ranks of a worker on which a task is not expected to make proper progress, or has
 // failed before. They outweigh the expected end.
 const (
@@ -40,7 +49,9 @@
 	}
 	if r.isRemote(o.worker) {
 		o.tieScore += remoteDataPenalty
-		o.rank |= rankRemote
+		if !r.cell.usesExpectedEnd(r.step) {
+			o.rank |= rankRemote
+		}
 	}
 }
 
@@ -54,7 +65,8 @@
 const tiedTimePermille = 1100
 
 // chooseEarliest returns the worker on which t is expected to end first. Among those
-// with nearly the same time, the one with the highest score wins.
+// with nearly the same time, the one with the highest score wins, and among equal ones
+// that whose rack has the fewest tasks of the step.
 func (r *scorer) chooseEarliest(scored []scoredWorker, k *candidate, t *taskRow) *scoredWorker {
 	rankOf := func(o *scoredWorker) int {
 		if slices.Contains(t.failedOn, o.worker.ID) {
@@ -78,7 +90,10 @@
 	rank, limit, best := rankOf(first), first.time*tiedTimePermille/1000, first
 	for i := range scored {
 		o := &scored[i]
-		if r.isEligible(o, k, t) && rankOf(o) == rank && o.time <= limit && o.tieScore > best.tieScore {
+		if o == best || rankOf(o) != rank || o.time > limit || o.tieScore < best.tieScore || !r.isEligible(o, k, t) {
+			continue
+		}
+		if o.tieScore > best.tieScore || r.cell.usesExpectedEnd(r.step) && r.spreadOf(k).isLess(o.worker, best.worker) {
 			best = o
 		}
 	}
--- a/core/job/history_test.go
+++ b/core/job/history_test.go
@@ -16,13 +16,16 @@
 // successor. It keeps its own record of what happened and checks the invariants
 // with it.
 type history struct {
-	t       *rapid.T
-	now     time.Time
-	cfg     *Configuration
-	store   durableStore
-	owners  []*owner
-	epoch   int64
-	workers []*simWorker
+	t      *rapid.T
+	now    time.Time
+	cfg    *Configuration
+	store  durableStore
+	owners []*owner
+	epoch  int64
+	// remoteDataFactor is 0 in histories without placement by expected end and without
+	// cold workers.
+	remoteDataFactor float64
+	workers          []*simWorker
 	// jobs are all accepted jobs; done, failed and cancelled record what
 	// really happened.
 	jobs      map[string]Job
@@ -89,7 +92,7 @@
 func (h *history) takeOver() *owner {
 	h.epoch++
 	h.store.journal++
-	o := &owner{Cell: New(h.epoch, h.now), journal: h.store.journal, unreachableWorkers: map[int]bool{}}
+	o := &owner{Cell: New(h.epoch, h.now, WithRemoteDataFactor(h.remoteDataFactor)), journal: h.store.journal, unreachableWorkers: map[int]bool{}}
 	o.SetConfiguration(h.cfg)
 	for _, a := range slices.Sorted(maps.Keys(h.store.agents)) {
 		o.LoadAgent(a)
@@ -193,6 +196,10 @@
 		Clock: s.clock, Listed: true, Ended: slices.Clone(s.ended), Absent: slices.Clone(s.absent),
 		Worker: &Worker{ID: h.agent(s.number), Incarnation: s.incarnation, Service: "svc",
 			Capacity: Resources{Processors: 4000, Memory: 4000}}}
+	if h.remoteDataFactor > 0 {
+		r.Worker.Labels = []string{fmt.Sprintf("r%d", s.number%2)}
+		r.Worker.ColdLeft = time.Duration(s.number) * time.Second
+	}
 	for _, task := range slices.Sorted(maps.Keys(s.running)) {
 		r.Running = append(r.Running, Run{Task: task, Run: s.running[task], Percent: int(h.now.UnixMilli()/100) % 100})
 	}
@@ -338,6 +345,9 @@
 		store: durableStore{map[string]Job{}, map[string][]byte{}, map[string]bool{}, map[string]State{}, map[string]bool{}, 0},
 		cfg: &Configuration{Version: 1, Queues: []Queue{{Host: "host", Prefix: "/queue/", Service: "svc",
 			MaxFailures: 2, Stretch: 2, Target: time.Second}}}}
+	if rapid.Bool().Draw(t, "placed by expected end") {
+		h.remoteDataFactor = 1.5
+	}
 	for i := range 3 {
 		h.workers = append(h.workers, &simWorker{number: i, incarnation: 1, process: 1,
 			running: map[string]int64{}, highestRun: map[string]int64{}})
@@ -366,6 +376,9 @@
 		if rapid.Bool().Draw(t, "second step") {
 			steps = append(steps, step(2, 1500, 0))
 		}
+		if h.remoteDataFactor > 0 {
+			steps[0].Rack = fmt.Sprintf("r%d", n%2)
+		}
 		j := testJob(n, steps...)
 		h.jobs[j.ID], h.store.jobs[j.ID] = j, j
 		h.newestOwner().Add(j, h.now)
--- a/core/job/load_test.go
+++ b/core/job/load_test.go
@@ -31,6 +31,14 @@
 	Faults    []workerFault   `json:"faults"`
 	// Cold are replacements of workers by cold ones.
 	Cold []coldWorkers `json:"cold"`
+	// RemoteDataFactor is by which factor tasks take longer outside of the rack of their
+	// data. Racks have WorkersPerRack workers, and Sizes are the processors of the
+	// workers by turns, in thousandths.
+	RemoteDataFactor float64 `json:"far-factor"`
+	WorkersPerRack   int     `json:"workers-per-rack"`
+	Sizes            []int   `json:"sizes"`
+	// LostRacks are racks without power.
+	LostRacks []lostRack `json:"lost-racks"`
 	// Compares are the names of the baselines that are simulated, or empty for those
 	// of policies.
 	Compares []string `json:"compares"`
@@ -61,6 +69,16 @@
 	// their utilization without interference.
 	Serving     bool    `json:"serves"`
 	Utilization float64 `json:"busy"`
+	// Racks is the number of racks, from the first on, that hold the data of the jobs:
+	// each job names one of them.
+	Racks int `json:"racks"`
+}
+
+// lostRack is a rack whose workers are lost at From, and return as new ones at To.
+type lostRack struct {
+	Rack int     `json:"rack"`
+	From float64 `json:"from-s"`
+	To   float64 `json:"to-s"`
 }
 
 // workerFault makes a worker fail all its runs, or slows it down by Factor. From
@@ -89,12 +107,16 @@
 	options []Option
 	// hidesCold is true if workers do not tell that they are cold.
 	hidesCold bool
+	// hidesFactor is true if the cell does not know RemoteDataFactor.
+	hidesFactor bool
 }
 
 // featureBaselines are baselines of which each workload names those that it is
 // compared with.
 var featureBaselines = []simPolicy{
 	{name: "cold-untold", hidesCold: true},
+	{name: "factor-unknown", hidesFactor: true},
+	{name: "factor-unknown-arrival-order", hidesFactor: true, options: []Option{WithArrivalOrder()}},
 }
 
 // simulated returns the policies that are simulated under the workload.
@@ -137,6 +159,8 @@
 // simJob is a submitted job with the data from which result computes its value.
 type simJob struct {
 	stream *arrivalStream
+	// rack holds the data of the job, or is empty.
+	rack string
 	// work is the sum of the run times of the tasks, in processor seconds.
 	work         float64
 	begin        time.Time
@@ -166,7 +190,11 @@
 
 func newSim(t *testing.T, load *workload, seed uint64, policy simPolicy) *sim {
 	tc := newTestCluster(t, 0)
-	tc.Cell = New(1, tc.now, policy.options...)
+	options := policy.options
+	if !policy.hidesFactor {
+		options = append(slices.Clone(options), WithRemoteDataFactor(load.RemoteDataFactor))
+	}
+	tc.Cell = New(1, tc.now, options...)
 	tc.SetConfiguration(&Configuration{Version: 1, Queues: []Queue{
 		{Host: "host", Prefix: "/queue/", Service: "svc", Priority: 2, MaxFailures: 2, Stretch: 2, Target: time.Second},
 		{Host: "host", Prefix: "/urgent/", Service: "svc", Priority: 0, MaxFailures: 4, Stretch: 1.5, Target: 250 * time.Millisecond},
@@ -174,11 +202,19 @@
 	s := &sim{testCluster: tc, workload: load, policy: policy, rng: rand.New(rand.NewPCG(seed, 7)), begin: tc.now, jobs: map[string]*simJob{},
 		done: map[string]time.Time{}, failed: map[string]bool{}, progress: map[string]float64{}, share: map[string]float64{}}
 	for i := range load.Workers {
-		tc.addWorker(fmt.Sprintf("agent-%02d", i))
+		w := tc.addWorker(fmt.Sprintf("agent-%02d", i)).report.Worker
+		if load.WorkersPerRack > 0 {
+			w.Labels = []string{"a", simRack(i / load.WorkersPerRack)}
+		}
+		if len(load.Sizes) > 0 {
+			w.Capacity.Processors = load.Sizes[i%len(load.Sizes)]
+		}
 	}
 	return s
 }
 
+func simRack(n int) string { return fmt.Sprintf("r%d", n) }
+
 // submitArrivals submits the jobs that arrive within a tick.
 func (s *sim) submitArrivals() {
 	at := s.now.Sub(s.begin).Seconds()
@@ -196,10 +232,14 @@
 	spread := func(v float64) float64 { return v * (0.5 + s.rng.Float64()) }
 	tasks := max(1, int(spread(float64(st.Tasks))))
 	duration := time.Duration(spread(st.Duration) * float64(time.Second))
+	rack := ""
+	if st.Racks > 0 {
+		rack = simRack(s.rng.IntN(st.Racks))
+	}
 	j := Job{ID: id, Queue: "host/" + st.Queue + "/", Accepted: s.now, Payload: duration.String()}
 	for n := range st.Steps {
 		step := Step{Tasks: tasks, Need: Resources{Processors: st.ProcessorsMilli, Memory: 1}, Image: st.Image,
-			BestEffort: st.BestEffort, Checkpoints: st.BestEffort, LongRunning: st.Serving,
+			BestEffort: st.BestEffort, Checkpoints: st.BestEffort, LongRunning: st.Serving, Rack: rack,
 			Estimate: time.Duration(float64(duration) / max(1, st.Understated))}
 		if st.Serving {
 			step.TailTarget = simTailTarget
@@ -210,7 +250,7 @@
 		j.Steps = append(j.Steps, step)
 	}
 	criticalPath := time.Duration(st.Steps) * duration
-	s.jobs[id] = &simJob{st, float64(st.Steps*tasks*st.ProcessorsMilli) / 1000 * duration.Seconds(), s.now, criticalPath}
+	s.jobs[id] = &simJob{st, rack, float64(st.Steps*tasks*st.ProcessorsMilli) / 1000 * duration.Seconds(), s.now, criticalPath}
 	s.Add(j, s.now)
 }
 
@@ -220,6 +260,9 @@
 	for n := range s.workload.Workers {
 		agent := fmt.Sprintf("agent-%02d", n)
 		w := s.testWorkers[agent]
+		if s.isLost(n, w) {
+			continue
+		}
 		s.replaceByCold(n, w)
 		s.advance(n, agent, w)
 		s.deliverReport(agent)
@@ -257,6 +300,9 @@
 		if j.stream.BestEffort {
 			runSpeed *= share
 		}
+		if j.rack != "" && !slices.Contains(w.report.Worker.Labels, j.rack) {
+			runSpeed /= max(1, s.workload.RemoteDataFactor)
+		}
 		s.progress[r.Task] += runSpeed * simTick.Seconds() * float64(j.stream.Steps) / j.criticalPath.Seconds()
 		switch {
 		case fails && s.progress[r.Task] > 0.3: // runs fail after 30% of their work
@@ -295,6 +341,23 @@
 	}
 }
 
+// isLost reports whether worker n is lost now. A worker that returns is a new one.
+func (s *sim) isLost(n int, w *testWorker) bool {
+	at := s.now.Sub(s.begin).Seconds()
+	for _, f := range s.workload.LostRacks {
+		if n/s.workload.WorkersPerRack != f.Rack {
+			continue
+		}
+		if at >= f.From && at < f.To {
+			return true
+		}
+		if at >= f.To && at-f.To < simTick.Seconds() {
+			s.restart(w)
+		}
+	}
+	return false
+}
+
 // restart replaces a worker by another incarnation. The runs and the ends of the earlier
 // one are lost.
 func (s *sim) restart(w *testWorker) {
--- a/core/job/overload.go
+++ b/core/job/overload.go
@@ -45,6 +45,10 @@
 	runTime time.Duration
 	// byEnd is true if workers are chosen by the expected end of the task.
 	byEnd bool
+	// rack are the workers in the rack of the step's data, and spread is where its
+	// tasks run; both are nil until they are needed.
+	rack   []*workerRow
+	spread *stepSpread
 	// increases is the utilization that the task adds, by serving image.
 	increases map[string]float64
 }
@@ -54,7 +58,7 @@
 	if runTime <= 0 {
 		runTime = assumedTaskTime
 	}
-	return &scorer{cell: c, step: k.step.spec, now: now, runTime: runTime, increases: map[string]float64{}}
+	return &scorer{cell: c, step: k.step.spec, now: now, runTime: runTime, byEnd: c.usesExpectedEnd(k.step.spec), increases: map[string]float64{}}
 }
 
 // increase returns the utilization that a task of the step adds to a serving image.
--- a/core/job/place.go
+++ b/core/job/place.go
@@ -110,6 +110,9 @@
 // placeTasks starts the waiting tasks of the candidates, in order, while workers
 // have room for them.
 func (c *Cell) placeTasks(now time.Time) {
+	clear(c.claims)
+	clear(c.reserved)
+	c.rackWaits, c.reservingSteps = 0, 0
 	for _, k := range c.candidates(now) {
 		switch {
 		case !c.ensureTickets(&k, now):
@@ -127,6 +130,7 @@
 	since := k.step.blocked.since(now)
 	r := c.newScorer(k, now)
 	var scored []scoredWorker
+	waits := false
 	for i := range k.step.tasks {
 		t := &k.step.tasks[i]
 		if t.state != taskWaiting || now.Before(t.notBefore) {
@@ -134,18 +138,31 @@
 		}
 		if scored == nil {
 			if scored = c.scoredWorkers(k, r, "", since); len(scored) == 0 {
+				c.keepRackClaims(k, since)
 				k.step.blocked.record(c.version, since, now)
+				c.waitForRoom(k, r)
 				return
 			}
+			k.step.rackClaims = k.step.rackClaims[:0]
 		}
 		o := chooseWorker(scored, k, t, r)
 		if o == nil {
 			k.step.blocked.record(c.version, since, now)
+			if t.waitingSince.IsZero() { // it does not wait for a worker without interference
+				c.waitForRoom(k, r)
+			}
 			return
 		}
+		if c.waitsForRack(k, r, t, o) {
+			waits = true
+			continue
+		}
 		t.ticket = k.step.tickets.byWorker[o.worker.ID]
 		c.startTask(k.job, k.step, t, o.worker, now)
-		r.setScore(o)
+		r.recordPlaced(o)
+	}
+	if waits {
+		k.step.blocked.record(c.version, since, now)
 	}
 }
 
@@ -162,7 +179,9 @@
 			}
 		}
 	}
-	c.placeGangOn(k, "", now)
+	if !c.placeGangOn(k, "", now) {
+		c.waitForRoom(k, c.newScorer(k, now))
+	}
 }
 
 // placeGangOn starts all members of a gang, or none, on workers with the label
@@ -180,7 +199,7 @@
 		}
 		// Run 0 only reserves capacity until all members have a worker.
 		c.recordRun(s, t, o.worker, 0, now)
-		r.setScore(o)
+		r.recordPlaced(o)
 		placed = append(placed, t)
 	}
 	complete := len(placed) == len(s.tasks)
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -268,7 +268,7 @@
 	if assigned {
 		// The run time on a cold worker says nothing about later ones.
 		if c.policy.learns && !w.wasColdSince(t.orderedAt) {
-			c.runTimeRatios.observe(j, s, t, e.Outcome, now)
+			c.runTimeRatios.observe(j, s, t, e.Outcome, c.rackFactor(s.spec, w), now)
 		}
 		c.releaseTask(s, t)
 	}
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -78,6 +78,12 @@
 	// waiting counts the tasks in state taskWaiting.
 	waiting int
 	blocked blockedStep
+	// rackWaitSince is when a task of the step began to wait for room in the rack of
+	// its data, or zero.
+	rackWaitSince time.Time
+	// rackClaims are the workers there whose room its tasks wait for.
+	rackClaims  []*workerRow
+	reservation reservation
 	// tickets are the tickets of the advisor, for queues that require them.
 	tickets advisorTickets
 }
@@ -270,6 +276,8 @@
 	version int64
 	// predicted must be reset when the tasks of the worker change.
 	predicted predictedUtilization
+	// releases must be reset when the tasks of the worker change.
+	releases expectedReleases
 	// lastProgress is when any task of the worker last made progress or ended.
 	lastProgress time.Time
 	// lastSample is when the worker last gave a sample to the interference
@@ -329,6 +337,14 @@
 	// coldSpeed what was learned from the tasks of cold workers.
 	coldUntil time.Time
 	coldSpeed coldSpeed
+	// remoteDataFactor is by which factor a task takes longer on a worker outside of the
+	// rack that holds its data; 0 means unknown.
+	remoteDataFactor float64
+	// claims is the room that tasks wait for in the racks of their data, and rackWaits
+	// their number. reserved is the room that reservingSteps steps reserve. All of them
+	// are of the current or the last call of placeTasks.
+	claims, reserved          map[*workerRow]room
+	rackWaits, reservingSteps int
 }
 
 // rosterRow is the state of an agent that may have received orders.
@@ -354,7 +370,7 @@
 func New(epoch int64, now time.Time, options ...Option) *Cell {
 	c := &Cell{epoch: epoch, ownedSince: now, queues: map[string]*Queue{},
 		jobs: table.New[string, jobRow](), workers: table.New[string, workerRow](),
-		roster: map[string]rosterRow{}, endedJobs: map[string]bool{}, earlyCancellations: map[string]bool{}, runTimeRatios: newRunTimeRatios(), meanWork: meanWork{}, interference: newInterferenceModel(),
+		roster: map[string]rosterRow{}, endedJobs: map[string]bool{}, earlyCancellations: map[string]bool{}, claims: map[*workerRow]room{}, reserved: map[*workerRow]room{}, runTimeRatios: newRunTimeRatios(), meanWork: meanWork{}, interference: newInterferenceModel(),
 		policy: policy{compare: byTimelinessAndPriority, learns: true}}
 	for _, o := range options {
 		o(c)
--- a/core/job/run_time.go
+++ b/core/job/run_time.go
@@ -12,11 +12,12 @@
 func newRunTimeRatios() runTimeRatios { return runTimeRatios{map[string]float64{}} }
 
 // observe adds the run time of a run that succeeded and did the whole task.
-func (r runTimeRatios) observe(j *jobRow, s *stepRow, t *taskRow, outcome Outcome, now time.Time) {
+// factor is by which factor the task took longer on its worker than expected.
+func (r runTimeRatios) observe(j *jobRow, s *stepRow, t *taskRow, outcome Outcome, factor float64, now time.Time) {
 	if outcome != EndDone || s.spec.Estimate <= 0 || t.partial {
 		return
 	}
-	ratio := float64(now.Sub(t.orderedAt)) / float64(s.spec.Estimate)
+	ratio := float64(now.Sub(t.orderedAt)) / (float64(s.spec.Estimate) * factor)
 	old, ok := r.byQueue[j.Queue]
 	if !ok {
 		old = 1
@@ -26,10 +27,15 @@
 
 // estimate returns the expected run time of a task of s.
 func (r runTimeRatios) estimate(j *jobRow, s *stepRow) time.Duration {
-	if ratio, ok := r.byQueue[j.Queue]; ok {
-		return time.Duration(float64(s.spec.Estimate) * ratio)
+	return r.expected(j.Queue, s.spec)
+}
+
+// expected returns the expected run time of a task of s in a job of queue.
+func (r runTimeRatios) expected(queue string, s *Step) time.Duration {
+	if ratio, ok := r.byQueue[queue]; ok {
+		return time.Duration(float64(s.Estimate) * ratio)
 	}
-	return s.spec.Estimate
+	return s.Estimate
 }
 
 // remaining returns the critical path of the remaining work of o.
--- a/core/job/stats.go
+++ b/core/job/stats.go
@@ -13,6 +13,10 @@
 	// which tasks take longer there.
 	ColdWorkers int
 	ColdFactor  float64
+	// RackWaits counts the tasks that wait for room in the rack of their data though
+	// another worker has room, and ReservedWorkers the workers on which steps reserve
+	// room.
+	RackWaits, ReservedWorkers int
 }
 
 // Stats returns the values for the metrics.
@@ -34,6 +38,7 @@
 			}
 		}
 	}
+	out.RackWaits, out.ReservedWorkers = c.rackWaits, len(c.reserved)
 	out.ColdFactor = c.coldSpeed.factor()
 	for _, w := range c.workers.All {
 		if w.isCold(now) {
--- a/core/job/worker_speed.go
+++ b/core/job/worker_speed.go
@@ -43,7 +43,7 @@
 	if !c.policy.learns || s.spec.BestEffort || s.spec.LongRunning || s.spec.Gang || elapsed < minSpeedSampleTime {
 		return
 	}
-	estimate := c.runTimeRatios.estimate(j, s)
+	estimate := times(c.runTimeRatios.estimate(j, s), c.rackFactor(s.spec, t.worker))
 	if estimate <= 0 {
 		return
 	}
--- a/io/scheduler/control.go
+++ b/io/scheduler/control.go
@@ -315,7 +315,7 @@
 		return
 	}
 	now := time.Now()
-	cell := job.New(x.session.ownership.Epoch, now)
+	cell := job.New(x.session.ownership.Epoch, now, job.WithRemoteDataFactor(c.s.cfg.Bounds.RemoteDataFactor))
 	if cfg := c.s.mirror.cfg.Load(); cfg != nil {
 		cell.SetConfiguration(cfg)
 	}
--- a/io/scheduler/metrics.go
+++ b/io/scheduler/metrics.go
@@ -48,6 +48,8 @@
 	for priority, n := range stats.Waiting {
 		g.set.GetOrCreateGauge(fmt.Sprintf(`rosemarygap_waiting_tasks{priority="%d"}`, priority), nil).Set(float64(n))
 	}
+	g.set.GetOrCreateGauge("rosemarygap_rack_waiting_tasks", nil).Set(float64(stats.RackWaits))
+	g.set.GetOrCreateGauge("rosemarygap_reserved_workers", nil).Set(float64(stats.ReservedWorkers))
 	g.set.GetOrCreateGauge("rosemarygap_cold_workers", nil).Set(float64(stats.ColdWorkers))
 	g.set.GetOrCreateGauge("rosemarygap_cold_worker_slowdown", nil).Set(stats.ColdFactor)
 	for worker, age := range stats.ReportAges {
@@ -73,6 +75,9 @@
 	case e.Kind == job.EventFinal:
 		metrics.GetOrCreateHistogram(fmt.Sprintf(`rosemarygap_job_seconds{state=%q}`, e.Reason)).Update(e.SinceAcceptance.Seconds())
 	}
+	if e.Reason == job.ReasonPlacedInRack || e.Reason == job.ReasonPlacedRemote {
+		metrics.GetOrCreateCounter(fmt.Sprintf(`rosemarygap_rack_starts_total{reason=%q}`, e.Reason)).Inc()
+	}
 	reason := e.Reason
 	if e.Kind != job.EventEnd && e.Kind != job.EventStop && e.Kind != job.EventFinal {
 		// Other events include refusals, whose reasons come from the workers,
