--- a/core/job/placement_test.go
+++ b/core/job/placement_test.go
@@ -227,6 +227,20 @@
 	tc.is.Equal(tc.runningIn("r1")+tc.runningIn("r2"), 6)
 }
 
+// A wide step whose result has no value any more must not keep room from others.
+func TestTooLateStepReservesNothing(t *testing.T) {
+	for target, reserves := range map[time.Duration]bool{time.Second: false, time.Hour: true} {
+		tc := newRackCluster(t, 1, WithRemoteDataFactor(2))
+		tc.cfg.Queues[0].Target = target
+		tc.submit(testJob(1, step(14, 2000)))
+		wide := testJob(2, rackStep(wideStepTasks, 12000, time.Second))
+		wide.Accepted = wide.Accepted.Add(-time.Minute)
+		tc.submit(wide)
+		tc.pass(1200*time.Millisecond, 2*time.Second)
+		tc.is.Equal(tc.Stats(tc.now).ReservedWorkers > 0, reserves)
+	}
+}
+
 // A task that takes longer because its data is in another rack is no sign of a slow worker
 // or of wrong estimates of the queue.
 func TestRemoteRunIsNotJudged(t *testing.T) {
