core/job: room that a task waits for in its rack is kept from later steps of lower rank

Narrow tasks took what each end in the rack left, so tasks that needed more waited in vain up to the limit and then started elsewhere, later than at once. TestClaimedRoomIsKept.

--- a/core/job/placement_test.go
+++ b/core/job/placement_test.go
@@ -84,6 +84,22 @@
 	tc.is.Equal(tc.runningIn("r2"), 1) // (2 - 1) x 2 s have passed
 }
 
+// The room that a task waits for in its rack must not go to a later task of lower rank that
+// needs less of it.
+func TestClaimedRoomIsKept(t *testing.T) {
+	tc := newRackCluster(t, 1, WithRemoteDataFactor(2), WithoutLearning())
+	tc.submit(testJob(1, rackStep(1, 8000, 2*time.Second)))
+	tc.pass(1500*time.Millisecond, time.Minute)
+	j := testJob(2, rackStep(1, 9000, 2*time.Second))
+	j.Queue, j.Accepted = "host/urgent/", tc.now
+	tc.submit(j)
+	tc.is.Equal(tc.Stats(tc.now).RackWaits, 1)
+	small := rackStep(1, 7000, 2*time.Second)
+	tc.submit(testJob(3, small))
+	tc.is.Equal(tc.runningIn("r1"), 1)
+	tc.is.Equal(tc.runningIn("r2"), 1)
+}
+
 // Of many tasks that want one rack, only those wait for which it will have room soon; the
 // others must not wait for the same end but start elsewhere at once.
 func TestManyTasksWantOneRack(t *testing.T) {
--- a/core/job/rack_wait.go
+++ b/core/job/rack_wait.go
@@ -75,8 +75,11 @@
 	return true
 }
 
+// claimRoom claims room on w for a task that waits for it. Later steps of lower rank must
+// leave that room: they would take what each end leaves, and the task would wait in vain.
 func (c *Cell) claimRoom(w *workerRow, s *Step) {
 	c.claims[w] = c.claims[w].plus(roomFor(s))
+	c.reserved[w] = c.reserved[w].plus(roomFor(s))
 	c.rackWaits++
 }
 
--- a/core/metric/catalogue.go
+++ b/core/metric/catalogue.go
@@ -32,7 +32,7 @@
 	{"rosemarygap_worker_report_age_seconds", []string{"worker"}, "age of the newest report from each worker, as seen by the owner; a worker gets no tasks while it is above 1.5 s"},
 	{"rosemarygap_rack_starts_total", []string{"reason"}, "starts of tasks whose step names a rack, if the settings have a factor for remote data: `placed-in-rack` or `placed-off-rack`"},
 	{"rosemarygap_rack_waiting_tasks", nil, "tasks that wait for room in the rack of their data although another worker has room; reported by the owner"},
-	{"rosemarygap_reserved_workers", nil, "workers on which wide steps reserve room; reported by the owner"},
+	{"rosemarygap_reserved_workers", nil, "workers on which wide steps, or tasks that wait for the rack of their data, reserve room; reported by the owner"},
 	{"rosemarygap_cold_workers", nil, "workers that say in their heartbeats that they are still cold; reported by the owner"},
 	{"rosemarygap_cold_worker_slowdown", nil, "learned factor by which tasks take longer on cold workers, 2 until a task has run on one; reported by the owner"},
 	{"rosemarygap_platform_store_calls_total", []string{"call", "outcome"}, "calls of this process to the platform's store; the outcomes are `ok`, `conflict`, `refused`, `not-found`, `compacted`, `malformed` and `no-answer`"},
