--- a/core/job/rack_wait.go
+++ b/core/job/rack_wait.go
@@ -58,10 +58,13 @@
 		if slices.Contains(t.failedOn, w.ID) || !w.allowsAnother(s.spec, t.name) {
 			continue
 		}
-		c.roomTimes(w, s.spec, k.queue.Priority, 1, c.claims[w], r.now, func(at time.Time) {
-			if end := at.Add(r.timeOn(w)); end.Before(bestEnd) {
-				best, bestEnd = w, end
-			}
+		d := r.timeOn(w)
+		latest := bestEnd.Add(-d - 1)
+		if latest.Before(r.now) {
+			continue
+		}
+		c.roomTimes(w, s.spec, k.queue.Priority, 1, c.claims[w], r.now, latest, func(at time.Time) {
+			best, bestEnd = w, at.Add(d)
 		})
 	}
 	if best == nil {
--- a/core/job/releases.go
+++ b/core/job/releases.go
@@ -113,8 +113,9 @@
 }
 
 // roomTimes calls yield with the expected times at which w has room for the first, the
-// second and so on of the given number of tasks of s, beside what is claimed.
-func (c *Cell) roomTimes(w *workerRow, s *Step, priority, tasks int, claimed room, now time.Time, yield func(time.Time)) {
+// second and so on of the given number of tasks of s, beside what is claimed. It leaves out
+// times after until.
+func (c *Cell) roomTimes(w *workerRow, s *Step, priority, tasks int, claimed room, now, until time.Time, yield func(time.Time)) {
 	left, at := w.room().minus(claimed), now
 	list := c.releasesOf(w, now)
 	for tasks > 0 {
@@ -124,7 +125,7 @@
 			tasks--
 			continue
 		}
-		if len(list) == 0 {
+		if len(list) == 0 || list[0].at.After(until) {
 			return
 		}
 		left, at = left.plus(list[0].room), Later(at, list[0].at)
--- a/core/job/reservation.go
+++ b/core/job/reservation.go
@@ -14,6 +14,9 @@
 	// maxReservingSteps limits the steps that reserve at a time. Under overload, tens of
 	// steps wait; those of the highest rank are next.
 	maxReservingSteps = 8
+	// maxReservedWait is the longest expected wait for the room of a worker for it to be
+	// reserved. Rooms that come later are of no use to jobs of seconds.
+	maxReservedWait = time.Minute
 	// reservationMaxAge is how long a choice of reserved workers is kept.
 	reservationMaxAge = 100 * time.Millisecond
 )
@@ -77,7 +80,7 @@
 		if r.setScore(&o); o.interferes {
 			continue
 		}
-		c.roomTimes(w, k.step.spec, k.queue.Priority, perWorker, c.reserved[w], r.now, func(at time.Time) {
+		c.roomTimes(w, k.step.spec, k.queue.Priority, perWorker, c.reserved[w], r.now, r.now.Add(maxReservedWait), func(at time.Time) {
 			places = append(places, place{w, at.Add(o.time)})
 		})
 	}
