--- a/core/job/expected_end.go
+++ b/core/job/expected_end.go
@@ -25,6 +25,7 @@
 // step was assigned to it.
 func (r *scorer) recordPlaced(o *scoredWorker) {
 	r.setScore(o)
+	r.rooms = nil
 	if r.spread != nil {
 		r.spread.add(o.worker)
 	}
--- a/core/job/overload.go
+++ b/core/job/overload.go
@@ -49,6 +49,9 @@
 	// tasks run; both are nil until they are needed.
 	rack   []*workerRow
 	spread *stepSpread
+	// rooms are the rooms in that rack for which tasks may wait; it is nil until it is
+	// needed, and after a start.
+	rooms *rackRooms
 	// increases is the utilization that the task adds, by serving image.
 	increases map[string]float64
 }
--- a/core/job/rack_wait.go
+++ b/core/job/rack_wait.go
@@ -52,21 +52,7 @@
 	if c.risksObjective(k, r, elsewhere) {
 		return false
 	}
-	var best *workerRow
-	bestEnd := r.now.Add(elsewhere.time)
-	for _, w := range r.rackWorkers(k) {
-		if slices.Contains(t.failedOn, w.ID) || !w.allowsAnother(s.spec, t.name) {
-			continue
-		}
-		d := r.timeOn(w)
-		latest := bestEnd.Add(-d - 1)
-		if latest.Before(r.now) {
-			continue
-		}
-		c.roomTimes(w, s.spec, k.queue.Priority, 1, c.claims[w], r.now, latest, func(at time.Time) {
-			best, bestEnd = w, at.Add(d)
-		})
-	}
+	best := r.takeRackRoom(k, t, r.now.Add(elsewhere.time))
 	if best == nil {
 		return false
 	}
@@ -78,6 +64,58 @@
 	return true
 }
 
+// rackRoom is room for one task on a worker in the rack of its data, and when the task is
+// expected to end there.
+type rackRoom struct {
+	worker *workerRow
+	end    time.Time
+	taken  bool
+}
+
+// rackRooms are the rooms in which a task is expected to end before until, in order.
+type rackRooms struct {
+	until time.Time
+	list  []rackRoom
+}
+
+// takeRackRoom returns the worker in the rack of its data on which t is expected to end
+// first, or nil if t is not expected to end there before the given time. The tasks of a
+// step differ only in where they may run, so their rooms are computed together.
+func (r *scorer) takeRackRoom(k *candidate, t *taskRow, before time.Time) *workerRow {
+	if r.rooms == nil || r.rooms.until.Before(before) {
+		r.rooms = r.findRackRooms(k, before)
+	}
+	for i := range r.rooms.list {
+		room := &r.rooms.list[i]
+		if !room.end.Before(before) {
+			return nil
+		}
+		if !room.taken && !slices.Contains(t.failedOn, room.worker.ID) && room.worker.allowsAnother(r.step, t.name) {
+			room.taken = true
+			return room.worker
+		}
+	}
+	return nil
+}
+
+// findRackRooms returns the rooms in which a task would end before until, beside what is
+// claimed.
+func (r *scorer) findRackRooms(k *candidate, until time.Time) *rackRooms {
+	out := &rackRooms{until: until}
+	for _, w := range r.rackWorkers(k) {
+		d := r.timeOn(w)
+		latest := until.Add(-d)
+		if latest.Before(r.now) {
+			continue
+		}
+		r.cell.roomTimes(w, r.step, k.queue.Priority, k.step.waiting, r.cell.claims[w], r.now, latest, func(at time.Time) {
+			out.list = append(out.list, rackRoom{worker: w, end: at.Add(d)})
+		})
+	}
+	slices.SortStableFunc(out.list, func(a, b rackRoom) int { return a.end.Compare(b.end) })
+	return out
+}
+
 // claimRoom claims room on w for a task that waits for it. Later steps of lower rank must
 // leave that room: they would take what each end leaves, and the task would wait in vain.
 func (c *Cell) claimRoom(w *workerRow, s *Step) {
