--- a/core/job/choose.go
+++ b/core/job/choose.go
@@ -63,8 +63,9 @@
 	// interferes is true if a task of the step would push serving tasks there
 	// above placementUtilizationLimit.
 	interferes bool
-	// ramp limits the tasks on the worker.
-	ramp ramp
+	// limited is true if ramp or reserved limit the tasks on the worker.
+	limited bool
+	ramp    ramp
 	// reserved is the room that steps of higher rank reserve on the worker.
 	reserved room
 	// rank, time and tieScore rank the workers if tasks are placed by their expected
@@ -75,6 +76,11 @@
 	tieScore int
 }
 
+// allowsAnother reports whether the limits on the worker allow one more task of s.
+func (o *scoredWorker) allowsAnother(s *Step) bool {
+	return o.ramp.allows(o.worker, s) && o.worker.fitsBeside(o.reserved, s)
+}
+
 // scoredWorkers returns the usable workers that have room for a task of the
 // candidate's step, with their scores. Unless rack is empty, it returns only
 // workers with that label. It leaves out the workers that have not changed since
@@ -86,12 +92,15 @@
 			rack != "" && !slices.Contains(w.Labels, rack) {
 			continue
 		}
-		o := scoredWorker{worker: w, ramp: c.rampOf(w, r.now), reserved: c.reserved[w]}
-		if !o.ramp.allows(w, k.step.spec) || !w.fitsBeside(o.reserved, k.step.spec) {
-			continue
+		o := scoredWorker{worker: w}
+		if !c.rampBegin(w).IsZero() || len(c.reserved) > 0 {
+			o.limited, o.ramp, o.reserved = true, c.rampOf(w, r.now), c.reserved[w]
+			if !o.allowsAnother(k.step.spec) {
+				continue
+			}
 		}
 		r.setScore(&o)
-		r.byEnd = r.byEnd || w.isCold(r.now) && !k.step.spec.LongRunning
+		r.byEnd = r.byEnd || r.timed && w.isCold(r.now)
 		out = append(out, o)
 	}
 	return out
@@ -134,7 +143,7 @@
 	if k.queue.RequiresTicket && k.step.tickets.byWorker[w.ID] == "" {
 		return false
 	}
-	return w.hasRoom(s, k.queue.Priority) && w.allowsAnother(s, t.name) && w.acceptsTasks(r.now) && o.ramp.allows(w, s) && w.fitsBeside(o.reserved, s)
+	return w.hasRoom(s, k.queue.Priority) && w.allowsAnother(s, t.name) && w.acceptsTasks(r.now) && (!o.limited || o.allowsAnother(s))
 }
 
 // choose returns the best worker that has room for t, or nil.
@@ -288,5 +297,7 @@
 	if w.speed.isSlow() {
 		o.score -= slowPenalty
 	}
-	r.setEnd(o)
+	if r.timed {
+		r.setEnd(o)
+	}
 }
--- a/core/job/overload.go
+++ b/core/job/overload.go
@@ -43,6 +43,8 @@
 	now  time.Time
 	// runTime is the expected run time of a task on a worker of the expected speed.
 	runTime time.Duration
+	// timed is true if the expected ends on the workers are computed.
+	timed bool
 	// byEnd is true if workers are chosen by the expected end of the task.
 	byEnd bool
 	// rack are the workers in the rack of the step's data, and spread is where its
@@ -61,7 +63,9 @@
 	if runTime <= 0 {
 		runTime = assumedTaskTime
 	}
-	return &scorer{cell: c, step: k.step.spec, now: now, runTime: runTime, byEnd: c.usesExpectedEnd(k.step.spec), increases: map[string]float64{}}
+	byEnd := c.usesExpectedEnd(k.step.spec)
+	return &scorer{cell: c, step: k.step.spec, now: now, runTime: runTime, byEnd: byEnd,
+		timed: byEnd || now.Before(c.coldUntil) && !k.step.spec.LongRunning, increases: map[string]float64{}}
 }
 
 // increase returns the utilization that a task of the step adds to a serving image.
