--- a/core/event/job.go
+++ b/core/event/job.go
@@ -22,11 +22,15 @@
 		"If the event lasts, check the network between this entry and the store."}
 	TaskDecided = Event{7010, "task-decided", hclog.Info,
 		[]string{"task", "attempt", "worker", "decision", "reason", "age", "elapsed", "epoch"},
-		"The owner, which is the entry that schedules, made a decision about a task; age is the age of the worker's newest report; elapsed is the time from the job's acceptance to its first start or its end, and 0 for other decisions.", "None."}
+		"The owner, which is the entry that schedules, made a decision about a task; age is the age of the worker's newest report; elapsed is the time from the job's acceptance to its first start or its end, and 0 for other decisions. The reason of a start is `placed`, or `placed-in-rack`, `placed-off-rack` or `placed-cold` where placement depends on the rack of the data or a cold worker.", "None."}
 	WorkerDecided = Event{7011, "worker-decided", hclog.Info,
 		[]string{"worker", "decision", "reason", "age", "epoch"},
 		"The owner, which is the entry that schedules, changed its view of a worker's state.",
 		"If the event repeats for one worker, inspect its VM."}
+	WorkerColdChanged = Event{7042, "worker-cold", hclog.Info,
+		[]string{"worker", "state", "elapsed", "slowdown", "epoch"},
+		"A worker became `cold` by its own heartbeat, for the elapsed time from now, or is `warm` again; slowdown is the factor, in percent, by which the owner expects tasks to take longer on cold workers.",
+		"If a worker stays cold for minutes, or becomes cold without a restart, inspect its VM."}
 	OwnershipTaken = Event{7020, "ownership-taken", hclog.Info,
 		[]string{"entry", "epoch", "count"},
 		"This entry became the owner and started to schedule; count is the number of jobs that have not ended.", "None."}
@@ -90,6 +94,6 @@
 )
 
 var jobEvents = []Event{SubmissionAccepted, SubmissionRefused, CancellationAnswered, StateUnknown, RequestRelayed,
-	TaskDecided, WorkerDecided, OwnershipTaken, OwnershipLost, DependencyLost, DependencyRegained,
+	TaskDecided, WorkerDecided, WorkerColdChanged, OwnershipTaken, OwnershipLost, DependencyLost, DependencyRegained,
 	ConfigurationInForce, SettingsReloaded, MessageRefused, LogLinesDropped, OrderCarriedOut, WorkerSeen, OwnerFollowed,
 	TasksThrottled, CancellationsRead, ZoneEvacuated, ZoneReopened, ForecastIgnored, RoomAfterRefusal, ScarcityBegan, ScarcityEnded}
--- a/core/job/admission_load_test.go
+++ b/core/job/admission_load_test.go
@@ -42,7 +42,7 @@
 }
 
 func newAdmissionSim(t *testing.T, load *workload, seed uint64) *admissionSim {
-	s := &admissionSim{sim: newSim(t, load, seed, nil), refused: map[string]*simCaller{}, accepted: map[string]time.Time{}}
+	s := &admissionSim{sim: newSim(t, load, seed, simPolicy{}), refused: map[string]*simCaller{}, accepted: map[string]time.Time{}}
 	for range simEntries {
 		s.entries = append(s.entries, NewAdmission())
 	}
--- a/core/job/evacuation_test.go
+++ b/core/job/evacuation_test.go
@@ -325,3 +325,21 @@
 	tc.submit(testJob(1, step(1, 100)))
 	tc.is.Equal(tc.countStarts(), 1)
 }
+
+// Work must not return as a herd when a zone is reopened: its worker gets a quarter of its
+// processors in the first second, and half in the next.
+func TestReopenedZoneGetsWorkInSteps(t *testing.T) {
+	tc := newZonedCluster(t, "a")
+	tc.evacuate("a")
+	tc.Add(Job{ID: "aaaaaaaaaaaaaaaa", Queue: testQueue, Accepted: tc.now, Steps: []Step{step(12, 1000)}}, tc.now)
+	tc.deliverReports()
+	tc.is.Equal(len(tc.runningIn("a")), 0)
+	tc.evacuate()
+	for _, want := range []int{4, 8, 12} {
+		tc.deliverReports()
+		tc.now = tc.now.Add(500 * time.Millisecond)
+		tc.deliverReports()
+		tc.is.Equal(len(tc.runningIn("a")), want)
+		tc.now = tc.now.Add(500 * time.Millisecond)
+	}
+}
--- a/core/job/history_test.go
+++ b/core/job/history_test.go
@@ -23,7 +23,10 @@
 	store   durableStore
 	owners  []*owner
 	epoch   int64
-	workers []*simWorker
+	// remoteDataFactor is 0 in histories without placement by expected end and without
+	// cold workers.
+	remoteDataFactor float64
+	workers          []*simWorker
 	// jobs are all accepted jobs; done, failed and cancelled record what
 	// really happened.
 	jobs      map[string]Job
@@ -93,7 +96,7 @@
 func (h *history) takeOver() *owner {
 	h.epoch++
 	h.store.journal++
-	options := slices.Clone(h.options)
+	options := append(slices.Clone(h.options), WithRemoteDataFactor(h.remoteDataFactor))
 	if h.evacuated != nil {
 		options = append(options, WithEvacuation(time.Second))
 	}
@@ -202,6 +205,10 @@
 		Clock: s.clock, Listed: true, Ended: slices.Clone(s.ended), Absent: slices.Clone(s.absent),
 		Worker: &Worker{ID: h.agent(s.number), Incarnation: s.incarnation, Service: "svc", Zone: h.agent(s.number),
 			Capacity: Resources{Processors: 4000, Memory: 4000}}}
+	if h.remoteDataFactor > 0 {
+		r.Worker.Labels = []string{fmt.Sprintf("r%d", s.number%2)}
+		r.Worker.ColdLeft = time.Duration(s.number) * time.Second
+	}
 	for _, task := range slices.Sorted(maps.Keys(s.running)) {
 		r.Running = append(r.Running, Run{Task: task, Run: s.running[task], Percent: int(h.now.UnixMilli()/100) % 100})
 	}
@@ -351,6 +358,9 @@
 		store: durableStore{map[string]Job{}, map[string][]byte{}, map[string]bool{}, map[string]State{}, map[string]bool{}, 0},
 		cfg: &Configuration{Version: 1, Queues: []Queue{{Host: "host", Prefix: "/queue/", Service: "svc",
 			MaxFailures: 2, Stretch: 2, Target: time.Second}}}}
+	if rapid.Bool().Draw(t, "placed by expected end") {
+		h.remoteDataFactor = 1.5
+	}
 	for i := range 3 {
 		h.workers = append(h.workers, &simWorker{number: i, incarnation: 1, process: 1,
 			running: map[string]int64{}, highestRun: map[string]int64{}})
@@ -379,6 +389,9 @@
 		if rapid.Bool().Draw(t, "second step") {
 			steps = append(steps, step(2, 1500, 0))
 		}
+		if h.remoteDataFactor > 0 {
+			steps[0].Rack = fmt.Sprintf("r%d", n%2)
+		}
 		j := testJob(n, steps...)
 		h.jobs[j.ID], h.store.jobs[j.ID] = j, j
 		h.newestOwner().Add(j, h.now)
--- a/core/job/interference_test.go
+++ b/core/job/interference_test.go
@@ -56,7 +56,8 @@
 		row := tc.workers.Get(agent)
 		row.reserveCapacity("feed", &Step{Image: "feeds", TailTarget: time.Second, Need: Resources{Processors: 1000}}, 1)
 		tc.interference.loadOf("feed").peak = 0.5
-		return tc.newScorer(&Step{Image: "heavy", BestEffort: true, Need: Resources{Processors: 7000}}, tc.now).predictOverload(row)
+		k := candidate{job: &jobRow{}, step: &stepRow{spec: &Step{Image: "heavy", BestEffort: true, Need: Resources{Processors: 7000}}}}
+		return tc.newScorer(&k, tc.now).predictOverload(row)
 	}
 	smallExcess, small := predict("small", 16000)
 	largeExcess, large := predict("large", 64000)
--- a/core/job/load_test.go
+++ b/core/job/load_test.go
@@ -29,6 +29,19 @@
 	Seconds   float64         `json:"seconds"`
 	Streams   []arrivalStream `json:"streams"`
 	Faults    []workerFault   `json:"faults"`
+	// Cold are replacements of workers by cold ones.
+	Cold []coldWorkers `json:"cold"`
+	// RemoteDataFactor is by which factor tasks take longer outside of the rack of their
+	// data. Racks have WorkersPerRack workers, and Sizes are the processors of the
+	// workers by turns, in thousandths.
+	RemoteDataFactor float64 `json:"far-factor"`
+	WorkersPerRack   int     `json:"workers-per-rack"`
+	Sizes            []int   `json:"sizes"`
+	// LostRacks are racks without power.
+	LostRacks []lostRack `json:"lost-racks"`
+	// Compares are the names of the baselines that are simulated, or empty for those
+	// of policies.
+	Compares []string `json:"compares"`
 	// Interference is the utilization that one processor of a best-effort
 	// image adds to a serving image, by serving and best-effort image.
 	Interference map[string]map[string]float64 `json:"pressures"`
@@ -62,6 +75,16 @@
 	Utilization float64 `json:"busy"`
 	// Burst is true for the part of an account's work that exceeds its share.
 	Burst bool `json:"burst"`
+	// Racks is the number of racks, from the first on, that hold the data of the jobs:
+	// each job names one of them.
+	Racks int `json:"racks"`
+}
+
+// lostRack is a rack whose workers are lost at From, and return as new ones at To.
+type lostRack struct {
+	Rack int     `json:"rack"`
+	From float64 `json:"from-s"`
+	To   float64 `json:"to-s"`
 }
 
 // workerFault makes a worker fail all its runs, or slows it down by Factor. From
@@ -74,6 +97,51 @@
 	Factor float64 `json:"factor"`
 }
 
+// coldWorkers are Workers workers, from the number First on, that are replaced by cold
+// ones at From. For Left, their tasks take Factor times as long. Times are in seconds.
+type coldWorkers struct {
+	First   int     `json:"first"`
+	Workers int     `json:"workers"`
+	From    float64 `json:"from-s"`
+	Left    float64 `json:"left-s"`
+	Factor  float64 `json:"factor"`
+}
+
+// simPolicy is a policy, or the lack of what placement is told.
+type simPolicy struct {
+	name    string
+	options []Option
+	// hidesCold is true if workers do not tell that they are cold.
+	hidesCold bool
+	// hidesFactor is true if the cell does not know RemoteDataFactor.
+	hidesFactor bool
+}
+
+// featureBaselines are baselines of which each workload names those that it is
+// compared with.
+var featureBaselines = []simPolicy{
+	{name: "cold-untold", hidesCold: true},
+	{name: "factor-unknown", hidesFactor: true},
+	{name: "factor-unknown-arrival-order", hidesFactor: true, options: []Option{WithArrivalOrder()}},
+}
+
+// simulated returns the policies that are simulated under the workload.
+func (l *workload) simulated() []simPolicy {
+	out := []simPolicy{{name: "product"}}
+	if len(l.Compares) == 0 {
+		out = nil
+		for _, p := range policies {
+			out = append(out, simPolicy{name: p.name, options: p.options})
+		}
+	}
+	for _, b := range featureBaselines {
+		if slices.Contains(l.Compares, b.name) {
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
 // policies are the default policy and the baselines.
 var policies = []struct {
 	name    string
@@ -97,6 +165,8 @@
 // simJob is a submitted job with the data from which result computes its value.
 type simJob struct {
 	stream *arrivalStream
+	// rack holds the data of the job, or is empty.
+	rack string
 	// work is the sum of the run times of the tasks, in processor seconds.
 	work         float64
 	begin        time.Time
@@ -107,6 +177,7 @@
 type sim struct {
 	*testCluster
 	workload *workload
+	policy   simPolicy
 	rng      *rand.Rand
 	begin    time.Time
 	jobs     map[string]*simJob
@@ -127,26 +198,38 @@
 	streams []*rand.Rand
 }
 
-func newSim(t *testing.T, load *workload, seed uint64, options []Option) *sim {
+func newSim(t *testing.T, load *workload, seed uint64, policy simPolicy) *sim {
 	tc := newTestCluster(t, 0)
+	options := policy.options
+	if !policy.hidesFactor {
+		options = append(slices.Clone(options), WithRemoteDataFactor(load.RemoteDataFactor))
+	}
 	tc.Cell = New(1, tc.now, options...)
 	tc.SetConfiguration(&Configuration{Version: 1, Queues: []Queue{
 		{Host: "host", Prefix: "/queue/", Service: "svc", Priority: 2, MaxFailures: 2, Stretch: 2, Target: time.Second},
 		{Host: "host", Prefix: "/urgent/", Service: "svc", Priority: 0, MaxFailures: 4, Stretch: 1.5, Target: 250 * time.Millisecond},
 		{Host: "host", Prefix: "/other/", Service: "svc", Priority: 2, MaxFailures: 2, Stretch: 2, Target: time.Second},
 	}})
-	s := &sim{testCluster: tc, workload: load, rng: rand.New(rand.NewPCG(seed, 7)), begin: tc.now, jobs: map[string]*simJob{},
+	s := &sim{testCluster: tc, workload: load, policy: policy, rng: rand.New(rand.NewPCG(seed, 7)), begin: tc.now, jobs: map[string]*simJob{},
 		done: map[string]time.Time{}, failed: map[string]bool{}, progress: map[string]float64{}, share: map[string]float64{}}
 	s.offer = func(j Job) { s.Add(j, s.now) }
 	for i := range load.Streams {
 		s.streams = append(s.streams, rand.New(rand.NewPCG(seed, uint64(i))))
 	}
 	for i := range load.Workers {
-		tc.addWorker(fmt.Sprintf("agent-%02d", i))
+		w := tc.addWorker(fmt.Sprintf("agent-%02d", i)).report.Worker
+		if load.WorkersPerRack > 0 {
+			w.Labels = []string{"a", simRack(i / load.WorkersPerRack)}
+		}
+		if len(load.Sizes) > 0 {
+			w.Capacity.Processors = load.Sizes[i%len(load.Sizes)]
+		}
 	}
 	return s
 }
 
+func simRack(n int) string { return fmt.Sprintf("r%d", n) }
+
 // submitArrivals submits the jobs that arrive within a tick.
 func (s *sim) submitArrivals() {
 	at := s.now.Sub(s.begin).Seconds()
@@ -167,10 +250,14 @@
 	spread := func(v float64) float64 { return v * (0.5 + s.rng.Float64()) }
 	tasks := max(1, int(spread(float64(st.Tasks))))
 	duration := time.Duration(spread(st.Duration) * float64(time.Second))
+	rack := ""
+	if st.Racks > 0 {
+		rack = simRack(s.rng.IntN(st.Racks))
+	}
 	j := Job{ID: id, Queue: "host/" + st.Queue + "/", Zone: st.Zone, Accepted: s.now, Payload: duration.String()}
 	for n := range st.Steps {
 		step := Step{Tasks: tasks, Need: Resources{Processors: st.ProcessorsMilli, Memory: 1}, Image: st.Image,
-			BestEffort: st.BestEffort, Checkpoints: st.BestEffort, LongRunning: st.Serving,
+			BestEffort: st.BestEffort, Checkpoints: st.BestEffort, LongRunning: st.Serving, Rack: rack,
 			Estimate: time.Duration(float64(duration) / max(1, st.Understated))}
 		if st.Serving {
 			step.TailTarget = simTailTarget
@@ -181,7 +268,7 @@
 		j.Steps = append(j.Steps, step)
 	}
 	criticalPath := time.Duration(st.Steps) * duration
-	s.jobs[id] = &simJob{st, float64(st.Steps*tasks*st.ProcessorsMilli) / 1000 * duration.Seconds(), s.now, criticalPath}
+	s.jobs[id] = &simJob{st, rack, float64(st.Steps*tasks*st.ProcessorsMilli) / 1000 * duration.Seconds(), s.now, criticalPath}
 	s.offer(j)
 }
 
@@ -191,6 +278,10 @@
 	for n := range s.workload.Workers {
 		agent := fmt.Sprintf("agent-%02d", n)
 		w := s.testWorkers[agent]
+		if s.isLost(n, w) {
+			continue
+		}
+		s.replaceByCold(n, w)
 		s.advance(n, agent, w)
 		s.deliverReport(agent)
 		// Acknowledged ends are no longer listed. A task keeps its progress
@@ -215,6 +306,7 @@
 			speed /= max(1, f.Factor)
 		}
 	}
+	speed /= s.coldFactor(n)
 	share := s.throttleShare(agent, w)
 	for _, r := range slices.Clone(w.report.Running) {
 		task, _ := ParseTask(r.Task)
@@ -226,6 +318,9 @@
 		if j.stream.BestEffort {
 			runSpeed *= share
 		}
+		if j.rack != "" && !slices.Contains(w.report.Worker.Labels, j.rack) {
+			runSpeed /= max(1, s.workload.RemoteDataFactor)
+		}
 		s.progress[r.Task] += runSpeed * simTick.Seconds() * float64(j.stream.Steps) / j.criticalPath.Seconds()
 		switch {
 		case fails && s.progress[r.Task] > 0.3: // runs fail after 30% of their work
@@ -243,6 +338,67 @@
 	}
 }
 
+// replaceByCold replaces worker n by a cold one if that is due, and sets for how long it
+// is still cold.
+func (s *sim) replaceByCold(n int, w *testWorker) {
+	at := s.now.Sub(s.begin).Seconds()
+	for _, f := range s.workload.Cold {
+		elapsed := at - f.From
+		if n < f.First || n >= f.First+f.Workers || elapsed < 0 || elapsed > f.Left {
+			continue
+		}
+		if elapsed < simTick.Seconds() {
+			s.restart(w)
+		}
+		if s.policy.hidesCold {
+			continue
+		}
+		next := *w.report.Worker
+		next.ColdLeft = time.Duration((f.Left - elapsed) * float64(time.Second))
+		w.report.Worker = &next
+	}
+}
+
+// isLost reports whether worker n is lost now. A worker that returns is a new one.
+func (s *sim) isLost(n int, w *testWorker) bool {
+	at := s.now.Sub(s.begin).Seconds()
+	for _, f := range s.workload.LostRacks {
+		if n/s.workload.WorkersPerRack != f.Rack {
+			continue
+		}
+		if at >= f.From && at < f.To {
+			return true
+		}
+		if at >= f.To && at-f.To < simTick.Seconds() {
+			s.restart(w)
+		}
+	}
+	return false
+}
+
+// restart replaces a worker by another incarnation. The runs and the ends of the earlier
+// one are lost.
+func (s *sim) restart(w *testWorker) {
+	for _, r := range w.report.Running {
+		delete(s.progress, r.Task)
+	}
+	next := *w.report.Worker
+	next.Incarnation++
+	w.report.Worker, w.report.Running, w.report.Ended = &next, nil, nil
+	w.lastEnd, w.acknowledged = 0, 0
+}
+
+// coldFactor returns by how much tasks take longer on worker n now.
+func (s *sim) coldFactor(n int) float64 {
+	at := s.now.Sub(s.begin).Seconds()
+	for _, f := range s.workload.Cold {
+		if n >= f.First && n < f.First+f.Workers && at >= f.From && at < f.From+f.Left {
+			return f.Factor
+		}
+	}
+	return 1
+}
+
 // throttleShare sets the tail latencies of the worker's serving tasks and returns
 // the share of processors for its best-effort tasks. The share is 0 above the
 // tail target, and increases by a third per tick at low utilization.
@@ -420,9 +576,9 @@
 			t.Parallel()
 			var table bytes.Buffer
 			total := map[string]float64{}
-			for _, policy := range policies {
+			for _, policy := range load.simulated() {
 				for _, seed := range loadSeeds {
-					s := newSim(t, load, seed, policy.options)
+					s := newSim(t, load, seed, policy)
 					s.run()
 					result := s.result(byQueue)
 					total[policy.name] += writeResult(&table, policy.name, seed, result)
--- a/core/job/overload.go
+++ b/core/job/overload.go
@@ -42,13 +42,32 @@
 	cell *Cell
 	step *Step
 	now  time.Time
+	// runTime is the expected run time of a task on a worker of the expected speed.
+	runTime time.Duration
+	// timed is true if the expected ends on the workers are computed.
+	timed bool
+	// byEnd is true if workers are chosen by the expected end of the task.
+	byEnd bool
+	// rack are the workers in the rack of the step's data, and spread is where its
+	// tasks run; both are nil until they are needed.
+	rack   []*workerRow
+	spread *stepSpread
+	// rooms are the rooms in that rack for which tasks may wait; it is nil until it is
+	// needed, and after a start.
+	rooms *rackRooms
 	// increases is the utilization that the task adds on a worker of the reference
 	// size, by serving image.
 	increases map[string]float64
 }
 
-func (c *Cell) newScorer(s *Step, now time.Time) *scorer {
-	return &scorer{cell: c, step: s, now: now, increases: map[string]float64{}}
+func (c *Cell) newScorer(k *candidate, now time.Time) *scorer {
+	runTime := c.runTimeRatios.estimate(k.job, k.step)
+	if runTime <= 0 {
+		runTime = assumedTaskTime
+	}
+	byEnd := c.usesExpectedEnd(k.step.spec)
+	return &scorer{cell: c, step: k.step.spec, now: now, runTime: runTime, byEnd: byEnd,
+		timed: byEnd || now.Before(c.coldUntil) && !k.step.spec.LongRunning, increases: map[string]float64{}}
 }
 
 // increase returns the utilization that a task of the step adds to a serving image on a
--- a/core/job/place.go
+++ b/core/job/place.go
@@ -117,6 +117,9 @@
 // have room for them.
 func (c *Cell) placeTasks(now time.Time) {
 	var held [taskKinds]bool
+	clear(c.claims)
+	clear(c.reserved)
+	c.rackWaits, c.reservingSteps = 0, 0
 	for k := range c.inOrder(c.candidates(now)) {
 		switch {
 		case !c.ensureTickets(k, now):
@@ -133,8 +136,9 @@
 // room for the next one.
 func (c *Cell) placeStep(k *candidate, now time.Time) {
 	since := k.step.blocked.since(now)
-	r := c.newScorer(k.step.spec, now)
+	r := c.newScorer(k, now)
 	var scored []scoredWorker
+	waits := false
 	for i := range k.step.tasks {
 		t := &k.step.tasks[i]
 		if t.state != taskWaiting || now.Before(t.notBefore) {
@@ -145,19 +149,32 @@
 				if since == allWorkers && k.step.noRoomSince.IsZero() {
 					k.step.noRoomSince = now
 				}
+				c.keepRackClaims(k, since)
 				k.step.blocked.record(c.version, since, now)
+				c.waitForRoom(k, r)
 				return
 			}
+			k.step.rackClaims = k.step.rackClaims[:0]
 		}
 		k.step.noRoomSince = time.Time{}
-		o := chooseWorker(scored, k, t, now)
+		o := chooseWorker(scored, k, t, r)
 		if o == nil {
 			k.step.blocked.record(c.version, since, now)
+			if t.waitingSince.IsZero() { // it does not wait for a worker without interference
+				c.waitForRoom(k, r)
+			}
 			return
 		}
+		if c.waitsForRack(k, r, t, o) {
+			waits = true
+			continue
+		}
 		t.ticket = k.step.tickets.byWorker[o.worker.ID]
 		c.startTask(k.job, k.step, t, o.worker, now)
-		r.setScore(o)
+		r.recordPlaced(o)
+	}
+	if waits {
+		k.step.blocked.record(c.version, since, now)
 	}
 }
 
@@ -174,8 +191,11 @@
 			}
 		}
 	}
-	if !c.placeGangOn(k, "", now) && k.step.noRoomSince.IsZero() {
-		k.step.noRoomSince = now
+	if !c.placeGangOn(k, "", now) {
+		if k.step.noRoomSince.IsZero() {
+			k.step.noRoomSince = now
+		}
+		c.waitForRoom(k, c.newScorer(k, now))
 	}
 }
 
@@ -183,18 +203,18 @@
 // rack, or on any workers if rack is empty. It reports whether the gang started.
 func (c *Cell) placeGangOn(k *candidate, rack string, now time.Time) bool {
 	s := k.step
-	r := c.newScorer(s.spec, now)
+	r := c.newScorer(k, now)
 	scored := c.scoredWorkers(k, r, rack, allWorkers)
 	var placed []*taskRow
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		o := chooseWorker(scored, k, t, now)
+		o := chooseWorker(scored, k, t, r)
 		if o == nil || now.Before(t.notBefore) {
 			break
 		}
 		// Run 0 only reserves capacity until all members have a worker.
 		c.recordRun(s, t, o.worker, 0, now)
-		r.setScore(o)
+		r.recordPlaced(o)
 		placed = append(placed, t)
 	}
 	complete := len(placed) == len(s.tasks)
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -81,6 +81,12 @@
 	// noRoomSince is since when no worker has had room for a task of the step, or for
 	// all members of a gang; it is zero if a worker has room.
 	noRoomSince time.Time
+	// rackWaitSince is when a task of the step began to wait for room in the rack of
+	// its data, or zero.
+	rackWaitSince time.Time
+	// rackClaims are the workers there whose room its tasks wait for.
+	rackClaims  []*workerRow
+	reservation reservation
 	// tickets are the tickets of the advisor, for queues that require them.
 	tickets advisorTickets
 }
@@ -267,6 +273,11 @@
 	pendingEnds []pendingEnd
 	health      health
 	speed       workerSpeed
+	// coldUntil is when the worker stops being cold, and coldSince when this owner
+	// first knew it as cold. Both are zero for a worker that was never cold.
+	coldSince, coldUntil time.Time
+	// coldLogged is true while the log has the worker as cold.
+	coldLogged bool
 	// version is that of the cell when the worker last changed in a way that may
 	// make it suitable for a blocked step.
 	version int64
@@ -275,6 +286,8 @@
 	// heldRound is the last placement round, by kind of tasks, in which room on the
 	// worker was held for a step.
 	heldRound [taskKinds]int64
+	// releases must be reset when the tasks of the worker change.
+	releases expectedReleases
 	// lastProgress is when any task of the worker last made progress or ended.
 	lastProgress time.Time
 	// lastSample is when the worker last gave a sample to the interference
@@ -334,6 +347,18 @@
 	forecaster    forecaster
 	// shares is nil unless shares are fair.
 	shares *shares
+	// coldUntil is when the last worker that was cold stops being cold, and
+	// coldSpeed what was learned from the tasks of cold workers.
+	coldUntil time.Time
+	coldSpeed coldSpeed
+	// remoteDataFactor is by which factor a task takes longer on a worker outside of the
+	// rack that holds its data; 0 means unknown.
+	remoteDataFactor float64
+	// claims is the room that tasks wait for in the racks of their data, and rackWaits
+	// their number. reserved is the room that reservingSteps steps reserve. All of them
+	// are of the current or the last call of placeTasks.
+	claims, reserved          map[*workerRow]room
+	rackWaits, reservingSteps int
 }
 
 // rosterRow is the state of an agent that may have received orders.
@@ -359,7 +384,9 @@
 func New(epoch int64, now time.Time, options ...Option) *Cell {
 	c := &Cell{epoch: epoch, ownedSince: now, queues: map[string]*Queue{},
 		jobs: table.New[string, jobRow](), workers: table.New[string, workerRow](),
-		roster: map[string]rosterRow{}, endedJobs: map[string]bool{}, earlyCancellations: map[string]bool{}, runTimeRatios: newRunTimeRatios(), meanWork: meanWork{}, interference: newInterferenceModel(), forecaster: newForecaster(),
+		roster: map[string]rosterRow{}, endedJobs: map[string]bool{}, earlyCancellations: map[string]bool{},
+		claims: map[*workerRow]room{}, reserved: map[*workerRow]room{}, runTimeRatios: newRunTimeRatios(), meanWork: meanWork{},
+		interference: newInterferenceModel(), forecaster: newForecaster(),
 		policy: policy{compare: byTimelinessAndPriority, learns: true}}
 	for _, o := range options {
 		o(c)
--- a/core/job/share_load_test.go
+++ b/core/job/share_load_test.go
@@ -71,7 +71,7 @@
 func shareTotals(t *testing.T, table *bytes.Buffer, policy string, load *workload, options []Option) map[string]float64 {
 	inTime, all := map[string]float64{}, map[string]float64{}
 	for _, seed := range loadSeeds {
-		s := newSim(t, load, seed, options)
+		s := newSim(t, load, seed, simPolicy{options: options})
 		s.run()
 		if policy == sharePolicies[0].name {
 			checkSizes(t, seed, s.result(byQueue))
--- a/core/job/stats.go
+++ b/core/job/stats.go
@@ -15,6 +15,14 @@
 	// AccountShares is what runs and is reserved for each account, in percent of the
 	// room; it is nil without fair shares.
 	AccountShares map[Account]float64
+	// ColdWorkers counts the workers that are cold. ColdFactor is the learned factor by
+	// which tasks take longer there.
+	ColdWorkers int
+	ColdFactor  float64
+	// RackWaits counts the tasks that wait for room in the rack of their data though
+	// another worker has room, and ReservedWorkers the workers on which steps reserve
+	// room.
+	RackWaits, ReservedWorkers int
 }
 
 // Stats returns the values for the metrics.
@@ -40,7 +48,12 @@
 			}
 		}
 	}
+	out.RackWaits, out.ReservedWorkers = c.rackWaits, len(c.reserved)
+	out.ColdFactor = c.coldSpeed.factor()
 	for _, w := range c.workers.All {
+		if w.isCold(now) {
+			out.ColdWorkers++
+		}
 		out.ReportAges[w.ID] = now.Sub(w.lastReport)
 	}
 	return out
--- a/core/job/worker_speed.go
+++ b/core/job/worker_speed.go
@@ -43,12 +43,19 @@
 	if !c.policy.learns || s.spec.BestEffort || s.spec.LongRunning || s.spec.Gang || elapsed < minSpeedSampleTime {
 		return
 	}
-	estimate := c.runTimeRatios.estimate(j, s)
+	estimate := times(c.runTimeRatios.estimate(j, s), c.rackFactor(s.spec, t.worker))
 	if estimate <= 0 {
 		return
 	}
 	done := time.Duration(t.percent-t.firstPercent) * estimate / fullPercent
-	t.worker.speed.observe(float64(done) / float64(elapsed))
+	speed := float64(done) / float64(elapsed)
+	if w := t.worker; w.wasColdSince(t.firstListed) {
+		if w.isCold(now) {
+			c.coldSpeed.observe(speed)
+		}
+		return
+	}
+	t.worker.speed.observe(speed)
 }
 
 // Limits for moving tasks to other workers.
@@ -114,10 +121,10 @@
 	j, s := k.job, k.step
 	switch {
 	case s.spec.LongRunning:
-		if t.percent < fullPercent && t.lastListed.Sub(t.orderedAt) > startupLimit && c.hasRoomElsewhere(w, &k, t, false, now) {
+		if t.percent < fullPercent && t.lastListed.Sub(Later(t.orderedAt, w.coldUntil)) > startupLimit && c.hasRoomElsewhere(w, &k, t, false, now) {
 			return reasonStalled
 		}
-	case t.lastListed.Sub(t.lastProgress) > stallLimit && t.lastListed.Sub(w.lastProgress) > stallLimit && !t.throttled:
+	case t.lastListed.Sub(Later(t.lastProgress, w.coldUntil)) > stallLimit && t.lastListed.Sub(w.lastProgress) > stallLimit && !t.throttled:
 		if c.hasRoomElsewhere(w, &k, t, false, now) {
 			return reasonStalled
 		}
@@ -140,12 +147,16 @@
 // and is not slow. If withoutInterference is true, t must not interfere with
 // serving tasks there.
 func (c *Cell) hasRoomElsewhere(w *workerRow, k *candidate, t *taskRow, withoutInterference bool, now time.Time) bool {
-	r := c.newScorer(k.step.spec, now)
+	r := c.newScorer(k, now)
 	for _, other := range c.workers.All {
 		if other == w || other.speed.isSlow() || !other.hasRoom(k.step.spec, k.queue.Priority) || !c.isUsable(other, k, now) ||
 			!other.allowsAnother(k.step.spec, t.name) {
 			continue
 		}
+		// On a cold worker, a task that makes progress would hardly end earlier.
+		if other.isCold(now) && now.Sub(t.lastProgress) <= stallLimit || !c.rampOf(other, now).allows(other, k.step.spec) {
+			continue
+		}
 		o := scoredWorker{worker: other}
 		if r.setScore(&o); !withoutInterference || !o.interferes {
 			return true
--- a/io/scheduler/control.go
+++ b/io/scheduler/control.go
@@ -211,6 +211,11 @@
 			continue
 		}
 		countDecision(e)
+		if e.Kind == job.EventCold || e.Kind == job.EventWarm {
+			event.WorkerColdChanged.Emit(c.log, event.Worker(e.Worker), event.State(string(e.Kind)), event.Elapsed(e.ColdLeft),
+				event.Slowdown(int(100*e.Slowdown)), event.Epoch(c.cell.Epoch()))
+			continue
+		}
 		if e.Kind == job.EventWorker {
 			event.WorkerDecided.Emit(c.log, event.Worker(e.Worker), event.Decision(string(e.Kind)),
 				event.Reason(status.Code(e.Reason)), event.Age(e.ReportAge), event.Epoch(c.cell.Epoch()))
@@ -361,7 +366,8 @@
 		return
 	}
 	now := time.Now()
-	options := append(slices.Clip(c.s.cellOptions), job.WithEvacuation(c.s.cfg.Bounds.MaxEvacuationDelay))
+	bounds := &c.s.cfg.Bounds
+	options := append(slices.Clip(c.s.cellOptions), job.WithEvacuation(bounds.MaxEvacuationDelay), job.WithRemoteDataFactor(bounds.RemoteDataFactor))
 	cell := job.New(x.session.ownership.Epoch, now, options...)
 	if cfg := c.s.mirror.cfg.Load(); cfg != nil {
 		cell.SetConfiguration(cfg)
--- a/io/scheduler/metrics.go
+++ b/io/scheduler/metrics.go
@@ -57,6 +57,10 @@
 	for a, share := range stats.AccountShares {
 		g.set.GetOrCreateGauge(fmt.Sprintf(`rosemarygap_account_share{queue=%q,zone=%q}`, a.Queue, a.Zone), nil).Set(share)
 	}
+	g.set.GetOrCreateGauge("rosemarygap_rack_waiting_tasks", nil).Set(float64(stats.RackWaits))
+	g.set.GetOrCreateGauge("rosemarygap_reserved_workers", nil).Set(float64(stats.ReservedWorkers))
+	g.set.GetOrCreateGauge("rosemarygap_cold_workers", nil).Set(float64(stats.ColdWorkers))
+	g.set.GetOrCreateGauge("rosemarygap_cold_worker_slowdown", nil).Set(stats.ColdFactor)
 	for worker, age := range stats.ReportAges {
 		g.set.GetOrCreateGauge(fmt.Sprintf(`rosemarygap_worker_report_age_seconds{worker=%q}`, worker), nil).Set(age.Seconds())
 	}
@@ -86,6 +90,9 @@
 			acceptedTooLate.Inc()
 		}
 	}
+	if e.Reason == job.ReasonPlacedInRack || e.Reason == job.ReasonPlacedRemote {
+		metrics.GetOrCreateCounter(fmt.Sprintf(`rosemarygap_rack_starts_total{reason=%q}`, e.Reason)).Inc()
+	}
 	reason := e.Reason
 	if e.Kind != job.EventEnd && e.Kind != job.EventStop && e.Kind != job.EventFinal {
 		// Other events include refusals, whose reasons come from the workers,
