core/job: preempt batch tasks for higher-ranked steps that would be late

An urgent step that found no room waited until a lower-ranked task ended by itself. With WithPreemption, a decision after placement, at most every 50 ms, stops the cheapest tasks of lower-ranked queues and keeps their room for the step for up to 2 s. Without the option nothing changes; the existing golden files are the same.

TestPreemptsNoMoreThanNeeded and the tests beside it guard the limits, and TestHistoriesWithPreemption runs random histories with it.

--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -54,6 +54,11 @@
 	// EventZoneEvacuated and EventZoneReopened.
 	Zone  string
 	Count int
+	// Preemptor and Priority are the job for which a task was preempted and the priority
+	// of its queue. LostWork is the work in processor seconds that must be done again.
+	Preemptor string
+	Priority  int
+	LostWork  float64
 }
 
 // sinceAcceptance returns the time from the acceptance of a job to now. It is
@@ -204,6 +209,7 @@
 	t.starts++
 	c.recordRun(s, t, w, c.runNumber(t.starts), now)
 	w.enqueueStart(j, s, t)
+	w.consumeHold(s)
 	c.logEvent(EventStart, t, w, "placed", now)
 	if !j.ordered {
 		j.ordered, j.state = true, Running
--- a/core/job/history_test.go
+++ b/core/job/history_test.go
@@ -34,6 +34,8 @@
 	// evacuated are the evacuated zones; each worker is a zone. It is nil if zones
 	// cannot be evacuated.
 	evacuated map[string]bool
+	// preempts is true if urgent jobs preempt long batch tasks.
+	preempts bool
 }
 
 // durableStore is the content of the store.
@@ -96,6 +98,9 @@
 	if h.evacuated != nil {
 		options = append(options, WithEvacuation(time.Second))
 	}
+	if h.preempts {
+		options = append(options, WithPreemption())
+	}
 	o := &owner{Cell: New(h.epoch, h.now, options...), journal: h.store.journal, unreachableWorkers: map[int]bool{}}
 	o.SetConfiguration(h.cfg)
 	for _, a := range slices.Sorted(maps.Keys(h.store.agents)) {
@@ -379,6 +384,9 @@
 			steps = append(steps, step(2, 1500, 0))
 		}
 		j := testJob(n, steps...)
+		if h.preempts {
+			h.makePreempting(&j)
+		}
 		h.jobs[j.ID], h.store.jobs[j.ID] = j, j
 		h.newestOwner().Add(j, h.now)
 	case 1:
@@ -417,6 +425,16 @@
 	h.tick()
 }
 
+// makePreempting makes a job urgent, or one of long tasks that fill the workers.
+func (h *history) makePreempting(j *Job) {
+	j.Accepted = h.now
+	if rapid.Bool().Draw(h.t, "urgent") {
+		j.Queue = "host/urgent/"
+		return
+	}
+	j.Steps[0].Need.Processors, j.Steps[0].Estimate = 3000, 30*time.Second
+}
+
 // toggleEvacuation evacuates or reopens a zone. The newest owner may not read it.
 func (h *history) toggleEvacuation() {
 	zone := h.agent(rapid.IntRange(0, len(h.workers)-1).Draw(h.t, "zone"))
--- a/core/job/place.go
+++ b/core/job/place.go
@@ -110,7 +110,8 @@
 // placeTasks starts the waiting tasks of the candidates, in order, while workers
 // have room for them.
 func (c *Cell) placeTasks(now time.Time) {
-	for _, k := range c.candidates(now) {
+	all := c.candidates(now)
+	for _, k := range all {
 		switch {
 		case !c.ensureTickets(&k, now):
 		case k.step.spec.Gang:
@@ -119,6 +120,7 @@
 			c.placeStep(&k, now)
 		}
 	}
+	c.preemptTasks(all, now)
 }
 
 // placeStep starts the waiting tasks of a candidate, in order, until no worker has
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -443,8 +443,8 @@
 	if r.Percent > t.percent || r.Throttled {
 		t.percent, t.lastProgress = max(t.percent, r.Percent), now
 	}
-	if r.Checkpoint != "" {
-		t.checkpoint = r.Checkpoint
+	if r.Checkpoint != "" && r.Checkpoint != t.checkpoint {
+		t.checkpoint, t.checkpointAt = r.Checkpoint, now
 	}
 	t.throttled = r.Throttled
 	t.worker.endProbationIfReady(t, now)
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -62,6 +62,9 @@
 	// stopping is true once the run has been ordered to stop, at stopOrderedAt.
 	stopping      bool
 	stopOrderedAt time.Time
+	preempted     preemptedTask
+	// checkpointAt is when the checkpoint was first listed.
+	checkpointAt time.Time
 	// succeeded is true if an earlier run of the assigned task ended as done. The
 	// task counts as done; the current run only has to end.
 	succeeded bool
@@ -249,6 +252,8 @@
 	// of one processor.
 	servingTasks      map[servingJob]int
 	bestEffortByImage usage
+	// holds is the room that is kept for tasks of higher-ranked queues.
+	holds []hold
 	// unknownRuns counts the listed runs that are not assigned to the worker,
 	// for which no capacity is reserved.
 	unknownRuns int
@@ -321,6 +326,7 @@
 	interference  interferenceModel
 	policy        policy
 	evacuations   evacuations
+	preemption    preemption
 }
 
 // rosterRow is the state of an agent that may have received orders.
