--- a/core/event/fields.go
+++ b/core/event/fields.go
@@ -64,6 +64,9 @@
 // Address returns the field with a socket address.
 func Address(a netip.AddrPort) Field { return Field{"address", a.String()} }
 
+// Priority returns the field with the priority of a queue; 0 is the most urgent.
+func Priority(n int) Field { return Field{"priority", n} }
+
 // Count returns the field with a number of items.
 func Count(n int) Field { return Field{"count", n} }
 
--- a/core/event/job.go
+++ b/core/event/job.go
@@ -27,6 +27,10 @@
 		[]string{"worker", "decision", "reason", "age", "epoch"},
 		"The owner, which is the entry that schedules, changed its view of a worker's state.",
 		"If the event repeats for one worker, inspect its VM."}
+	TaskPreempted = Event{7012, "task-preempted", hclog.Info,
+		[]string{"task", "job", "priority", "epoch"},
+		"The owner stopped a task for a job that would be late; job is that job, and priority is the rank of its queue. Event 7010 with decision stop and reason preempted comes before it.",
+		"If a batch job is late because of it, see docs/OPERATIONS.md."}
 	OwnershipTaken = Event{7020, "ownership-taken", hclog.Info,
 		[]string{"entry", "epoch", "count"},
 		"This entry became the owner and started to schedule; count is the number of jobs that have not ended.", "None."}
@@ -75,6 +79,6 @@
 )
 
 var jobEvents = []Event{SubmissionAccepted, SubmissionRefused, CancellationAnswered, StateUnknown, RequestRelayed,
-	TaskDecided, WorkerDecided, OwnershipTaken, OwnershipLost, DependencyLost, DependencyRegained,
+	TaskDecided, WorkerDecided, TaskPreempted, OwnershipTaken, OwnershipLost, DependencyLost, DependencyRegained,
 	ConfigurationInForce, SettingsReloaded, MessageRefused, LogLinesDropped, OrderCarriedOut, WorkerSeen, OwnerFollowed,
 	TasksThrottled, CancellationsRead, ZoneEvacuated, ZoneReopened}
--- a/core/metric/catalogue.go
+++ b/core/metric/catalogue.go
@@ -31,6 +31,8 @@
 	{"rosemarygap_waiting_tasks", []string{"priority"}, "tasks that are ready to start but have not been started, by the priority of their queue; reported by the owner"},
 	{"rosemarygap_worker_report_age_seconds", []string{"worker"}, "age of the newest report from each worker, as seen by the owner; a worker gets no tasks while it is above 1.5 s"},
 	{"rosemarygap_evacuated_zone_tasks", []string{"zone"}, "tasks on the workers of each evacuated zone, as seen by the owner; after an evacuation it falls to the tasks that are left to end"},
+	{"rosemarygap_preemptions_total", nil, "tasks that the owner stopped for a step of a higher-ranked queue that would be late; event 7012 names the job; always 0 with `--preemption off`"},
+	{"rosemarygap_preempted_processor_seconds_total", nil, "work that these tasks must do again, in processor seconds; if it grows by more than the urgent jobs need, batch jobs lack checkpoints or urgent work lacks capacity"},
 	{"rosemarygap_platform_store_calls_total", []string{"call", "outcome"}, "calls of this process to the platform's store; the outcomes are `ok`, `conflict`, `refused`, `not-found`, `compacted`, `malformed` and `no-answer`"},
 	{"rosemarygap_platform_store_call_seconds", []string{"call"}, "latency of the calls of this process to the platform's store, as a histogram"},
 }
--- a/io/commandline/scheduler.go
+++ b/io/commandline/scheduler.go
@@ -50,11 +50,39 @@
 // SchedulerCommand runs the scheduler on an entry VM of the users' platform.
 type SchedulerCommand struct {
 	PlatformOptions
+	Preemption string `arg:"--preemption,env:ROSEMARYGAP_PREEMPTION" default:"off" help:"whether steps that would be late preempt batch tasks of lower-ranked queues: off or on"`
+}
+
+// Values of the options that are switches.
+const (
+	switchOff = "off"
+	switchOn  = "on"
+)
+
+// Check returns an error for the first invalid setting.
+func (c *SchedulerCommand) Check() error {
+	if c.Preemption != switchOff && c.Preemption != switchOn {
+		return badSetting("--preemption", c.Preemption)
+	}
+	return c.PlatformOptions.Check()
+}
+
+// options returns the options of the scheduler.
+func (c *SchedulerCommand) options() []scheduler.Option {
+	var out []scheduler.Option
+	if c.Preemption == switchOn {
+		out = append(out, scheduler.WithPreemption())
+	}
+	return out
 }
 
 // Run runs the scheduler until it gets a stop signal. It logs to the standard
 // output.
-func (c *SchedulerCommand) Run(io.Writer) error { return c.runProcess("scheduler", scheduler.Run) }
+func (c *SchedulerCommand) Run(io.Writer) error {
+	return c.runProcess("scheduler", func(cfg platform.Settings, l hclog.Logger, actors ...process.Actor) error {
+		return scheduler.Run(cfg, l, actors, c.options()...)
+	})
+}
 
 // AgentCommand runs the node agent of a worker on the users' platform.
 type AgentCommand struct {
--- a/io/commandline/settings_test.go
+++ b/io/commandline/settings_test.go
@@ -47,6 +47,7 @@
 		{"drain Worker --entry 127.0.0.1:1", "WORKER", "Worker"},
 		{"events --entry 127.0.0.1:1 --event 10000", "--event", "10000"},
 		{"events --entry 127.0.0.1:1 --after -1", "--after", "-1"},
+		{"scheduler --settings none --preemption maybe", "--preemption", "maybe"},
 		{entry + "--lease-ttl 999ms", "--lease-ttl", "999ms"},
 		{entry + "--stop-limit 11m", "--stop-limit", "11m0s"},
 		{entry + "--log-level loud", "--log-level", "loud"},
@@ -78,3 +79,11 @@
 	is.Equal(exitCode(status.ErrConfigInvalid), process.ExitRefused)
 	is.Equal(exitCode(status.ErrStoreUnavailable), process.ExitTryLater)
 }
+
+// The switches of the scheduler are off unless they are given, and apply where they are.
+func TestSchedulerSwitches(t *testing.T) {
+	for value, options := range map[string]int{"off": 0, "on": 1} {
+		c := SchedulerCommand{Preemption: value}
+		is.New(t).Equal(len(c.options()), options)
+	}
+}
--- a/io/scheduler/control.go
+++ b/io/scheduler/control.go
@@ -206,6 +206,9 @@
 		event.TaskDecided.Emit(c.log, event.Task(e.Task), event.Attempt(int(e.Run)), event.Worker(e.Worker),
 			event.Decision(string(e.Kind)), event.Reason(status.Code(e.Reason)), event.Age(e.ReportAge),
 			event.Elapsed(e.SinceAcceptance), event.Epoch(c.cell.Epoch()))
+		if e.Preemptor != "" {
+			event.TaskPreempted.Emit(c.log, event.Task(e.Task), event.Job(e.Preemptor), event.Priority(e.Priority), event.Epoch(c.cell.Epoch()))
+		}
 	}
 }
 
@@ -335,7 +338,7 @@
 		return
 	}
 	now := time.Now()
-	cell := job.New(x.session.ownership.Epoch, now, job.WithEvacuation(c.s.cfg.Bounds.MaxEvacuationDelay))
+	cell := job.New(x.session.ownership.Epoch, now, append([]job.Option{job.WithEvacuation(c.s.cfg.Bounds.MaxEvacuationDelay)}, c.s.cellOptions...)...)
 	if cfg := c.s.mirror.cfg.Load(); cfg != nil {
 		cell.SetConfiguration(cfg)
 	}
--- a/io/scheduler/metrics.go
+++ b/io/scheduler/metrics.go
@@ -18,6 +18,8 @@
 	journalWriteFailures = metrics.NewCounter("rosemarygap_journal_write_failures_total")
 	takeovers            = metrics.NewCounter("rosemarygap_takeovers_total")
 	firstStartSeconds    = metrics.NewHistogram("rosemarygap_first_start_seconds")
+	preemptions          = metrics.NewCounter("rosemarygap_preemptions_total")
+	preemptedSeconds     = metrics.NewFloatCounter("rosemarygap_preempted_processor_seconds_total")
 )
 
 // gaugeInterval is the time between two updates of the owner's gauges. The
@@ -74,6 +76,10 @@
 	case e.Kind == job.EventFinal:
 		metrics.GetOrCreateHistogram(fmt.Sprintf(`rosemarygap_job_seconds{state=%q}`, e.Reason)).Update(e.SinceAcceptance.Seconds())
 	}
+	if e.Preemptor != "" {
+		preemptions.Inc()
+		preemptedSeconds.Add(e.LostWork)
+	}
 	reason := e.Reason
 	if e.Kind != job.EventEnd && e.Kind != job.EventStop && e.Kind != job.EventFinal {
 		// Other events include refusals, whose reasons come from the workers,
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -77,30 +77,44 @@
 	noticeHealth *process.Dependency
 	// evacuationsHealth logs when the evacuated zones cannot be read.
 	evacuationsHealth *process.Dependency
+	// cellOptions are further options of the cell of each ownership.
+	cellOptions []job.Option
+}
+
+// Option switches on a part of the scheduler.
+type Option func(*Scheduler)
+
+// WithPreemption lets steps that would be late preempt batch tasks of lower-ranked queues.
+func WithPreemption() Option {
+	return func(s *Scheduler) { s.cellOptions = append(s.cellOptions, job.WithPreemption()) }
 }
 
 // New returns a scheduler with the given settings.
-func New(cfg platform.Settings, l hclog.Logger) *Scheduler {
+func New(cfg platform.Settings, l hclog.Logger, options ...Option) *Scheduler {
 	storeOutage := &outage.Detector{}
 	store := platform.NewStore(platform.NewHTTPClient(), cfg.StoreAddress, platform.WithObserver(func(c platform.StoreCall) {
 		process.CountStoreCall(c)
 		storeOutage.Observe(c.Answered(), time.Now())
 	}))
-	return &Scheduler{cfg: cfg, log: l, store: store, storeOutage: storeOutage, relayClient: httpjson.NewClient(relayTimeout, httpjson.WithDialTimeout(relayDialTimeout)), mirror: newMirror(l, store), processID: time.Now().UnixNano(),
+	s := &Scheduler{cfg: cfg, log: l, store: store, storeOutage: storeOutage, relayClient: httpjson.NewClient(relayTimeout, httpjson.WithDialTimeout(relayDialTimeout)), mirror: newMirror(l, store), processID: time.Now().UnixNano(),
 		reports: make(chan agentReport, maxMessageBatch), messages: make(chan any, maxMessageBatch),
 		superseded: make(chan struct{}, 1), stop: make(chan struct{}),
 		ownershipCheckRequests: make(chan struct{}, 1), peerClient: httpjson.NewClient(noticeTimeout),
 		noticeHealth: process.NewDependency("owner", l), evacuationsHealth: process.NewDependency("evacuations", l),
 		advisor:       platform.NewAdvisor(platform.NewHTTPClient(), cfg.AdvisorAddress),
 		advisorHealth: process.NewDependency("advisor", l), advisorRequests: make(chan advisorRequest, maxAdvisorRequests)}
+	for _, o := range options {
+		o(s)
+	}
+	return s
 }
 
 // Run runs the scheduler until a stop signal, together with the given actors.
-func Run(cfg platform.Settings, l hclog.Logger, actors ...process.Actor) error {
+func Run(cfg platform.Settings, l hclog.Logger, actors []process.Actor, options ...Option) error {
 	if !cfg.CallerListen.IsValid() || !cfg.ReadinessListen.IsValid() {
 		return status.At(status.ErrBadSetting, "listen.front, listen.readiness", cfg.CallerListen.String()+", "+cfg.ReadinessListen.String())
 	}
-	s := New(cfg, l)
+	s := New(cfg, l, options...)
 	var g run.Group
 	process.AddActor(&g, s.awaitStop)
 	for _, server := range []struct {
