--- a/core/job/preemption.go
+++ b/core/job/preemption.go
@@ -21,9 +21,6 @@
 	// maxPreemptions limits them, so that a task makes progress under urgent load.
 	minPreemptionPause = 10 * time.Second
 	maxPreemptions     = 2
-	// minPreemptedRemaining is the least expected remaining time of a victim. A stop
-	// takes about as long.
-	minPreemptedRemaining = 300 * time.Millisecond
 	// workersPerPreemption is the number of workers for each worker on which tasks
 	// stop for others at the same time. One worker is always allowed.
 	workersPerPreemption = 4
@@ -496,7 +493,8 @@
 }
 
 // mayStop reports whether v may be stopped for the candidate. The room of a task that ends
-// in time by itself is counted already.
+// in time by itself is counted already. As the slack is at least preemptionStopTime, no task
+// is stopped that would end as soon without it.
 func (d *preemptionDecision) mayStop(v *victim) bool {
 	return v.priority > d.candidate.queue.Priority && v.remaining > d.slack
 }
@@ -542,7 +540,7 @@
 func (d *preemptionDecision) victim(e *expectedEnd) (victim, bool) {
 	t, p := e.task, &e.task.preempted
 	switch {
-	case t.stopping, !t.running, t.isDone(), t.spec.Gang, t.spec.LongRunning, e.step.queue == nil, e.remaining <= minPreemptedRemaining,
+	case t.stopping, !t.running, t.isDone(), t.spec.Gang, t.spec.LongRunning, e.step.queue == nil,
 		p.count >= maxPreemptions, p.count > 0 && d.now.Sub(p.at) < minPreemptionPause, !d.cell.mayStop(t, d.now):
 		return victim{}, false
 	}
--- a/core/job/preemption_test.go
+++ b/core/job/preemption_test.go
@@ -127,6 +127,20 @@
 	tc.is.Equal(len(late.preempted()), 0)
 }
 
+// The room that becomes free in time for one urgent job must not count for two.
+func TestRoomInTimeCountsOnce(t *testing.T) {
+	tc := newFullCluster(t, 2, longStep(1, 15000), step(1, 15000))
+	tc.deliverProgress(1, 70, "") // of 1 s and of 30 s
+	for n := range 2 {
+		j := testJob(1+n, urgentStep(1, 10000))
+		j.Queue, j.Accepted = "host/urgent/", tc.now
+		tc.Add(j, tc.now)
+	}
+	tc.now = tc.now.Add(preemptionInterval)
+	tc.Tick(tc.now)
+	tc.is.Equal(tc.preempted(), []string{Task{Job: testJob(100).ID}.String()})
+}
+
 // Stopping for many urgent jobs at once would stop the batch work of all workers.
 func TestPreemptsOnQuarterOfWorkers(t *testing.T) {
 	tc := newFullCluster(t, 8, longStep(8, 15000))
@@ -253,7 +267,10 @@
 	j.Queue, j.Accepted = "host/urgent/", tc.now
 	tc.Add(j, tc.now)
 	stopped := map[string]int{}
-	for range 40 {
+	for n := range 40 {
+		if n == 18 { // the first stop may still be answered
+			tc.is.Equal(len(stopped), 1)
+		}
 		tc.now = tc.now.Add(100 * time.Millisecond)
 		for _, w := range tc.testWorkers {
 			r := w.report
