--- a/core/job/history_test.go
+++ b/core/job/history_test.go
@@ -429,7 +429,7 @@
 func (h *history) makePreempting(j *Job) {
 	j.Accepted = h.now
 	if rapid.Bool().Draw(h.t, "urgent") {
-		j.Queue = "host/urgent/"
+		j.Queue, j.Steps[0].Need.Processors = "host/urgent/", 1500
 		return
 	}
 	j.Steps[0].Need.Processors, j.Steps[0].Estimate = 3000, 30*time.Second
--- a/core/job/preemption_test.go
+++ b/core/job/preemption_test.go
@@ -344,6 +344,9 @@
 		batch.Priority = 2
 		h.cfg.Queues = []Queue{batch, {Host: "host", Prefix: "/urgent/", Service: "svc", MaxFailures: 2, Stretch: 1.5, Target: 250 * time.Millisecond}}
 		h.takeOver()
+		full := testJob(1000, longStep(6, 3000))
+		h.jobs[full.ID], h.store.jobs[full.ID] = full, full
+		h.newestOwner().Add(full, h.now)
 		for n := range rapid.IntRange(5, 120).Draw(t, "length") {
 			h.randomEvent(n)
 		}
@@ -356,6 +359,7 @@
 			}
 		}
 	})
+	t.Logf("%d preemptions", preemptions)
 	if preemptions == 0 {
 		t.Error("no task was preempted in any history")
 	}
