--- a/core/job/preemption_load_test.go
+++ b/core/job/preemption_load_test.go
@@ -29,7 +29,7 @@
 	} {
 		onTime[p.name] = map[string]int{}
 		for _, seed := range loadSeeds {
-			s := newSim(t, load, seed, p.options)
+			s := newSim(t, load, seed, simPolicy{options: p.options})
 			s.run()
 			result := s.result()
 			writeResult(&table, p.name, seed, result)
