--- a/core/job/preemption_load_test.go
+++ b/core/job/preemption_load_test.go
@@ -31,7 +31,7 @@
 		for _, seed := range loadSeeds {
 			s := newSim(t, load, seed, simPolicy{options: p.options})
 			s.run()
-			result := s.result()
+			result := s.result(byQueue)
 			writeResult(&table, p.name, seed, result)
 			for q, r := range result {
 				onTime[p.name][q] += r.onTime
