--- a/core/job/load_test.go
+++ b/core/job/load_test.go
@@ -126,16 +126,16 @@
 }
 
 // simulated returns the policies that are simulated under the workload.
-func (l *workload) simulated() []simPolicy {
+func (w *workload) simulated() []simPolicy {
 	out := []simPolicy{{name: "product"}}
-	if len(l.Compares) == 0 {
+	if len(w.Compares) == 0 {
 		out = nil
 		for _, p := range policies {
 			out = append(out, simPolicy{name: p.name, options: p.options})
 		}
 	}
 	for _, b := range featureBaselines {
-		if slices.Contains(l.Compares, b.name) {
+		if slices.Contains(w.Compares, b.name) {
 			out = append(out, b)
 		}
 	}
