io/standin/fleet: the check of waiting jobs starts a process that has ended

Nothing started it again, so that it did not answer when the count of waiting jobs was asked for.

The check and its limit stay.

--- a/io/standin/fleet/soak_test.go
+++ b/io/standin/fleet/soak_test.go
@@ -408,6 +408,8 @@
 	for _, p := range r.schedulers {
 		for end := time.Now().Add(pendingTimeout); ; time.Sleep(100 * time.Millisecond) {
 			last := time.Now().After(end)
+			// A planned stop may end the process after healAndWait has returned.
+			r.start(p)
 			code, b := r.request(c, p, http.MethodGet, "/jobs/", nil)
 			n, err := platformtest.DecodePending(b)
 			if code == http.StatusOK && err == nil && r.ledger.CheckPending(p.name, n, last) {
