core/job: one function for the deadlines of an occurrence

Placement, preemption and admission each computed the latency objective and when it is missed. No behaviour changes; the golden files are as before.

--- a/core/job/forecast_cell.go
+++ b/core/job/forecast_cell.go
@@ -298,11 +298,6 @@
 	return k.queue.Priority == arriving.queue.Priority && k.timeliness != tooLate || c.policy.compare(k, arriving) < 0
 }
 
-// objective returns the latency objective of a job with the given critical path.
-func (q *Queue) objective(criticalPath time.Duration) time.Duration {
-	return time.Duration(q.Stretch*float64(criticalPath)) + q.Target
-}
-
 // Forecast returns the forecast for new jobs of each queue, and whether there is one.
 // It has no record of a queue in which no job has arrived in this epoch.
 func (c *Cell) Forecast(now time.Time) (Forecast, bool) {
--- a/core/job/place.go
+++ b/core/job/place.go
@@ -90,15 +90,26 @@
 	return out
 }
 
-// forecast returns when o misses its latency objective, and whether o can still
-// meet it.
-func (c *Cell) forecast(j *jobRow, o *occurrenceRow, q *Queue, now time.Time) (time.Time, timeliness) {
+// objective returns the latency objective of a job with the given critical path.
+func (q *Queue) objective(criticalPath time.Duration) time.Duration {
+	return time.Duration(q.Stretch*float64(criticalPath)) + q.Target
+}
+
+// deadlines returns when an occurrence misses its latency objective, and when its result
+// loses its value.
+func deadlines(j *jobRow, o *occurrenceRow, q *Queue) (lateAt, tooLateAt time.Time) {
 	begin := j.Accepted
 	if !o.due.IsZero() {
 		begin = o.due
 	}
-	objective := time.Duration(q.Stretch*float64(j.criticalPath)) + q.Target
-	deadline := begin.Add(objective)
+	objective := q.objective(j.criticalPath)
+	return begin.Add(objective), begin.Add(lateFactor * objective)
+}
+
+// forecast returns when o misses its latency objective, and whether o can still
+// meet it.
+func (c *Cell) forecast(j *jobRow, o *occurrenceRow, q *Queue, now time.Time) (time.Time, timeliness) {
+	deadline, tooLateAt := deadlines(j, o, q)
 	if j.Steps[0].LongRunning {
 		return deadline, onTime
 	}
@@ -106,7 +117,7 @@
 	switch {
 	case !finish.After(deadline):
 		return deadline, onTime
-	case !finish.After(begin.Add(lateFactor * objective)):
+	case !finish.After(tooLateAt):
 		return deadline, late
 	default:
 		return deadline, tooLate
--- a/core/job/preemption.go
+++ b/core/job/preemption.go
@@ -183,17 +183,6 @@
 	return n
 }
 
-// deadlines returns when an occurrence misses its latency objective, and when its result
-// loses its value.
-func deadlines(j *jobRow, o *occurrenceRow, q *Queue) (lateAt, tooLateAt time.Time) {
-	begin := j.Accepted
-	if !o.due.IsZero() {
-		begin = o.due
-	}
-	objective := time.Duration(q.Stretch*float64(j.criticalPath)) + q.Target
-	return begin.Add(objective), begin.Add(lateFactor * objective)
-}
-
 // preemptionDecision is the decision for the candidates of one tick, one after the other.
 // What it knows about workers and steps is computed once: for each candidate anew, that
 // took over 10 ms with 240 workers and 100 candidates.
