core/job: stop late starts of a former agent process on a worker's next incarnation

Meanwhile its agent had been killed and the worker had restarted under the same ID. The agent stops unanswered starts on the next incarnation before it reports that incarnation, but its new process did not know them. The owner took the listed run for ended with the incarnation and started the task elsewhere.

Change: the owner remembers the starts of the last 15 s with the process of the agent that received them. On a new incarnation it has those of a former process stopped before the task is placed again.

--- a/core/job/faults_test.go
+++ b/core/job/faults_test.go
@@ -194,3 +194,37 @@
 	tc.AgentDeparted(agent)
 	tc.is.True(!slices.Contains(tc.commitWrites().AddedAgents, agent))
 }
+
+// A start that the worker executes late can reach the next incarnation under the same ID.
+// If the agent was replaced, too, only the owner knows the start: unless it has the run
+// stopped there first, the task runs on two workers at a time.
+func TestLateStartOfFormerProcessIsStoppedOnNextIncarnation(t *testing.T) {
+	for _, ended := range []bool{false, true} {
+		tc, w := newClusterWithRun(t, step(1, 1000))
+		run := w.report.Running[0]
+		if ended {
+			w.endRun(run.Task, EndDone)
+			tc.deliverReports()
+		}
+		w.report.Process = 2
+		tc.deliverReport(w.report.Agent)
+		next := *w.report.Worker
+		next.Incarnation, next.Sequence = 2, 1
+		w.report.Worker, w.report.Running, w.report.Ended = &next, nil, nil
+		r := w.report
+		r.Listed = false
+		tc.Receive(&r, tc.now)
+		tc.Tick(tc.now)
+		for agent, other := range tc.testWorkers {
+			if other != w {
+				tc.is.Equal(len(tc.workers.Get(agent).tasks), 0) // the task waits for the stop
+			}
+		}
+		pending := tc.workers.Get(r.Agent).pending
+		tc.is.Equal(len(pending), 1)
+		o := pending[0]
+		tc.is.Equal(o.Kind, OrderStop)
+		tc.is.Equal(o.Incarnation, int64(2))
+		tc.is.Equal(runID{o.Task, o.Run}, runID{run.Task, run.Run})
+	}
+}
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -178,7 +178,12 @@
 		}
 		return
 	}
-	pendingStarts := c.releaseEndedRuns(w, now)
+	var late []sentStart
+	if r.Worker.ID == w.ID {
+		late = w.startsOfFormerProcesses(now)
+	}
+	w.recentStarts = nil
+	pendingStarts := c.releaseEndedRuns(w, late, now)
 	w.Worker = *r.Worker
 	w.listed, w.processedEnds, w.durableEnds, w.pendingEnds = false, 0, 0, nil
 	w.clock, w.unknownRuns, w.health, w.speed = r.Clock, 0, health{}, workerSpeed{}
@@ -188,18 +193,19 @@
 		t.stopping = false
 		c.stopTask(t, "worker-restarted", now)
 	}
+	w.stopLateStarts(late)
 	c.logEvent(EventWorker, nil, w, "worker-restarted", now)
 }
 
 // releaseEndedRuns releases the tasks that an earlier incarnation of w listed as
 // running, since their runs ended with that incarnation. It returns the other
-// assigned tasks: their start orders may still reach the new incarnation under
-// the same ID, so the caller must order their runs to stop.
-func (c *Cell) releaseEndedRuns(w *workerRow, now time.Time) []*taskRow {
+// assigned tasks, and those of late: their start orders may still reach the new
+// incarnation under the same ID, so the caller must order their runs to stop.
+func (c *Cell) releaseEndedRuns(w *workerRow, late []sentStart, now time.Time) []*taskRow {
 	w.pending = nil
 	var pendingStarts []*taskRow
 	for _, t := range w.sortedTasks() {
-		if !t.running {
+		if !t.running || isLateStart(late, t) {
 			pendingStarts = append(pendingStarts, t)
 			continue
 		}
@@ -232,7 +238,7 @@
 	c.sampleInterference(w, r, now)
 	if w.checkStarts {
 		w.checkStarts = false
-		c.repeatMissingStarts(w, r)
+		c.repeatMissingStarts(w, r, now)
 	}
 	c.acknowledgeEnds(w)
 }
@@ -240,7 +246,7 @@
 // repeatMissingStarts repeats the start orders of runs that the worker does not
 // list, as the agent's new process may not know them. The run number stays the
 // same, so a worker starts the run only once.
-func (c *Cell) repeatMissingStarts(w *workerRow, r *Report) {
+func (c *Cell) repeatMissingStarts(w *workerRow, r *Report, now time.Time) {
 	listed := make(map[string]bool, len(r.Running))
 	for i := range r.Running {
 		listed[r.Running[i].Task] = true
@@ -248,6 +254,7 @@
 	for _, t := range w.sortedTasks() {
 		if name := t.name.String(); !t.stopping && !listed[name] {
 			j, s, _ := c.findTask(name)
+			w.recordSentStart(t, now)
 			w.enqueueStart(j, s, t)
 		}
 	}
@@ -431,6 +438,7 @@
 	}
 	if t.state == taskWaiting && !j.state.IsFinal() && !j.acceptedThisEpoch {
 		c.recordRun(s, t, w, r.Run, now)
+		w.recordSentStart(t, now)
 		c.shares.adopt(j, s.spec)
 		t.partial = true
 		c.observeRun(j, s, t, r, now)
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -288,6 +288,8 @@
 	version int64
 	// predicted must be reset when the tasks of the worker change.
 	predicted predictedUtilization
+	// recentStarts are the starts that were ordered within LateStartWindow, oldest first.
+	recentStarts []sentStart
 	// heldRound is the last placement round, by kind of tasks, in which room on the
 	// worker was held for a step.
 	heldRound [taskKinds]int64
--- a/io/agent/unanswered.go
+++ b/io/agent/unanswered.go
@@ -10,9 +10,8 @@
 	"rosemarygap/io/process"
 )
 
-// unansweredStartTTL is how long a start without an answer may still take effect. On
-// the platform, a call may take effect up to 12 s late.
-const unansweredStartTTL = 15 * time.Second
+// unansweredStartTTL is how long a start without an answer may still take effect.
+const unansweredStartTTL = job.LateStartWindow
 
 // unansweredStart is a start that the worker did not answer. It may take effect up to
 // unansweredStartTTL later, also on a later incarnation under the same ID, which does
