io/scheduler: replace a killed owner as soon as its process has ended

Cause: after the owner was killed, its successor waited until the lease (1.2 s) expired, and no task started meanwhile.

If its VM refuses two calls in a row, or another process answers at its address, an entry removes the owner's lease on condition of the owner's key and claims the ownership. Silence is no evidence. The default, lease, is as before.

--- a/core/event/job.go
+++ b/core/event/job.go
@@ -41,6 +41,9 @@
 	OwnershipLost = Event{7021, "ownership-lost", hclog.Warn,
 		[]string{"entry", "epoch", "reason"}, "This entry is no longer the owner and stopped scheduling.",
 		"If the event repeats within a minute, check the network between the entries and the store."}
+	OwnerEnded = Event{7049, "owner-ended", hclog.Info,
+		[]string{"entry", "epoch"}, "The process of the owner, entry, has ended, and this entry removed its lease so that it is replaced at once.",
+		"Look for the cause in the log of that entry: a stop signal, a panic or its memory limit."}
 	DependencyLost = Event{7022, "dependency-lost", hclog.Warn,
 		[]string{"dependency", "reason"}, "A process or service that this process calls stopped responding.",
 		"Check the named dependency and the network to it."}
@@ -98,6 +101,6 @@
 )
 
 var jobEvents = []Event{SubmissionAccepted, SubmissionRefused, CancellationAnswered, StateUnknown, RequestRelayed,
-	TaskDecided, WorkerDecided, TaskPreempted, WorkerColdChanged, OwnershipTaken, OwnershipLost, DependencyLost, DependencyRegained,
+	TaskDecided, WorkerDecided, TaskPreempted, WorkerColdChanged, OwnershipTaken, OwnershipLost, OwnerEnded, DependencyLost, DependencyRegained,
 	ConfigurationInForce, SettingsReloaded, MessageRefused, LogLinesDropped, OrderCarriedOut, WorkerSeen, OwnerFollowed,
 	TasksThrottled, CancellationsRead, ZoneEvacuated, ZoneReopened, ForecastIgnored, RoomAfterRefusal, ScarcityBegan, ScarcityEnded}
--- a/io/commandline/scheduler.go
+++ b/io/commandline/scheduler.go
@@ -52,6 +52,7 @@
 	PlatformOptions
 	Admission  string `arg:"--admission,env:ROSEMARYGAP_ADMISSION" default:"off" help:"which jobs are refused: off, or forecast for those that would end when their results have no value"`
 	FairShares string `arg:"--fair-shares,env:ROSEMARYGAP_FAIR_SHARES" default:"off" help:"how scarce room is divided: off (by value and deadline, whoever asks) or zone (fairly among the queues and the zones in which jobs were submitted)"`
+	Failover   string `arg:"--failover,env:ROSEMARYGAP_FAILOVER" default:"lease" help:"when an owner that was killed is replaced: lease (when its lease expires) or connection (as soon as the other entries find that its process has ended)"`
 	Preemption string `arg:"--preemption,env:ROSEMARYGAP_PREEMPTION" default:"off" help:"whether steps that would be late preempt batch tasks of lower-ranked queues: off or on"`
 }
 
@@ -61,6 +62,9 @@
 	switchOn          = "on"
 	admissionForecast = "forecast"
 	fairSharesZone    = "zone"
+
+	failoverLease      = "lease"
+	failoverConnection = "connection"
 )
 
 // Check returns an error for the first invalid setting.
@@ -70,6 +74,8 @@
 		return badSetting("--admission", c.Admission)
 	case c.FairShares != switchOff && c.FairShares != fairSharesZone:
 		return badSetting("--fair-shares", c.FairShares)
+	case c.Failover != failoverLease && c.Failover != failoverConnection:
+		return badSetting("--failover", c.Failover)
 	case c.Preemption != switchOff && c.Preemption != switchOn:
 		return badSetting("--preemption", c.Preemption)
 	}
@@ -85,6 +91,9 @@
 	if c.FairShares == fairSharesZone {
 		out = append(out, scheduler.WithFairShares())
 	}
+	if c.Failover == failoverConnection {
+		out = append(out, scheduler.WithConnectionFailover())
+	}
 	if c.Preemption == switchOn {
 		out = append(out, scheduler.WithPreemption())
 	}
--- a/io/commandline/settings_test.go
+++ b/io/commandline/settings_test.go
@@ -52,6 +52,7 @@
 		{entry + "--lease-ttl 999ms", "--lease-ttl", "999ms"},
 		{entry + "--stop-limit 11m", "--stop-limit", "11m0s"},
 		{"scheduler --settings none --admission strict", "--admission", "strict"},
+		{"scheduler --settings x --failover soon", "--failover", "soon"},
 		{"scheduler --settings x --fair-shares queue", "--fair-shares", "queue"},
 		{entry + "--log-level loud", "--log-level", "loud"},
 		{strings.Replace(entry, "127.0.0.1:3", "0.0.0.0:3", 1), "--operator-token", ""},
--- a/io/httpjson/httpjson.go
+++ b/io/httpjson/httpjson.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"syscall"
 	"time"
 
 	"rosemarygap/core/status"
@@ -28,6 +29,10 @@
 // no effect. It is a status.ErrUnreachable.
 var ErrNotConnected = errors.WithMessage(status.ErrUnreachable, "no connection")
 
+// ErrConnectionRefused means that the VM at the address answered that no process listens
+// there. It is an ErrNotConnected.
+var ErrConnectionRefused = errors.WithMessage(ErrNotConnected, "refused")
+
 // maxResponseBytes is the size of the largest accepted response. It exceeds
 // wire.MaxControlBody, because a list of the values in the platform's store may
 // be larger than one control message.
@@ -104,6 +109,8 @@
 	resp, err := c.http.Do(req)
 	var op *net.OpError
 	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return errors.WithMessage(ErrConnectionRefused, err.Error())
 	case errors.As(err, &op) && op.Op == "dial":
 		return errors.WithMessage(ErrNotConnected, err.Error())
 	case err != nil:
--- a/io/scheduler/election.go
+++ b/io/scheduler/election.go
@@ -63,16 +63,13 @@
 // whenever there is no live owner, and keeps it until it is lost.
 func (s *Scheduler) campaign(ctx context.Context) error {
 	for ctx.Err() == nil {
-		process.Pause(ctx, campaignInterval, nil)
+		process.Pause(ctx, campaignInterval, s.ownerEnded)
 		if !s.mirror.synced.Load() || s.stopping.Load() {
 			continue
 		}
-		if _, alive := s.mirror.ownership(); alive {
-			continue
-		}
-		delay := time.Duration(float64(campaignDelay) / max(s.cfg.CPUShare, minCPUShare))
-		process.Pause(ctx, delay+rand.N(campaignJitter), nil)
-		if _, alive := s.mirror.ownership(); alive || s.stopping.Load() || ctx.Err() != nil {
+		// After this entry has removed the lease, the store is asked: the watch may not
+		// have delivered the removal yet.
+		if !s.claimAtOnce.Swap(false) && !s.awaitTurn(ctx) {
 			continue
 		}
 		session, err := s.claim(ctx)
@@ -84,6 +81,22 @@
 	return nil
 }
 
+// awaitTurn waits before a claim so that faster entries claim first. It reports whether
+// there is no live owner before and after.
+func (s *Scheduler) awaitTurn(ctx context.Context) bool {
+	if _, alive := s.mirror.ownership(); alive {
+		return false
+	}
+	process.Pause(ctx, s.claimDelay()+rand.N(campaignJitter), nil)
+	_, alive := s.mirror.ownership()
+	return !alive && !s.stopping.Load() && ctx.Err() == nil
+}
+
+// claimDelay returns how long this entry waits before a claim.
+func (s *Scheduler) claimDelay() time.Duration {
+	return time.Duration(float64(campaignDelay) / max(s.cfg.CPUShare, minCPUShare))
+}
+
 // ignoreOwnershipConflict returns nil for errors that mean that the store
 // answered but another entry is the owner or a condition failed. It returns
 // other errors unchanged.
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -70,6 +70,12 @@
 	storeOutage *outage.Detector
 	relayClient *httpjson.Client
 	recentPeers recentPeers
+	// ownerWatchClient is nil unless entries watch the owner's process. ownerEnded is
+	// signalled when this entry has ended the ownership of a process that has ended;
+	// claimAtOnce is then true.
+	ownerWatchClient *httpjson.Client
+	ownerEnded       chan struct{}
+	claimAtOnce      atomic.Bool
 	// advisor serves one request at a time.
 	advisor         *platform.Advisor
 	advisorHealth   *process.Dependency
@@ -112,7 +118,7 @@
 	}))
 	s := &Scheduler{cfg: cfg, log: l, store: store, storeOutage: storeOutage, relayClient: httpjson.NewClient(relayTimeout, httpjson.WithDialTimeout(relayDialTimeout)), mirror: newMirror(l, store), processID: time.Now().UnixNano(),
 		reports: make(chan agentReport, maxMessageBatch), messages: make(chan any, maxMessageBatch),
-		superseded: make(chan struct{}, 1), stop: make(chan struct{}),
+		superseded: make(chan struct{}, 1), stop: make(chan struct{}), ownerEnded: make(chan struct{}, 1),
 		ownershipCheckRequests: make(chan struct{}, 1), peerClient: httpjson.NewClient(noticeTimeout),
 		noticeHealth: process.NewDependency("owner", l), evacuationsHealth: process.NewDependency("evacuations", l),
 		advisor:       platform.NewAdvisor(platform.NewHTTPClient(), cfg.AdvisorAddress),
@@ -152,7 +158,7 @@
 	}
 	c := newControl(s)
 	for _, f := range append(actors, c.run, s.mirror.follow, s.mirror.followOwnerLease, s.mirror.followConfiguration,
-		s.campaign, s.serveAdvisorRequests) {
+		s.campaign, s.watchOwnerProcess, s.serveAdvisorRequests) {
 		process.AddActor(&g, f)
 	}
 	event.ProcessStarted.Emit(l, event.Entry(cfg.Name), event.Address(cfg.CallerListen))
@@ -228,6 +234,7 @@
 	e.POST(agent.ReportPath, s.handleReport)
 	e.POST(noticePath, s.handleNotice)
 	e.POST(relayPath, s.handleRelay)
+	e.GET(ownerWatchPath, s.handleOwnerWatch)
 	return e
 }
 
--- a/io/standin/fleet/harness_test.go
+++ b/io/standin/fleet/harness_test.go
@@ -74,7 +74,7 @@
 
 // deployment is a set of processes of the real program and the fakes they use.
 type deployment struct {
-	t          *testing.T
+	t          testing.TB
 	ctx        context.Context
 	dir, bin   string
 	network    int
@@ -86,6 +86,8 @@
 	// evacuations in the settings, or 0.
 	zones           int
 	evacuationDelay time.Duration
+	// environment is added to the environment of the processes.
+	environment []string
 }
 
 // deploymentOption changes a deployment before its processes start.
@@ -96,6 +98,11 @@
 	return func(d *deployment) { d.zones, d.evacuationDelay = n, delay }
 }
 
+// withEnvironment adds variables to the environment of the processes.
+func withEnvironment(variables ...string) deploymentOption {
+	return func(d *deployment) { d.environment = append(d.environment, variables...) }
+}
+
 // zoneName returns the name of zone n.
 func zoneName(n int) string { return fmt.Sprintf("zone-%d", n) }
 
@@ -107,7 +114,7 @@
 
 // newDeployment starts the given numbers of schedulers, and of agents with their
 // workers.
-func newDeployment(t *testing.T, network, schedulers, agents int, options ...deploymentOption) *deployment {
+func newDeployment(t testing.TB, network, schedulers, agents int, options ...deploymentOption) *deployment {
 	bin, err := buildProgram()
 	if err != nil {
 		t.Fatal(err)
@@ -203,7 +210,7 @@
 		bin = *earlierBuild
 	}
 	cmd := exec.Command(bin, p.role)
-	cmd.Env = append(os.Environ(), platform.SettingsPathEnv+"="+p.settings)
+	cmd.Env = append(append(os.Environ(), platform.SettingsPathEnv+"="+p.settings), d.environment...)
 	cmd.Stdout, cmd.Stderr = f, f
 	if err := cmd.Start(); err != nil {
 		d.t.Error(err)
--- a/io/standin/fleet/ledger.go
+++ b/io/standin/fleet/ledger.go
@@ -23,6 +23,8 @@
 	lostEnds   map[string]bool
 	violations []string
 	zones      zoneRecords
+	// starts is the number of runs that have started.
+	starts int
 }
 
 // jobRecord is what callers know of a job.
@@ -187,9 +189,17 @@
 		}
 	}
 	l.active[name]++
+	l.starts++
 	return r.job.Steps[t.Step].Need
 }
 
+// StartCount returns the number of runs that have started.
+func (l *Ledger) StartCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.starts
+}
+
 // RecordEnd records the end of a run of the named task. If outcome is empty, no run
 // ends. If lost is true, the worker crashed or its lease ended after the task was done, but
 // before the end of its run was acknowledged.
--- a/io/standin/fleet/soak_test.go
+++ b/io/standin/fleet/soak_test.go
@@ -128,6 +128,9 @@
 	if m == evacuations {
 		options = append(options, withZones(soakZones, soakEvacuationDelay))
 	}
+	if seed%2 == 0 {
+		options = append(options, withEnvironment("ROSEMARYGAP_FAILOVER=connection"))
+	}
 	r := newTestRun(t, int(seed), 3, *agentCount, options...)
 	r.mix = m
 	defer func() {
