core/job: one mechanism reserves room for steps that wait

holdRoom kept whole workers for steps that starve under fair shares, and waitForRoom the room of wide steps that are placed by their expected end. Both had their own sets, and a step of the one did not see the room that the other kept. A claim did not include the processors that must stay free for urgent tasks, so narrow tasks could take them for ever.

reserveRoom replaces both, with one set of claims that also has those of tasks that wait for their rack. With fair shares, a step reserves the room of one task or of its gang instead of the workers with the most room.

TestWideTasksAreNotStarved has two more cases; with claims without the urgent reserve, it fails with a gang, and with narrow tasks of half a processor.

--- a/core/job/choose.go
+++ b/core/job/choose.go
@@ -66,11 +66,11 @@
 	// interferes is true if a task of the step would push serving tasks there
 	// above placementUtilizationLimit.
 	interferes bool
-	// limited is true if ramp or reserved limit the tasks on the worker.
+	// limited is true if ramp or claimed limit the tasks on the worker.
 	limited bool
 	ramp    ramp
-	// reserved is the room that steps of higher rank reserve on the worker.
-	reserved room
+	// claimed is the room that candidates of higher rank claim on the worker.
+	claimed room
 	// rank, time and tieScore rank the workers if tasks are placed by their expected
 	// end. time is how long a task is expected to run there, and the lowest rank is
 	// best. tieScore is the score without what time and rank stand for.
@@ -81,7 +81,7 @@
 
 // allowsAnother reports whether the limits on the worker allow one more task of s.
 func (o *scoredWorker) allowsAnother(s *Step) bool {
-	return o.ramp.allows(o.worker, s) && o.worker.fitsBeside(o.reserved, s)
+	return o.ramp.allows(o.worker, s) && o.worker.fitsBeside(o.claimed, s)
 }
 
 // scoredWorkers returns the usable workers that have room for a task of the
@@ -91,13 +91,13 @@
 func (c *Cell) scoredWorkers(k *candidate, r *scorer, rack string, since int64) []scoredWorker {
 	var out []scoredWorker
 	for _, w := range c.workers.All {
-		if w.version <= since || c.isHeld(w, k.step.spec) || !w.hasRoom(k.step.spec, k.queue.Priority) || !c.isUsable(w, k, r.now) ||
+		if w.version <= since || !w.hasRoom(k.step.spec, k.queue.Priority) || !c.isUsable(w, k, r.now) ||
 			rack != "" && !slices.Contains(w.Labels, rack) {
 			continue
 		}
 		o := scoredWorker{worker: w}
-		if !c.rampBegin(w).IsZero() || len(c.reserved) > 0 {
-			o.limited, o.ramp, o.reserved = true, c.rampOf(w, r.now), c.reserved[w]
+		if !c.rampBegin(w).IsZero() || len(c.claims) > 0 {
+			o.limited, o.ramp, o.claimed = true, c.rampOf(w, r.now), c.claims[w]
 			if !o.allowsAnother(k.step.spec) {
 				continue
 			}
@@ -222,9 +222,7 @@
 // hasRoom reports whether the worker has room for one more task of s.
 func (w *workerRow) hasRoom(s *Step, priority int) bool {
 	need := s.Need
-	if priority > 0 && !s.BestEffort {
-		need.Processors += min(urgentReserveMilli, max(0, w.Capacity.Processors-need.Processors))
-	}
+	need.Processors += urgentReserve(w, s, priority)
 	if s.BestEffort {
 		if w.freeProcessors() < need.Processors {
 			return false
--- a/core/job/place.go
+++ b/core/job/place.go
@@ -127,9 +127,7 @@
 // placeTasks starts the waiting tasks of the candidates, in order, while workers
 // have room for them.
 func (c *Cell) placeTasks(now time.Time) {
-	var held [taskKinds]bool
 	clear(c.claims)
-	clear(c.reserved)
 	c.rackWaits, c.reservingSteps = 0, 0
 	all := c.candidates(now)
 	for k := range c.inOrder(all) {
@@ -140,7 +138,6 @@
 		default:
 			c.placeStep(k, now)
 		}
-		c.holdRoom(k, &held, now)
 	}
 	c.preemptTasks(all, now)
 }
@@ -159,22 +156,18 @@
 		}
 		if scored == nil {
 			if scored = c.scoredWorkers(k, r, "", since); len(scored) == 0 {
-				if since == allWorkers && k.step.noRoomSince.IsZero() {
-					k.step.noRoomSince = now
-				}
 				c.keepRackClaims(k, since)
 				k.step.blocked.record(c.version, since, now)
-				c.waitForRoom(k, r)
+				c.reserveRoom(k, r)
 				return
 			}
 			k.step.rackClaims = k.step.rackClaims[:0]
 		}
-		k.step.noRoomSince = time.Time{}
 		o := chooseWorker(scored, k, t, r)
 		if o == nil {
 			k.step.blocked.record(c.version, since, now)
 			if t.waitingSince.IsZero() { // it does not wait for a worker without interference
-				c.waitForRoom(k, r)
+				c.reserveRoom(k, r)
 			}
 			return
 		}
@@ -185,6 +178,7 @@
 		t.ticket = k.step.tickets.byWorker[o.worker.ID]
 		c.startTask(k.job, k.step, t, o.worker, now)
 		r.recordPlaced(o)
+		c.recordStart(k)
 	}
 	if waits {
 		k.step.blocked.record(c.version, since, now)
@@ -205,10 +199,7 @@
 		}
 	}
 	if !c.placeGangOn(k, "", now) {
-		if k.step.noRoomSince.IsZero() {
-			k.step.noRoomSince = now
-		}
-		c.waitForRoom(k, c.newScorer(k, now))
+		c.reserveRoom(k, c.newScorer(k, now))
 	}
 }
 
--- a/core/job/rack_wait.go
+++ b/core/job/rack_wait.go
@@ -120,7 +120,6 @@
 // leave that room: they would take what each end leaves, and the task would wait in vain.
 func (c *Cell) claimRoom(w *workerRow, s *Step) {
 	c.claims[w] = c.claims[w].plus(roomFor(s))
-	c.reserved[w] = c.reserved[w].plus(roomFor(s))
 	c.rackWaits++
 }
 
--- a/core/job/releases.go
+++ b/core/job/releases.go
@@ -57,11 +57,7 @@
 	if s.BestEffort {
 		return r.free >= s.Need.Processors
 	}
-	need := s.Need.Processors
-	if priority > 0 {
-		need += min(urgentReserveMilli, max(0, w.Capacity.Processors-need))
-	}
-	return r.processors >= need
+	return r.processors >= s.Need.Processors+urgentReserve(w, s, priority)
 }
 
 // release is the expected end of a run and the room that it leaves.
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -81,9 +81,6 @@
 	// waiting counts the tasks in state taskWaiting.
 	waiting int
 	blocked blockedStep
-	// noRoomSince is since when no worker has had room for a task of the step, or for
-	// all members of a gang; it is zero if a worker has room.
-	noRoomSince time.Time
 	// rackWaitSince is when a task of the step began to wait for room in the rack of
 	// its data, or zero.
 	rackWaitSince time.Time
@@ -288,9 +285,6 @@
 	version int64
 	// predicted must be reset when the tasks of the worker change.
 	predicted predictedUtilization
-	// heldRound is the last placement round, by kind of tasks, in which room on the
-	// worker was held for a step.
-	heldRound [taskKinds]int64
 	// releases must be reset when the tasks of the worker change.
 	releases expectedReleases
 	// lastProgress is when any task of the worker last made progress or ended.
@@ -359,10 +353,10 @@
 	// remoteDataFactor is by which factor a task takes longer on a worker outside of the
 	// rack that holds its data; 0 means unknown.
 	remoteDataFactor float64
-	// claims is the room that tasks wait for in the racks of their data, and rackWaits
-	// their number. reserved is the room that reservingSteps steps reserve. All of them
-	// are of the current or the last call of placeTasks.
-	claims, reserved          map[*workerRow]room
+	// claims is the room that waiting tasks keep from later candidates: that of rackWaits
+	// tasks that wait for the racks of their data, and that of reservingSteps steps. All of
+	// them are of the current or the last call of placeTasks.
+	claims                    map[*workerRow]room
 	rackWaits, reservingSteps int
 	preemption                preemption
 }
@@ -391,7 +385,7 @@
 	c := &Cell{epoch: epoch, ownedSince: now, queues: map[string]*Queue{},
 		jobs: table.New[string, jobRow](), workers: table.New[string, workerRow](),
 		roster: map[string]rosterRow{}, endedJobs: map[string]bool{}, earlyCancellations: map[string]bool{},
-		claims: map[*workerRow]room{}, reserved: map[*workerRow]room{}, runTimeRatios: newRunTimeRatios(), meanWork: meanWork{},
+		claims: map[*workerRow]room{}, runTimeRatios: newRunTimeRatios(), meanWork: meanWork{},
 		interference: newInterferenceModel(), forecaster: newForecaster(),
 		policy: policy{compare: byTimelinessAndPriority, learns: true}}
 	for _, o := range options {
--- a/core/job/share.go
+++ b/core/job/share.go
@@ -5,7 +5,6 @@
 	"container/heap"
 	"iter"
 	"math"
-	"slices"
 	"time"
 )
 
@@ -121,8 +120,6 @@
 	scarce [taskKinds]bool
 	// scarceSince is when the present scarcity began, or zero.
 	scarceSince [taskKinds]time.Time
-	// round is the number of the placement round.
-	round int64
 }
 
 // setTime records the time that the cell was given. It does nothing without fair
@@ -171,7 +168,6 @@
 // Best-effort tasks can get the processors that serving tasks are expected to leave.
 func (c *Cell) setScarcity(all []candidate, now time.Time) {
 	s := c.shares
-	s.round++
 	s.room = [taskKinds]amount{}
 	for _, w := range c.workers.All {
 		s.room[regularTasks] = s.room[regularTasks].plus(1, amountOf(w.Capacity))
@@ -323,73 +319,6 @@
 	return u.running.plus(1, u.recent).dominantShare(s.room[k.step.spec.kind()]) / k.queue.shareWeight()
 }
 
-// holdRoom keeps room for the first candidate of its kind that no worker has had room
-// for during the estimate of its tasks: later candidates of the kind get no room on
-// the workers with the most room. Otherwise, narrow tasks of other accounts would take
-// each processor that becomes free before enough of them are free together.
-func (c *Cell) holdRoom(k *candidate, held *[taskKinds]bool, now time.Time) {
-	spec := k.step.spec
-	if c.shares == nil || !k.scarce || held[spec.kind()] || k.step.waiting == 0 ||
-		k.step.noRoomSince.IsZero() || now.Sub(k.step.noRoomSince) < spec.Estimate {
-		return
-	}
-	tasks := 1
-	if spec.Gang {
-		tasks = len(k.step.tasks)
-	}
-	var suitable []*workerRow
-	room := 0
-	for _, w := range c.workers.All {
-		if n := w.mostTasks(spec); n > 0 && c.isUsable(w, k, now) && (!k.queue.RequiresTicket || k.step.tickets.byWorker[w.ID] != "") {
-			suitable = append(suitable, w)
-			room += n
-		}
-	}
-	if room < tasks {
-		return // the workers will not have room however long the step waits
-	}
-	held[spec.kind()] = true
-	slices.SortFunc(suitable, func(a, b *workerRow) int {
-		return cmp.Or(cmp.Compare(b.freeProcessors(), a.freeProcessors()), cmp.Compare(a.ID, b.ID))
-	})
-	for _, w := range suitable {
-		if tasks <= 0 {
-			return
-		}
-		tasks -= w.mostTasks(spec)
-		w.heldRound[spec.kind()] = c.shares.round
-	}
-}
-
-// isHeld reports whether w is held for another candidate in this round.
-func (c *Cell) isHeld(w *workerRow, s *Step) bool {
-	return c.shares != nil && w.heldRound[s.kind()] == c.shares.round
-}
-
-// mostTasks returns how many tasks of the step w could run beside its long-running
-// tasks alone.
-func (w *workerRow) mostTasks(s *Step) int {
-	left := w.Capacity
-	for _, t := range w.tasks {
-		if t.spec.LongRunning {
-			left = left.Minus(t.spec.Need)
-		}
-	}
-	if s.BestEffort {
-		left.Processors += w.servingProcessors * (fullPercent - servingUsePercent) / fullPercent
-	}
-	n := maxStepTasks
-	if s.MaxPerWorker > 0 {
-		n = s.MaxPerWorker
-	}
-	for _, r := range [][2]int{{left.Processors, s.Need.Processors}, {int(left.Memory), int(s.Need.Memory)}, {left.Accelerators, s.Need.Accelerators}} {
-		if r[1] > 0 {
-			n = min(n, r[0]/r[1])
-		}
-	}
-	return n
-}
-
 // accountShares returns what runs and is reserved for each account with live jobs, in
 // percent of the room; of the two kinds of tasks, the larger share counts. It returns
 // nil without fair shares.
--- a/core/job/share_test.go
+++ b/core/job/share_test.go
@@ -115,13 +115,21 @@
 
 // Guards against the starvation of wide tasks: narrow tasks of another account would
 // take each processor that becomes free, and twelve would never be free together. The
-// same holds for the members of a gang.
+// same holds for the members of a gang, and for narrow tasks that fit into the processors
+// that must stay free for urgent tasks beside a wide one.
 func TestWideTasksAreNotStarved(t *testing.T) {
-	for name, wide := range map[string]Step{"tasks": step(4, 12000), "gang": step(20, 1000)} {
+	gang := step(20, 1000)
+	gang.Gang = true
+	for name, test := range map[string]struct{ narrow, wide Step }{
+		"tasks":                      {step(4000, 1000), step(4, 12000)},
+		"gang":                       {step(4000, 1000), gang},
+		"narrower than urgent room":  {step(4000, 500), step(4, 12000)},
+		"gang beside half processor": {step(4000, 500), gang},
+	} {
 		t.Run(name, func(t *testing.T) {
-			wide.Gang = name == "gang"
+			narrow, wide := test.narrow, test.wide
 			tc := newShareCluster(t, 1, 2)
-			tc.submit(zoneJob(1, "a", step(4000, 1000)))
+			tc.submit(zoneJob(1, "a", narrow))
 			tc.submit(zoneJob(2, "b", wide))
 			for range 100 {
 				tc.now = tc.now.Add(80 * time.Millisecond)
@@ -140,9 +148,9 @@
 	}
 }
 
-// Guards against room that is held for ever: a gang that is wider than all workers
+// Guards against room that is reserved for ever: a gang that is wider than all workers
 // together would keep all other tasks from them.
-func TestStepThatNeverFitsHoldsNoRoom(t *testing.T) {
+func TestStepThatNeverFitsReservesNothing(t *testing.T) {
 	tc := newShareCluster(t, 1, 2)
 	wide := step(40, 1000)
 	wide.Gang = true
--- a/core/job/stats.go
+++ b/core/job/stats.go
@@ -48,7 +48,7 @@
 			}
 		}
 	}
-	out.RackWaits, out.ReservedWorkers = c.rackWaits, len(c.reserved)
+	out.RackWaits, out.ReservedWorkers = c.rackWaits, len(c.claims)
 	out.ColdFactor = c.coldSpeed.factor()
 	for _, w := range c.workers.All {
 		if w.isCold(now) {
--- a/core/metric/catalogue.go
+++ b/core/metric/catalogue.go
@@ -37,7 +37,7 @@
 	{"rosemarygap_evacuated_zone_tasks", []string{"zone"}, "tasks on the workers of each evacuated zone, as seen by the owner; after an evacuation it falls to the tasks that are left to end"},
 	{"rosemarygap_rack_starts_total", []string{"reason"}, "starts of tasks whose step names a rack, if the settings have a factor for remote data: `placed-in-rack` or `placed-off-rack`"},
 	{"rosemarygap_rack_waiting_tasks", nil, "tasks that wait for room in the rack of their data although another worker has room; reported by the owner"},
-	{"rosemarygap_reserved_workers", nil, "workers on which wide steps, or tasks that wait for the rack of their data, reserve room; reported by the owner"},
+	{"rosemarygap_reserved_workers", nil, "workers on which steps that wait for long, or tasks that wait for the rack of their data, reserve room; reported by the owner"},
 	{"rosemarygap_cold_workers", nil, "workers that say in their heartbeats that they are still cold; reported by the owner"},
 	{"rosemarygap_cold_worker_slowdown", nil, "learned factor by which tasks take longer on cold workers, 2 until a task has run on one; reported by the owner"},
 	{"rosemarygap_preemptions_total", nil, "tasks that the owner stopped for a step of a higher-ranked queue that would be late; event 7012 names the job; always 0 with `--preemption off`"},
