core/job: the predicted utilization needs no copy of the use

usage.scaled copied the best-effort use of a worker for each prediction, although the prediction is linear. The prediction is now divided by the size of the worker instead, and scaled is gone. Its line in TestSamplesReferToWorkerSize is replaced by TestPredictedUseRefersToWorkerSize, which compares workers of two sizes and counts allocations; it fails with a copy of ten images.

--- a/core/job/interference.go
+++ b/core/job/interference.go
@@ -49,15 +49,6 @@
 	return float64(capacity.Processors) / (referenceProcessors * processorUnit)
 }
 
-// scaled returns the usage divided by scale.
-func (u usage) scaled(scale float64) usage {
-	out := make(usage, len(u))
-	for image, processors := range u {
-		out[image] = processors / scale
-	}
-	return out
-}
-
 // Utilization returns the utilization inferred from a tail latency, given as a
 // share of its target. The latency is assumed to grow with 1/(1-utilization), as
 // in a queue.
--- a/core/job/interference_test.go
+++ b/core/job/interference_test.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -73,7 +74,6 @@
 	is.Equal(InterferenceScale(Resources{Processors: 16000}), 1.0)
 	is.Equal(InterferenceScale(Resources{Processors: 64000}), 4.0)
 	is.Equal(InterferenceScale(Resources{}), 1.0) // a heartbeat without a capacity
-	is.Equal(usage{"heavy": 8}.scaled(4), usage{"heavy": 2})
 	tc := newTestCluster(t, 1)
 	w := tc.workers.Get("agent-0")
 	w.Capacity.Processors = 64000
@@ -83,3 +83,41 @@
 	upper := tc.interference.regressionOf("feeds").upperEffect("heavy", throttleDeviations)
 	is.Equal(tc.interferenceOn(w)["feeds"]["heavy"], upper/4) // what the agent gets is for this worker
 }
+
+// newServingRow returns a worker with a serving task, and with best-effort tasks of the given
+// number of processors for each of ten images.
+func newServingRow(processors, each int) *workerRow {
+	w := &workerRow{Worker: Worker{Capacity: Resources{Processors: processors}}, servingTasks: map[servingJob]int{}, bestEffortByImage: usage{}}
+	w.reserveCapacity("feed", &Step{Image: "feeds", TailTarget: time.Second, Need: Resources{Processors: 1000}}, 1)
+	for i := range 10 {
+		w.reserveCapacity("build", &Step{Image: fmt.Sprint("heavy-", i), BestEffort: true, Need: Resources{Processors: 1000}}, each)
+	}
+	return w
+}
+
+// Guards against use that does not count in proportion to the size of the worker in the
+// predicted utilization, and against a copy of the use for each prediction: under
+// overload, there are thousands a second.
+func TestPredictedUseRefersToWorkerSize(t *testing.T) {
+	is := is.New(t)
+	tc := newTestCluster(t, 0)
+	tc.interference.loadOf("feed").peak = 0.25
+	small, large := newServingRow(16000, 1), newServingRow(64000, 4)
+	predicted := tc.servingUtilizations(large, tc.now)
+	is.Equal(predicted, []servingUtilization{{"feeds", 0.25 + 10*priorEffect}})
+	is.Equal(predicted, tc.servingUtilizations(small, tc.now))
+	is.Equal(testing.AllocsPerRun(100, func() {
+		large.predicted.at = time.Time{}
+		tc.servingUtilizations(large, tc.now)
+	}), 0.0)
+}
+
+// BenchmarkPredictedUtilization measures the prediction for the serving tasks of a worker.
+func BenchmarkPredictedUtilization(b *testing.B) {
+	now := time.Unix(1000, 0)
+	c, w := New(1, now), newServingRow(64000, 4)
+	for b.Loop() {
+		w.predicted.at = time.Time{}
+		c.servingUtilizations(w, now)
+	}
+}
--- a/core/job/overload.go
+++ b/core/job/overload.go
@@ -29,9 +29,9 @@
 		return p.serving
 	}
 	p.at, p.serving = now, p.serving[:0]
-	use := w.bestEffortByImage.scaled(InterferenceScale(w.Capacity))
+	scale := InterferenceScale(w.Capacity)
 	for k := range w.servingTasks {
-		utilization := c.interference.loadOf(k.job).peak + c.interference.predict(k.image, use)
+		utilization := c.interference.loadOf(k.job).peak + c.interference.predict(k.image, w.bestEffortByImage)/scale
 		p.serving = append(p.serving, servingUtilization{k.image, utilization})
 	}
 	return p.serving
