--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -294,7 +294,7 @@
 	if t.state == taskWaiting {
 		s.waiting--
 	}
-	t.state, t.worker, t.run, t.spec = taskAssigned, w, run, s.spec
+	t.state, t.worker, t.run, t.step, t.spec = taskAssigned, w, run, s, s.spec
 	t.orderSequence = 0
 	t.running, t.stopping, t.waitingSince = false, false, time.Time{}
 	t.partial = t.checkpoint != ""
--- a/core/job/evacuation.go
+++ b/core/job/evacuation.go
@@ -150,7 +150,7 @@
 	case !ok:
 		return false
 	case !t.spec.LongRunning:
-		return t.checkpoint != "" && c.expectedRemaining(&k, t) > c.evacuations.bound
+		return t.checkpoint != "" && t.expectedRemaining(c.runTimeRatios.estimate(k.job, k.step)) > c.evacuations.bound
 	case !w.hasRecentReport(now) || c.isRoomContested(k.queue.Service, now) || c.evacuations.withoutRoom[k.step] ||
 		!k.step.allowsDisruption(t, now):
 		return false
@@ -176,12 +176,12 @@
 
 // expectedRemaining returns how long a running batch task is expected to take to its
 // end: by its own speed if that is known, and otherwise by the estimate of its step.
-func (c *Cell) expectedRemaining(k *candidate, t *taskRow) time.Duration {
+func (t *taskRow) expectedRemaining(estimate time.Duration) time.Duration {
 	remaining := float64(fullPercent-t.percent) / fullPercent
 	if speed := t.speed.current; speed > 0 {
 		return seconds(remaining / max(speed, minTaskSpeed))
 	}
-	return time.Duration(remaining * float64(c.runTimeRatios.estimate(k.job, k.step)))
+	return time.Duration(remaining * float64(estimate))
 }
 
 // logEvacuations appends an event for each new evacuation. A new owner waits until the
--- a/core/job/preemption.go
+++ b/core/job/preemption.go
@@ -24,6 +24,12 @@
 	// workersPerPreemption is the number of workers for each worker on which tasks
 	// stop for others at the same time. One worker is always allowed.
 	workersPerPreemption = 4
+	// waitForRoomShare is how long a stopped task is expected to wait for room, as a share
+	// of its run time: on full workers, room becomes free as such tasks end. Without this
+	// wait, 8 workers lost 8.8 points of the batch jobs on time in the heaviest of six loads,
+	// with 0.3 4.4 and with 0.4 2.2. The load on 16 workers is the same up to 0.3; with 0.5,
+	// 4 urgent jobs of 470 fewer are on time.
+	waitForRoomShare = 0.3
 )
 
 // The worth of a job by its timeliness, relative to one that is on time. It is above 0
@@ -39,8 +45,11 @@
 // preemption is the state of the preemption of tasks.
 type preemption struct {
 	enabled bool
-	// decidedAt is when the last decision was made.
+	// decidedAt is when the last decision was made, and decisions is their number.
 	decidedAt time.Time
+	decisions int64
+	// preempting are the workers on which tasks are stopping for others.
+	preempting []*workerRow
 	// holding are the workers that keep room for steps.
 	holding []*workerRow
 	// occupancies is memory for the next decision.
@@ -133,14 +142,17 @@
 		return
 	}
 	p.decidedAt = now
+	p.decisions++
 	c.dropHolds(now)
+	p.preempting = slices.DeleteFunc(p.preempting, func(w *workerRow) bool { return !w.isPreempting() })
+	allowed := max(1, c.workers.Len()/workersPerPreemption) - len(p.preempting)
 	lowest := 0
 	for _, q := range c.queues {
 		lowest = max(lowest, q.Priority)
 	}
 	ahead := map[string]int{}
-	d := &preemptionDecision{cell: c, now: now}
-	for i := range all {
+	d := &preemptionDecision{cell: c, now: now, allowed: allowed}
+	for i := 0; i < len(all) && d.allowed > 0; i++ {
 		k := &all[i]
 		if k.queue.Priority >= lowest || !k.mayPreempt() {
 			continue
@@ -151,6 +163,16 @@
 	}
 }
 
+// isPreempting reports whether any task of w is stopping for another.
+func (w *workerRow) isPreempting() bool {
+	for _, t := range w.tasks {
+		if t.stopping && t.stopOrderedAt.Equal(t.preempted.at) {
+			return true
+		}
+	}
+	return false
+}
+
 // mayPreempt reports whether tasks may be stopped for the candidate. The room of one task
 // is of no use to a gang. Best-effort tasks use what others leave, and long-running tasks
 // have no deadline.
@@ -187,11 +209,16 @@
 // What it knows about workers and steps is computed once: for each candidate anew, that
 // took over 10 ms with 240 workers and 100 candidates.
 type preemptionDecision struct {
-	cell    *Cell
-	now     time.Time
+	cell *Cell
+	now  time.Time
+	// workers is nil until a candidate needs to know the workers.
 	workers []occupancy
-	// steps is nil until a candidate needs to know the workers.
-	steps map[stepKey]*batchStep
+	// usable are the workers that the candidate usableFor may use, sets the sets of victims
+	// on them and victims the members of all sets. chosenSets are those to stop.
+	usable           []*occupancy
+	usableFor        *candidate
+	sets, chosenSets []victimSet
+	victims          []*victim
 	// allowed is the number of further workers on which tasks may be stopped.
 	allowed   int
 	candidate *candidate
@@ -203,62 +230,9 @@
 	slack time.Duration
 }
 
-// occupancy is what a decision knows about the tasks of a worker.
-type occupancy struct {
-	worker *workerRow
-	// ends are the tasks that end by themselves or are stopping.
-	ends []expectedEnd
-	// stopping is true if any task is stopping, and preempting if one is stopping for
-	// another.
-	stopping, preempting bool
-	// victims are the tasks that may be stopped. Only the first sorted ones are in order,
-	// cheapest first: a set mostly needs one or two.
-	victims       []victim
-	sorted        int
-	victimsListed bool
-}
-
-// expectedEnd is what a task will free, and in how long.
-type expectedEnd struct {
-	task      *taskRow
-	step      *batchStep
-	freed     Resources
-	remaining time.Duration
-}
-
-// stepKey identifies a step of an occurrence.
-type stepKey struct {
-	spec       *Step
-	occurrence int
-}
-
-// batchStep is what a decision knows about a step whose tasks run.
-type batchStep struct {
-	candidate
-	// after is how long the steps after it take, if it is on the critical path.
-	after             time.Duration
-	lateAt, tooLateAt time.Time
-}
-
-// observeWorkers sets what the decision knows about all workers.
-func (d *preemptionDecision) observeWorkers() {
-	c := d.cell
-	n := c.workers.Len()
-	d.steps, d.allowed = map[stepKey]*batchStep{}, max(1, n/workersPerPreemption)
-	d.workers = slices.Grow(c.preemption.occupancies[:0], n)[:n]
-	c.preemption.occupancies = d.workers
-	i := 0
-	for _, w := range c.workers.All {
-		d.observe(&d.workers[i], w)
-		if d.workers[i].preempting {
-			d.allowed--
-		}
-		i++
-	}
-}
-
 // decide stops the victims that cost least for the tasks of the candidate that no room
-// becomes free for in time.
+// becomes free for in time. It stops none if some task would remain: the job would be late
+// all the same.
 func (d *preemptionDecision) decide() {
 	c, k := d.cell, d.candidate
 	needed := k.waitingTasks(d.now)
@@ -270,119 +244,71 @@
 	if needed == 0 || d.slack < preemptionStopTime {
 		return
 	}
-	if d.steps == nil {
+	if d.workers == nil {
 		d.observeWorkers()
 	}
-	if d.allowed <= 0 {
+	needed -= max(0, d.roomInTime()-d.ahead)
+	if needed <= 0 {
+		return
+	}
+	if !d.chooseSets(needed) {
 		return
 	}
+	for i := range d.chosenSets {
+		d.stop(&d.chosenSets[i])
+	}
+}
+
+// roomInTime returns the number of tasks of the candidate for which the workers have room
+// in time without a stop.
+func (d *preemptionDecision) roomInTime() int {
+	d.setUsable()
 	room := 0
-	var usable []*occupancy
-	for i := range d.workers {
-		o := &d.workers[i]
-		w := o.worker
-		if w.Service != k.queue.Service || !c.isUsable(w, k, d.now) || k.queue.RequiresTicket && k.step.tickets.byWorker[w.ID] == "" {
-			continue
-		}
-		usable = append(usable, o)
-		room += d.roomOn(w, d.endsInTime(o))
+	for _, o := range d.usable {
+		o.freed = d.endsInTime(o)
+		o.room = d.roomOn(o.worker, o.freed)
+		room += o.room
 	}
-	needed -= max(0, room-d.ahead)
-	if needed <= 0 {
+	return room
+}
+
+// setUsable sets the workers that the candidate may use. They are the same as those of the
+// candidate before, unless the two ask for others.
+func (d *preemptionDecision) setUsable() {
+	k, last := d.candidate, d.usableFor
+	d.usableFor = k
+	if last != nil && last.queue.Service == k.queue.Service && last.step.spec.Label == k.step.spec.Label &&
+		!last.queue.RequiresTicket && !k.queue.RequiresTicket {
 		return
 	}
-	var sets []victimSet
-	for _, o := range usable {
-		if set, ok := d.cheapestSet(o); ok {
-			sets = append(sets, set)
-		}
-	}
-	for len(sets) > 0 && needed > 0 && d.allowed > 0 {
-		n := 0
-		for i := range sets {
-			if sets[i].isCheaper(&sets[n], needed) {
-				n = i
-			}
+	d.usable = d.usable[:0]
+	for i := range d.workers {
+		w := d.workers[i].worker
+		if d.cell.isUsable(w, k, d.now) && (!k.queue.RequiresTicket || k.step.tickets.byWorker[w.ID] != "") {
+			d.usable = append(d.usable, &d.workers[i])
 		}
-		best := sets[n]
-		sets = slices.Delete(sets, n, n+1)
-		best.tasks = min(best.tasks, needed)
-		needed -= best.tasks
-		d.allowed--
-		d.stop(&best)
 	}
 }
 
 // stop stops the victims of a set and keeps their room for the candidate.
 func (d *preemptionDecision) stop(set *victimSet) {
+	d.allowed--
 	c, k, w := d.cell, d.candidate, set.occupancy.worker
 	for _, v := range set.victims {
 		c.stopTask(v.task, reasonPreempted, d.now)
 		v.task.preempted = preemptedTask{v.task.preempted.count + 1, d.now}
+		v.step, v.remaining = nil, 0
 		e := &c.events[len(c.events)-1]
 		e.Preemptor, e.Priority, e.LostWork = k.job.ID, k.queue.Priority, v.lost
 	}
 	if len(w.holds) == 0 {
 		c.preemption.holding = append(c.preemption.holding, w)
 	}
-	d.observe(set.occupancy, w)
+	c.preemption.preempting = append(c.preemption.preempting, w)
+	set.occupancy.stopping = true
 	w.holds = append(w.holds, hold{k.job, k.step, k.queue.Priority, set.tasks, d.now.Add(preemptionHoldTime)})
 }
 
-// observe sets what the decision knows about the tasks of w.
-func (d *preemptionDecision) observe(o *occupancy, w *workerRow) {
-	*o = occupancy{worker: w, ends: o.ends[:0], victims: o.victims[:0]}
-	for _, t := range w.tasks {
-		e := expectedEnd{task: t, freed: reservedBy(t.spec)}
-		switch {
-		case t.stopping:
-			o.stopping = true
-			o.preempting = o.preempting || t.stopOrderedAt.Equal(t.preempted.at)
-			// A stop that is not overdue counts as in time for any candidate, so that
-			// no two decisions stop tasks for the same ones.
-			if d.now.Sub(t.stopOrderedAt) >= preemptionHoldTime {
-				continue
-			}
-		case t.spec.LongRunning:
-			continue
-		default:
-			e.step = d.batchStep(t)
-			e.remaining = d.cell.expectedRemaining(&e.step.candidate, t)
-		}
-		o.ends = append(o.ends, e)
-	}
-}
-
-// batchStep returns what the decision knows about the step of t.
-func (d *preemptionDecision) batchStep(t *taskRow) *batchStep {
-	key := stepKey{t.spec, t.name.Occurrence}
-	if s := d.steps[key]; s != nil {
-		return s
-	}
-	c := d.cell
-	j := c.jobs.Get(t.name.Job)
-	step, _ := j.task(t.name)
-	s := &batchStep{candidate: candidate{job: j, occ: j.occurrence(t.name.Occurrence), step: step, queue: c.queueOf(j)}}
-	d.steps[key] = s
-	if s.queue != nil {
-		s.after = max(0, c.runTimeRatios.remaining(j, s.occ)-c.runTimeRatios.estimate(j, step))
-		s.lateAt, s.tooLateAt = deadlines(j, s.occ, s.queue)
-		s.density = c.density(j, s.occ, s.queue)
-	}
-	return s
-}
-
-// endsInTime returns what the tasks of a worker will free in time for the candidate.
-func (d *preemptionDecision) endsInTime(o *occupancy) Resources {
-	var freed Resources
-	for i := range o.ends {
-		if o.ends[i].remaining <= d.slack {
-			freed = freed.Plus(o.ends[i].freed)
-		}
-	}
-	return freed
-}
-
 // roomOn returns the number of tasks of the candidate for which w has room once freed is
 // free, apart from the room that is kept for others of the same or a higher rank.
 func (d *preemptionDecision) roomOn(w *workerRow, freed Resources) int {
--- a/core/job/preemption_load_test.go
+++ b/core/job/preemption_load_test.go
@@ -13,9 +13,16 @@
 
 // TestPreemptionLoad simulates workers full of long batch tasks with urgent jobs in
 // bursts. More urgent jobs must be on time with preemption than without it and with
-// strict priority, at the cost of at most maxBatchLoss of the batch jobs.
+// strict priority, at the cost of at most maxBatchLoss of the batch jobs. On few workers,
+// a stopped task waits longest for room.
 func TestPreemptionLoad(t *testing.T) {
-	load := readWorkload(t, "testdata/load/preemption/urgent-bursts.json")
+	for _, name := range []string{"urgent-bursts", "eight-workers", "eight-workers-long-bursts"} {
+		t.Run(name, func(t *testing.T) { checkPreemptionLoad(t, "testdata/load/preemption/"+name) })
+	}
+}
+
+func checkPreemptionLoad(t *testing.T, name string) {
+	load := readWorkload(t, name+".json")
 	var table bytes.Buffer
 	onTime := map[string]map[string]int{}
 	batchJobs := 0
@@ -41,7 +48,7 @@
 			}
 		}
 	}
-	golden.Check(t, "testdata/load/preemption/urgent-bursts.golden", table.Bytes())
+	golden.Check(t, name+".golden", table.Bytes())
 	with := onTime["preemption"]
 	for _, b := range load.Baselines {
 		if with["urgent"] <= onTime[b]["urgent"] {
--- a/core/job/preemption_test.go
+++ b/core/job/preemption_test.go
@@ -156,6 +156,16 @@
 	tc.is.Equal(len(tc.preempted()), 2)
 }
 
+// Stops for a part of an urgent step cost batch work, and the job is late all the same.
+func TestStopsNothingInVain(t *testing.T) {
+	for tasks, want := range map[int]int{22: 2, 23: 0} { // 11 fit on a worker, and 2 may stop tasks
+		tc := newFullCluster(t, 8, longStep(8, 15000))
+		tc.addUrgent(1, urgentStep(tasks, 1400))
+		tc.wait(time.Second)
+		tc.is.Equal(len(tc.preempted()), want)
+	}
+}
+
 // The members of a gang lose their work together, and a long-running task must not become
 // unavailable beyond its limit; neither is stopped, whatever the need.
 func TestPreemptsNoGangOrLongRunningTask(t *testing.T) {
@@ -231,6 +241,19 @@
 	tc.is.Equal(len(tc.preempted()), 0)
 }
 
+// A batch job on time is spared if, with the wait of the stopped task for room, it would be
+// late: without this, bursts made a sixth of the batch jobs of 8 workers late.
+func TestSparesJobsThatWouldBeLate(t *testing.T) {
+	for left, want := range map[time.Duration]int{36 * time.Second: 0, 50 * time.Second: 1} { // 29.1 s remain
+		tc := newFullCluster(t, 1, longStep(1, 15000))
+		row := tc.jobs.Get(testJob(100).ID)
+		row.Accepted = tc.now.Add(left - 61*time.Second)
+		tc.addUrgent(1, urgentStep(1, 1400))
+		tc.wait(time.Second)
+		tc.is.Equal(len(tc.preempted()), want)
+	}
+}
+
 // While an urgent task waits for the end of the second of two victims, a waiting batch task
 // must not take the room of the first.
 func TestRoomIsKeptForTheCandidate(t *testing.T) {
--- a/core/job/preemption_victims.go
+++ b/core/job/preemption_victims.go
@@ -1,36 +1,61 @@
 package job
 
-import (
-	"slices"
-	"time"
-)
+import "math"
 
 // victimSet is a set of tasks on a worker that make room for tasks of a candidate.
 type victimSet struct {
 	occupancy *occupancy
-	victims   []victim
+	victims   []*victim
 	// tasks is the number of tasks of the candidate for which the set makes room.
 	tasks int
-	cost  float64
+	// cost is the sum of the costs of the victims, and costPerTask that for each of tasks.
+	cost, costPerTask float64
 }
 
 // victim is a task that may be stopped, with its cost.
 type victim struct {
-	task      *taskRow
-	priority  int
-	freed     Resources
-	remaining time.Duration
+	*expectedEnd
+	priority int
 	// lost is the work in processor seconds that must be done again.
 	lost, cost float64
 }
 
-// isCheaper reports whether s costs less than other for each of the needed tasks.
-func (s *victimSet) isCheaper(other *victimSet, needed int) bool {
-	a, b := s.cost/float64(min(s.tasks, needed)), other.cost/float64(min(other.tasks, needed))
-	if a != b {
-		return a < b
+// chooseSets chooses the sets that cost least for the needed tasks, one a worker, and reports
+// whether they make room for all.
+func (d *preemptionDecision) chooseSets(needed int) bool {
+	d.sets, d.chosenSets, d.victims = d.sets[:0], d.chosenSets[:0], d.victims[:0]
+	for _, o := range d.usable {
+		if set, ok := d.cheapestSet(o); ok {
+			d.sets = append(d.sets, set)
+		}
+	}
+	for needed > 0 && len(d.chosenSets) < d.allowed && len(d.sets) > 0 {
+		set := d.takeCheapest(needed)
+		needed -= set.tasks
+		d.chosenSets = append(d.chosenSets, set)
 	}
-	return s.occupancy.worker.ID < other.occupancy.worker.ID
+	return needed <= 0
+}
+
+// takeCheapest removes the set that costs least for each of the needed tasks, and returns it
+// for at most these.
+func (d *preemptionDecision) takeCheapest(needed int) victimSet {
+	n, least := 0, math.Inf(1)
+	for i := range d.sets {
+		s := &d.sets[i]
+		cost := s.costPerTask
+		if s.tasks > needed {
+			cost = s.cost / float64(needed)
+		}
+		if cost < least || cost == least && s.occupancy.index < d.sets[n].occupancy.index {
+			n, least = i, cost
+		}
+	}
+	best, last := d.sets[n], len(d.sets)-1
+	d.sets[n] = d.sets[last]
+	d.sets = d.sets[:last]
+	best.tasks = min(best.tasks, needed)
+	return best
 }
 
 // cheapestSet returns the cheapest set of victims on a worker that makes room for a task of
@@ -42,30 +67,35 @@
 		return victimSet{}, false
 	}
 	d.listVictims(o)
-	freed := d.endsInTime(o)
-	before := d.roomOn(w, freed)
-	n := 0
-	for ; n < len(o.victims) && d.roomOn(w, freed) <= before; n++ {
+	freed, room, n := o.freed, o.room, 0
+	for ; n < len(o.victims) && room <= o.room; n++ {
 		if v := o.cheapest(n); d.mayStop(v) {
-			freed = freed.Plus(v.freed)
+			freed = freed.Plus(reservedBy(v.task.spec))
+			room = d.roomOn(w, freed)
 		}
 	}
-	if d.roomOn(w, freed) <= before {
+	if room <= o.room {
 		return victimSet{}, false
 	}
 	set := victimSet{occupancy: o}
-	for _, v := range slices.Backward(o.victims[:n]) {
-		if !d.mayStop(&v) {
+	first := len(d.victims)
+	for i := n - 1; i >= 0; i-- {
+		v := &o.victims[i]
+		if !d.mayStop(v) {
 			continue
 		}
-		if without := freed.Minus(v.freed); d.roomOn(w, without) > before {
-			freed = without
-			continue
+		if i < n-1 { // the last one made the room
+			without := freed.Minus(reservedBy(v.task.spec))
+			if left := d.roomOn(w, without); left > o.room {
+				freed, room = without, left
+				continue
+			}
 		}
-		set.victims = append(set.victims, v)
+		d.victims = append(d.victims, v)
 		set.cost += v.cost
 	}
-	set.tasks = d.roomOn(w, freed) - before
+	set.victims, set.tasks = d.victims[first:], room-o.room
+	set.costPerTask = set.cost / float64(set.tasks)
 	return set, true
 }
 
@@ -122,23 +152,25 @@
 		return victim{}, false
 	}
 	s := e.step
+	d.setValue(s)
 	lost := d.now.Sub(t.orderedAt)
 	if t.spec.Checkpoints && t.checkpoint != "" {
 		lost = min(lost, d.now.Sub(t.checkpointAt))
 	}
-	end := d.now.Add(e.remaining + s.after)
-	delayed := end.Add(preemptionStopTime + restoreTime + lost)
-	if !end.After(s.tooLateAt) && delayed.After(s.tooLateAt) {
+	end := e.remaining + s.after
+	delayed := end + preemptionStopTime + restoreTime + lost
+	wait := times(s.estimate, waitForRoomShare)
+	if end <= s.tooLate && delayed > s.tooLate || end <= s.late && delayed+wait > s.late {
 		return victim{}, false
 	}
 	worth := s.density
 	switch {
-	case end.After(s.tooLateAt):
+	case end > s.tooLate:
 		worth *= tooLateWorth
-	case end.After(s.lateAt):
+	case end > s.late:
 		worth *= lateWorth
 	}
 	processors := float64(t.spec.Need.Processors) / processorUnit
 	cost := (lost + restoreTime).Seconds() * processors * worth
-	return victim{t, s.queue.Priority, e.freed, e.remaining, lost.Seconds() * processors, cost}, true
+	return victim{e, s.queue.Priority, lost.Seconds() * processors, cost}, true
 }
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -20,7 +20,9 @@
 type taskRow struct {
 	name  Task
 	state taskState
-	// spec is the step of the task; it is nil until the task is first assigned.
+	// step and spec are the step of the task; they are nil until the task is first
+	// assigned.
+	step *stepRow
 	spec *Step
 	// worker and run are the current assignment of an assigned task.
 	worker *workerRow
@@ -90,6 +92,8 @@
 	// rackClaims are the workers there whose room its tasks wait for.
 	rackClaims  []*workerRow
 	reservation reservation
+	// observed is what decisions about preemption know about the step, or nil.
+	observed *batchStep
 	// tickets are the tickets of the advisor, for queues that require them.
 	tickets advisorTickets
 }
