core/job: candidates are sorted by pointers, and room of stopping tasks is summed once

With fair shares, evacuation, preemption and forecasts on 240 full workers, 42% of a decision was the sort of the candidates: each comparison copied and allocated two of them. On workers that keep room for a step, each check of free room went through all tasks for those that stop. BenchmarkPreemption now fails beyond 1 ms.

--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -308,7 +308,7 @@
 // reserveCapacity reserves the capacity of n tasks of a job's step; a negative
 // n frees it.
 func (w *workerRow) reserveCapacity(job string, s *Step, n int) {
-	w.predicted.at, w.releases.at = time.Time{}, time.Time{}
+	w.predicted.at, w.releases.at, w.stopping.known = time.Time{}, time.Time{}, false
 	w.used.Memory += int64(n) * s.Need.Memory
 	w.used.Accelerators += n * s.Need.Accelerators
 	if s.BestEffort {
@@ -354,7 +354,7 @@
 	if t.state != taskAssigned || t.stopping {
 		return
 	}
-	t.stopping, t.stopOrderedAt = true, now
+	t.stopping, t.stopOrderedAt, t.worker.stopping.known = true, now, false
 	t.worker.enqueueOrder(Order{Kind: OrderStop, Task: t.name.String(), Run: t.run})
 	c.logEvent(EventStop, t, t.worker, reason, now)
 }
--- a/core/job/place.go
+++ b/core/job/place.go
@@ -63,10 +63,23 @@
 	}
 	if c.shares != nil {
 		c.setScarcity(out, now)
-		slices.SortFunc(out, func(a, b candidate) int { return c.compareWithinAccount(&a, &b) })
-		return out
+		return sorted(out, c.compareWithinAccount)
+	}
+	return sorted(out, c.policy.compare)
+}
+
+// sorted returns all in order. It sorts pointers: sorting the candidates themselves copies
+// and allocates two for each comparison, which took 40% of a decision with 500 of them.
+func sorted(all []candidate, compare func(a, b *candidate) int) []candidate {
+	pointers := make([]*candidate, len(all))
+	for i := range all {
+		pointers[i] = &all[i]
+	}
+	slices.SortFunc(pointers, compare)
+	out := make([]candidate, len(all))
+	for i, k := range pointers {
+		out[i] = *k
 	}
-	slices.SortFunc(out, func(a, b candidate) int { return c.policy.compare(&a, &b) })
 	return out
 }
 
--- a/core/job/preemption.go
+++ b/core/job/preemption.go
@@ -88,12 +88,31 @@
 			held = held.Plus(multiply(h.step.spec.Need, h.tasks))
 		}
 	}
+	if held == (Resources{}) {
+		return held
+	}
+	return held.Minus(w.stoppingRoom()).Max(Resources{})
+}
+
+// stoppingRoom is what the stopping tasks of a worker take. Each check of the room on a worker
+// with a hold needs it.
+type stoppingRoom struct {
+	known bool
+	room  Resources
+}
+
+// stoppingRoom returns what the stopping tasks of w take from other tasks.
+func (w *workerRow) stoppingRoom() Resources {
+	if w.stopping.known {
+		return w.stopping.room
+	}
+	w.stopping = stoppingRoom{known: true}
 	for _, t := range w.tasks {
 		if t.stopping {
-			held = held.Minus(reservedBy(t.spec))
+			w.stopping.room = w.stopping.room.Plus(reservedBy(t.spec))
 		}
 	}
-	return held.Max(Resources{})
+	return w.stopping.room
 }
 
 // consumeHold records that a task of the step starts on w.
--- a/core/job/preemption_bench_test.go
+++ b/core/job/preemption_bench_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 )
@@ -59,8 +58,11 @@
 			}
 			after()
 		}
-		slices.Sort(took)
-		b.ReportMetric(float64(took[len(took)/2].Nanoseconds()), "median-ns")
+		median := medianOf(took)
+		b.ReportMetric(float64(median.Nanoseconds()), "median-ns")
+		if median > maxMedianDecision {
+			b.Errorf("the median decision takes %s, want at most %s", median, maxMedianDecision)
+		}
 	}
 	b.Run("stops-on-60-workers", func(b *testing.B) {
 		measure(b, func() {
--- a/core/job/preemption_test.go
+++ b/core/job/preemption_test.go
@@ -280,6 +280,31 @@
 	tc.is.Equal(len(tc.workers.Get("a").tasks), 3) // the room is not kept for longer
 }
 
+// Room that stopping tasks take must not be kept from lower ranks twice, as that of the hold
+// and as their own, also if a task stops after the hold began; what has stopped no longer counts.
+func TestRoomKeptCountsStops(t *testing.T) {
+	tc := newFullCluster(t, 1, longStep(1, 5000), longStep(1, 5000), longStep(1, 5000))
+	j := testJob(1, urgentStep(1, 5500))
+	j.Queue, j.Accepted = "host/urgent/", tc.now
+	tc.Add(j, tc.now)
+	tc.now = tc.now.Add(preemptionInterval)
+	tc.Tick(tc.now)
+	victim, _ := ParseTask(tc.preempted()[0])
+	w := tc.workers.Get("a")
+	tc.is.Equal(w.heldFrom(2).Processors, 500)
+	for n := range 3 {
+		if id := testJob(100 + n).ID; id != victim.Job {
+			tc.Cancel(id, tc.now)
+			break
+		}
+	}
+	tc.is.Equal(w.heldFrom(2).Processors, 0)
+	tc.testWorkers["a"].endRun(victim.String(), EndStopped)
+	r := tc.testWorkers["a"].report
+	tc.Receive(&r, tc.now)
+	tc.is.Equal(w.heldFrom(2).Processors, 500)
+}
+
 // The capacity of a task that does not stop stays reserved, no other task is stopped on its
 // worker, and another worker is chosen. Unanswered stops count towards the limit.
 func TestPreemptionWithoutAnswer(t *testing.T) {
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -271,6 +271,8 @@
 	bestEffortByImage usage
 	// holds is the room that is kept for tasks of higher-ranked queues.
 	holds []hold
+	// stopping must be reset when the tasks of the worker change or one is stopped.
+	stopping stoppingRoom
 	// unknownRuns counts the listed runs that are not assigned to the worker,
 	// for which no capacity is reserved.
 	unknownRuns int
