--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -295,7 +295,7 @@
 	if t.state == taskWaiting {
 		s.waiting--
 	}
-	t.state, t.worker, t.run, t.spec = taskAssigned, w, run, s.spec
+	t.state, t.worker, t.run, t.step, t.spec = taskAssigned, w, run, s, s.spec
 	t.orderSequence = 0
 	t.running, t.stopping, t.waitingSince = false, false, time.Time{}
 	t.partial = t.checkpoint != ""
@@ -309,7 +309,7 @@
 // reserveCapacity reserves the capacity of n tasks of a job's step; a negative
 // n frees it.
 func (w *workerRow) reserveCapacity(job string, s *Step, n int) {
-	w.predicted.at, w.releases.at = time.Time{}, time.Time{}
+	w.predicted.at, w.releases.at, w.stopping.known = time.Time{}, time.Time{}, false
 	w.used.Memory += int64(n) * s.Need.Memory
 	w.used.Accelerators += n * s.Need.Accelerators
 	if s.BestEffort {
@@ -355,7 +355,7 @@
 	if t.state != taskAssigned || t.stopping {
 		return
 	}
-	t.stopping, t.stopOrderedAt = true, now
+	t.stopping, t.stopOrderedAt, t.worker.stopping.known = true, now, false
 	t.worker.enqueueOrder(Order{Kind: OrderStop, Task: t.name.String(), Run: t.run})
 	c.logEvent(EventStop, t, t.worker, reason, now)
 }
