core/job: admission refuses only with evidence from accepted jobs

On bursts, a forecast that is too late refused jobs that would have been done. The owner now keeps what became of the accepted jobs whose forecast was too late, and tells in the record of each queue from which lateness on more than two thirds of them came to nothing (weight of at least 5, over 4 minutes). An entry refuses only those, and accepts one in 16 as a trial. A record with a threshold is malformed to an earlier build, which then accepts; records without one are ignored.

Where best-effort tasks wait for workers without interference, the drain rate is what they used in the last 5 s instead of what they hold.

An entry asks for forecasts by their size, so that it receives at most 1 kB of them a second; it asked for up to 4 kB with 45 queues, and with all messages that were under way at a time.

TestReturnsAreSpread refuses without evidence, so that no trial is among its jobs. TestRoomAfterRefusal and the cell of io/scheduler's tests have evidence.

--- a/core/job/admission.go
+++ b/core/job/admission.go
@@ -50,11 +50,27 @@
 	// free time, by queue.
 	returns    map[string]time.Time
 	nextReturn map[string]time.Time
+	// askedAt is when the entry last asked for a forecast, and interval how long it
+	// then asks for no other.
+	askedAt  time.Time
+	interval time.Duration
+	// ignoresEvidence is true if each forecast that is too late refuses.
+	ignoresEvidence bool
 }
 
+// AdmissionOption is an option of NewAdmission.
+type AdmissionOption func(*Admission)
+
+// WithoutEvidence refuses each job whose forecast is too late, as a baseline.
+func WithoutEvidence() AdmissionOption { return func(a *Admission) { a.ignoresEvidence = true } }
+
 // NewAdmission returns an Admission that refuses nothing until it has a forecast.
-func NewAdmission() *Admission {
-	return &Admission{returns: map[string]time.Time{}, nextReturn: map[string]time.Time{}}
+func NewAdmission(options ...AdmissionOption) *Admission {
+	a := &Admission{returns: map[string]time.Time{}, nextReturn: map[string]time.Time{}, interval: ForecastInterval}
+	for _, o := range options {
+		o(a)
+	}
+	return a
 }
 
 // Receive takes over a forecast whose request was sent at sentAt. It returns an error
@@ -78,6 +94,7 @@
 		return nil
 	}
 	a.epoch, a.madeAt, a.entries, a.queues, a.shapes = f.Epoch, madeAt, f.Entries, queues, shapes
+	a.interval = f.interval()
 	since := madeAt.Add(-reportDelay)
 	a.accepted = slices.DeleteFunc(a.accepted, func(w acceptedWork) bool { return w.at.Before(since) })
 	return a.matchQueues(cfg)
@@ -101,9 +118,6 @@
 	return nil
 }
 
-// NeedsForecast reports whether the entry should ask for a new forecast.
-func (a *Admission) NeedsForecast(now time.Time) bool { return Age(a.madeAt, now) >= ForecastInterval }
-
 // Refusal is the refusal of a job.
 type Refusal struct {
 	// Epoch is that of the forecast.
@@ -129,14 +143,10 @@
 		return nil
 	}
 	criticalPath, work := criticalPathOf(j.Steps), j.work()
-	wait := f.wait + f.drain(a.acceptedAhead(q, f.bestEffort))
-	if f.wait > 0 {
-		// A job that is wider than its share of the room takes longer than its
-		// critical path.
-		wait += max(0, f.drain(work)-f.runTime(criticalPath))
-	}
+	wait := f.totalWait(a.acceptedAhead(q, f.bestEffort), work, criticalPath)
 	objective := q.objective(criticalPath)
-	if !f.refuses(wait, criticalPath, objective) {
+	level := f.lateness(wait, criticalPath, objective)
+	if level == 0 || !a.ignoresEvidence && !f.isSupported(level, j.ID) {
 		return nil
 	}
 	detail := fmt.Sprintf("wait %v, end after %v, objective %v, processors %.0f, age %v", wait.Round(waitUnit),
--- a/core/job/forecast.go
+++ b/core/job/forecast.go
@@ -50,6 +50,9 @@
 	// overload is how much longer lateShare is expected to apply: as long as more work
 	// has arrived than drains. Afterwards, late jobs get the whole rate.
 	overload time.Duration
+	// threshold is the lowest level of lateness at which jobs are refused, or 0 if
+	// there is too little evidence that such jobs come to nothing.
+	threshold lateness
 }
 
 // workerShape describes the workers of a service with the same capacity.
@@ -76,8 +79,15 @@
 	overloadUnit = 250 * time.Millisecond
 	// bestEffortBit marks a rate of best-effort tasks.
 	bestEffortBit = 1 << 15
-	permille      = 1000
 	percent       = 100
+	// The ratio has 12 bits, in units of 1/ratioUnit, below the threshold.
+	ratioUnit = 64
+	ratioBits = 12
+	maxRatio  = 1<<ratioBits - 1
+	// thresholdBit marks the byte of the late share in a record with a threshold.
+	// Builds without thresholds take such a record for malformed and refuse nothing,
+	// and records without the bit are ignored here.
+	thresholdBit = 1 << 7
 	// minLateShare bounds the wait of late jobs.
 	minLateShare = 0.01
 	labelBits    = 64
@@ -105,18 +115,18 @@
 	b = binary.BigEndian.AppendUint32(b, f.queue)
 	b = binary.BigEndian.AppendUint16(b, saturate(float64(f.wait)/float64(waitUnit), 0, math.MaxUint16))
 	b = binary.BigEndian.AppendUint16(b, rate)
-	b = binary.BigEndian.AppendUint16(b, saturate(f.ratio*permille, 1, math.MaxUint16))
-	return append(b, byte(saturate(f.lateShare*percent, minLateShare*percent, percent)),
+	b = binary.BigEndian.AppendUint16(b, saturate(f.ratio*ratioUnit, 1, maxRatio)|uint16(f.threshold)<<ratioBits)
+	return append(b, thresholdBit|byte(saturate(f.lateShare*percent, minLateShare*percent, percent)),
 		byte(saturate(float64(f.overload)/float64(overloadUnit), 0, math.MaxUint8)))
 }
 
 func decodeQueueForecast(b []byte) (queueForecast, error) {
-	rate := binary.BigEndian.Uint16(b[6:])
+	rate, ratio := binary.BigEndian.Uint16(b[6:]), binary.BigEndian.Uint16(b[8:])
 	q := queueForecast{queue: binary.BigEndian.Uint32(b), bestEffort: rate&bestEffortBit != 0,
 		wait: time.Duration(binary.BigEndian.Uint16(b[4:])) * waitUnit,
-		rate: float64(rate &^ bestEffortBit), ratio: float64(binary.BigEndian.Uint16(b[8:])) / permille,
-		lateShare: float64(b[10]) / percent, overload: time.Duration(b[11]) * overloadUnit}
-	if q.rate == 0 || q.ratio == 0 || q.lateShare < minLateShare || q.lateShare > 1 {
+		rate: float64(rate &^ bestEffortBit), ratio: float64(ratio&maxRatio) / ratioUnit, threshold: lateness(ratio >> ratioBits),
+		lateShare: float64(b[10]&^thresholdBit) / percent, overload: time.Duration(b[11]) * overloadUnit}
+	if b[10]&thresholdBit == 0 || q.rate == 0 || q.ratio == 0 || q.lateShare < minLateShare || q.lateShare > 1 {
 		return q, errors.WithMessage(ErrForecastMalformed, "rate, ratio or share out of range")
 	}
 	return q, nil
--- a/core/job/forecast_cell.go
+++ b/core/job/forecast_cell.go
@@ -66,12 +66,15 @@
 	// overloadedSince is when the overload of a queue began.
 	overloadedSince map[string]time.Time
 	// missing are the agents whose leases have expired in this epoch.
-	missing map[string]bool
+	missing  map[string]bool
+	evidence forecastEvidence
+	// acceptedSince is the work of the jobs that were added since the newest forecast.
+	acceptedSince map[usedBy]float64
 }
 
 func newForecaster() forecaster {
 	return forecaster{arrivals: map[string]*arrivals{}, newest: map[string]queueForecast{},
-		refusedAt: map[string]time.Time{}, rates: map[serviceKind]float64{}, inflow: map[usedBy]*decayingSum{}, overloadedSince: map[string]time.Time{}, missing: map[string]bool{}}
+		refusedAt: map[string]time.Time{}, rates: map[serviceKind]float64{}, inflow: map[usedBy]*decayingSum{}, overloadedSince: map[string]time.Time{}, missing: map[string]bool{}, acceptedSince: map[usedBy]float64{}}
 }
 
 // observe adds a new job.
@@ -155,6 +158,8 @@
 	// rates are the processors that the tasks of a kind can get.
 	rates map[serviceKind]float64
 	used  map[usedBy]float64
+	// drains are the samples of best-effort tasks by service.
+	drains map[string]*drainSample
 	// waiting has the steps with waiting tasks. The first ready of them are ready
 	// to start.
 	waiting []candidate
@@ -164,11 +169,12 @@
 }
 
 func (c *Cell) backlog(now time.Time) backlog {
-	b := backlog{rates: map[serviceKind]float64{}, used: map[usedBy]float64{}}
+	b := backlog{rates: map[serviceKind]float64{}, used: map[usedBy]float64{}, drains: map[string]*drainSample{}}
 	for _, w := range c.workers.All {
 		if !w.hasRecentReport(now) || w.ended || w.Draining || !w.acceptsTasks(now) || !c.evacuations.allowsStarts(w.Zone) {
 			continue
 		}
+		b.sampleDrain(w)
 		// Best-effort tasks get what other tasks are expected to leave, and yield to
 		// them.
 		b.rates[serviceKind{w.Service, true}] += float64(max(0, w.freeProcessors()+w.bestEffortProcessors)) / processorUnit
@@ -181,6 +187,7 @@
 			continue
 		}
 		for _, o := range j.occurrences {
+			c.reviewCase(j, o, q, now)
 			b.waiting = c.appendCandidates(b.waiting, j, o, q, now)
 			blocked = c.appendBlocked(blocked, &b, j, o, q, now)
 		}
@@ -217,11 +224,16 @@
 			delete(c.forecaster.rates, k)
 			continue
 		}
+		sample, weight := b.rateSample(k, held[k], rate)
 		old, ok := c.forecaster.rates[k]
-		if !ok {
+		switch {
+		case ok:
+		case weight == interferenceRateWeight:
+			old = held[k]
+		default:
 			old = rate
 		}
-		c.forecaster.rates[k] = old + rateWeight*(min(held[k], rate)-old)
+		c.forecaster.rates[k] = old + weight*(sample-old)
 		b.rates[k] = c.forecaster.rates[k]
 	}
 }
@@ -272,6 +284,7 @@
 	}
 	out.lateShare = min(max(out.lateShare, minLateShare), 1)
 	out.overload = c.forecaster.overload(q.ID(), out.lateShare, now)
+	out.threshold = c.forecaster.evidence.threshold(q.ID(), kind)
 	arriving := candidate{job: &jobRow{Job: Job{Queue: q.ID(), Accepted: now}}, occ: &occurrenceRow{}, queue: q,
 		deadline: now.Add(q.objective(a.criticalPath)), density: 1 / max(c.meanWork[q.ID()], minRemainingWork)}
 	ahead, hasReady := 0.0, false
@@ -306,7 +319,9 @@
 	}
 	out := Forecast{Epoch: c.epoch, Entries: 1}
 	b := c.backlog(now)
+	c.forecaster.evidence.summarize(now)
 	clear(c.forecaster.newest)
+	clear(c.forecaster.acceptedSince)
 	c.forecaster.madeAt = now
 	for i := range c.cfg.Queues {
 		q := &c.cfg.Queues[i]
@@ -332,7 +347,7 @@
 func (c *Cell) reviewRefusals(q *Queue, a *arrivals, f *queueForecast, now time.Time) {
 	refusedAt, ok := c.forecaster.refusedAt[q.ID()]
 	switch {
-	case f.refuses(f.wait, a.criticalPath, q.objective(a.criticalPath)):
+	case f.threshold > 0 && f.lateness(f.wait, a.criticalPath, q.objective(a.criticalPath)) >= f.threshold:
 		c.forecaster.refusedAt[q.ID()] = now
 	case ok && f.wait == 0:
 		delete(c.forecaster.refusedAt, q.ID())
@@ -401,6 +416,7 @@
 	var objective time.Duration
 	if q := c.queueOf(j); q != nil {
 		objective = q.objective(j.criticalPath)
+		c.recordCase(j, &f, q, now)
 	}
 	j.expectedEnd = now.Add(f.end(f.wait, j.criticalPath, objective))
 }
@@ -408,6 +424,7 @@
 // compareEnd sets the fields of the event of the end of a job that compare it with
 // the forecast and with the objective.
 func (c *Cell) compareEnd(e *Event, j *jobRow, now time.Time) {
+	c.decideCase(j, now)
 	if j.expectedEnd.IsZero() || j.state != Done {
 		return
 	}
--- a/core/job/interference.go
+++ b/core/job/interference.go
@@ -238,6 +238,7 @@
 			counts[k]++
 		}
 	}
+	w.recordUse(u, scale)
 	for _, k := range serving {
 		c.interference.observe(k.job, k.image, w.ID, utilizationSample{now, sums[k] / counts[k], u})
 	}
--- a/core/job/load_test.go
+++ b/core/job/load_test.go
@@ -47,6 +47,9 @@
 	// Shares is true for the workloads of TestGoldenShares. Each of their streams has
 	// its own random numbers, so that it is the same with and without another one.
 	Shares bool `json:"shares"`
+	// FromSubmission is true if the latency objectives count from the first submission
+	// of a job, also if it was refused: its caller needs the result by then.
+	FromSubmission bool `json:"from-submission"`
 }
 
 // arrivalStream is a random stream of jobs of one kind during an interval.
@@ -72,6 +75,10 @@
 	// their utilization without interference.
 	Serving     bool    `json:"serves"`
 	Utilization float64 `json:"busy"`
+	// Swing is by how much the utilization is higher or lower at times, and Period the
+	// time in seconds in which it swings once.
+	Swing  float64 `json:"swing"`
+	Period float64 `json:"period-s"`
 	// Burst is true for the part of an account's work that exceeds its share.
 	Burst bool `json:"burst"`
 	// Racks is the number of racks, from the first on, that hold the data of the jobs:
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -157,6 +157,8 @@
 	writing, finalDurable bool
 	// expectedEnd is when the forecast at the acceptance expected the end of the job.
 	expectedEnd time.Time
+	// evidence is the case of a job whose forecast was too late, or nil.
+	evidence *evidenceCase
 }
 
 func (j *jobRow) occurrence(k int) *occurrenceRow {
@@ -257,6 +259,8 @@
 	// bestEffortProcessors is the sum of processors that best-effort tasks
 	// request, in thousandths.
 	bestEffortProcessors int
+	// bestEffortUse is how many processors they use, by the newest sample.
+	bestEffortUse float64
 	// servingProcessors is the sum of processors reserved for serving tasks, in
 	// thousandths.
 	servingProcessors int
--- a/io/scheduler/admission.go
+++ b/io/scheduler/admission.go
@@ -121,11 +121,12 @@
 	return &f
 }
 
-// needsForecast reports whether this entry should ask for a forecast.
-func (a *admission) needsForecast(now time.Time) bool {
+// askForecast reports whether this entry should ask for a forecast with a notice that
+// it sends now.
+func (a *admission) askForecast(now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.decisions.NeedsForecast(now)
+	return a.decisions.AskForecast(now)
 }
 
 // receiveForecast takes over a forecast whose request was sent at sentAt. It logs one
--- a/io/scheduler/notice.go
+++ b/io/scheduler/notice.go
@@ -71,7 +71,7 @@
 		return reply, s.peerClient.Call(ctx, http.MethodPost, o.Address, noticePath, n, nil)
 	}
 	sentAt := time.Now()
-	query := url.Values{forecastParameter: {strconv.FormatBool(s.admission.needsForecast(sentAt))}}
+	query := url.Values{forecastParameter: {strconv.FormatBool(s.admission.askForecast(sentAt))}}
 	if inquiry {
 		query.Set(inquiryParameter, "true")
 	}
