io/standin/fleet: cleanup of a deployment waits until its processes, links and servers have ended

All soak tests used the same network for the same seed, two other tests shared network 60008, and the cleanup of a deployment did not wait for what it ended.

Each deployment of an execution now has its own network, and the cleanup waits.

--- a/io/standin/fleet/diagnosis_test.go
+++ b/io/standin/fleet/diagnosis_test.go
@@ -17,8 +17,8 @@
 // job's id to the cause of a problem. They read the logs of real processes with
 // the story subcommand and use no other source.
 
-func newTestRun(t *testing.T, network, schedulers, agents int, options ...deploymentOption) *testRun {
-	return &testRun{deployment: newDeployment(t, network, schedulers, agents, options...), rng: rand.New(rand.NewPCG(uint64(network), 0)),
+func newTestRun(t *testing.T, seed uint64, schedulers, agents int, options ...deploymentOption) *testRun {
+	return &testRun{deployment: newDeployment(t, schedulers, agents, options...), rng: rand.New(rand.NewPCG(seed, 0)),
 		finalJobs: map[string]bool{}, servedVersions: map[string]int64{}}
 }
 
--- a/io/standin/fleet/harness_test.go
+++ b/io/standin/fleet/harness_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -32,14 +33,23 @@
 	peerPort    = 21090
 )
 
-// Each test uses its own loopback network 127.x.y.0/24, with x and y up to 250.
-// The networks of an execution of the tests are shifted by networkStride times
-// its process id.
+// Each deployment uses its own loopback network 127.x.y.0/24, with x and y up to 250,
+// so that a listener of an earlier test cannot conflict with it. The networks of an
+// execution of the tests are shifted by networkStride times its process id.
 const (
 	maxNetworks   = 62000
 	networkStride = 331
 )
 
+// deploymentCount is the number of deployments of this execution.
+var deploymentCount atomic.Int64
+
+// nextNetwork returns the number of a network that no deployment of this execution
+// has used and that another execution on this machine is unlikely to use.
+func nextNetwork() int {
+	return int(deploymentCount.Add(1)+int64(os.Getpid())*networkStride) % maxNetworks
+}
+
 func addr(s string) netip.AddrPort { return netip.MustParseAddrPort(s) }
 
 func startRequest(w *Worker, task string, leaseUntil time.Duration) platform.StartRequest {
@@ -70,6 +80,8 @@
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	starts int
+	// ended waits for the processes that were started.
+	ended sync.WaitGroup
 }
 
 // deployment is a set of processes of the real program and the fakes they use.
@@ -86,6 +98,8 @@
 	// evacuations in the settings, or 0.
 	zones           int
 	evacuationDelay time.Duration
+	// ended waits for the servers, links and workers.
+	ended sync.WaitGroup
 }
 
 // deploymentOption changes a deployment before its processes start.
@@ -107,24 +121,17 @@
 
 // newDeployment starts the given numbers of schedulers, and of agents with their
 // workers.
-func newDeployment(t *testing.T, network, schedulers, agents int, options ...deploymentOption) *deployment {
+func newDeployment(t *testing.T, schedulers, agents int, options ...deploymentOption) *deployment {
 	bin, err := buildProgram()
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	// A concurrent execution of these tests on this machine needs other addresses.
-	network = (network + os.Getpid()*networkStride) % maxNetworks
-	d := &deployment{t: t, ctx: ctx, dir: t.TempDir(), bin: bin, network: network, store: NewStore(), ledger: NewLedger()}
+	d := &deployment{t: t, ctx: ctx, dir: t.TempDir(), bin: bin, network: nextNetwork(), store: NewStore(), ledger: NewLedger()}
 	for _, o := range options {
 		o(d)
 	}
-	t.Cleanup(func() {
-		for _, p := range append(d.schedulers, d.agents...) {
-			p.signal(syscall.SIGKILL)
-		}
-		cancel()
-	})
+	t.Cleanup(func() { d.close(cancel) })
 	d.serve(addrPort(d.vmIP(1), storePort), platformtest.StoreHandler(d.store))
 	d.putConfiguration(1)
 	var seeds []netip.AddrPort
@@ -147,19 +154,33 @@
 		p.toWorker = d.startLink(addrPort(p.ip, appPort), addrPort(p.ip, workerPort))
 		d.launch(p, platform.Settings{ControlListen: addrPort(p.ip, controlPort), WorkerAddress: addrPort(p.ip, appPort), Service: "svc", Seeds: seeds})
 		d.agents = append(d.agents, p)
-		go p.worker.Run(ctx)
+		d.ended.Go(func() { p.worker.Run(ctx) })
 	}
 	return d
 }
 
+// close kills the processes, and waits until they, the links, the servers and the
+// workers have ended. Until then their addresses are in use.
+func (d *deployment) close(cancel context.CancelFunc) {
+	cancel() // from here on, start starts no process
+	all := append(d.schedulers[:len(d.schedulers):len(d.schedulers)], d.agents...)
+	for _, p := range all {
+		p.signal(syscall.SIGKILL)
+	}
+	for _, p := range all {
+		p.ended.Wait()
+	}
+	d.ended.Wait()
+}
+
 func (d *deployment) serve(a netip.AddrPort, h http.Handler) {
 	l, err := net.Listen("tcp", a.String())
 	if err != nil {
 		d.t.Fatal(err)
 	}
 	s := &http.Server{Handler: h}
-	go s.Serve(l)
-	d.t.Cleanup(func() { s.Close() })
+	d.ended.Go(func() { _ = s.Serve(l) })
+	d.ended.Go(func() { <-d.ctx.Done(); s.Close() })
 }
 
 func (d *deployment) startLink(from, to netip.AddrPort) *Link {
@@ -167,7 +188,7 @@
 	if err != nil {
 		d.t.Fatal(err)
 	}
-	go l.Run(d.ctx)
+	d.ended.Go(func() { l.Run(d.ctx) })
 	return l
 }
 
@@ -211,7 +232,7 @@
 	}
 	p.cmd = cmd
 	p.starts++
-	go func() {
+	p.ended.Go(func() {
 		_ = cmd.Wait()
 		f.Close()
 		p.mu.Lock()
@@ -219,7 +240,7 @@
 		if p.cmd == cmd {
 			p.cmd = nil
 		}
-	}()
+	})
 }
 
 // signal sends s to the process of p if it is running.
--- a/io/standin/fleet/link.go
+++ b/io/standin/fleet/link.go
@@ -18,6 +18,8 @@
 	mu     sync.Mutex
 	conns  map[net.Conn]bool
 	faults LinkFaults
+	// closed is true once Run ends; no connection is forwarded from then on.
+	closed bool
 	// generation is incremented by each call of BlackholeOpenConnections. All data
 	// of connections of a generation before blackholedBefore is dropped.
 	generation, blackholedBefore int
@@ -43,19 +45,25 @@
 	return &Link{listener: l, target: target, conns: map[net.Conn]bool{}}, nil
 }
 
-// Run accepts and forwards connections until ctx is done.
+// Run accepts and forwards connections until ctx is done. When it returns, the listener
+// and all connections are closed.
 func (l *Link) Run(ctx context.Context) {
-	go func() {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() {
 		<-ctx.Done()
 		l.listener.Close()
+		l.mu.Lock()
+		l.closed = true
+		l.mu.Unlock()
 		l.ResetConnections()
-	}()
+	})
 	for {
 		c, err := l.listener.Accept()
 		if err != nil {
 			return
 		}
-		go l.forward(c)
+		wg.Go(func() { l.forward(c) })
 	}
 }
 
@@ -104,6 +112,12 @@
 		return
 	}
 	l.mu.Lock()
+	if l.closed {
+		l.mu.Unlock()
+		client.Close()
+		server.Close()
+		return
+	}
 	l.conns[client], l.conns[server] = true, true
 	l.mu.Unlock()
 	done := make(chan struct{}, 2)
--- a/io/standin/fleet/soak_test.go
+++ b/io/standin/fleet/soak_test.go
@@ -128,7 +128,7 @@
 	if m == evacuations {
 		options = append(options, withZones(soakZones, soakEvacuationDelay))
 	}
-	r := newTestRun(t, int(seed), 3, *agentCount, options...)
+	r := newTestRun(t, seed, 3, *agentCount, options...)
 	r.mix = m
 	defer func() {
 		if t.Failed() {
