io/standin/fleet: check that no task starts after its last permitted failure

The ledger did not know the maximum of failures of a queue, and the soak sent no job that fails. A start after the third failed run of a task was acknowledged is a violation, and so is the failed state before a task has failed three times.

--- a/io/standin/fleet/ledger.go
+++ b/io/standin/fleet/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -23,6 +24,10 @@
 	lostEnds   map[string]bool
 	violations []string
 	zones      zoneRecords
+	failures   failureRecords
+	// judged counts the cases to which a check applied, by check, so that a check that
+	// no run reaches is noticed.
+	judged map[string]int
 }
 
 // jobRecord is what callers know of a job.
@@ -40,7 +45,8 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{jobs: map[string]*jobRecord{}, active: map[string]int{}, done: map[string]bool{}, lostEnds: map[string]bool{}, zones: newZoneRecords()}
+	return &Ledger{jobs: map[string]*jobRecord{}, active: map[string]int{}, done: map[string]bool{}, lostEnds: map[string]bool{}, zones: newZoneRecords(),
+		failures: newFailureRecords(), judged: map[string]int{}}
 }
 
 // addViolation records a violation of a guarantee. The caller holds mu.
@@ -87,8 +93,8 @@
 }
 
 // CheckState checks the final state of a job that was returned to a caller, by a query or
-// by the answer to a cancellation. It expects that every job can be completed, so the
-// failed state is a violation. So is a second final state.
+// by the answer to a cancellation. The failed state is a violation unless a task has failed
+// as often as its queue permits. So is a second final state.
 func (l *Ledger) CheckState(id string, s job.State) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -102,8 +108,8 @@
 		l.addViolation("job %s is reported as done before all its tasks are done", id)
 	case s == job.Cancelled && !r.cancelled:
 		l.addViolation("job %s is reported as cancelled, but no caller cancelled it", id)
-	case s == job.Failed:
-		l.addViolation("job %s is reported as failed, but it can be completed", id)
+	case s == job.Failed && !l.mayFail(r):
+		l.addViolation("job %s is reported as failed, but no task of it failed %d times", id, maxFailures)
 	}
 }
 
@@ -186,6 +192,7 @@
 			}
 		}
 	}
+	l.checkFailures(worker, name, arrived)
 	l.active[name]++
 	return r.job.Steps[t.Step].Need
 }
@@ -202,11 +209,21 @@
 	if outcome == job.EndDone {
 		l.done[name] = true
 	}
+	if outcome == job.EndFailed {
+		l.failures.failed[name]++
+	}
 	if lost {
 		l.lostEnds[name] = true
 	}
 }
 
+// Judged returns how many cases each check was applied to.
+func (l *Ledger) Judged() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.judged)
+}
+
 // ActiveCancelled returns the tasks of cancelled jobs that are running.
 func (l *Ledger) ActiveCancelled() []string {
 	l.mu.Lock()
--- /dev/null
+++ b/io/standin/fleet/ledger_failures.go
@@ -0,0 +1,79 @@
+package fleet
+
+import (
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"rosemarygap/core/job"
+)
+
+// maxFailures is the maximum of failures of each queue of a deployment.
+const maxFailures = 3
+
+// failureRecords is what the ledger knows of failed runs, by task.
+type failureRecords struct {
+	// failed counts the failed runs, and acknowledged those whose end a scheduler has
+	// acknowledged.
+	failed, acknowledged map[string]int
+	// exhaustedAt is when the last permitted failure was acknowledged.
+	exhaustedAt map[string]time.Time
+}
+
+func newFailureRecords() failureRecords {
+	return failureRecords{failed: map[string]int{}, acknowledged: map[string]int{}, exhaustedAt: map[string]time.Time{}}
+}
+
+// RecordAcknowledgement records that a scheduler has acknowledged the end of a run. The
+// failure then counts, whichever scheduler is the owner later.
+func (l *Ledger) RecordAcknowledgement(e job.End) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f := &l.failures
+	if e.Outcome != job.EndFailed {
+		return
+	}
+	f.acknowledged[e.Task]++
+	if f.acknowledged[e.Task] == maxFailures {
+		f.exhaustedAt[e.Task] = time.Now()
+		l.judged["failures"]++
+	}
+}
+
+// checkFailures checks that a start, whose order reached the worker at arrived, does not
+// follow the last permitted failure of its task. The caller holds mu.
+func (l *Ledger) checkFailures(worker, task string, arrived time.Time) {
+	if at, ok := l.failures.exhaustedAt[task]; ok && arrived.After(at) {
+		l.addViolation("worker %s starts %s %v after its failure %d was acknowledged", worker, task, arrived.Sub(at), maxFailures)
+	}
+}
+
+// mayFail reports whether a task of the job has failed as often as its queue permits. The
+// caller holds mu.
+func (l *Ledger) mayFail(r *jobRecord) bool {
+	for i := range r.job.Steps {
+		for n := range r.job.Steps[i].Tasks {
+			if l.failures.failed[job.Task{Job: r.job.ID, Step: i, Index: n}.String()] >= maxFailures {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// runFails reports whether the next run of a task fails: with the payload "ms=50 fail"
+// each run fails, and with "ms=50 fail=2" the first two.
+func (l *Ledger) runFails(task, payload string) bool {
+	_, count, ok := strings.Cut(payload, " fail")
+	if !ok {
+		return false
+	}
+	limit, err := strconv.Atoi(strings.TrimPrefix(count, "="))
+	if err != nil {
+		limit = math.MaxInt
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.failures.failed[task] < limit
+}
--- a/io/standin/fleet/ledger_test.go
+++ b/io/standin/fleet/ledger_test.go
@@ -71,6 +71,22 @@
 			l.RecordStoreFault(false)
 			l.RecordZoneOfStart("a", "w", first, time.Now().Add(time.Second+outerDelay+time.Millisecond))
 		},
+		"run after the last permitted failure": func(l *Ledger) {
+			for run := range int64(maxFailures) {
+				is.New(t).Equal(l.Violations(), nil)
+				l.RecordStart("w", sampleStart(first), time.Now())
+				l.RecordEnd(first, job.EndFailed, false)
+				l.RecordAcknowledgement(job.End{Task: first, Run: run, Outcome: job.EndFailed})
+			}
+			l.RecordStart("w", sampleStart(first), time.Now().Add(time.Millisecond))
+		},
+		"failed state before the last permitted failure": func(l *Ledger) {
+			for range maxFailures - 1 {
+				l.RecordStart("w", sampleStart(first), time.Now())
+				l.RecordEnd(first, job.EndFailed, false)
+			}
+			l.CheckState("00000000000000aa", job.Failed)
+		},
 		"run after refusal": func(l *Ledger) { l.CheckRefusals(map[string]bool{"00000000000000aa": true}) },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -106,6 +122,23 @@
 	is.Equal(len(l.Unfinished(nil)), 1)
 }
 
+// TestLedgerAcceptsFailures checks that a job may be reported as failed once a task has
+// failed as often as its queue permits, and that a failure whose end was lost does not
+// count against a further start.
+func TestLedgerAcceptsFailures(t *testing.T) {
+	is := is.New(t)
+	l := NewLedger()
+	l.RecordSubmission(sampleJob())
+	first := "00000000000000aa.0.0.0"
+	for range maxFailures {
+		l.RecordStart("w", sampleStart(first), time.Now())
+		l.RecordEnd(first, job.EndFailed, false)
+	}
+	l.RecordStart("w", sampleStart(first), time.Now())
+	l.CheckState("00000000000000aa", job.Failed)
+	is.Equal(l.Violations(), nil)
+}
+
 // TestWorkerReportsOverload checks that a worker reports a violation when its tasks
 // need more than its capacity.
 func TestWorkerReportsOverload(t *testing.T) {
--- a/io/standin/fleet/worker.go
+++ b/io/standin/fleet/worker.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/netip"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -27,8 +26,8 @@
 )
 
 // Worker is a fake worker. It only simulates tasks: the payload "ms=50" makes a
-// task run for 50 ms, and "ms=50 fail" also makes it fail at the end. Worker
-// implements platformtest.Worker.
+// task run for 50 ms, "ms=50 fail" also makes it fail at the end, and "ms=50 fail=2" makes
+// its first two runs fail. Worker implements platformtest.Worker.
 type Worker struct {
 	id       string
 	service  string
@@ -340,7 +339,7 @@
 		runTimeMillis = 1
 	}
 	w.excludeStalledTime()
-	w.running[s.Task] = &task{s.Run, need, time.Now(), time.Duration(runTimeMillis) * time.Millisecond, strings.HasSuffix(s.Payload, " fail")}
+	w.running[s.Task] = &task{s.Run, need, time.Now(), time.Duration(runTimeMillis) * time.Millisecond, w.ledger.runFails(s.Task, s.Payload)}
 	// A task name begins with the id of its job, which has 16 characters.
 	w.startedJobs[s.Task[:16]] = true
 	return nil
@@ -399,6 +398,7 @@
 			w.extendLease(r.LeaseUntil)
 		}
 		for len(w.ended) > 0 && w.ended[0].Number <= r.Acknowledged {
+			w.ledger.RecordAcknowledgement(w.ended[0])
 			w.ended = w.ended[1:]
 		}
 		out := w.runList()
