io/standin/fleet: check that nothing starts on a draining worker

No worker of the soak ever drained. Now one worker after the other does for 2.5 to 4.5 s, and a start more than 2 s after its agent acknowledged the heartbeat is a violation, if the agent was in touch: nothing was injected at it, its worker, its links or the store in the 3 s before, and no timer of the test was more than 100 ms late.

Faults are so frequent that no process is in touch for long, so each run now goes on for 6 s after its last fault.

--- a/io/standin/fleet/harness_test.go
+++ b/io/standin/fleet/harness_test.go
@@ -132,6 +132,7 @@
 		o(d)
 	}
 	t.Cleanup(func() { d.close(cancel) })
+	d.ended.Go(d.watchMachine)
 	d.serve(addrPort(d.vmIP(1), storePort), platformtest.StoreHandler(d.store))
 	d.putConfiguration(1)
 	var seeds []netip.AddrPort
@@ -147,6 +148,7 @@
 	for i := range agents {
 		p := &process{name: fmt.Sprintf("agent-%d", i), role: "agent", ip: d.vmIP(21 + i)}
 		p.worker = NewWorker(fmt.Sprintf("i-%d", i), "svc", addrPort(p.ip, appPort), addrPort(p.ip, controlPort), d.ledger)
+		p.worker.SetAgentName(p.name)
 		if d.zones > 0 {
 			p.worker.SetZone(zoneName(i % d.zones))
 		}
@@ -232,6 +234,7 @@
 	}
 	p.cmd = cmd
 	p.starts++
+	d.ledger.Disturb(p.name)()
 	p.ended.Go(func() {
 		_ = cmd.Wait()
 		f.Close()
@@ -243,6 +246,27 @@
 	})
 }
 
+// Parameters of watchMachine.
+const (
+	timerPeriod = 20 * time.Millisecond
+	// maxTimerDelay is the delay of a timer from which on the machine counts as
+	// overloaded. A process takes some tens of steps for what the ledger expects within
+	// 2 s, each of which may be as late as the timer.
+	maxTimerDelay = 100 * time.Millisecond
+)
+
+// watchMachine records the times at which the machine is too loaded to tell whether a
+// process acts in time.
+func (d *deployment) watchMachine() {
+	for d.ctx.Err() == nil {
+		due := time.Now().Add(timerPeriod)
+		time.Sleep(timerPeriod)
+		if late := time.Since(due); late > maxTimerDelay {
+			d.ledger.Disturb(machineName)()
+		}
+	}
+}
+
 // signal sends s to the process of p if it is running.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
--- a/io/standin/fleet/ledger.go
+++ b/io/standin/fleet/ledger.go
@@ -28,6 +28,11 @@
 	// judged counts the cases to which a check applied, by check, so that a check that
 	// no run reaches is noticed.
 	judged map[string]int
+
+	disturbances disturbances
+	// drainingSince is when an agent acknowledged the first heartbeat that says that a
+	// worker is draining, by worker.
+	drainingSince map[string]time.Time
 }
 
 // jobRecord is what callers know of a job.
@@ -46,7 +51,8 @@
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
 	return &Ledger{jobs: map[string]*jobRecord{}, active: map[string]int{}, done: map[string]bool{}, lostEnds: map[string]bool{}, zones: newZoneRecords(),
-		failures: newFailureRecords(), judged: map[string]int{}}
+		failures: newFailureRecords(), judged: map[string]int{},
+		disturbances: newDisturbances(), drainingSince: map[string]time.Time{}}
 }
 
 // addViolation records a violation of a guarantee. The caller holds mu.
--- a/io/standin/fleet/ledger_test.go
+++ b/io/standin/fleet/ledger_test.go
@@ -87,6 +87,12 @@
 			}
 			l.CheckState("00000000000000aa", job.Failed)
 		},
+		"start on a draining worker": func(l *Ledger) {
+			l.RecordDraining("w")
+			l.CheckDraining("w", "agent", first, time.Now().Add(maxDrainDelay-time.Millisecond))
+			is.New(t).Equal(l.Violations(), nil)
+			l.CheckDraining("w", "agent", first, time.Now().Add(maxDrainDelay+time.Millisecond))
+		},
 		"run after refusal": func(l *Ledger) { l.CheckRefusals(map[string]bool{"00000000000000aa": true}) },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -139,6 +145,28 @@
 	is.Equal(l.Violations(), nil)
 }
 
+// TestLedgerJudgesOnlyProcessesInTouch checks that the ledger reports no start on a draining
+// worker while the agent, the store or the machine is disturbed, within contactTime of that,
+// and once the worker is ready again. Otherwise the checks would give false alarms.
+func TestLedgerJudgesOnlyProcessesInTouch(t *testing.T) {
+	for _, name := range []string{"agent", storeName, machineName} {
+		is := is.New(t)
+		l := NewLedger()
+		l.RecordDraining("w")
+		ended := l.Disturb(name)
+		start := func(after time.Duration) { l.CheckDraining("w", "agent", "t", time.Now().Add(after)) }
+		start(time.Hour)
+		ended()
+		start(contactTime - time.Millisecond)
+		is.Equal(l.Violations(), nil)
+		start(contactTime + time.Millisecond)
+		is.Equal(len(l.Violations()), 1)
+		l.RecordNotDraining("w")
+		start(time.Hour)
+		is.Equal(len(l.Violations()), 1)
+	}
+}
+
 // TestWorkerReportsOverload checks that a worker reports a violation when its tasks
 // need more than its capacity.
 func TestWorkerReportsOverload(t *testing.T) {
--- a/io/standin/fleet/soak_faults_test.go
+++ b/io/standin/fleet/soak_faults_test.go
@@ -20,76 +20,88 @@
 	switch r.randIntN(16) {
 	case 0:
 		name = "kill " + target.name
-		target.signal(syscall.SIGKILL)
-		r.runLater(length/2, func() { r.start(target) })
+		r.disturb(length/2, func() { target.signal(syscall.SIGKILL) }, func() { r.start(target) }, target.name)
 	case 1:
 		name = "pause " + target.name
-		target.signal(syscall.SIGSTOP)
-		r.runLater(length, func() { target.signal(syscall.SIGCONT) })
+		r.disturb(length, func() { target.signal(syscall.SIGSTOP) }, func() { target.signal(syscall.SIGCONT) }, target.name)
 	case 2:
 		name = "stop " + target.name
-		target.signal(syscall.SIGTERM)
-		r.runLater(length+4*time.Second, func() { r.start(target) })
+		r.disturb(length+4*time.Second, func() { target.signal(syscall.SIGTERM) }, func() { r.start(target) }, target.name)
 	case 3:
 		name = "reload " + target.name
-		target.signal(syscall.SIGHUP)
+		r.disturbOnce(func() { target.signal(syscall.SIGHUP) }, target.name)
 	case 4:
 		name = "kill all schedulers"
 		for _, s := range r.schedulers {
-			s.signal(syscall.SIGKILL)
-			r.runLater(length/2, func() { r.start(s) })
+			r.disturb(length/2, func() { s.signal(syscall.SIGKILL) }, func() { r.start(s) }, s.name)
 		}
 	case 5:
 		name = "kill all"
 		for _, s := range append(r.schedulers[:3:3], r.agents...) {
-			s.signal(syscall.SIGKILL)
-			r.runLater(length/2, func() { r.start(s) })
+			r.disturb(length/2, func() { s.signal(syscall.SIGKILL) }, func() { r.start(s) }, s.name)
 		}
 	case 6:
 		name = "store down"
-		r.setStoreFaults(StoreFaults{Down: true})
-		r.runLater(length, func() { r.setStoreFaults(StoreFaults{}) })
+		r.disturbStore(length, StoreFaults{Down: true})
 	case 7:
 		name = "store slow"
-		r.setStoreFaults(StoreFaults{Delay: 100 * time.Millisecond})
-		r.runLater(length, func() { r.setStoreFaults(StoreFaults{}) })
+		r.disturbStore(length, StoreFaults{Delay: 100 * time.Millisecond})
 	case 8:
 		name = "store drops responses"
-		r.setStoreFaults(StoreFaults{DropResponseEvery: 3})
-		r.runLater(length, func() { r.setStoreFaults(StoreFaults{}) })
+		r.disturbStore(length, StoreFaults{DropResponseEvery: 3})
 	case 9:
 		name = "store compacts its history"
-		r.store.Compact()
+		r.disturbOnce(r.store.Compact, storeName)
 	case 10:
 		f := []LinkFaults{{Refuse: true}, {Delay: 150 * time.Millisecond}, {DropResponses: true}, {DropRequests: true}}[r.randIntN(4)]
 		name = fmt.Sprintf("store link of %s %+v", target.name, f)
-		target.toStore.SetFaults(f)
-		target.toStore.ResetConnections()
-		r.runLater(length, func() { target.toStore.SetFaults(LinkFaults{}); target.toStore.ResetConnections() })
+		set := func(f LinkFaults) { target.toStore.SetFaults(f); target.toStore.ResetConnections() }
+		r.disturb(length, func() { set(f) }, func() { set(LinkFaults{}) }, target.name)
 	case 11:
 		name = "open store connections of " + target.name + " drop all data"
-		target.toStore.BlackholeOpenConnections()
+		r.disturbOnce(target.toStore.BlackholeOpenConnections, target.name)
 	case 12:
 		name = "worker link of " + a.name + " goes silent or is reset"
-		a.toWorker.BlackholeOpenConnections()
+		r.disturbOnce(a.toWorker.BlackholeOpenConnections, a.name)
 		if r.randIntN(2) == 0 {
 			a.toWorker.ResetConnections()
 		}
 	case 13:
 		name = "crash of the worker of " + a.name
-		a.worker.Crash()
+		r.disturbOnce(a.worker.Crash, a.name)
 	case 14:
 		name = "unreachable worker of " + a.name
-		a.worker.SetFaults(true, 0)
-		r.runLater(length, func() { a.worker.SetFaults(false, 0) })
+		r.disturb(length, func() { a.worker.SetFaults(true, 0) }, func() { a.worker.SetFaults(false, 0) }, a.name)
 	case 15:
 		name = "dropped responses of the worker of " + a.name
-		a.worker.SetFaults(false, 4)
-		r.runLater(length, func() { a.worker.SetFaults(false, 0) })
+		r.disturb(length, func() { a.worker.SetFaults(false, 4) }, func() { a.worker.SetFaults(false, 0) }, a.name)
 	}
 	r.logFault(at, name, length)
 }
 
+// disturb begins a fault and ends it after the given time. The ledger knows the named
+// processes, or the store, as disturbed in between.
+func (r *testRun) disturb(length time.Duration, begin, end func(), names ...string) {
+	ended := r.ledger.Disturb(names...)
+	begin()
+	r.runLater(length, func() { end(); ended() })
+}
+
+// disturbOnce injects a fault that has no end.
+func (r *testRun) disturbOnce(inject func(), names ...string) {
+	ended := r.ledger.Disturb(names...)
+	inject()
+	ended()
+}
+
+func (r *testRun) disturbStore(length time.Duration, f StoreFaults) {
+	r.disturb(length, func() { r.setStoreFaults(f) }, func() { r.setStoreFaults(StoreFaults{}) }, storeName)
+}
+
+func (r *testRun) silence(a *process, length time.Duration) {
+	r.disturb(length, func() { a.worker.SetSilent(true) }, func() { a.worker.SetSilent(false) }, a.name)
+}
+
 // setStoreFaults replaces the faults of the store and tells the ledger.
 func (r *testRun) setStoreFaults(f StoreFaults) {
 	r.ledger.RecordStoreFault(f != StoreFaults{})
@@ -109,17 +121,14 @@
 	a := r.agents[r.randIntN(len(r.agents))]
 	switch r.randIntN(3) {
 	case 0:
-		a.worker.SetSilent(true)
-		r.runLater(length, func() { a.worker.SetSilent(false) })
+		r.silence(a, length)
 		r.logFault(at, "worker of "+a.name+" answers no orders", length)
 	case 1:
-		a.worker.SetFaults(false, 1)
-		r.runLater(length, func() { a.worker.SetFaults(false, 0) })
+		r.disturb(length, func() { a.worker.SetFaults(false, 1) }, func() { a.worker.SetFaults(false, 0) }, a.name)
 		r.logFault(at, "worker of "+a.name+" drops all responses", length)
 	case 2:
 		for _, a := range r.agents {
-			a.worker.SetSilent(true)
-			r.runLater(length, func() { a.worker.SetSilent(false) })
+			r.silence(a, length)
 		}
 		r.logFault(at, "no worker answers orders", length)
 	}
--- a/io/standin/fleet/soak_loads_test.go
+++ b/io/standin/fleet/soak_loads_test.go
@@ -10,6 +10,7 @@
 // the jobs of sendJobs and the faults of a seed stay as they are.
 const (
 	failingJobs = 1 << (16 + iota)
+	drains
 )
 
 // sendFailingJobs sends jobs of which each run of a task fails, or the first runs, until
@@ -27,6 +28,21 @@
 	})
 }
 
+// drainWorkers makes one worker after the other draining for a while until stop is closed.
+// At the end all workers are ready.
+func (r *testRun) drainWorkers(seed uint64, stop <-chan struct{}) {
+	rng := rand.New(rand.NewPCG(seed, drains))
+	for {
+		w := r.agents[rng.IntN(len(r.agents))].worker
+		if !pause(stop, time.Duration(200+rng.IntN(800))*time.Millisecond) {
+			return
+		}
+		w.SetDraining(true)
+		pause(stop, maxDrainDelay+time.Duration(500+rng.IntN(2000))*time.Millisecond)
+		w.SetDraining(false)
+	}
+}
+
 // pause waits for the given time and reports whether stop is still open then.
 func pause(stop <-chan struct{}, d time.Duration) bool {
 	select {
--- a/io/standin/fleet/soak_test.go
+++ b/io/standin/fleet/soak_test.go
@@ -32,6 +32,10 @@
 // Phases of the run of a seed.
 const (
 	faultDuration = 12 * time.Second
+	// quietDuration is how long after the last fault jobs, drains and configurations
+	// go on. Faults are so frequent that most checks of how soon a process acts judge
+	// nothing before; it covers contactTime and the longest of their bounds.
+	quietDuration = 6 * time.Second
 	settleTimeout = 40 * time.Second
 	// runOnTimeout is how long tasks of cancelled jobs may run on after that.
 	runOnTimeout = 3400 * time.Millisecond
@@ -120,7 +124,8 @@
 	// version that it has served.
 	finalJobs      map[string]bool
 	servedVersions map[string]int64
-	wg             sync.WaitGroup
+	// faults waits for the ends of the faults, and wg for the callers and operators.
+	faults, wg sync.WaitGroup
 }
 
 func soakSeed(t *testing.T, seed uint64, m faultMix) {
@@ -141,6 +146,7 @@
 	r.wg.Go(func() { r.sendJobs(seed, stop) })
 	r.wg.Go(func() { r.sendFailingJobs(seed, stop) })
 	r.wg.Go(func() { r.updateConfigurations(stop) })
+	r.wg.Go(func() { r.drainWorkers(seed, stop) })
 	if m == evacuations {
 		r.wg.Go(func() { r.evacuateZones(seed, stop) })
 	}
@@ -152,6 +158,8 @@
 		}
 		time.Sleep(time.Duration(200+r.randIntN(900)) * time.Millisecond)
 	}
+	r.faults.Wait()
+	time.Sleep(quietDuration)
 	close(stop)
 	r.wg.Wait()
 	r.healAndWait()
@@ -167,7 +175,7 @@
 // runLater calls f after the given delay in a goroutine, which soakSeed waits for
 // after the fault phase.
 func (r *testRun) runLater(after time.Duration, f func()) {
-	r.wg.Go(func() {
+	r.faults.Go(func() {
 		time.Sleep(after)
 		f()
 	})
--- a/io/standin/fleet/worker.go
+++ b/io/standin/fleet/worker.go
@@ -29,14 +29,16 @@
 // task run for 50 ms, "ms=50 fail" also makes it fail at the end, and "ms=50 fail=2" makes
 // its first two runs fail. Worker implements platformtest.Worker.
 type Worker struct {
-	id       string
-	service  string
-	address  netip.AddrPort
-	agent    netip.AddrPort
-	zone     string
-	capacity job.Resources
-	ledger   *Ledger
-	client   *http.Client
+	id      string
+	service string
+	address netip.AddrPort
+	agent   netip.AddrPort
+	zone    string
+	// agentName is the name of the agent's process in the ledger.
+	agentName string
+	capacity  job.Resources
+	ledger    *Ledger
+	client    *http.Client
 
 	mu               sync.Mutex
 	incarnationStart time.Time
@@ -90,6 +92,21 @@
 // Run.
 func (w *Worker) SetZone(zone string) { w.zone = zone }
 
+// SetAgentName sets the name under which the ledger knows the disturbances of the agent.
+// It must be called before Run.
+func (w *Worker) SetAgentName(name string) { w.agentName = name }
+
+// SetDraining sets whether the heartbeats say that the worker is draining.
+func (w *Worker) SetDraining(draining bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !draining {
+		w.ledger.JudgeDraining(w.id, w.agentName)
+		w.ledger.RecordNotDraining(w.id)
+	}
+	w.draining = draining
+}
+
 // Run sends heartbeats and advances the tasks until ctx is done.
 func (w *Worker) Run(ctx context.Context) {
 	beat := time.NewTicker(heartbeatPeriod)
@@ -113,7 +130,7 @@
 	w.heartbeatSeq++
 	h := job.Worker{ID: w.id, Incarnation: w.incarnationStart.UnixMilli(), Service: w.service, Address: w.address, Zone: w.zone,
 		Labels: []string{"a", "r1"}, Capacity: w.capacity, Draining: w.draining, Sequence: w.heartbeatSeq, Clock: w.clock()}
-	unreachable := w.unreachable
+	unreachable, incarnationStart := w.unreachable, w.incarnationStart
 	w.mu.Unlock()
 	if unreachable {
 		return
@@ -127,8 +144,16 @@
 	if err != nil {
 		panic(err)
 	}
-	if response, err := w.client.Do(r); err == nil {
-		response.Body.Close()
+	response, err := w.client.Do(r)
+	if err != nil {
+		return
+	}
+	response.Body.Close()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	// Since the heartbeat, the worker may have crashed or become ready again.
+	if h.Draining && w.draining && w.incarnationStart == incarnationStart && response.StatusCode == http.StatusOK {
+		w.ledger.RecordDraining(w.id)
 	}
 }
 
@@ -202,6 +227,7 @@
 		w.ledger.RecordEnd(name, job.EndLapsed, false)
 	}
 	w.loseEnds()
+	w.ledger.RecordNotDraining(w.id)
 	w.incarnationStart, w.heartbeatSeq, w.fencingToken, w.leaseEnd, w.lastEndNumber = time.Now(), 0, 0, 0, 0
 	w.running, w.highestRun, w.ended = map[string]*task{}, map[string]int64{}, nil
 	// The connections of calls that wait break.
@@ -324,6 +350,7 @@
 	}
 	w.extendLease(s.LeaseUntil)
 	w.ledger.RecordZoneOfStart(w.zone, w.id, s.Task, arrived)
+	w.ledger.CheckDraining(w.id, w.agentName, s.Task, arrived)
 	need := w.ledger.RecordStart(w.id, s, arrived)
 	used := need
 	for _, t := range w.running {
