io/standin/fleet: check that each epoch has one owner, and no lower token follows a higher one

The ledger did not see who owns an epoch. It now follows the ownerships that the store accepts, the fencing tokens that reach each worker, and the epochs of the decisions in the logs of the schedulers, as a worker does not see which scheduler an order is from.

--- a/io/standin/fleet/harness_test.go
+++ b/io/standin/fleet/harness_test.go
@@ -132,6 +132,7 @@
 		o(d)
 	}
 	t.Cleanup(func() { d.close(cancel) })
+	d.store.Observe(d.ledger.RecordWrite)
 	d.ended.Go(d.watchMachine)
 	d.serve(addrPort(d.vmIP(1), storePort), platformtest.StoreHandler(d.store))
 	d.putConfiguration(1)
--- a/io/standin/fleet/ledger.go
+++ b/io/standin/fleet/ledger.go
@@ -33,6 +33,7 @@
 	// drainingSince is when an agent acknowledged the first heartbeat that says that a
 	// worker is draining, by worker.
 	drainingSince map[string]time.Time
+	orders        ownerRecords
 }
 
 // jobRecord is what callers know of a job.
@@ -52,7 +53,7 @@
 func NewLedger() *Ledger {
 	return &Ledger{jobs: map[string]*jobRecord{}, active: map[string]int{}, done: map[string]bool{}, lostEnds: map[string]bool{}, zones: newZoneRecords(),
 		failures: newFailureRecords(), judged: map[string]int{},
-		disturbances: newDisturbances(), drainingSince: map[string]time.Time{}}
+		disturbances: newDisturbances(), drainingSince: map[string]time.Time{}, orders: newOwnerRecords()}
 }
 
 // addViolation records a violation of a guarantee. The caller holds mu.
--- a/io/standin/fleet/ledger_test.go
+++ b/io/standin/fleet/ledger_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -17,6 +18,10 @@
 
 func sampleStart(task string) platform.StartRequest { return platform.StartRequest{Task: task, Run: 1} }
 
+func ownership(epoch int64, holder string) platform.Item {
+	return platform.Item{Key: job.KeyOwner, Value: fmt.Appendf(nil, `{"epoch":%d,"holder":%q}`, epoch, holder)}
+}
+
 // TestLedgerReportsEachViolation checks that the ledger detects each kind of
 // violation.
 func TestLedgerReportsEachViolation(t *testing.T) {
@@ -93,6 +98,35 @@
 			is.New(t).Equal(l.Violations(), nil)
 			l.CheckDraining("w", "agent", first, time.Now().Add(maxDrainDelay+time.Millisecond))
 		},
+		"two owners of an epoch": func(l *Ledger) {
+			l.RecordWrite(ownership(1, "s"))
+			l.RecordWrite(ownership(1, "s"))
+			is.New(t).Equal(l.Violations(), nil)
+			l.RecordWrite(ownership(1, "r"))
+		},
+		"ownership of an earlier epoch": func(l *Ledger) {
+			l.RecordWrite(ownership(2, "s"))
+			l.RecordWrite(ownership(1, "r"))
+		},
+		"decisions of two schedulers in an epoch": func(l *Ledger) {
+			l.RecordDecision("s", 1)
+			l.RecordDecision("s", 1)
+			l.RecordDecision("r", 2)
+			is.New(t).Equal(l.Violations(), nil)
+			l.RecordDecision("r", 1)
+		},
+		"token that no scheduler owned": func(l *Ledger) {
+			l.RecordWrite(ownership(1, "s"))
+			l.RecordToken("w", "agent", 2, time.Now())
+		},
+		"lower token after a higher one": func(l *Ledger) {
+			l.RecordToken("w", "agent", 1, time.Now())
+			l.RecordToken("w", "agent", 2, time.Now())
+			l.RecordToken("w", "agent", 1, time.Now().Add(maxOrderDelay-time.Millisecond))
+			l.RecordToken("v", "agent", 1, time.Now().Add(time.Hour))
+			is.New(t).Equal(l.Violations(), nil)
+			l.RecordToken("w", "agent", 1, time.Now().Add(maxOrderDelay+time.Millisecond))
+		},
 		"run after refusal": func(l *Ledger) { l.CheckRefusals(map[string]bool{"00000000000000aa": true}) },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/io/standin/fleet/soak_test.go
+++ b/io/standin/fleet/soak_test.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"bytes"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"maps"
@@ -14,6 +16,7 @@
 	"testing"
 	"time"
 
+	"rosemarygap/core/event"
 	"rosemarygap/core/job"
 	"rosemarygap/platform/platformtest"
 )
@@ -383,6 +386,7 @@
 		}
 	}
 	r.ledger.CheckRefusals(started)
+	r.recordDecisions()
 	r.checkPending()
 	for end := time.Now().Add(runOnTimeout); time.Now().Before(end) && len(r.ledger.ActiveCancelled()) > 0; time.Sleep(100 * time.Millisecond) {
 	}
@@ -403,6 +407,27 @@
 	}
 }
 
+// recordDecisions tells the ledger the epochs of the decisions in the logs of the
+// schedulers. The workers do not see which scheduler an order is from.
+func (r *testRun) recordDecisions() {
+	for _, p := range r.schedulers {
+		b, err := os.ReadFile(p.log)
+		if err != nil {
+			r.t.Error(err)
+			return
+		}
+		for line := range bytes.Lines(b) {
+			var m struct {
+				Event event.Number
+				Epoch int64
+			}
+			if json.Unmarshal(line, &m) == nil && m.Event == event.TaskDecided.Number {
+				r.ledger.RecordDecision(p.name, m.Epoch)
+			}
+		}
+	}
+}
+
 // pendingTimeout is how long the count of waiting jobs may be out of date without faults.
 const pendingTimeout = 3 * time.Second
 
--- a/io/standin/fleet/store.go
+++ b/io/standin/fleet/store.go
@@ -35,6 +35,8 @@
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 	faults  StoreFaults
+	// observe is called for each change, while mu is locked.
+	observe func(platform.Item)
 }
 
 // StoreFaults are the faults that a Store injects into the calls of
@@ -57,7 +59,14 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{items: map[string]platform.Item{}, revision: 1, leases: map[int64]leaseState{}, changed: make(chan struct{})}
+	return &Store{items: map[string]platform.Item{}, revision: 1, leases: map[int64]leaseState{}, changed: make(chan struct{}), observe: func(platform.Item) {}}
+}
+
+// Observe calls f for each change from now on. f must not call the store.
+func (s *Store) Observe(f func(platform.Item)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.observe = f
 }
 
 // SetFaults replaces the injected faults.
@@ -101,6 +110,7 @@
 }
 
 func (s *Store) apply(i platform.Item) {
+	s.observe(i)
 	if i.Removed {
 		delete(s.items, i.Key)
 	} else {
--- a/io/standin/fleet/worker.go
+++ b/io/standin/fleet/worker.go
@@ -273,6 +273,14 @@
 	return nil
 }
 
+// recordToken tells the ledger of a call that arrives now, unless it is lost. The caller
+// holds mu.
+func (w *Worker) recordToken(id string, token int64) {
+	if !w.unreachable && id == w.id {
+		w.ledger.RecordToken(w.id, w.agentName, token, time.Now())
+	}
+}
+
 // dropsResponse counts an order and reports whether its response is dropped. The
 // caller holds mu.
 func (w *Worker) dropsResponse() bool {
@@ -312,6 +320,7 @@
 func (w *Worker) start(s platform.StartRequest, arrived time.Time) (time.Duration, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.recordToken(s.Worker, s.Token)
 	if err := w.checkCall(s.Worker, s.Token); err != nil {
 		return w.clock(), err
 	}
@@ -384,6 +393,7 @@
 func (w *Worker) stop(worker, name string, run, token int64) (time.Duration, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.recordToken(worker, token)
 	if err := w.checkCall(worker, token); err != nil {
 		return w.clock(), err
 	}
@@ -402,6 +412,7 @@
 func (w *Worker) Throttle(worker, _ string, _, token int64, _ int) (time.Duration, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.recordToken(worker, token)
 	return w.clock(), w.checkCall(worker, token)
 }
 
@@ -410,6 +421,7 @@
 	deadline := time.After(r.Wait)
 	w.mu.Lock()
 	incarnationStart := w.incarnationStart
+	w.recordToken(r.Worker, r.Token)
 	w.mu.Unlock()
 	for {
 		w.mu.Lock()
