io/standin/fleet: check that no order takes too many long-running tasks of a step away

The soak sent no long-running jobs. Each run now has two of eight tasks, of which one or two may be away, and the worker stand-in knows tasks that become ready and do not end. A stop by order of a task that has been ready for 1 s, while as many others are away as may be, is a violation, if the agent and the owner of the order's epoch were in touch.

An earlier run reported stops that followed a cancellation whose answer was under way; the cancellation is now recorded before it is sent.

--- a/io/standin/fleet/ledger.go
+++ b/io/standin/fleet/ledger.go
@@ -34,6 +34,8 @@
 	// worker is draining, by worker.
 	drainingSince map[string]time.Time
 	orders        ownerRecords
+	// lasting are the long-running tasks that have been ready.
+	lasting map[string]*lastingTask
 }
 
 // jobRecord is what callers know of a job.
@@ -53,7 +55,8 @@
 func NewLedger() *Ledger {
 	return &Ledger{jobs: map[string]*jobRecord{}, active: map[string]int{}, done: map[string]bool{}, lostEnds: map[string]bool{}, zones: newZoneRecords(),
 		failures: newFailureRecords(), judged: map[string]int{},
-		disturbances: newDisturbances(), drainingSince: map[string]time.Time{}, orders: newOwnerRecords()}
+		disturbances: newDisturbances(), drainingSince: map[string]time.Time{}, orders: newOwnerRecords(),
+		lasting: map[string]*lastingTask{}}
 }
 
 // addViolation records a violation of a guarantee. The caller holds mu.
@@ -213,6 +216,7 @@
 	if outcome != "" {
 		l.active[name]--
 	}
+	l.recordAway(name, outcome)
 	if outcome == job.EndDone {
 		l.done[name] = true
 	}
--- a/io/standin/fleet/ledger_test.go
+++ b/io/standin/fleet/ledger_test.go
@@ -18,6 +18,15 @@
 
 func sampleStart(task string) platform.StartRequest { return platform.StartRequest{Task: task, Run: 1} }
 
+// lastingJob is a job of long-running tasks of which up to two may be away.
+func lastingJob() job.Job {
+	j := oneStepJob("00000000000000ab", 4, "lasting")
+	j.Steps[0].LongRunning, j.Steps[0].MaxUnavailable = true, 2
+	return j
+}
+
+func lastingTaskName(n int) string { return job.Task{Job: lastingJob().ID, Index: n}.String() }
+
 func ownership(epoch int64, holder string) platform.Item {
 	return platform.Item{Key: job.KeyOwner, Value: fmt.Appendf(nil, `{"epoch":%d,"holder":%q}`, epoch, holder)}
 }
@@ -127,11 +136,25 @@
 			is.New(t).Equal(l.Violations(), nil)
 			l.RecordToken("w", "agent", 1, time.Now().Add(maxOrderDelay+time.Millisecond))
 		},
+		"stop while too many tasks are away": func(l *Ledger) {
+			for n := range 4 {
+				l.RecordReady(lastingTaskName(n))
+			}
+			stop := func(n int) {
+				l.CheckStop("w", "agent", lastingTaskName(n), 1, time.Now().Add(readyReportTime))
+				l.RecordEnd(lastingTaskName(n), job.EndStopped, false)
+			}
+			stop(0)
+			stop(1) // one other is away, of at most two
+			is.New(t).Equal(l.Violations(), nil)
+			stop(2)
+		},
 		"run after refusal": func(l *Ledger) { l.CheckRefusals(map[string]bool{"00000000000000aa": true}) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := NewLedger()
 			l.RecordSubmission(sampleJob())
+			l.RecordSubmission(lastingJob())
 			violate(l)
 			is.New(t).True(len(l.Violations()) > 0)
 		})
@@ -201,6 +224,46 @@
 	}
 }
 
+// TestLedgerAcceptsStops checks that the ledger accepts a stop after a cancellation, or of a
+// task that is not ready, or while the others have just been lost, or are ready again.
+func TestLedgerAcceptsStops(t *testing.T) {
+	lose := func(l *Ledger, o job.Outcome) {
+		for n := range 2 {
+			l.RecordEnd(lastingTaskName(n), o, false)
+		}
+	}
+	for name, prepare := range map[string]func(l *Ledger){
+		"cancelled": func(l *Ledger) { lose(l, job.EndStopped); l.RecordCancellation(lastingJob().ID, false) },
+		"not ready": func(l *Ledger) { lose(l, job.EndStopped); l.RecordEnd(lastingTaskName(3), job.EndLapsed, false) },
+		"just lost": func(l *Ledger) { lose(l, job.EndLapsed) },
+		"just ready": func(l *Ledger) {
+			lose(l, job.EndStopped)
+			l.lasting[lastingTaskName(3)].readySince = time.Now().Add(time.Millisecond)
+		},
+		"ready again": func(l *Ledger) {
+			lose(l, job.EndStopped)
+			l.RecordReady(lastingTaskName(0))
+		},
+		"disturbed agent": func(l *Ledger) { lose(l, job.EndStopped); l.Disturb("agent") },
+		"disturbed owner": func(l *Ledger) {
+			lose(l, job.EndStopped)
+			l.RecordWrite(ownership(1, "s"))
+			l.Disturb("s")()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := NewLedger()
+			l.RecordSubmission(lastingJob())
+			for n := range 4 {
+				l.RecordReady(lastingTaskName(n))
+			}
+			prepare(l)
+			l.CheckStop("w", "agent", lastingTaskName(3), 1, time.Now().Add(readyReportTime))
+			is.New(t).Equal(l.Violations(), nil)
+		})
+	}
+}
+
 // TestWorkerReportsOverload checks that a worker reports a violation when its tasks
 // need more than its capacity.
 func TestWorkerReportsOverload(t *testing.T) {
--- a/io/standin/fleet/soak_loads_test.go
+++ b/io/standin/fleet/soak_loads_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"time"
 )
 
@@ -11,10 +12,11 @@
 const (
 	failingJobs = 1 << (16 + iota)
 	drains
+	lastingJobs
 )
 
-// sendFailingJobs sends jobs of which each run of a task fails, or the first runs, until
-// stop is closed, and waits for their callers.
+// sendFailingJobs starts callers for jobs of which each run of a task fails, or the first
+// runs, until stop is closed.
 func (r *testRun) sendFailingJobs(seed uint64, stop <-chan struct{}) {
 	rng := rand.New(rand.NewPCG(seed, failingJobs))
 	r.sendEvery(500*time.Millisecond, stop, func(n int) {
@@ -28,6 +30,50 @@
 	})
 }
 
+// lastingTasks is the number of tasks of a long-running job. With the six workers of a
+// deployment several are in a zone, so that its evacuation must stop one after the other.
+const lastingTasks = 8
+
+// runLastingJobs submits jobs of long-running tasks, and cancels them when stop is closed.
+func (r *testRun) runLastingJobs(seed uint64, stop <-chan struct{}) {
+	c := &http.Client{}
+	defer c.CloseIdleConnections()
+	rng := rand.New(rand.NewPCG(seed, lastingJobs))
+	var ids []string
+	for n := range 2 {
+		j := oneStepJob(fmt.Sprintf("%08x%08x", seed, lastingJobs+n), lastingTasks, fmt.Sprintf("ms=%d lasting", 100+rng.IntN(500)))
+		s := &j.Steps[0]
+		s.LongRunning, s.MaxPerWorker, s.MaxUnavailable, s.Need.Processors = true, 2, 1+rng.IntN(2), 200
+		for range 10 {
+			if r.submit(c, r.schedulers[rng.IntN(len(r.schedulers))], j) == http.StatusOK || !pause(stop, 300*time.Millisecond) {
+				break
+			}
+		}
+		ids = append(ids, j.ID)
+	}
+	<-stop
+	for _, id := range ids {
+		r.cancelSurely(c, id)
+	}
+}
+
+// cancelSurely cancels a job, which may not have been accepted, after the faults.
+func (r *testRun) cancelSurely(c *http.Client, id string) {
+	for end := time.Now().Add(settleTimeout); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+		p := r.schedulers[r.randIntN(len(r.schedulers))]
+		// The job's runs may be stopped before the answer arrives.
+		r.ledger.RecordCancellation(id, false)
+		code, _ := r.request(c, p, http.MethodDelete, "/jobs/"+id, nil)
+		if code == http.StatusOK {
+			r.ledger.RecordCancellation(id, true)
+		}
+		if code == http.StatusOK || code == http.StatusGone {
+			return
+		}
+	}
+	r.t.Errorf("job %s could not be cancelled", id)
+}
+
 // drainWorkers makes one worker after the other draining for a while until stop is closed.
 // At the end all workers are ready.
 func (r *testRun) drainWorkers(seed uint64, stop <-chan struct{}) {
--- a/io/standin/fleet/soak_test.go
+++ b/io/standin/fleet/soak_test.go
@@ -150,6 +150,7 @@
 	r.wg.Go(func() { r.sendFailingJobs(seed, stop) })
 	r.wg.Go(func() { r.updateConfigurations(stop) })
 	r.wg.Go(func() { r.drainWorkers(seed, stop) })
+	r.wg.Go(func() { r.runLastingJobs(seed, stop) })
 	if m == evacuations {
 		r.wg.Go(func() { r.evacuateZones(seed, stop) })
 	}
--- a/io/standin/fleet/worker.go
+++ b/io/standin/fleet/worker.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -27,7 +28,8 @@
 
 // Worker is a fake worker. It only simulates tasks: the payload "ms=50" makes a
 // task run for 50 ms, "ms=50 fail" also makes it fail at the end, and "ms=50 fail=2" makes
-// its first two runs fail. Worker implements platformtest.Worker.
+// its first two runs fail. With "ms=50 lasting" the task is ready after 50 ms and does not
+// end. Worker implements platformtest.Worker.
 type Worker struct {
 	id      string
 	service string
@@ -77,6 +79,8 @@
 	started time.Time
 	runTime time.Duration
 	fails   bool
+	// lasting is true for a task that does not end, and ready once it is ready.
+	lasting, ready bool
 }
 
 // NewWorker returns a worker that sends heartbeats to the agent at the address
@@ -174,9 +178,14 @@
 		switch {
 		case w.clock() > w.leaseEnd:
 			w.endRun(name, job.EndLapsed)
-		case t.fails && time.Since(t.started) >= t.runTime:
+		case time.Since(t.started) < t.runTime:
+		case t.lasting && !t.ready:
+			t.ready = true
+			w.ledger.RecordReady(name)
+		case t.lasting:
+		case t.fails:
 			w.endRun(name, job.EndFailed)
-		case time.Since(t.started) >= t.runTime:
+		default:
 			w.endRun(name, job.EndDone)
 		}
 	}
@@ -375,7 +384,8 @@
 		runTimeMillis = 1
 	}
 	w.excludeStalledTime()
-	w.running[s.Task] = &task{s.Run, need, time.Now(), time.Duration(runTimeMillis) * time.Millisecond, w.ledger.runFails(s.Task, s.Payload)}
+	w.running[s.Task] = &task{run: s.Run, need: need, started: time.Now(), runTime: time.Duration(runTimeMillis) * time.Millisecond,
+		fails: w.ledger.runFails(s.Task, s.Payload), lasting: strings.HasSuffix(s.Payload, " lasting")}
 	// A task name begins with the id of its job, which has 16 characters.
 	w.startedJobs[s.Task[:16]] = true
 	return nil
@@ -398,6 +408,7 @@
 		return w.clock(), err
 	}
 	if t := w.running[name]; t != nil && t.run == run {
+		w.ledger.CheckStop(w.id, w.agentName, name, token, time.Now())
 		w.endRun(name, job.EndStopped)
 	}
 	w.highestRun[name] = max(w.highestRun[name], run)
@@ -461,8 +472,24 @@
 	out := job.RunList{Incarnation: w.incarnationStart.UnixMilli(), Clock: w.clock(), Ended: slices.Clone(w.ended)}
 	for _, name := range slices.Sorted(maps.Keys(w.running)) {
 		t := w.running[name]
-		percent := int(100 * time.Since(t.started) / max(t.runTime, 1))
-		out.Running = append(out.Running, job.Run{Task: name, Run: t.run, Percent: min(percent, 99)})
+		percent := min(int(100*time.Since(t.started)/max(t.runTime, 1)), 99)
+		if t.ready {
+			percent = 100
+		}
+		out.Running = append(out.Running, job.Run{Task: name, Run: t.run, Percent: percent})
 	}
 	return out
 }
+
+// runs returns the number of running tasks of a job.
+func (w *Worker) runs(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for name := range w.running {
+		if strings.HasPrefix(name, id) {
+			n++
+		}
+	}
+	return n
+}
