io/standin/fleet: check that a configuration is in force within 2 s

The soak checked only that no scheduler returns to an earlier configuration. Now each version is asked for at each scheduler 2 s after it was written: 404 for a queue that it added is a violation, if the scheduler was in touch.

--- a/io/standin/fleet/harness_test.go
+++ b/io/standin/fleet/harness_test.go
@@ -298,6 +298,7 @@
 		d.t.Fatal(err)
 	}
 	d.store.Put(platform.ConfigurationKey, b)
+	d.ledger.RecordConfiguration(version)
 }
 
 // request sends a caller's request to a scheduler and returns the status code and
--- a/io/standin/fleet/ledger.go
+++ b/io/standin/fleet/ledger.go
@@ -36,6 +36,8 @@
 	orders        ownerRecords
 	// lasting are the long-running tasks that have been ready.
 	lasting map[string]*lastingTask
+	// writtenAt is when the versions of the configuration were written.
+	writtenAt map[int64]time.Time
 }
 
 // jobRecord is what callers know of a job.
@@ -56,7 +58,7 @@
 	return &Ledger{jobs: map[string]*jobRecord{}, active: map[string]int{}, done: map[string]bool{}, lostEnds: map[string]bool{}, zones: newZoneRecords(),
 		failures: newFailureRecords(), judged: map[string]int{},
 		disturbances: newDisturbances(), drainingSince: map[string]time.Time{}, orders: newOwnerRecords(),
-		lasting: map[string]*lastingTask{}}
+		lasting: map[string]*lastingTask{}, writtenAt: map[int64]time.Time{}}
 }
 
 // addViolation records a violation of a guarantee. The caller holds mu.
--- a/io/standin/fleet/ledger_test.go
+++ b/io/standin/fleet/ledger_test.go
@@ -149,6 +149,13 @@
 			is.New(t).Equal(l.Violations(), nil)
 			stop(2)
 		},
+		"configuration not in force": func(l *Ledger) {
+			l.RecordConfiguration(2)
+			l.CheckConfiguration("s", 2, true, time.Now().Add(time.Hour))
+			l.CheckConfiguration("s", 2, false, time.Now().Add(maxConfigurationDelay-time.Millisecond))
+			is.New(t).Equal(l.Violations(), nil)
+			l.CheckConfiguration("s", 2, false, time.Now().Add(maxConfigurationDelay+time.Millisecond))
+		},
 		"run after refusal": func(l *Ledger) { l.CheckRefusals(map[string]bool{"00000000000000aa": true}) },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -220,6 +227,8 @@
 		is.Equal(len(l.Violations()), 1)
 		l.RecordNotDraining("w")
 		start(time.Hour)
+		l.RecordConfiguration(2)
+		l.CheckConfiguration("agent", 2, false, time.Now().Add(contactTime-100*time.Millisecond))
 		is.Equal(len(l.Violations()), 1)
 	}
 }
--- a/io/standin/fleet/soak_test.go
+++ b/io/standin/fleet/soak_test.go
@@ -318,21 +318,30 @@
 func (r *testRun) updateConfigurations(stop <-chan struct{}) {
 	c := &http.Client{}
 	defer c.CloseIdleConnections()
-	version := int64(1)
-	for {
-		select {
-		case <-stop:
-			return
-		case <-time.After(700 * time.Millisecond):
-		}
-		version++
+	for version := int64(2); pause(stop, 700*time.Millisecond); version++ {
 		r.putConfiguration(version)
+		r.wg.Go(func() { r.checkInForce(version) })
 		for _, p := range r.schedulers {
 			r.checkVersion(c, p, version)
 		}
 	}
 }
 
+// checkInForce checks that each scheduler in touch knows a version of the configuration
+// maxConfigurationDelay after it was written.
+func (r *testRun) checkInForce(version int64) {
+	time.Sleep(maxConfigurationDelay)
+	c := &http.Client{}
+	defer c.CloseIdleConnections()
+	for _, p := range r.schedulers {
+		asked := time.Now()
+		code, _ := r.request(c, p, http.MethodGet, fmt.Sprintf("/v%d/", version), nil)
+		if code == http.StatusOK || code == http.StatusNotFound {
+			r.ledger.CheckConfiguration(p.name, version, code == http.StatusOK, asked)
+		}
+	}
+}
+
 func (r *testRun) checkVersion(c *http.Client, p *process, newest int64) {
 	key := fmt.Sprintf("%s/%d", p.name, p.startCount())
 	if served := r.servedVersions[key]; served > 0 {
