--- a/io/standin/fleet/diagnosis_test.go
+++ b/io/standin/fleet/diagnosis_test.go
@@ -30,10 +30,15 @@
 	}
 	r.ledger.RecordSubmission(j)
 	code, _ := r.request(c, p, http.MethodPost, "/jobs/"+j.ID, body)
-	r.ledger.RecordResponse(j.ID, code == http.StatusOK, code == 0)
+	r.ledger.RecordResponse(j.ID, code == http.StatusOK, isUnknown(code))
 	return code
 }
 
+// isUnknown reports whether a submission with this status code may have been accepted.
+func isUnknown(code int) bool {
+	return code == 0 || code == http.StatusGatewayTimeout || code == http.StatusBadGateway
+}
+
 // awaitState polls a job until the response contains the wanted state, and fails
 // the test after 20 s.
 func (r *testRun) awaitState(c *http.Client, id string, want job.State) {
--- a/io/standin/fleet/harness_test.go
+++ b/io/standin/fleet/harness_test.go
@@ -98,6 +98,8 @@
 	// evacuations in the settings, or 0.
 	zones           int
 	evacuationDelay time.Duration
+	// environment contains further variables of the processes.
+	environment []string
 	// ended waits for the servers, links and workers.
 	ended sync.WaitGroup
 }
@@ -110,6 +112,11 @@
 	return func(d *deployment) { d.zones, d.evacuationDelay = n, delay }
 }
 
+// withAdmission lets the schedulers refuse jobs by their forecast.
+func withAdmission() deploymentOption {
+	return func(d *deployment) { d.environment = append(d.environment, "ROSEMARYGAP_ADMISSION=forecast") }
+}
+
 // zoneName returns the name of zone n.
 func zoneName(n int) string { return fmt.Sprintf("zone-%d", n) }
 
@@ -227,7 +234,7 @@
 		bin = *earlierBuild
 	}
 	cmd := exec.Command(bin, p.role)
-	cmd.Env = append(os.Environ(), platform.SettingsPathEnv+"="+p.settings)
+	cmd.Env = append(append(os.Environ(), d.environment...), platform.SettingsPathEnv+"="+p.settings)
 	cmd.Stdout, cmd.Stderr = f, f
 	if err := cmd.Start(); err != nil {
 		d.t.Error(err)
--- a/io/standin/fleet/ledger.go
+++ b/io/standin/fleet/ledger.go
@@ -49,6 +49,8 @@
 	// mayBeAccepted is true if a submission was accepted or has an unknown
 	// outcome.
 	mayBeAccepted bool
+	// refused is true if a submission was refused.
+	refused bool
 	// told is the final state that a caller was told, or empty.
 	told job.State
 }
@@ -89,6 +91,7 @@
 	defer l.mu.Unlock()
 	r := l.jobs[id]
 	r.accepted = r.accepted || accepted
+	r.refused = r.refused || !accepted && !unknown
 	r.mayBeAccepted = r.mayBeAccepted || accepted || unknown
 }
 
@@ -256,6 +259,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, r := range l.jobs {
+		if r.refused && !r.mayBeAccepted {
+			l.judged["refusals"]++
+		}
 		if started[id] && !r.mayBeAccepted {
 			l.addViolation("job %s ran, but all its submissions were refused", id)
 		}
--- a/io/standin/fleet/soak_loads_test.go
+++ b/io/standin/fleet/soak_loads_test.go
@@ -13,6 +13,7 @@
 	failingJobs = 1 << (16 + iota)
 	drains
 	lastingJobs
+	wideJobs
 )
 
 // sendFailingJobs starts callers for jobs of which each run of a task fails, or the first
@@ -30,6 +31,21 @@
 	})
 }
 
+// admissionSeeds is the interval of the seeds that run with admission and wide jobs.
+const admissionSeeds = 3
+
+// sendWideJobs sends jobs beyond the capacity of the workers until stop is closed, so that
+// some are refused by the forecast. Their callers do not try again.
+func (r *testRun) sendWideJobs(seed uint64, stop <-chan struct{}) {
+	rng := rand.New(rand.NewPCG(seed, wideJobs))
+	c := &http.Client{}
+	defer c.CloseIdleConnections()
+	r.sendEvery(300*time.Millisecond, stop, func(n int) {
+		j := oneStepJob(fmt.Sprintf("%08x%08x", seed, wideJobs+n), 30+rng.IntN(20), "ms=500")
+		r.submit(c, r.schedulers[rng.IntN(len(r.schedulers))], j)
+	})
+}
+
 // lastingTasks is the number of tasks of a long-running job. With the six workers of a
 // deployment several are in a zone, so that its evacuation must stop one after the other.
 const lastingTasks = 8
--- a/io/standin/fleet/soak_test.go
+++ b/io/standin/fleet/soak_test.go
@@ -136,6 +136,10 @@
 	if m == evacuations {
 		options = append(options, withZones(soakZones, soakEvacuationDelay))
 	}
+	admission := seed%admissionSeeds == 0
+	if admission {
+		options = append(options, withAdmission())
+	}
 	r := newTestRun(t, seed, 3, *agentCount, options...)
 	r.mix = m
 	defer func() {
@@ -151,6 +155,9 @@
 	r.wg.Go(func() { r.updateConfigurations(stop) })
 	r.wg.Go(func() { r.drainWorkers(seed, stop) })
 	r.wg.Go(func() { r.runLastingJobs(seed, stop) })
+	if admission {
+		r.wg.Go(func() { r.sendWideJobs(seed, stop) })
+	}
 	if m == evacuations {
 		r.wg.Go(func() { r.evacuateZones(seed, stop) })
 	}
@@ -244,7 +251,7 @@
 	for try := 0; try < 5 && !accepted; try++ {
 		code, _ := r.request(c, r.schedulers[r.randIntN(3)], http.MethodPost, "/jobs/"+j.ID, body)
 		accepted = code/100 == 2
-		r.ledger.RecordResponse(j.ID, accepted, code == 0 || code == http.StatusGatewayTimeout || code == http.StatusBadGateway)
+		r.ledger.RecordResponse(j.ID, accepted, isUnknown(code))
 		time.Sleep(200 * time.Millisecond)
 	}
 	if accepted && cancel {
