io/standin/fleet: a failed seed keeps its violations

The line of the ledger that explains a failed seed was lost twice, as the output of the test was cut off or overwritten. The violations and the injected faults are now in result.txt beside the logs under -soak-keep, and what the callers of the soak find is a violation of the ledger, too, instead of a test error alone.

--- a/io/standin/fleet/ledger.go
+++ b/io/standin/fleet/ledger.go
@@ -71,6 +71,13 @@
 	l.violations = append(l.violations, fmt.Sprintf(format, args...))
 }
 
+// Report records a violation that a caller has seen.
+func (l *Ledger) Report(format string, args ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.addViolation(format, args...)
+}
+
 // Violations returns the violations found so far.
 func (l *Ledger) Violations() []string {
 	l.mu.Lock()
--- a/io/standin/fleet/soak_test.go
+++ b/io/standin/fleet/soak_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -300,7 +301,7 @@
 func (r *testRun) pollState(c *http.Client, id string) bool {
 	code, b := r.request(c, r.schedulers[r.randIntN(3)], http.MethodGet, "/jobs/"+id, nil)
 	if code == http.StatusGone {
-		r.t.Errorf("accepted job %s is unknown to a scheduler", id)
+		r.ledger.Report("accepted job %s is unknown to a scheduler", id)
 	}
 	if code != http.StatusOK {
 		return false
@@ -354,7 +355,7 @@
 	if served := r.servedVersions[key]; served > 0 {
 		if code, _ := r.request(c, p, http.MethodGet, fmt.Sprintf("/v%d/", served), nil); code == http.StatusNotFound &&
 			key == fmt.Sprintf("%s/%d", p.name, p.startCount()) {
-			r.t.Errorf("scheduler %s returned to a configuration before version %d", key, served)
+			r.ledger.Report("scheduler %s returned to a configuration before version %d", key, served)
 		}
 	}
 	if code, _ := r.request(c, p, http.MethodGet, fmt.Sprintf("/v%d/", newest), nil); code == http.StatusOK {
@@ -408,14 +409,14 @@
 	for end := time.Now().Add(runOnTimeout); time.Now().Before(end) && len(r.ledger.ActiveCancelled()) > 0; time.Sleep(100 * time.Millisecond) {
 	}
 	for _, task := range r.ledger.ActiveCancelled() {
-		r.t.Errorf("task %s of a cancelled job still runs", task)
+		r.ledger.Report("task %s of a cancelled job still runs", task)
+	}
+	if unfinished := r.ledger.Unfinished(r.finalJobs); len(unfinished) > 0 {
+		r.ledger.Report("%d accepted jobs did not end: %v", len(unfinished), unfinished)
 	}
 	for _, violation := range r.ledger.Violations() {
 		r.t.Error(violation)
 	}
-	if unfinished := r.ledger.Unfinished(r.finalJobs); len(unfinished) > 0 {
-		r.t.Errorf("%d accepted jobs did not end: %v", len(unfinished), unfinished)
-	}
 	r.t.Logf("%d jobs ended; cases of each check: %v", len(r.finalJobs), r.ledger.Judged())
 	if r.t.Failed() {
 		for _, line := range r.faultLog {
@@ -463,14 +464,15 @@
 				break
 			}
 			if last {
-				r.t.Errorf("scheduler %s: status %d and %q for the count of waiting jobs", p.name, code, b)
+				r.ledger.Report("scheduler %s: status %d and %q for the count of waiting jobs", p.name, code, b)
 				break
 			}
 		}
 	}
 }
 
-// keepLogs copies the logs of a failed seed to logDir, if it is set.
+// keepLogs copies the logs of a failed seed to logDir, if it is set, and writes the
+// violations and the injected faults beside them. The output of the test may be cut off.
 func (r *testRun) keepLogs(seed uint64) {
 	if *logDir == "" {
 		return
@@ -479,4 +481,8 @@
 	if err := os.CopyFS(dir, os.DirFS(r.dir)); err != nil {
 		r.t.Log(err)
 	}
+	result := strings.Join(append(r.ledger.Violations(), r.faultLog...), "\n") + "\n"
+	if err := os.WriteFile(filepath.Join(dir, "result.txt"), []byte(result), 0o600); err != nil {
+		r.t.Log(err)
+	}
 }
