--- a/io/standin/fleet/diagnosis_test.go
+++ b/io/standin/fleet/diagnosis_test.go
@@ -17,8 +17,8 @@
 // job's id to the cause of a problem. They read the logs of real processes with
 // the story subcommand and use no other source.
 
-func newTestRun(t testing.TB, network, schedulers, agents int, options ...deploymentOption) *testRun {
-	return &testRun{deployment: newDeployment(t, network, schedulers, agents, options...), rng: rand.New(rand.NewPCG(uint64(network), 0)),
+func newTestRun(t testing.TB, seed uint64, schedulers, agents int, options ...deploymentOption) *testRun {
+	return &testRun{deployment: newDeployment(t, schedulers, agents, options...), rng: rand.New(rand.NewPCG(seed, 0)),
 		finalJobs: map[string]bool{}, servedVersions: map[string]int64{}}
 }
 
@@ -30,10 +30,15 @@
 	}
 	r.ledger.RecordSubmission(j)
 	code, _ := r.request(c, p, http.MethodPost, "/jobs/"+j.ID, body)
-	r.ledger.RecordResponse(j.ID, code == http.StatusOK, code == 0)
+	r.ledger.RecordResponse(j.ID, code == http.StatusOK, isUnknown(code))
 	return code
 }
 
+// isUnknown reports whether a submission with this status code may have been accepted.
+func isUnknown(code int) bool {
+	return code == 0 || code == http.StatusGatewayTimeout || code == http.StatusBadGateway
+}
+
 // awaitState polls a job until the response contains the wanted state, and fails
 // the test after 20 s.
 func (r *testRun) awaitState(c *http.Client, id string, want job.State) {
--- a/io/standin/fleet/harness_test.go
+++ b/io/standin/fleet/harness_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -32,14 +33,23 @@
 	peerPort    = 21090
 )
 
-// Each test uses its own loopback network 127.x.y.0/24, with x and y up to 250.
-// The networks of an execution of the tests are shifted by networkStride times
-// its process id.
+// Each deployment uses its own loopback network 127.x.y.0/24, with x and y up to 250,
+// so that a listener of an earlier test cannot conflict with it. The networks of an
+// execution of the tests are shifted by networkStride times its process id.
 const (
 	maxNetworks   = 62000
 	networkStride = 331
 )
 
+// deploymentCount is the number of deployments of this execution.
+var deploymentCount atomic.Int64
+
+// nextNetwork returns the number of a network that no deployment of this execution
+// has used and that another execution on this machine is unlikely to use.
+func nextNetwork() int {
+	return int(deploymentCount.Add(1)+int64(os.Getpid())*networkStride) % maxNetworks
+}
+
 func addr(s string) netip.AddrPort { return netip.MustParseAddrPort(s) }
 
 func startRequest(w *Worker, task string, leaseUntil time.Duration) platform.StartRequest {
@@ -70,6 +80,8 @@
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	starts int
+	// ended waits for the processes that were started.
+	ended sync.WaitGroup
 }
 
 // deployment is a set of processes of the real program and the fakes they use.
@@ -86,8 +98,10 @@
 	// evacuations in the settings, or 0.
 	zones           int
 	evacuationDelay time.Duration
-	// environment is added to the environment of the processes.
+	// environment contains further variables of the processes.
 	environment []string
+	// ended waits for the servers, links and workers.
+	ended sync.WaitGroup
 }
 
 // deploymentOption changes a deployment before its processes start.
@@ -103,6 +117,11 @@
 	return func(d *deployment) { d.environment = append(d.environment, variables...) }
 }
 
+// withAdmission lets the schedulers refuse jobs by their forecast.
+func withAdmission() deploymentOption {
+	return withEnvironment("ROSEMARYGAP_ADMISSION=forecast")
+}
+
 // zoneName returns the name of zone n.
 func zoneName(n int) string { return fmt.Sprintf("zone-%d", n) }
 
@@ -114,24 +133,19 @@
 
 // newDeployment starts the given numbers of schedulers, and of agents with their
 // workers.
-func newDeployment(t testing.TB, network, schedulers, agents int, options ...deploymentOption) *deployment {
+func newDeployment(t testing.TB, schedulers, agents int, options ...deploymentOption) *deployment {
 	bin, err := buildProgram()
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	// A concurrent execution of these tests on this machine needs other addresses.
-	network = (network + os.Getpid()*networkStride) % maxNetworks
-	d := &deployment{t: t, ctx: ctx, dir: t.TempDir(), bin: bin, network: network, store: NewStore(), ledger: NewLedger()}
+	d := &deployment{t: t, ctx: ctx, dir: t.TempDir(), bin: bin, network: nextNetwork(), store: NewStore(), ledger: NewLedger()}
 	for _, o := range options {
 		o(d)
 	}
-	t.Cleanup(func() {
-		for _, p := range append(d.schedulers, d.agents...) {
-			p.signal(syscall.SIGKILL)
-		}
-		cancel()
-	})
+	t.Cleanup(func() { d.close(cancel) })
+	d.store.Observe(d.ledger.RecordWrite)
+	d.ended.Go(d.watchMachine)
 	d.serve(addrPort(d.vmIP(1), storePort), platformtest.StoreHandler(d.store))
 	d.putConfiguration(1)
 	var seeds []netip.AddrPort
@@ -147,6 +161,7 @@
 	for i := range agents {
 		p := &process{name: fmt.Sprintf("agent-%d", i), role: "agent", ip: d.vmIP(21 + i)}
 		p.worker = NewWorker(fmt.Sprintf("i-%d", i), "svc", addrPort(p.ip, appPort), addrPort(p.ip, controlPort), d.ledger)
+		p.worker.SetAgentName(p.name)
 		if d.zones > 0 {
 			p.worker.SetZone(zoneName(i % d.zones))
 		}
@@ -154,19 +169,33 @@
 		p.toWorker = d.startLink(addrPort(p.ip, appPort), addrPort(p.ip, workerPort))
 		d.launch(p, platform.Settings{ControlListen: addrPort(p.ip, controlPort), WorkerAddress: addrPort(p.ip, appPort), Service: "svc", Seeds: seeds})
 		d.agents = append(d.agents, p)
-		go p.worker.Run(ctx)
+		d.ended.Go(func() { p.worker.Run(ctx) })
 	}
 	return d
 }
 
+// close kills the processes, and waits until they, the links, the servers and the
+// workers have ended. Until then their addresses are in use.
+func (d *deployment) close(cancel context.CancelFunc) {
+	cancel() // from here on, start starts no process
+	all := append(d.schedulers[:len(d.schedulers):len(d.schedulers)], d.agents...)
+	for _, p := range all {
+		p.signal(syscall.SIGKILL)
+	}
+	for _, p := range all {
+		p.ended.Wait()
+	}
+	d.ended.Wait()
+}
+
 func (d *deployment) serve(a netip.AddrPort, h http.Handler) {
 	l, err := net.Listen("tcp", a.String())
 	if err != nil {
 		d.t.Fatal(err)
 	}
 	s := &http.Server{Handler: h}
-	go s.Serve(l)
-	d.t.Cleanup(func() { s.Close() })
+	d.ended.Go(func() { _ = s.Serve(l) })
+	d.ended.Go(func() { <-d.ctx.Done(); s.Close() })
 }
 
 func (d *deployment) startLink(from, to netip.AddrPort) *Link {
@@ -174,7 +203,7 @@
 	if err != nil {
 		d.t.Fatal(err)
 	}
-	go l.Run(d.ctx)
+	d.ended.Go(func() { l.Run(d.ctx) })
 	return l
 }
 
@@ -210,7 +239,7 @@
 		bin = *earlierBuild
 	}
 	cmd := exec.Command(bin, p.role)
-	cmd.Env = append(append(os.Environ(), platform.SettingsPathEnv+"="+p.settings), d.environment...)
+	cmd.Env = append(append(os.Environ(), d.environment...), platform.SettingsPathEnv+"="+p.settings)
 	cmd.Stdout, cmd.Stderr = f, f
 	if err := cmd.Start(); err != nil {
 		d.t.Error(err)
@@ -218,7 +247,8 @@
 	}
 	p.cmd = cmd
 	p.starts++
-	go func() {
+	d.ledger.Disturb(p.name)()
+	p.ended.Go(func() {
 		_ = cmd.Wait()
 		f.Close()
 		p.mu.Lock()
@@ -226,7 +256,28 @@
 		if p.cmd == cmd {
 			p.cmd = nil
 		}
-	}()
+	})
+}
+
+// Parameters of watchMachine.
+const (
+	timerPeriod = 20 * time.Millisecond
+	// maxTimerDelay is the delay of a timer from which on the machine counts as
+	// overloaded. A process takes some tens of steps for what the ledger expects within
+	// 2 s, each of which may be as late as the timer.
+	maxTimerDelay = 100 * time.Millisecond
+)
+
+// watchMachine records the times at which the machine is too loaded to tell whether a
+// process acts in time.
+func (d *deployment) watchMachine() {
+	for d.ctx.Err() == nil {
+		due := time.Now().Add(timerPeriod)
+		time.Sleep(timerPeriod)
+		if late := time.Since(due); late > maxTimerDelay {
+			d.ledger.Disturb(machineName)()
+		}
+	}
 }
 
 // signal sends s to the process of p if it is running.
@@ -249,16 +300,17 @@
 // more queue than the previous version.
 func (d *deployment) putConfiguration(version int64) {
 	c := job.Configuration{Version: version, Queues: []job.Queue{{Name: "jobs", Host: "jobs.example", Prefix: "/jobs/",
-		Service: "svc", MaxFailures: 3, Stretch: 2, Target: time.Second}}}
+		Service: "svc", MaxFailures: maxFailures, Stretch: 2, Target: time.Second}}}
 	for v := int64(2); v <= version; v++ {
 		c.Queues = append(c.Queues, job.Queue{Name: fmt.Sprintf("v%d", v), Host: "jobs.example",
-			Prefix: fmt.Sprintf("/v%d/", v), Service: "svc", MaxFailures: 3, Stretch: 2})
+			Prefix: fmt.Sprintf("/v%d/", v), Service: "svc", MaxFailures: maxFailures, Stretch: 2})
 	}
 	b, err := platformtest.EncodeConfiguration(c)
 	if err != nil {
 		d.t.Fatal(err)
 	}
 	d.store.Put(platform.ConfigurationKey, b)
+	d.ledger.RecordConfiguration(version)
 }
 
 // request sends a caller's request to a scheduler and returns the status code and
--- a/io/standin/fleet/ledger.go
+++ b/io/standin/fleet/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -24,7 +25,22 @@
 	violations []string
 	zones      zoneRecords
 	// starts is the number of runs that have started.
-	starts int
+	starts   int
+	failures failureRecords
+	// judged counts the cases to which a check applied, by check, so that a check that
+	// no run reaches is noticed.
+	judged map[string]int
+
+	disturbances disturbances
+	// drainingSince is when an agent acknowledged the first heartbeat that says that a
+	// worker is draining, by worker.
+	drainingSince map[string]time.Time
+	orders        ownerRecords
+	// lasting are the long-running tasks that have been ready.
+	lasting map[string]*lastingTask
+	// writtenAt is when the versions of the configuration were written.
+	writtenAt map[int64]time.Time
+	copies    copyRecords
 }
 
 // jobRecord is what callers know of a job.
@@ -36,13 +52,20 @@
 	// mayBeAccepted is true if a submission was accepted or has an unknown
 	// outcome.
 	mayBeAccepted bool
+	// refused is true if a submission was refused.
+	refused bool
 	// told is the final state that a caller was told, or empty.
 	told job.State
+	// toldAt is when that state was told first.
+	toldAt time.Time
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{jobs: map[string]*jobRecord{}, active: map[string]int{}, done: map[string]bool{}, lostEnds: map[string]bool{}, zones: newZoneRecords()}
+	return &Ledger{jobs: map[string]*jobRecord{}, active: map[string]int{}, done: map[string]bool{}, lostEnds: map[string]bool{}, zones: newZoneRecords(),
+		failures: newFailureRecords(), judged: map[string]int{},
+		disturbances: newDisturbances(), drainingSince: map[string]time.Time{}, orders: newOwnerRecords(),
+		lasting: map[string]*lastingTask{}, writtenAt: map[int64]time.Time{}, copies: newCopyRecords()}
 }
 
 // addViolation records a violation of a guarantee. The caller holds mu.
@@ -50,6 +73,13 @@
 	l.violations = append(l.violations, fmt.Sprintf(format, args...))
 }
 
+// Report records a violation that a caller has seen.
+func (l *Ledger) Report(format string, args ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.addViolation(format, args...)
+}
+
 // Violations returns the violations found so far.
 func (l *Ledger) Violations() []string {
 	l.mu.Lock()
@@ -73,6 +103,7 @@
 	defer l.mu.Unlock()
 	r := l.jobs[id]
 	r.accepted = r.accepted || accepted
+	r.refused = r.refused || !accepted && !unknown
 	r.mayBeAccepted = r.mayBeAccepted || accepted || unknown
 }
 
@@ -89,8 +120,8 @@
 }
 
 // CheckState checks the final state of a job that was returned to a caller, by a query or
-// by the answer to a cancellation. It expects that every job can be completed, so the
-// failed state is a violation. So is a second final state.
+// by the answer to a cancellation. The failed state is a violation unless a task has failed
+// as often as its queue permits. So is a second final state.
 func (l *Ledger) CheckState(id string, s job.State) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -98,14 +129,17 @@
 	if r.told != "" && r.told != s {
 		l.addViolation("job %s is reported as %s after it was reported as %s", id, s, r.told)
 	}
+	if r.told == "" {
+		r.toldAt = time.Now()
+	}
 	r.told = s
 	switch {
 	case s == job.Done && !l.allDone(r):
 		l.addViolation("job %s is reported as done before all its tasks are done", id)
 	case s == job.Cancelled && !r.cancelled:
 		l.addViolation("job %s is reported as cancelled, but no caller cancelled it", id)
-	case s == job.Failed:
-		l.addViolation("job %s is reported as failed, but it can be completed", id)
+	case s == job.Failed && !l.mayFail(r):
+		l.addViolation("job %s is reported as failed, but no task of it failed %d times", id, maxFailures)
 	}
 }
 
@@ -175,12 +209,7 @@
 	if late := arrived.Sub(r.cancelledAt); !r.cancelledAt.IsZero() && late > maxCancelDelay {
 		l.addViolation("worker %s starts %s %v after the cancellation of its job was acknowledged", worker, name, late)
 	}
-	if l.active[name] > 0 {
-		l.addViolation("worker %s starts %s while another run of it is active", worker, name)
-	}
-	if l.done[name] && !l.lostEnds[name] {
-		l.addViolation("worker %s starts %s after it was done", worker, name)
-	}
+	l.checkRuns(worker, s, r, &r.job.Steps[t.Step], arrived)
 	for _, a := range r.job.Steps[t.Step].After {
 		for n := range r.job.Steps[a].Tasks {
 			if !l.done[job.Task{Job: t.Job, Step: a, Index: n}.String()] {
@@ -188,6 +217,7 @@
 			}
 		}
 	}
+	l.checkFailures(worker, name, arrived)
 	l.active[name]++
 	l.starts++
 	return r.job.Steps[t.Step].Need
@@ -209,14 +239,25 @@
 	if outcome != "" {
 		l.active[name]--
 	}
+	l.recordAway(name, outcome)
 	if outcome == job.EndDone {
 		l.done[name] = true
 	}
-	if lost {
+	if outcome == job.EndFailed && !l.isDone(name) {
+		l.failures.failed[name]++
+	}
+	if lost && !l.isDone(name) {
 		l.lostEnds[name] = true
 	}
 }
 
+// Judged returns how many cases each check was applied to.
+func (l *Ledger) Judged() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.judged)
+}
+
 // ActiveCancelled returns the tasks of cancelled jobs that are running.
 func (l *Ledger) ActiveCancelled() []string {
 	l.mu.Lock()
@@ -236,6 +277,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, r := range l.jobs {
+		if r.refused && !r.mayBeAccepted {
+			l.judged["refusals"]++
+		}
 		if started[id] && !r.mayBeAccepted {
 			l.addViolation("job %s ran, but all its submissions were refused", id)
 		}
--- a/io/standin/fleet/ledger_test.go
+++ b/io/standin/fleet/ledger_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -17,6 +18,19 @@
 
 func sampleStart(task string) platform.StartRequest { return platform.StartRequest{Task: task, Run: 1} }
 
+// lastingJob is a job of long-running tasks of which up to two may be away.
+func lastingJob() job.Job {
+	j := oneStepJob("00000000000000ab", 4, "lasting")
+	j.Steps[0].LongRunning, j.Steps[0].MaxUnavailable = true, 2
+	return j
+}
+
+func lastingTaskName(n int) string { return job.Task{Job: lastingJob().ID, Index: n}.String() }
+
+func ownership(epoch int64, holder string) platform.Item {
+	return platform.Item{Key: job.KeyOwner, Value: fmt.Appendf(nil, `{"epoch":%d,"holder":%q}`, epoch, holder)}
+}
+
 // TestLedgerReportsEachViolation checks that the ledger detects each kind of
 // violation.
 func TestLedgerReportsEachViolation(t *testing.T) {
@@ -71,11 +85,83 @@
 			l.RecordStoreFault(false)
 			l.RecordZoneOfStart("a", "w", first, time.Now().Add(time.Second+outerDelay+time.Millisecond))
 		},
+		"run after the last permitted failure": func(l *Ledger) {
+			for run := range int64(maxFailures) {
+				is.New(t).Equal(l.Violations(), nil)
+				l.RecordStart("w", sampleStart(first), time.Now())
+				l.RecordEnd(first, job.EndFailed, false)
+				l.RecordAcknowledgement(job.End{Task: first, Run: run, Outcome: job.EndFailed})
+			}
+			l.RecordStart("w", sampleStart(first), time.Now().Add(time.Millisecond))
+		},
+		"failed state before the last permitted failure": func(l *Ledger) {
+			for range maxFailures - 1 {
+				l.RecordStart("w", sampleStart(first), time.Now())
+				l.RecordEnd(first, job.EndFailed, false)
+			}
+			l.CheckState("00000000000000aa", job.Failed)
+		},
+		"start on a draining worker": func(l *Ledger) {
+			l.RecordDraining("w")
+			l.CheckDraining("w", "agent", first, time.Now().Add(maxDrainDelay-time.Millisecond))
+			is.New(t).Equal(l.Violations(), nil)
+			l.CheckDraining("w", "agent", first, time.Now().Add(maxDrainDelay+time.Millisecond))
+		},
+		"two owners of an epoch": func(l *Ledger) {
+			l.RecordWrite(ownership(1, "s"))
+			l.RecordWrite(ownership(1, "s"))
+			is.New(t).Equal(l.Violations(), nil)
+			l.RecordWrite(ownership(1, "r"))
+		},
+		"ownership of an earlier epoch": func(l *Ledger) {
+			l.RecordWrite(ownership(2, "s"))
+			l.RecordWrite(ownership(1, "r"))
+		},
+		"decisions of two schedulers in an epoch": func(l *Ledger) {
+			l.RecordDecision("s", 1)
+			l.RecordDecision("s", 1)
+			l.RecordDecision("r", 2)
+			is.New(t).Equal(l.Violations(), nil)
+			l.RecordDecision("r", 1)
+		},
+		"token that no scheduler owned": func(l *Ledger) {
+			l.RecordWrite(ownership(1, "s"))
+			l.RecordToken("w", "agent", 2, time.Now())
+		},
+		"lower token after a higher one": func(l *Ledger) {
+			l.RecordToken("w", "agent", 1, time.Now())
+			l.RecordToken("w", "agent", 2, time.Now())
+			l.RecordToken("w", "agent", 1, time.Now().Add(maxOrderDelay-time.Millisecond))
+			l.RecordToken("v", "agent", 1, time.Now().Add(time.Hour))
+			is.New(t).Equal(l.Violations(), nil)
+			l.RecordToken("w", "agent", 1, time.Now().Add(maxOrderDelay+time.Millisecond))
+		},
+		"stop while too many tasks are away": func(l *Ledger) {
+			for n := range 4 {
+				l.RecordReady(lastingTaskName(n))
+			}
+			stop := func(n int) {
+				l.CheckStop("w", "agent", lastingTaskName(n), 1, time.Now().Add(readyReportTime))
+				l.RecordEnd(lastingTaskName(n), job.EndStopped, false)
+			}
+			stop(0)
+			stop(1) // one other is away, of at most two
+			is.New(t).Equal(l.Violations(), nil)
+			stop(2)
+		},
+		"configuration not in force": func(l *Ledger) {
+			l.RecordConfiguration(2)
+			l.CheckConfiguration("s", 2, true, time.Now().Add(time.Hour))
+			l.CheckConfiguration("s", 2, false, time.Now().Add(maxConfigurationDelay-time.Millisecond))
+			is.New(t).Equal(l.Violations(), nil)
+			l.CheckConfiguration("s", 2, false, time.Now().Add(maxConfigurationDelay+time.Millisecond))
+		},
 		"run after refusal": func(l *Ledger) { l.CheckRefusals(map[string]bool{"00000000000000aa": true}) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := NewLedger()
 			l.RecordSubmission(sampleJob())
+			l.RecordSubmission(lastingJob())
 			violate(l)
 			is.New(t).True(len(l.Violations()) > 0)
 		})
@@ -106,6 +192,87 @@
 	is.Equal(len(l.Unfinished(nil)), 1)
 }
 
+// TestLedgerAcceptsFailures checks that a job may be reported as failed once a task has
+// failed as often as its queue permits, and that a failure whose end was lost does not
+// count against a further start.
+func TestLedgerAcceptsFailures(t *testing.T) {
+	is := is.New(t)
+	l := NewLedger()
+	l.RecordSubmission(sampleJob())
+	first := "00000000000000aa.0.0.0"
+	for range maxFailures {
+		l.RecordStart("w", sampleStart(first), time.Now())
+		l.RecordEnd(first, job.EndFailed, false)
+	}
+	l.RecordStart("w", sampleStart(first), time.Now())
+	l.CheckState("00000000000000aa", job.Failed)
+	is.Equal(l.Violations(), nil)
+}
+
+// TestLedgerJudgesOnlyProcessesInTouch checks that the ledger reports no start on a draining
+// worker while the agent, the store or the machine is disturbed, within contactTime of that,
+// and once the worker is ready again. Otherwise the checks would give false alarms.
+func TestLedgerJudgesOnlyProcessesInTouch(t *testing.T) {
+	for _, name := range []string{"agent", storeName, machineName} {
+		is := is.New(t)
+		l := NewLedger()
+		l.RecordDraining("w")
+		ended := l.Disturb(name)
+		start := func(after time.Duration) { l.CheckDraining("w", "agent", "t", time.Now().Add(after)) }
+		start(time.Hour)
+		ended()
+		start(contactTime - time.Millisecond)
+		is.Equal(l.Violations(), nil)
+		start(contactTime + time.Millisecond)
+		is.Equal(len(l.Violations()), 1)
+		l.RecordNotDraining("w")
+		start(time.Hour)
+		l.RecordConfiguration(2)
+		l.CheckConfiguration("agent", 2, false, time.Now().Add(contactTime-100*time.Millisecond))
+		is.Equal(len(l.Violations()), 1)
+	}
+}
+
+// TestLedgerAcceptsStops checks that the ledger accepts a stop after a cancellation, or of a
+// task that is not ready, or while the others have just been lost, or are ready again.
+func TestLedgerAcceptsStops(t *testing.T) {
+	lose := func(l *Ledger, o job.Outcome) {
+		for n := range 2 {
+			l.RecordEnd(lastingTaskName(n), o, false)
+		}
+	}
+	for name, prepare := range map[string]func(l *Ledger){
+		"cancelled": func(l *Ledger) { lose(l, job.EndStopped); l.RecordCancellation(lastingJob().ID, false) },
+		"not ready": func(l *Ledger) { lose(l, job.EndStopped); l.RecordEnd(lastingTaskName(3), job.EndLapsed, false) },
+		"just lost": func(l *Ledger) { lose(l, job.EndLapsed) },
+		"just ready": func(l *Ledger) {
+			lose(l, job.EndStopped)
+			l.lasting[lastingTaskName(3)].readySince = time.Now().Add(time.Millisecond)
+		},
+		"ready again": func(l *Ledger) {
+			lose(l, job.EndStopped)
+			l.RecordReady(lastingTaskName(0))
+		},
+		"disturbed agent": func(l *Ledger) { lose(l, job.EndStopped); l.Disturb("agent") },
+		"disturbed owner": func(l *Ledger) {
+			lose(l, job.EndStopped)
+			l.RecordWrite(ownership(1, "s"))
+			l.Disturb("s")()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := NewLedger()
+			l.RecordSubmission(lastingJob())
+			for n := range 4 {
+				l.RecordReady(lastingTaskName(n))
+			}
+			prepare(l)
+			l.CheckStop("w", "agent", lastingTaskName(3), 1, time.Now().Add(readyReportTime))
+			is.New(t).Equal(l.Violations(), nil)
+		})
+	}
+}
+
 // TestWorkerReportsOverload checks that a worker reports a violation when its tasks
 // need more than its capacity.
 func TestWorkerReportsOverload(t *testing.T) {
--- a/io/standin/fleet/soak_test.go
+++ b/io/standin/fleet/soak_test.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"bytes"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"maps"
@@ -9,11 +11,13 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"rosemarygap/core/event"
 	"rosemarygap/core/job"
 	"rosemarygap/platform/platformtest"
 )
@@ -32,6 +36,10 @@
 // Phases of the run of a seed.
 const (
 	faultDuration = 12 * time.Second
+	// quietDuration is how long after the last fault jobs, drains and configurations
+	// go on. Faults are so frequent that most checks of how soon a process acts judge
+	// nothing before; it covers contactTime and the longest of their bounds.
+	quietDuration = 6 * time.Second
 	settleTimeout = 40 * time.Second
 	// runOnTimeout is how long tasks of cancelled jobs may run on after that.
 	runOnTimeout = 3400 * time.Millisecond
@@ -120,7 +128,8 @@
 	// version that it has served.
 	finalJobs      map[string]bool
 	servedVersions map[string]int64
-	wg             sync.WaitGroup
+	// faults waits for the ends of the faults, and wg for the callers and operators.
+	faults, wg sync.WaitGroup
 }
 
 func soakSeed(t *testing.T, seed uint64, m faultMix) {
@@ -128,10 +137,14 @@
 	if m == evacuations {
 		options = append(options, withZones(soakZones, soakEvacuationDelay))
 	}
+	admission := seed%admissionSeeds == 0
+	if admission {
+		options = append(options, withAdmission())
+	}
 	if seed%2 == 0 {
 		options = append(options, withEnvironment("ROSEMARYGAP_FAILOVER=connection"))
 	}
-	r := newTestRun(t, int(seed), 3, *agentCount, options...)
+	r := newTestRun(t, seed, 3, *agentCount, options...)
 	r.mix = m
 	defer func() {
 		if t.Failed() {
@@ -141,12 +154,16 @@
 	time.Sleep(2 * time.Second)
 	start := time.Now()
 	stop := make(chan struct{})
-	r.wg.Add(2)
-	go func() { defer r.wg.Done(); r.sendJobs(seed, stop) }()
-	go func() { defer r.wg.Done(); r.updateConfigurations(stop) }()
+	r.wg.Go(func() { r.sendJobs(seed, stop) })
+	r.wg.Go(func() { r.sendFailingJobs(seed, stop) })
+	r.wg.Go(func() { r.updateConfigurations(stop) })
+	r.wg.Go(func() { r.drainWorkers(seed, stop) })
+	r.wg.Go(func() { r.runLastingJobs(seed, stop) })
+	if admission {
+		r.wg.Go(func() { r.sendWideJobs(seed, stop) })
+	}
 	if m == evacuations {
-		r.wg.Add(1)
-		go func() { defer r.wg.Done(); r.evacuateZones(seed, stop) }()
+		r.wg.Go(func() { r.evacuateZones(seed, stop) })
 	}
 	for time.Since(start) < faultDuration {
 		if r.mix == silentWorkers && r.randIntN(2) == 0 {
@@ -156,6 +173,8 @@
 		}
 		time.Sleep(time.Duration(200+r.randIntN(900)) * time.Millisecond)
 	}
+	r.faults.Wait()
+	time.Sleep(quietDuration)
 	close(stop)
 	r.wg.Wait()
 	r.healAndWait()
@@ -171,12 +190,10 @@
 // runLater calls f after the given delay in a goroutine, which soakSeed waits for
 // after the fault phase.
 func (r *testRun) runLater(after time.Duration, f func()) {
-	r.wg.Add(1)
-	go func() {
-		defer r.wg.Done()
+	r.faults.Go(func() {
 		time.Sleep(after)
 		f()
-	}()
+	})
 }
 
 // jobInterval is the time between two new jobs for a deployment with six agents.
@@ -238,7 +255,7 @@
 	for try := 0; try < 5 && !accepted; try++ {
 		code, _ := r.request(c, r.schedulers[r.randIntN(3)], http.MethodPost, "/jobs/"+j.ID, body)
 		accepted = code/100 == 2
-		r.ledger.RecordResponse(j.ID, accepted, code == 0 || code == http.StatusGatewayTimeout || code == http.StatusBadGateway)
+		r.ledger.RecordResponse(j.ID, accepted, isUnknown(code))
 		time.Sleep(200 * time.Millisecond)
 	}
 	if accepted && cancel {
@@ -287,7 +304,7 @@
 func (r *testRun) pollState(c *http.Client, id string) bool {
 	code, b := r.request(c, r.schedulers[r.randIntN(3)], http.MethodGet, "/jobs/"+id, nil)
 	if code == http.StatusGone {
-		r.t.Errorf("accepted job %s is unknown to a scheduler", id)
+		r.ledger.Report("accepted job %s is unknown to a scheduler", id)
 	}
 	if code != http.StatusOK {
 		return false
@@ -312,27 +329,36 @@
 func (r *testRun) updateConfigurations(stop <-chan struct{}) {
 	c := &http.Client{}
 	defer c.CloseIdleConnections()
-	version := int64(1)
-	for {
-		select {
-		case <-stop:
-			return
-		case <-time.After(700 * time.Millisecond):
-		}
-		version++
+	for version := int64(2); pause(stop, 700*time.Millisecond); version++ {
 		r.putConfiguration(version)
+		r.wg.Go(func() { r.checkInForce(version) })
 		for _, p := range r.schedulers {
 			r.checkVersion(c, p, version)
 		}
 	}
 }
 
+// checkInForce checks that each scheduler in touch knows a version of the configuration
+// maxConfigurationDelay after it was written.
+func (r *testRun) checkInForce(version int64) {
+	time.Sleep(maxConfigurationDelay)
+	c := &http.Client{}
+	defer c.CloseIdleConnections()
+	for _, p := range r.schedulers {
+		asked := time.Now()
+		code, _ := r.request(c, p, http.MethodGet, fmt.Sprintf("/v%d/", version), nil)
+		if code == http.StatusOK || code == http.StatusNotFound {
+			r.ledger.CheckConfiguration(p.name, version, code == http.StatusOK, asked)
+		}
+	}
+}
+
 func (r *testRun) checkVersion(c *http.Client, p *process, newest int64) {
 	key := fmt.Sprintf("%s/%d", p.name, p.startCount())
 	if served := r.servedVersions[key]; served > 0 {
 		if code, _ := r.request(c, p, http.MethodGet, fmt.Sprintf("/v%d/", served), nil); code == http.StatusNotFound &&
 			key == fmt.Sprintf("%s/%d", p.name, p.startCount()) {
-			r.t.Errorf("scheduler %s returned to a configuration before version %d", key, served)
+			r.ledger.Report("scheduler %s returned to a configuration before version %d", key, served)
 		}
 	}
 	if code, _ := r.request(c, p, http.MethodGet, fmt.Sprintf("/v%d/", newest), nil); code == http.StatusOK {
@@ -381,19 +407,20 @@
 		}
 	}
 	r.ledger.CheckRefusals(started)
+	r.recordDecisions()
 	r.checkPending()
 	for end := time.Now().Add(runOnTimeout); time.Now().Before(end) && len(r.ledger.ActiveCancelled()) > 0; time.Sleep(100 * time.Millisecond) {
 	}
 	for _, task := range r.ledger.ActiveCancelled() {
-		r.t.Errorf("task %s of a cancelled job still runs", task)
+		r.ledger.Report("task %s of a cancelled job still runs", task)
+	}
+	if unfinished := r.ledger.Unfinished(r.finalJobs); len(unfinished) > 0 {
+		r.ledger.Report("%d accepted jobs did not end: %v", len(unfinished), unfinished)
 	}
 	for _, violation := range r.ledger.Violations() {
 		r.t.Error(violation)
 	}
-	if unfinished := r.ledger.Unfinished(r.finalJobs); len(unfinished) > 0 {
-		r.t.Errorf("%d accepted jobs did not end: %v", len(unfinished), unfinished)
-	}
-	r.t.Logf("%d jobs ended", len(r.finalJobs))
+	r.t.Logf("%d jobs ended; cases of each check: %v", len(r.finalJobs), r.ledger.Judged())
 	if r.t.Failed() {
 		for _, line := range r.faultLog {
 			r.t.Log(line)
@@ -401,6 +428,27 @@
 	}
 }
 
+// recordDecisions tells the ledger the epochs of the decisions in the logs of the
+// schedulers. The workers do not see which scheduler an order is from.
+func (r *testRun) recordDecisions() {
+	for _, p := range r.schedulers {
+		b, err := os.ReadFile(p.log)
+		if err != nil {
+			r.t.Error(err)
+			return
+		}
+		for line := range bytes.Lines(b) {
+			var m struct {
+				Event event.Number
+				Epoch int64
+			}
+			if json.Unmarshal(line, &m) == nil && m.Event == event.TaskDecided.Number {
+				r.ledger.RecordDecision(p.name, m.Epoch)
+			}
+		}
+	}
+}
+
 // pendingTimeout is how long the count of waiting jobs may be out of date without faults.
 const pendingTimeout = 3 * time.Second
 
@@ -419,14 +467,15 @@
 				break
 			}
 			if last {
-				r.t.Errorf("scheduler %s: status %d and %q for the count of waiting jobs", p.name, code, b)
+				r.ledger.Report("scheduler %s: status %d and %q for the count of waiting jobs", p.name, code, b)
 				break
 			}
 		}
 	}
 }
 
-// keepLogs copies the logs of a failed seed to logDir, if it is set.
+// keepLogs copies the logs of a failed seed to logDir, if it is set, and writes the
+// violations and the injected faults beside them. The output of the test may be cut off.
 func (r *testRun) keepLogs(seed uint64) {
 	if *logDir == "" {
 		return
@@ -435,4 +484,8 @@
 	if err := os.CopyFS(dir, os.DirFS(r.dir)); err != nil {
 		r.t.Log(err)
 	}
+	result := strings.Join(append(r.ledger.Violations(), r.faultLog...), "\n") + "\n"
+	if err := os.WriteFile(filepath.Join(dir, "result.txt"), []byte(result), 0o600); err != nil {
+		r.t.Log(err)
+	}
 }
--- a/io/standin/fleet/takeover_test.go
+++ b/io/standin/fleet/takeover_test.go
@@ -13,7 +13,7 @@
 func BenchmarkTakeover(b *testing.B) {
 	for i, failover := range []string{"lease", "connection"} {
 		b.Run(failover, func(b *testing.B) {
-			r := newTestRun(b, 60011+i, 3, 6, withEnvironment("ROSEMARYGAP_FAILOVER="+failover))
+			r := newTestRun(b, uint64(60011+i), 3, 6, withEnvironment("ROSEMARYGAP_FAILOVER="+failover))
 			c := &http.Client{}
 			defer c.CloseIdleConnections()
 			r.awaitReady(c)
--- a/io/standin/fleet/worker.go
+++ b/io/standin/fleet/worker.go
@@ -27,17 +27,20 @@
 )
 
 // Worker is a fake worker. It only simulates tasks: the payload "ms=50" makes a
-// task run for 50 ms, and "ms=50 fail" also makes it fail at the end. Worker
-// implements platformtest.Worker.
+// task run for 50 ms, "ms=50 fail" also makes it fail at the end, and "ms=50 fail=2" makes
+// its first two runs fail. With "ms=50 lasting" the task is ready after 50 ms and does not
+// end. Worker implements platformtest.Worker.
 type Worker struct {
-	id       string
-	service  string
-	address  netip.AddrPort
-	agent    netip.AddrPort
-	zone     string
-	capacity job.Resources
-	ledger   *Ledger
-	client   *http.Client
+	id      string
+	service string
+	address netip.AddrPort
+	agent   netip.AddrPort
+	zone    string
+	// agentName is the name of the agent's process in the ledger.
+	agentName string
+	capacity  job.Resources
+	ledger    *Ledger
+	client    *http.Client
 
 	mu               sync.Mutex
 	incarnationStart time.Time
@@ -76,6 +79,8 @@
 	started time.Time
 	runTime time.Duration
 	fails   bool
+	// lasting is true for a task that does not end, and ready once it is ready.
+	lasting, ready bool
 }
 
 // NewWorker returns a worker that sends heartbeats to the agent at the address
@@ -91,6 +96,21 @@
 // Run.
 func (w *Worker) SetZone(zone string) { w.zone = zone }
 
+// SetAgentName sets the name under which the ledger knows the disturbances of the agent.
+// It must be called before Run.
+func (w *Worker) SetAgentName(name string) { w.agentName = name }
+
+// SetDraining sets whether the heartbeats say that the worker is draining.
+func (w *Worker) SetDraining(draining bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !draining {
+		w.ledger.JudgeDraining(w.id, w.agentName)
+		w.ledger.RecordNotDraining(w.id)
+	}
+	w.draining = draining
+}
+
 // Run sends heartbeats and advances the tasks until ctx is done.
 func (w *Worker) Run(ctx context.Context) {
 	beat := time.NewTicker(heartbeatPeriod)
@@ -114,7 +134,7 @@
 	w.heartbeatSeq++
 	h := job.Worker{ID: w.id, Incarnation: w.incarnationStart.UnixMilli(), Service: w.service, Address: w.address, Zone: w.zone,
 		Labels: []string{"a", "r1"}, Capacity: w.capacity, Draining: w.draining, Sequence: w.heartbeatSeq, Clock: w.clock()}
-	unreachable := w.unreachable
+	unreachable, incarnationStart := w.unreachable, w.incarnationStart
 	w.mu.Unlock()
 	if unreachable {
 		return
@@ -128,8 +148,16 @@
 	if err != nil {
 		panic(err)
 	}
-	if response, err := w.client.Do(r); err == nil {
-		response.Body.Close()
+	response, err := w.client.Do(r)
+	if err != nil {
+		return
+	}
+	response.Body.Close()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	// Since the heartbeat, the worker may have crashed or become ready again.
+	if h.Draining && w.draining && w.incarnationStart == incarnationStart && response.StatusCode == http.StatusOK {
+		w.ledger.RecordDraining(w.id)
 	}
 }
 
@@ -150,9 +178,14 @@
 		switch {
 		case w.clock() > w.leaseEnd:
 			w.endRun(name, job.EndLapsed)
-		case t.fails && time.Since(t.started) >= t.runTime:
+		case time.Since(t.started) < t.runTime:
+		case t.lasting && !t.ready:
+			t.ready = true
+			w.ledger.RecordReady(name)
+		case t.lasting:
+		case t.fails:
 			w.endRun(name, job.EndFailed)
-		case time.Since(t.started) >= t.runTime:
+		default:
 			w.endRun(name, job.EndDone)
 		}
 	}
@@ -203,6 +236,7 @@
 		w.ledger.RecordEnd(name, job.EndLapsed, false)
 	}
 	w.loseEnds()
+	w.ledger.RecordNotDraining(w.id)
 	w.incarnationStart, w.heartbeatSeq, w.fencingToken, w.leaseEnd, w.lastEndNumber = time.Now(), 0, 0, 0, 0
 	w.running, w.highestRun, w.ended = map[string]*task{}, map[string]int64{}, nil
 	// The connections of calls that wait break.
@@ -248,6 +282,14 @@
 	return nil
 }
 
+// recordToken tells the ledger of a call that arrives now, unless it is lost. The caller
+// holds mu.
+func (w *Worker) recordToken(id string, token int64) {
+	if !w.unreachable && id == w.id {
+		w.ledger.RecordToken(w.id, w.agentName, token, time.Now())
+	}
+}
+
 // dropsResponse counts an order and reports whether its response is dropped. The
 // caller holds mu.
 func (w *Worker) dropsResponse() bool {
@@ -287,6 +329,7 @@
 func (w *Worker) start(s platform.StartRequest, arrived time.Time) (time.Duration, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.recordToken(s.Worker, s.Token)
 	if err := w.checkCall(s.Worker, s.Token); err != nil {
 		return w.clock(), err
 	}
@@ -325,6 +368,7 @@
 	}
 	w.extendLease(s.LeaseUntil)
 	w.ledger.RecordZoneOfStart(w.zone, w.id, s.Task, arrived)
+	w.ledger.CheckDraining(w.id, w.agentName, s.Task, arrived)
 	need := w.ledger.RecordStart(w.id, s, arrived)
 	used := need
 	for _, t := range w.running {
@@ -340,7 +384,8 @@
 		runTimeMillis = 1
 	}
 	w.excludeStalledTime()
-	w.running[s.Task] = &task{s.Run, need, time.Now(), time.Duration(runTimeMillis) * time.Millisecond, strings.HasSuffix(s.Payload, " fail")}
+	w.running[s.Task] = &task{run: s.Run, need: need, started: time.Now(), runTime: time.Duration(runTimeMillis) * time.Millisecond,
+		fails: w.ledger.runFails(s.Task, s.Payload), lasting: strings.HasSuffix(s.Payload, " lasting")}
 	// A task name begins with the id of its job, which has 16 characters.
 	w.startedJobs[s.Task[:16]] = true
 	return nil
@@ -358,10 +403,12 @@
 func (w *Worker) stop(worker, name string, run, token int64) (time.Duration, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.recordToken(worker, token)
 	if err := w.checkCall(worker, token); err != nil {
 		return w.clock(), err
 	}
 	if t := w.running[name]; t != nil && t.run == run {
+		w.ledger.CheckStop(w.id, w.agentName, name, token, time.Now())
 		w.endRun(name, job.EndStopped)
 	}
 	w.highestRun[name] = max(w.highestRun[name], run)
@@ -376,6 +423,7 @@
 func (w *Worker) Throttle(worker, _ string, _, token int64, _ int) (time.Duration, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.recordToken(worker, token)
 	return w.clock(), w.checkCall(worker, token)
 }
 
@@ -384,6 +432,7 @@
 	deadline := time.After(r.Wait)
 	w.mu.Lock()
 	incarnationStart := w.incarnationStart
+	w.recordToken(r.Worker, r.Token)
 	w.mu.Unlock()
 	for {
 		w.mu.Lock()
@@ -399,6 +448,7 @@
 			w.extendLease(r.LeaseUntil)
 		}
 		for len(w.ended) > 0 && w.ended[0].Number <= r.Acknowledged {
+			w.ledger.RecordAcknowledgement(w.ended[0])
 			w.ended = w.ended[1:]
 		}
 		out := w.runList()
@@ -422,8 +472,24 @@
 	out := job.RunList{Incarnation: w.incarnationStart.UnixMilli(), Clock: w.clock(), Ended: slices.Clone(w.ended)}
 	for _, name := range slices.Sorted(maps.Keys(w.running)) {
 		t := w.running[name]
-		percent := int(100 * time.Since(t.started) / max(t.runTime, 1))
-		out.Running = append(out.Running, job.Run{Task: name, Run: t.run, Percent: min(percent, 99)})
+		percent := min(int(100*time.Since(t.started)/max(t.runTime, 1)), 99)
+		if t.ready {
+			percent = 100
+		}
+		out.Running = append(out.Running, job.Run{Task: name, Run: t.run, Percent: percent})
 	}
 	return out
 }
+
+// runs returns the number of running tasks of a job.
+func (w *Worker) runs(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for name := range w.running {
+		if strings.HasPrefix(name, id) {
+			n++
+		}
+	}
+	return n
+}
