core/job: withdraw starts of long-running tasks in an evacuated zone only within the limit

A long-running task had become ready within the 350 ms since its start, so that it was stopped while two others of its step were away and one may be.

Change: such a start is withdrawn only if the task may become unavailable. Otherwise its agent refuses it, since the zone is evacuated, or it becomes ready and leaves in its turn. The new test failed before.

--- a/core/job/evacuation.go
+++ b/core/job/evacuation.go
@@ -136,14 +136,18 @@
 }
 
 // mustLeave reports whether a task in an evacuated zone must be stopped now. Starts that
-// no list has yet are withdrawn, also those of gangs. Of the runs in progress, gangs and
-// tasks that end soon or would lose their work are left to end.
+// no list has yet are withdrawn, also those of gangs. The start of a long-running task is
+// withdrawn only if the task may become unavailable: it may have become ready since the
+// last list, and its agent refuses it otherwise. Of the runs in progress, gangs and tasks
+// that end soon or would lose their work are left to end.
 func (c *Cell) mustLeave(w *workerRow, t *taskRow, now time.Time) bool {
 	if t.stopping {
 		return false
 	}
 	if !t.running {
-		return true
+		j := c.jobs.Get(t.name.Job)
+		s, _ := j.task(t.name)
+		return !s.spec.LongRunning || s.allowsDisruption(t, now)
 	}
 	k, ok := c.moveCandidate(t)
 	switch {
--- a/core/job/evacuation_test.go
+++ b/core/job/evacuation_test.go
@@ -343,3 +343,25 @@
 		tc.now = tc.now.Add(500 * time.Millisecond)
 	}
 }
+
+// Starts of long-running tasks that no list has yet may have become ready meanwhile. They
+// must not be withdrawn all at once, although the owner counts them as away.
+func TestStartsOfLongRunningTasksAreNotAllWithdrawn(t *testing.T) {
+	tc := newZonedCluster(t, "a")
+	tc.evacuate()
+	lasting := step(3, 1000)
+	lasting.LongRunning, lasting.MaxUnavailable = true, 1
+	tc.Add(testJob(1, lasting), tc.now)
+	tc.Tick(tc.now) // the orders are on their way
+	tc.is.Equal(len(tc.workers.Get("agent-0").tasks), 3)
+	tc.addWorker("agent-1").report.Worker.Zone = "b"
+	tc.evacuate("a")
+	tc.Tick(tc.now.Add(sweepInterval))
+	stopping := 0
+	for _, t := range tc.workers.Get("agent-0").tasks {
+		if t.stopping {
+			stopping++
+		}
+	}
+	tc.is.True(stopping <= 1)
+}
