core/job: the end of an unknown job waits for an ownership check

Cause: an owner that was replaced does not know the jobs that its successor accepted. It took the end of a task of such a job for that of an ended job and acknowledged it at once. The worker forgot the end, and the task ran again, or a failure was not counted.

Change: such an end is acknowledged once an ownership check that began at its receipt or later has succeeded.

TestEndOfUnknownJobWaitsForOwnershipCheck fails without it. go test ./core/job passes.

--- a/core/job/cell_test.go
+++ b/core/job/cell_test.go
@@ -215,3 +215,21 @@
 	tc.is.Equal(tc.workers.Get("agent-0").processedEnds, int64(0))
 	tc.is.Equal(tc.workers.Get("agent-0").Incarnation, next.Incarnation)
 }
+
+// An owner that was replaced must not acknowledge the end of a task of a job that only its
+// successor knows: the worker would forget the end, and the task would run again.
+func TestEndOfUnknownJobWaitsForOwnershipCheck(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	w := tc.testWorkers["agent-0"]
+	w.report.Running = []Run{{Task: Task{Job: testJob(9).ID}.String(), Run: 1}}
+	w.endRun(w.report.Running[0].Task, EndDone)
+	tc.now = tc.now.Add(time.Second)
+	r := w.report
+	tc.Receive(&r, tc.now)
+	tc.Tick(tc.now)
+	tc.is.Equal(tc.Reply(&r, tc.now).Acknowledged, int64(0))
+	tc.ConfirmOwnership(tc.now.Add(-time.Millisecond))
+	tc.is.Equal(tc.Reply(&r, tc.now).Acknowledged, int64(0)) // the check began before the end was received
+	tc.ConfirmOwnership(tc.now)
+	tc.is.Equal(tc.Reply(&r, tc.now).Acknowledged, int64(1))
+}
--- a/core/job/durable.go
+++ b/core/job/durable.go
@@ -152,10 +152,11 @@
 func (c *Cell) acknowledgeEnds(w *workerRow) {
 	n := 0
 	for n < len(w.pendingEnds) {
-		if j := c.jobs.Get(w.pendingEnds[n].job); j != nil && (j.dirty || j.writing) {
+		e := &w.pendingEnds[n]
+		if j := c.jobs.Get(e.job); j != nil && (j.dirty || j.writing) || e.job == "" && c.ownershipConfirmedAt.Before(e.receivedAt) {
 			break
 		}
-		w.durableEnds = w.pendingEnds[n].number
+		w.durableEnds = e.number
 		n++
 	}
 	w.pendingEnds = w.pendingEnds[n:]
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -268,11 +268,11 @@
 	w.processedEnds, w.lastProgress = e.Number, now
 	j, s, t := c.findTask(e.Task)
 	if t == nil {
-		w.pendingEnds = append(w.pendingEnds, pendingEnd{e.Number, ""})
+		w.pendingEnds = append(w.pendingEnds, pendingEnd{e.Number, "", now})
 		return
 	}
 	j.markStarted()
-	w.pendingEnds = append(w.pendingEnds, pendingEnd{e.Number, j.ID})
+	w.pendingEnds = append(w.pendingEnds, pendingEnd{e.Number, j.ID, now})
 	assigned := t.state == taskAssigned && t.worker == w && t.run == e.Run
 	c.logEvent(EventEnd, t, w, string(e.Outcome), now)
 	if e.Checkpoint != "" && !t.isDone() {
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -306,10 +306,14 @@
 	clock       time.Duration
 }
 
-// pendingEnd is an end that becomes durable with the progress of its job.
+// pendingEnd is an end that becomes durable with the progress of its job. The job is empty if
+// the cell does not know it: the end has no effect then, unless this owner was replaced by
+// one that has accepted the job. It waits for an ownership check that begins at receivedAt or
+// later.
 type pendingEnd struct {
-	number int64
-	job    string
+	number     int64
+	job        string
+	receivedAt time.Time
 }
 
 // Cell is the scheduling state of the owner of one epoch.
@@ -446,5 +450,6 @@
 	c.ownershipConfirmedAt = began
 	for _, w := range c.workers.All {
 		w.confirmedClock = w.unconfirmedClock
+		c.acknowledgeEnds(w)
 	}
 }
