core/job, io/scheduler: copies of tasks (--copies)

Cause: a task whose run would end late, on a worker that slowed down, is silent or fails tasks, could only be moved, which loses its work, or wait for up to 11 s until the lease of the worker has expired. may-copy of a step was decoded and not used.

A copy has a task row of its own in the worker's map of tasks, so that the code of any run reserves, orders, lists and releases it. The first end as done counts. Copies hold at most a twentieth of the processors and only room that no waiting task can use.

Two rules came from the random histories and the tests: at the maximum of failures, a start that no list has yet is withdrawn, and the run that is left is not moved or preempted.

--- a/core/event/fields.go
+++ b/core/event/fields.go
@@ -10,6 +10,12 @@
 // Request returns the field with the id of a request.
 func Request(id string) Field { return Field{"request", id} }
 
+// OtherWorker returns the field with the id of the worker of a task's other run.
+func OtherWorker(id string) Field { return Field{"other-worker", id} }
+
+// Gain returns the field with the time by which something is expected to end sooner.
+func Gain(d time.Duration) Field { return Field{"gain", d} }
+
 // Service returns the field with the name of a service.
 func Service(name string) Field { return Field{"service", name} }
 
--- a/core/event/job.go
+++ b/core/event/job.go
@@ -77,6 +77,14 @@
 	ScarcityEnded = Event{7046, "scarcity-ended", hclog.Info,
 		[]string{"kind", "elapsed", "epoch"},
 		"There is enough room for the tasks of a kind again, after the elapsed time.", "None."}
+	CopyStarted = Event{7047, "copy-started", hclog.Info,
+		[]string{"task", "attempt", "worker", "other-worker", "reason", "gain", "epoch"},
+		"The owner started a copy of a task on worker; its present run is on other-worker and is `slow`, on a `silent` worker or on one that is `failing` tasks; gain is by how much sooner the copy is expected to end. Event 7010 with decision start and reason copy comes before it.",
+		"None."}
+	CopyEnded = Event{7048, "copy-ended", hclog.Info,
+		[]string{"task", "attempt", "worker", "outcome", "epoch"},
+		"It is known what became of a copy: it `won`, it `lost` to the other run or to the end of the job, or it `failed`; attempt and worker are those of the run that counts, or 0 and empty if none does.",
+		"If most copies are lost or failed, see docs/OPERATIONS.md."}
 	TasksThrottled = Event{7033, "tasks-throttled", hclog.Info,
 		[]string{"worker", "count", "throttle"},
 		"Best-effort tasks were limited to a share of their processors, in percent.", "None."}
@@ -100,4 +108,5 @@
 var jobEvents = []Event{SubmissionAccepted, SubmissionRefused, CancellationAnswered, StateUnknown, RequestRelayed,
 	TaskDecided, WorkerDecided, TaskPreempted, WorkerColdChanged, OwnershipTaken, OwnershipLost, DependencyLost, DependencyRegained,
 	ConfigurationInForce, SettingsReloaded, MessageRefused, LogLinesDropped, OrderCarriedOut, WorkerSeen, OwnerFollowed,
-	TasksThrottled, CancellationsRead, ZoneEvacuated, ZoneReopened, ForecastIgnored, RoomAfterRefusal, ScarcityBegan, ScarcityEnded}
+	TasksThrottled, CancellationsRead, ZoneEvacuated, ZoneReopened, ForecastIgnored, RoomAfterRefusal, ScarcityBegan, ScarcityEnded,
+	CopyStarted, CopyEnded}
--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -45,6 +45,12 @@
 	// for a kind of tasks, with fair shares. Reason is the kind.
 	EventScarcityBegan EventKind = "scarcity-began"
 	EventScarcityEnded EventKind = "scarcity-ended"
+	// EventCopyStarted is the start of a copy, and EventCopyEnded its outcome: Run and
+	// Worker are those of the run that counts, or 0 and empty.
+	EventCopyStarted EventKind = "copy-started"
+	EventCopyEnded   EventKind = "copy-ended"
+	// EventExtraWork is the end of a run that does not count of a task with two runs.
+	EventExtraWork EventKind = "extra-work"
 )
 
 // Event is a scheduling decision or an observed change, for the log.
@@ -79,10 +85,15 @@
 	ColdLeft time.Duration
 	Slowdown float64
 	// Preemptor and Priority are the job for which a task was preempted and the priority
-	// of its queue. LostWork is the work in processor seconds that must be done again.
+	// of its queue. LostWork is the work in processor seconds that must be done again, or
+	// that does not count, for EventExtraWork.
 	Preemptor string
 	Priority  int
 	LostWork  float64
+	// OtherWorker is the worker of the present run and Gain by how much sooner the copy is
+	// expected to end, for EventCopyStarted.
+	OtherWorker string
+	Gain        time.Duration
 }
 
 // sinceAcceptance returns the time from the acceptance of a job to now. It is
@@ -117,6 +128,7 @@
 		c.jobs.Delete(j.ID)
 		return err
 	}
+	c.loadExhausted(row)
 	if row.started {
 		row.state = Running
 	}
@@ -232,6 +244,8 @@
 		if t.state == taskAssigned {
 			c.stopTask(t, string(s), now)
 		}
+		c.stopCopy(t, string(s), now)
+		c.endRace(t, nil, 0, copyLost)
 	}
 	e := Event{Kind: EventFinal, Task: j.ID, Reason: string(s), SinceAcceptance: sinceAcceptance(j, now)}
 	c.compareEnd(&e, j, now)
@@ -297,6 +311,7 @@
 	t.state, t.worker, t.run, t.spec = taskAssigned, w, run, s.spec
 	t.orderSequence = 0
 	t.running, t.stopping, t.waitingSince = false, false, time.Time{}
+	t.raced, t.counted = false, false
 	t.partial = t.checkpoint != ""
 	t.orderedAt, t.lastProgress, t.percent = now, now, -1
 	t.speed.reset()
@@ -340,6 +355,9 @@
 	delete(t.worker.tasks, t.name)
 	c.markChanged(t.worker)
 	t.worker = nil
+	if c.releaseRaced(t) {
+		return
+	}
 	if t.succeeded {
 		t.state, t.succeeded = taskDone, false
 		return
@@ -464,6 +482,7 @@
 // loseRun releases a task whose run ended without a listed end.
 func (c *Cell) loseRun(t *taskRow, w *workerRow, reason string, now time.Time) {
 	c.logEvent(EventLost, t, w, reason, now)
+	c.logExtraWork(t, now)
 	s, _ := c.jobs.Get(t.name.Job).task(t.name)
 	c.releaseTask(s, t)
 }
--- a/core/job/disruption.go
+++ b/core/job/disruption.go
@@ -11,6 +11,9 @@
 // worker. A cancellation, or a run that is no longer on its worker, needs no
 // permission.
 func (c *Cell) mayStop(t *taskRow, now time.Time) bool {
+	if c.isLastRun(t) {
+		return false
+	}
 	if !t.isReady() {
 		return true
 	}
--- a/core/job/evacuation.go
+++ b/core/job/evacuation.go
@@ -147,7 +147,7 @@
 	}
 	k, ok := c.moveCandidate(t)
 	switch {
-	case !ok:
+	case !ok, c.isLastRun(t):
 		return false
 	case !t.spec.LongRunning:
 		return t.checkpoint != "" && c.expectedRemaining(&k, t) > c.evacuations.bound
--- a/core/job/load_test.go
+++ b/core/job/load_test.go
@@ -47,6 +47,8 @@
 	// Shares is true for the workloads of TestGoldenShares. Each of their streams has
 	// its own random numbers, so that it is the same with and without another one.
 	Shares bool `json:"shares"`
+	// Copies is true if tasks may have two runs, which then make progress of their own.
+	Copies bool `json:"copies"`
 }
 
 // arrivalStream is a random stream of jobs of one kind during an interval.
@@ -77,6 +79,8 @@
 	// Racks is the number of racks, from the first on, that hold the data of the jobs:
 	// each job names one of them.
 	Racks int `json:"racks"`
+	// MayCopy is true if the tasks may have copies.
+	MayCopy bool `json:"may-copy"`
 }
 
 // lostRack is a rack whose workers are lost at From, and return as new ones at To.
@@ -86,13 +90,14 @@
 	To   float64 `json:"to-s"`
 }
 
-// workerFault makes a worker fail all its runs, or slows it down by Factor. From
-// and To are in seconds from the begin of the simulation.
+// workerFault makes a worker fail all its runs, slows it down by Factor, or freezes its VM
+// so that it answers nothing. From and To are in seconds from the begin of the simulation.
 type workerFault struct {
 	Worker int     `json:"worker"`
 	From   float64 `json:"from-s"`
 	To     float64 `json:"to-s"`
 	Fails  bool    `json:"fails"`
+	Silent bool    `json:"silent"`
 	Factor float64 `json:"factor"`
 }
 
--- a/core/job/migrate.go
+++ b/core/job/migrate.go
@@ -117,7 +117,7 @@
 // t should stay.
 func (c *Cell) migrationGain(w *workerRow, t *taskRow, now time.Time) time.Duration {
 	speed := &t.speed
-	if !t.spec.BestEffort || t.spec.LongRunning || speed.at.IsZero() || speed.migrations >= maxMigrations || now.Sub(t.orderedAt) < minRunTimeBeforeMove {
+	if t.hasOtherRun() || !t.spec.BestEffort || t.spec.LongRunning || speed.at.IsZero() || speed.migrations >= maxMigrations || now.Sub(t.orderedAt) < minRunTimeBeforeMove {
 		return 0
 	}
 	k, ok := c.moveCandidate(t)
--- a/core/job/place.go
+++ b/core/job/place.go
@@ -130,6 +130,7 @@
 	var held [taskKinds]bool
 	clear(c.claims)
 	clear(c.reserved)
+	c.failExhausted(now)
 	c.rackWaits, c.reservingSteps = 0, 0
 	all := c.candidates(now)
 	for k := range c.inOrder(all) {
@@ -143,6 +144,7 @@
 		c.holdRoom(k, &held, now)
 	}
 	c.preemptTasks(all, now)
+	c.copyTasks(all, now)
 }
 
 // placeStep starts the waiting tasks of a candidate, in order, until no worker has
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -204,6 +204,7 @@
 			continue
 		}
 		c.logEvent(EventLost, t, w, "worker-restarted", now)
+		c.logExtraWork(t, now)
 		_, s, _ := c.findTask(t.name.String())
 		c.releaseTask(s, t)
 	}
@@ -273,18 +274,23 @@
 	}
 	j.markStarted()
 	w.pendingEnds = append(w.pendingEnds, pendingEnd{e.Number, j.ID, now})
-	assigned := t.state == taskAssigned && t.worker == w && t.run == e.Run
-	c.logEvent(EventEnd, t, w, string(e.Outcome), now)
-	if e.Checkpoint != "" && !t.isDone() {
+	run := t.runOn(w, e.Run)
+	c.logEnd(t, run, w, e.Outcome, now)
+	if e.Checkpoint != "" && !t.isDone() && t.takesCheckpoint(run) {
 		t.checkpoint = e.Checkpoint
 		j.dirty = true
 	}
-	if assigned {
+	surplus := run != nil && run.raced && t.isDone()
+	if e.Outcome == EndDone && !t.isDone() {
+		c.countDone(t, run, w, e.Run, now)
+	}
+	if run != nil {
 		// The run time on a cold worker says nothing about later ones.
-		if c.policy.learns && !w.wasColdSince(t.orderedAt) {
-			c.runTimeRatios.observe(j, s, t, e.Outcome, c.rackFactor(s.spec, w), now)
+		if c.policy.learns && !w.wasColdSince(run.orderedAt) {
+			c.runTimeRatios.observe(j, s, run, e.Outcome, c.rackFactor(s.spec, w), now)
 		}
-		c.releaseTask(s, t)
+		c.logExtraWork(run, now)
+		c.releaseTask(s, run)
 	}
 	switch e.Outcome {
 	case EndDone:
@@ -292,6 +298,9 @@
 	case EndFailed:
 		c.failTask(j, s, t, w, e.Run, now)
 	}
+	if surplus && e.Outcome == EndFailed {
+		return // a run that was stopped because another one was done says nothing about w
+	}
 	c.updateHealth(w, t, e.Outcome, now)
 }
 
@@ -338,6 +347,7 @@
 			// Another run of the task may still be executing and must stop.
 			c.stopTask(t, "done-elsewhere", now)
 		}
+		c.stopCopy(t, "done-elsewhere", now)
 	}
 	if s.spec.Gang {
 		for i := range s.tasks {
@@ -390,7 +400,7 @@
 		m.failedRuns = append(m.failedRuns, run)
 	}
 	j.dirty, j.urgent = true, true
-	if q := c.queueOf(j); q != nil && q.MaxFailures > 0 && !s.spec.LongRunning && len(t.failedRuns) >= q.MaxFailures {
+	if q := c.queueOf(j); q != nil && !s.spec.LongRunning && q.isExhausted(t) && !c.waitsForOtherRun(j, s, t, now) {
 		c.endJob(j, Failed, now)
 	}
 }
@@ -403,12 +413,17 @@
 // there.
 func (c *Cell) receiveAbsent(w *workerRow, a AbsentRun, now time.Time) {
 	_, s, t := c.findTask(a.Task)
-	if t == nil || t.state != taskAssigned || t.worker != w || t.run != a.Run {
+	if t == nil {
+		return
+	}
+	run := t.runOn(w, a.Run)
+	if run == nil {
 		return
 	}
-	c.logEvent(EventAbsent, t, w, a.Reason, now)
-	c.releaseTask(s, t)
-	if !t.stopping {
+	c.logEvent(EventAbsent, run, w, a.Reason, now)
+	stopping := run.stopping
+	c.releaseTask(s, run)
+	if !stopping {
 		t.notBefore = now.Add(refusedDelay)
 		w.health.recordRefusal(now)
 	}
@@ -425,8 +440,12 @@
 		c.stopUnknownRun(w, r)
 		return
 	}
-	if t.state == taskAssigned && t.worker == w && t.run == r.Run {
-		c.observeRun(j, s, t, r, now)
+	if run := t.runOn(w, r.Run); run != nil {
+		c.observeRun(j, s, run, r, now)
+		return
+	}
+	if c.adoptsCopy(j, s, t, w, r.Run) {
+		c.adoptCopy(j, s, t, w, r, now)
 		return
 	}
 	if t.state == taskWaiting && !j.state.IsFinal() && !j.acceptedThisEpoch {
@@ -450,6 +469,10 @@
 func (c *Cell) observeRun(j *jobRow, s *stepRow, t *taskRow, r *Run, now time.Time) {
 	j.markStarted()
 	t.lastListed = now
+	if !t.running || t.worker.unreachable > 0 {
+		// The list of a worker that does not answer is an earlier one, and tells no speed.
+		t.speedSince, t.speedPercent = now, r.Percent
+	}
 	if !t.running {
 		t.running, t.firstPercent, t.firstListed = true, r.Percent, now
 		if t.stopping && now.Sub(t.stopOrderedAt) > lateStartAge {
@@ -463,7 +486,7 @@
 		t.percent, t.lastProgress = max(t.percent, r.Percent), now
 	}
 	if r.Checkpoint != "" && r.Checkpoint != t.checkpoint {
-		t.checkpoint, t.checkpointAt = r.Checkpoint, now
+		t.checkpoint, t.checkpointAt, t.checkpointPercent = r.Checkpoint, now, r.Percent
 	}
 	t.throttled = r.Throttled
 	t.worker.endProbationIfReady(t, now)
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -63,13 +63,29 @@
 	stopping      bool
 	stopOrderedAt time.Time
 	preempted     preemptedTask
-	// checkpointAt is when the checkpoint was first listed.
-	checkpointAt time.Time
+	// checkpointAt is when the checkpoint was first listed, with checkpointPercent.
+	checkpointAt      time.Time
+	checkpointPercent int
 	// succeeded is true if an earlier run of the assigned task ended as done. The
 	// task counts as done; the current run only has to end.
 	succeeded bool
 	// notBefore is the earliest next start after a refusal.
 	notBefore time.Time
+	// copy is the row of the second run, or nil. In that row, original is the row of the
+	// task.
+	copy, original *taskRow
+	// raced is true if the task had two runs during the current one. counted is true if
+	// the current run was the first to end as done.
+	raced, counted bool
+	// race is nil unless a copy was started and no run counts yet. copies is the number
+	// of copies.
+	race   *copyRace
+	copies int
+	// speedSince and speedPercent are when the measure of the run's own speed began.
+	speedSince   time.Time
+	speedPercent int
+	// runTime is what the run that counts took for the whole task, or 0.
+	runTime time.Duration
 }
 
 // stepRow is the state of one step of one occurrence.
@@ -369,6 +385,7 @@
 	claims, reserved          map[*workerRow]room
 	rackWaits, reservingSteps int
 	preemption                preemption
+	copies                    copies
 }
 
 // rosterRow is the state of an agent that may have received orders.
--- a/core/job/types.go
+++ b/core/job/types.go
@@ -15,7 +15,8 @@
 // task runs on processors that other tasks leave unused. The platform is the
 // system of VMs, store and operator on which the scheduler runs.
 //
-// Invariant: a task has at most one run that may be executing. The capacity
+// Invariant: a task has at most one run that may be executing, or two on different
+// workers if it has a copy (WithCopies). The capacity
 // reserved for a run is held from the start order until the worker lists the
 // end of the run or refuses the start, a later incarnation of the worker
 // appears, or the worker's lease has certainly expired. A Cell belongs to the
@@ -104,8 +105,8 @@
 	Rack string `json:"rack,omitempty"`
 	// MaxPerWorker limits the tasks of the step on one worker; 0 means no limit.
 	MaxPerWorker int `json:"max-per-worker,omitempty"`
-	// Speculative is true if a task may run on two workers at a time. The
-	// scheduler does not use it: a task has at most one run at a time.
+	// Speculative is true if a task may run on two workers at a time, which it does
+	// only in a cell with the option WithCopies.
 	Speculative bool `json:"may-copy,omitempty"`
 	// LongRunning is true for tasks that run until the job is cancelled.
 	LongRunning bool `json:"lasting,omitempty"`
--- a/core/job/worker_speed.go
+++ b/core/job/worker_speed.go
@@ -128,6 +128,8 @@
 		if c.hasRoomElsewhere(w, &k, t, false, now) {
 			return reasonStalled
 		}
+	case t.hasOtherRun():
+		// The other run goes on already where the task would be moved to.
 	case w.speed.isSlow() && !s.spec.BestEffort:
 		estimate := c.runTimeRatios.estimate(j, s)
 		remaining := float64(fullPercent-t.percent) / fullPercent * float64(estimate)
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -103,6 +103,11 @@
 	return func(s *Scheduler) { s.cellOptions = append(s.cellOptions, job.WithPreemption()) }
 }
 
+// WithCopies starts copies of tasks whose steps allow it and whose runs would end late.
+func WithCopies() Option {
+	return func(s *Scheduler) { s.cellOptions = append(s.cellOptions, job.WithCopies()) }
+}
+
 // New returns a scheduler with the given settings.
 func New(cfg platform.Settings, l hclog.Logger, options ...Option) *Scheduler {
 	storeOutage := &outage.Detector{}
