core/job: tests for rules of copies that mutations did not fail; keep the run time at a take-over

One of the new tests found a fault: when a copy took over the row of its task, the time of the run that counted was lost, so that the kind of the step looked faster than it was.

--- a/core/job/copies.go
+++ b/core/job/copies.go
@@ -145,7 +145,7 @@
 	t.original, t.copy = nil, nil
 	t.starts, t.copies, t.race = old.starts, old.copies, old.race
 	t.failedRuns, t.failedOn, t.preempted = old.failedRuns, old.failedOn, old.preempted
-	t.succeeded, t.notBefore = old.succeeded, old.notBefore
+	t.succeeded, t.notBefore, t.runTime = old.succeeded, old.notBefore, old.runTime
 	t.speed.migrations = max(old.speed.migrations, x.speed.migrations)
 	if old.checkpoint != "" && (x.checkpoint == "" || old.percent >= x.percent) {
 		t.checkpoint, t.checkpointAt, t.checkpointPercent = old.checkpoint, old.checkpointAt, old.checkpointPercent
--- a/core/job/copies_test.go
+++ b/core/job/copies_test.go
@@ -149,6 +149,48 @@
 	cc.is.Equal(cc.eventsOf(EventCopyStarted), nil)
 }
 
+// A copy must not start where the task has failed: it may fail there again.
+func TestNoCopyWhereTaskFailed(t *testing.T) {
+	cc := newCopyCluster(t, 2, stepWithCopies(1, 800), WithCopies())
+	_, _, task := cc.findTask(cc.name)
+	for _, w := range cc.workers.All {
+		if w != task.worker {
+			task.failedOn = []string{w.ID}
+		}
+	}
+	cc.silence()
+	cc.is.Equal(cc.startsOf(), 1)
+}
+
+// A step whose estimate is too short must not have all its tasks copied as slow.
+func TestKindTimeFollowsTasksThatAreDone(t *testing.T) {
+	cc := newCopyCluster(t, 4, stepWithCopies(2, 800), WithCopies(), WithoutLearning())
+	_, s, task := cc.findTask(cc.name)
+	cc.is.Equal(cc.kindTime(cc.jobs.Get(cc.job.ID), s), 2*time.Second)
+	cc.pass(5*time.Second, nil, cc.first)
+	cc.first.endRun(cc.name, EndDone)
+	cc.deliverReport(cc.first.report.Agent)
+	cc.is.True(task.isDone())
+	cc.is.True(cc.kindTime(cc.jobs.Get(cc.job.ID), s) >= 5*time.Second)
+}
+
+// The lists that an agent repeats while its worker does not answer show no progress, which
+// must not make the run look slow afterwards.
+func TestShortSilenceDoesNotMakeRunSlow(t *testing.T) {
+	cc := newCopyCluster(t, 4, stepWithCopies(1, 800), WithCopies())
+	cc.pass(300*time.Millisecond, nil)
+	for range 9 {
+		cc.first.report.Unreachable += 100 * time.Millisecond
+		cc.now = cc.now.Add(100 * time.Millisecond)
+		r := cc.first.report
+		cc.Receive(&r, cc.now)
+		cc.Tick(cc.now)
+	}
+	cc.first.report.Unreachable = 0
+	cc.pass(600*time.Millisecond, nil)
+	cc.is.Equal(cc.startsOf(), 1)
+}
+
 // A run of normal speed, a copy that would not end sooner, and a short silence must not
 // cause extra work.
 func TestNoCopyWithoutGain(t *testing.T) {
@@ -350,6 +392,27 @@
 	}
 }
 
+// If the end of an earlier run as done arrives late, both runs must be stopped.
+func TestLateSuccessStopsBothRuns(t *testing.T) {
+	cc := newCopyCluster(t, 4, stepWithCopies(1, 800), WithCopies())
+	cc.job = testJob(2, stepWithCopies(1, 800), step(1, 100, 0))
+	cc.job.Accepted, cc.name = cc.now, Task{Job: testJob(2).ID}.String()
+	cc.submit(cc.job)
+	cc.first = cc.runningOn()[0]
+	cc.silence()
+	second := cc.other()
+	for _, w := range cc.testWorkers {
+		if w != cc.first && w != second {
+			w.lastEnd++
+			w.report.Ended = append(w.report.Ended, End{Number: w.lastEnd, Task: cc.name, Run: 7, Outcome: EndDone})
+			break
+		}
+	}
+	cc.pass(500*time.Millisecond, nil)
+	cc.is.Equal(len(cc.runningOn()), 0)
+	cc.is.Equal(cc.startsOf(), 2)
+}
+
 // Whatever end the run has that does not count, it must be acknowledged, not fail the job,
 // not put its worker on probation and not start the task again.
 func TestLosersEndChangesNothing(t *testing.T) {
@@ -381,7 +444,19 @@
 			cc.is.Equal(row.health.failures, 0)
 			cc.is.Equal(cc.startsOf(), 2)
 			cc.is.Equal(cc.first.acknowledged, cc.first.lastEnd)
-			cc.is.Equal(cc.eventsOf(EventFinal), []string{string(Done)})
+			finals, extra := 0, 0
+			for _, e := range cc.Events() {
+				switch {
+				case e.Kind == EventFinal:
+					finals++
+					cc.is.Equal(e.Reason, string(Done))
+				case e.Kind == EventExtraWork:
+					extra++
+					cc.is.Equal(e.Run, int64(1))
+					cc.is.True(e.LostWork > 0.8) // 0.8 processors for over 1 s
+				}
+			}
+			cc.is.Equal([]int{finals, extra}, []int{1, 1})
 		})
 	}
 }
