--- a/core/job/evacuation.go
+++ b/core/job/evacuation.go
@@ -151,7 +151,7 @@
 	}
 	k, ok := c.moveCandidate(t)
 	switch {
-	case !ok:
+	case !ok, c.isLastRun(t):
 		return false
 	case !t.spec.LongRunning:
 		return t.checkpoint != "" && t.expectedRemaining(c.runTimeRatios.estimate(k.job, k.step)) > c.evacuations.bound
--- a/core/job/load_test.go
+++ b/core/job/load_test.go
@@ -52,6 +52,8 @@
 	// FromSubmission is true if the latency objectives count from the first submission
 	// of a job, also if it was refused: its caller needs the result by then.
 	FromSubmission bool `json:"from-submission"`
+	// Copies is true if tasks may have two runs, which then make progress of their own.
+	Copies bool `json:"copies"`
 }
 
 // arrivalStream is a random stream of jobs of one kind during an interval.
@@ -86,6 +88,8 @@
 	// Racks is the number of racks, from the first on, that hold the data of the jobs:
 	// each job names one of them.
 	Racks int `json:"racks"`
+	// MayCopy is true if the tasks may have copies.
+	MayCopy bool `json:"may-copy"`
 }
 
 // lostRack is a rack whose workers are lost at From, and return as new ones at To.
@@ -95,13 +99,14 @@
 	To   float64 `json:"to-s"`
 }
 
-// workerFault makes a worker fail all its runs, or slows it down by Factor. From
-// and To are in seconds from the begin of the simulation.
+// workerFault makes a worker fail all its runs, slows it down by Factor, or freezes its VM
+// so that it answers nothing. From and To are in seconds from the begin of the simulation.
 type workerFault struct {
 	Worker int     `json:"worker"`
 	From   float64 `json:"from-s"`
 	To     float64 `json:"to-s"`
 	Fails  bool    `json:"fails"`
+	Silent bool    `json:"silent"`
 	Factor float64 `json:"factor"`
 }
 
--- a/core/job/place.go
+++ b/core/job/place.go
@@ -141,6 +141,7 @@
 // have room for them.
 func (c *Cell) placeTasks(now time.Time) {
 	clear(c.claims)
+	c.failExhausted(now)
 	c.rackWaits, c.reservingSteps = 0, 0
 	all := c.candidates(now)
 	for k := range c.inOrder(all) {
@@ -153,6 +154,7 @@
 		}
 	}
 	c.preemptTasks(all, now)
+	c.copyTasks(all, now)
 }
 
 // placeStep starts the waiting tasks of a candidate, in order, until no worker has
