--- a/io/standin/fleet/soak_loads_test.go
+++ b/io/standin/fleet/soak_loads_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"net/http"
 	"time"
+
+	"rosemarygap/core/job"
 )
 
 // Each further load has its own random numbers and its own range of job numbers, so that
@@ -34,6 +36,20 @@
 // admissionSeeds is the interval of the seeds that run with admission and wide jobs.
 const admissionSeeds = 3
 
+// copySeeds is the interval of the seeds whose tasks may have copies.
+const copySeeds = 4
+
+// allowCopies lets the tasks of j have copies. Every second job has tasks that take long
+// enough for a copy to end sooner after a fault.
+func allowCopies(j *job.Job, n int) {
+	for i := range j.Steps {
+		j.Steps[i].Speculative = true
+	}
+	if n%2 == 0 {
+		j.Payload = "ms=2500"
+	}
+}
+
 // sendWideJobs sends jobs beyond the capacity of the workers until stop is closed, so that
 // some are refused by the forecast. Their callers do not try again.
 func (r *testRun) sendWideJobs(seed uint64, stop <-chan struct{}) {
--- a/io/standin/fleet/soak_test.go
+++ b/io/standin/fleet/soak_test.go
@@ -119,7 +119,9 @@
 // testRun is a test in progress with its deployment.
 type testRun struct {
 	*deployment
-	mix      faultMix
+	mix faultMix
+	// mayCopy is true if the tasks of the jobs of sendJobs may have copies.
+	mayCopy  bool
 	mu       sync.Mutex
 	rng      *rand.Rand
 	faultLog []string
@@ -144,8 +146,15 @@
 	if seed%2 == 0 {
 		options = append(options, withEnvironment("ROSEMARYGAP_FAILOVER=connection"))
 	}
+	copies := seed%copySeeds == 1
+	if copies {
+		options = append(options, withEnvironment("ROSEMARYGAP_COPIES=on"))
+	}
 	r := newTestRun(t, seed, 3, *agentCount, options...)
-	r.mix = m
+	r.mix, r.mayCopy = m, copies
+	if copies {
+		r.ledger.AllowCopies()
+	}
 	defer func() {
 		if t.Failed() {
 			r.keepLogs(seed)
@@ -212,6 +221,9 @@
 		}
 		wg.Add(1)
 		j := r.randomJob(seed, n)
+		if r.mayCopy {
+			allowCopies(&j, n)
+		}
 		toAll, cancel := r.randIntN(8) == 0, r.randIntN(10) == 0
 		if r.mix == silentWorkers {
 			cancel = cancel || r.randIntN(3) == 0
