--- a/core/job/message.go
+++ b/core/job/message.go
@@ -139,6 +139,9 @@
 	Left bool `json:"left,omitempty"`
 	// ReceivedAt is when the owner received the report.
 	ReceivedAt time.Time `json:"-"`
+	// Delta is what the agent says about delta reports. It is not in the body, since an
+	// owner of an earlier build refuses unknown fields.
+	Delta DeltaContext `json:"-"`
 }
 
 // maxNameBytes is the maximum length of the names in a report. The name of an agent is
@@ -220,6 +223,12 @@
 	Traits map[string]TaskTraits `json:"traits,omitempty"`
 	// Freshness is nil in a reply of an owner of an earlier build.
 	Freshness *Freshness `json:"freshness,omitempty"`
+	// Base is the number of the report if the owner holds it as the base of delta
+	// reports.
+	Base int64 `json:"base,omitempty"`
+	// Whole is true if the report was not applied and the agent must send a whole one at
+	// once. All other fields but Epoch are then empty.
+	Whole bool `json:"whole,omitempty"`
 }
 
 // Freshness tells how old the knowledge is on which the orders of a reply depend. The
--- a/core/job/reply.go
+++ b/core/job/reply.go
@@ -4,7 +4,7 @@
 
 // Reply returns the reply to a report of an agent.
 func (c *Cell) Reply(r *Report, now time.Time) Reply {
-	out := Reply{Epoch: c.epoch}
+	out := Reply{Epoch: c.epoch, Base: r.Delta.Number}
 	w := c.workers.Get(r.Agent)
 	if w == nil {
 		return out
--- a/core/job/report_bases.go
+++ b/core/job/report_bases.go
@@ -6,6 +6,15 @@
 	"rosemarygap/core/status"
 )
 
+// DeltaContext is what an agent that sends delta reports says besides the report.
+type DeltaContext struct {
+	// Enabled is true if the agent sends delta reports.
+	Enabled bool
+	// Number is that of the report, and 0 for a long poll. Base is the number of its
+	// base, and 0 if it arrived whole.
+	Number, Base int64
+}
+
 // ReportBases are the whole reports of one agent that the owner holds as bases of delta
 // reports: the newest one, and the one that the newest was a delta against. The agent
 // continues from the latter if the reply to the newest report is lost. Reports are
@@ -29,7 +38,15 @@
 	if base.report == nil {
 		return nil, status.At(status.ErrUnknownRef, "base", strconv.FormatInt(d.Base, 10))
 	}
-	return d.Apply(base.report)
+	if !d.LongPoll && d.Number <= d.Base || d.LongPoll && d.Number != 0 {
+		return nil, status.At(status.ErrOutOfRange, "number", strconv.FormatInt(d.Number, 10))
+	}
+	r, err := d.Apply(base.report)
+	if err != nil {
+		return nil, err
+	}
+	r.Delta = DeltaContext{Enabled: true, Number: d.Number, Base: d.Base}
+	return r, nil
 }
 
 func (b *ReportBases) find(process, number int64) numberedReport {
@@ -41,17 +58,20 @@
 	return numberedReport{}
 }
 
-// IsLate reports whether a report with this number has been overtaken by a later one of
-// the same process, or is repeated.
-func (b *ReportBases) IsLate(process, number int64) bool {
-	return process == b.process && number <= b.newest.number
+// Newest returns the newest report, or nil.
+func (b *ReportBases) Newest() *Report { return b.newest.report }
+
+// IsLate reports whether r has been overtaken by a later report of the same process, or
+// is repeated.
+func (b *ReportBases) IsLate(r *Report) bool {
+	return r.Delta.Number > 0 && r.Process == b.process && r.Delta.Number <= b.newest.number
 }
 
-// Keep makes r the newest report. The number base is that of the report that it was a
-// delta against, or 0 for a report that arrived whole. Keep returns false and changes
-// nothing if r is late or of a former process, or the base was dropped meanwhile.
-func (b *ReportBases) Keep(number, base int64, r *Report) bool {
-	if number <= 0 || r.Process < b.process || b.IsLate(r.Process, number) {
+// Keep makes r the newest report, with the numbers in r.Delta. It returns false and
+// changes nothing if r is late or of a former process, or its base was dropped meanwhile.
+func (b *ReportBases) Keep(r *Report) bool {
+	number, base := r.Delta.Number, r.Delta.Base
+	if number <= 0 || r.Process < b.process || b.IsLate(r) {
 		return false
 	}
 	found := b.find(r.Process, base)
@@ -92,5 +112,9 @@
 	n.epoch, n.confirmed = epoch, numberedReport{number, r}
 }
 
-// Reset makes the next report whole.
-func (n *ReportNumbering) Reset() { n.confirmed = numberedReport{} }
+// ResetFrom makes the next report whole if the report with this number is still the base.
+func (n *ReportNumbering) ResetFrom(base int64) {
+	if n.confirmed.number == base {
+		n.confirmed = numberedReport{}
+	}
+}
--- a/core/metric/catalogue.go
+++ b/core/metric/catalogue.go
@@ -25,6 +25,7 @@
 	{"rosemarygap_waiting_orders", nil, "orders that the agent has received and not yet begun to execute"},
 	{"rosemarygap_lease_renewal_failures_total", nil, "lease renewals that failed; a renewal also fetches the worker's lists of tasks"},
 	{"rosemarygap_throttle_orders_total", nil, "orders to best-effort tasks to change their share of the processors"},
+	{"rosemarygap_reports_total", []string{"form"}, "reports and long polls of agents at the owner: `whole`, `changes` (delta reports) and `refused` (malformed, late, or a delta whose base the owner does not hold; the agent then sends a whole report)"},
 	{"rosemarygap_takeovers_total", nil, "number of times that this entry became the owner and started to schedule"},
 	{"rosemarygap_first_start_seconds", nil, "time from a job's acceptance to the order to start its first task, as a histogram; reported by the owner"},
 	{"rosemarygap_job_seconds", []string{"state"}, "time from a job's acceptance to its end, as a histogram; reported by the owner"},
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -100,12 +100,17 @@
 	throttleSlots             chan struct{}
 	owner                     *ownerView
 	workerHealth, ownerHealth *process.Dependency
+	// deltas is disabled unless the agent sends delta reports.
+	deltas deltaReports
 }
 
+// Option changes how an agent works.
+type Option func(*Agent)
+
 // New returns an agent with the given settings.
-func New(cfg platform.Settings, l hclog.Logger) *Agent {
+func New(cfg platform.Settings, l hclog.Logger, options ...Option) *Agent {
 	startedAt := time.Now()
-	return &Agent{
+	a := &Agent{
 		cfg: cfg, log: l, startedAt: startedAt,
 		worker:        platform.NewWorker(platform.NewHTTPClient(), cfg.WorkerAddress),
 		store:         platform.NewStore(platform.NewHTTPClient(), cfg.StoreAddress, platform.WithObserver(process.CountStoreCall)),
@@ -124,14 +129,18 @@
 		workerHealth:  process.NewDependency("worker", l),
 		ownerHealth:   process.NewDependency("owner", l),
 	}
+	for _, o := range options {
+		o(a)
+	}
+	return a
 }
 
 // Run runs the agent until a stop signal, together with the given actors.
-func Run(cfg platform.Settings, l hclog.Logger, actors ...process.Actor) error {
+func Run(cfg platform.Settings, l hclog.Logger, actors []process.Actor, options ...Option) error {
 	if !cfg.WorkerAddress.IsValid() || !cfg.ControlListen.IsValid() {
 		return status.At(status.ErrBadSetting, "app, listen.control", cfg.WorkerAddress.String()+", "+cfg.ControlListen.String())
 	}
-	a := New(cfg, l)
+	a := New(cfg, l, options...)
 	controlListener, err := httpjson.Listen(cfg.ControlListen, a.Handler())
 	if err != nil {
 		return err
--- a/io/agent/owner.go
+++ b/io/agent/owner.go
@@ -232,9 +232,16 @@
 	if left := r.Worker.ColdLeft; left > 0 {
 		path += "&" + ColdLeftParameter + "=" + strconv.FormatInt(int64(left), 10)
 	}
-	if err := client.Call(ctx, http.MethodPost, o.Address, path, &r, &reply); err != nil {
+	m := a.deltas.encode(&r, o.Epoch)
+	err := client.Call(ctx, http.MethodPost, o.Address, path+m.query, m.body, &reply)
+	a.deltas.observe(&m, &reply, err)
+	if err != nil {
 		return err
 	}
+	if reply.Whole {
+		process.Wake(a.wakeReport)
+		return nil
+	}
 	if reply.Epoch > o.Epoch {
 		// The process at this address has a later ownership.
 		o.Epoch = reply.Epoch
--- a/io/commandline/scheduler.go
+++ b/io/commandline/scheduler.go
@@ -65,6 +65,9 @@
 
 	failoverLease      = "lease"
 	failoverConnection = "connection"
+
+	reportsWhole   = "whole"
+	reportsChanges = "changes"
 )
 
 // Check returns an error for the first invalid setting.
@@ -111,7 +114,28 @@
 // AgentCommand runs the node agent of a worker on the users' platform.
 type AgentCommand struct {
 	PlatformOptions
+	Reports string `arg:"--reports,env:ROSEMARYGAP_REPORTS" default:"whole" help:"form of the reports to the owner: whole, or changes (only what has changed since a report that the owner has confirmed)"`
+}
+
+// Check returns an error for the first invalid setting.
+func (c *AgentCommand) Check() error {
+	if c.Reports != reportsWhole && c.Reports != reportsChanges {
+		return badSetting("--reports", c.Reports)
+	}
+	return c.PlatformOptions.Check()
+}
+
+// options returns the options of the agent.
+func (c *AgentCommand) options() []agent.Option {
+	if c.Reports == reportsChanges {
+		return []agent.Option{agent.WithDeltaReports()}
+	}
+	return nil
 }
 
 // Run runs the agent until it gets a stop signal. It logs to the standard output.
-func (c *AgentCommand) Run(io.Writer) error { return c.runProcess("agent", agent.Run) }
+func (c *AgentCommand) Run(io.Writer) error {
+	return c.runProcess("agent", func(cfg platform.Settings, l hclog.Logger, actors ...process.Actor) error {
+		return agent.Run(cfg, l, actors, c.options()...)
+	})
+}
--- a/io/commandline/settings_test.go
+++ b/io/commandline/settings_test.go
@@ -54,6 +54,7 @@
 		{"scheduler --settings none --admission strict", "--admission", "strict"},
 		{"scheduler --settings x --failover soon", "--failover", "soon"},
 		{"scheduler --settings x --fair-shares queue", "--fair-shares", "queue"},
+		{"agent --settings x --reports some", "--reports", "some"},
 		{entry + "--log-level loud", "--log-level", "loud"},
 		{strings.Replace(entry, "127.0.0.1:3", "0.0.0.0:3", 1), "--operator-token", ""},
 	} {
--- a/io/scheduler/control.go
+++ b/io/scheduler/control.go
@@ -305,15 +305,22 @@
 		x.reply <- reportResult{err: status.ErrNotOwner}
 		return
 	}
+	if c.s.reportBases.isLate(x.report) {
+		countReport(reportRefused)
+		x.reply <- reportResult{reply: job.Reply{Epoch: c.cell.Epoch(), Whole: true}}
+		return
+	}
 	if c.cell.Receive(x.report, time.Now()) {
 		x.reply <- reportResult{err: status.ErrStaleEpoch}
 		c.s.questionOwnership()
 		return
 	}
+	countReport(reportForm(x.report))
 	if x.report.LongPoll {
 		c.longPolls[x.report.Agent] = x
 		return
 	}
+	c.s.reportBases.keep(x.report, time.Now())
 	c.pendingReports = append(c.pendingReports, x)
 }
 
@@ -457,6 +464,7 @@
 		r.reply <- reportResult{err: status.ErrNotOwner}
 	}
 	clear(c.longPolls)
+	c.s.reportBases.clear()
 	epochGauge.Set(0)
 	liveJobsGauge.Set(0)
 	c.gauges.clear()
--- a/io/scheduler/metrics.go
+++ b/io/scheduler/metrics.go
@@ -77,6 +77,26 @@
 	submissionSeconds.Update(elapsed.Seconds())
 }
 
+// Forms of reports in rosemarygap_reports_total.
+const (
+	reportWhole   = "whole"
+	reportChanges = "changes"
+	reportRefused = "refused"
+)
+
+// reportForm returns the form in which r arrived.
+func reportForm(r *job.Report) string {
+	if r.Delta.Base > 0 {
+		return reportChanges
+	}
+	return reportWhole
+}
+
+// countReport counts a report by its form.
+func countReport(form string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`rosemarygap_reports_total{form=%q}`, form)).Inc()
+}
+
 // countDecision counts a decision of the owner, and records the time to the
 // first start and to the end of a job.
 func countDecision(e job.Event) {
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -90,6 +90,7 @@
 	// options of the cells of this entry's ownerships.
 	fairShares  bool
 	cellOptions []job.Option
+	reportBases reportBases
 }
 
 // Option changes how a scheduler works.
@@ -243,12 +244,9 @@
 // longPollWait has passed.
 func (s *Scheduler) handleReport(x echo.Context) error {
 	receivedAt := time.Now()
-	var r job.Report
-	if err := httpjson.Decode(x, &r); err != nil {
-		return err
-	}
-	if err := r.Validate(); err != nil {
-		return err
+	r, err := s.decodeReport(x)
+	if err != nil {
+		return s.refuseReport(x, r, err)
 	}
 	r.ReceivedAt = receivedAt
 	r.SharedPayloads = x.QueryParam(agent.SharedPayloadsParameter) != ""
@@ -261,7 +259,7 @@
 	}
 	t := time.NewTimer(timeout)
 	defer t.Stop()
-	req := agentReport{&r, make(chan reportResult, 1)}
+	req := agentReport{r, make(chan reportResult, 1)}
 	select {
 	case s.reports <- req:
 	case <-t.C:
