core/job, io/agent: replies to delta reports leave out known traits and interference

Each reply carried the traits of all listed tasks and the table of interference. The reply to a delta has the traits of the tasks that the agent names as unknown, and the table only if its version differs from the one that the agent names. A whole report gets all traits.

--- a/core/job/history_test.go
+++ b/core/job/history_test.go
@@ -60,6 +60,8 @@
 	// unreachableWorkers has the numbers of the workers that it cannot reach.
 	storeUnreachable   bool
 	unreachableWorkers map[int]bool
+	// bases are the reports that the owner's process holds, by agent.
+	bases map[string]*ReportBases
 }
 
 // simWorker is a simulated worker with its agent.
@@ -85,6 +87,8 @@
 	absent     []AbsentRun
 	lastEnd    int64
 	dead       bool
+	// numbering is that of the agent's process. Workers with odd numbers send deltas.
+	numbering ReportNumbering
 }
 
 const (
@@ -105,7 +109,7 @@
 	if h.preempts {
 		options = append(options, WithPreemption())
 	}
-	o := &owner{Cell: New(h.epoch, h.now, options...), journal: h.store.journal, unreachableWorkers: map[int]bool{}}
+	o := &owner{Cell: New(h.epoch, h.now, options...), journal: h.store.journal, unreachableWorkers: map[int]bool{}, bases: map[string]*ReportBases{}}
 	o.SetConfiguration(h.cfg)
 	for _, a := range slices.Sorted(maps.Keys(h.store.agents)) {
 		o.LoadAgent(a)
@@ -217,12 +221,19 @@
 	for _, task := range slices.Sorted(maps.Keys(s.running)) {
 		r.Running = append(r.Running, Run{Task: task, Run: s.running[task], Percent: int(h.now.UnixMilli()/100) % 100})
 	}
-	o.Receive(&r, h.now)
+	received := h.transmit(s, o, &r)
+	if received == nil {
+		return
+	}
+	o.Receive(received, h.now)
 	o.Tick(h.now)
-	reply := o.Reply(&r, h.now)
+	reply := o.Reply(received, h.now)
 	if lost {
 		return
 	}
+	if reply.Base > 0 {
+		s.numbering.Confirm(&r, reply.Base, o.Epoch())
+	}
 	s.absent = nil
 	if reply.Incarnation != s.incarnation {
 		return
@@ -249,6 +260,38 @@
 	s.lease = max(s.lease, min(s.granted, s.clock+historyLease))
 }
 
+// transmit returns the report that the owner gets for r, or nil if it asks for a whole one
+// because it does not hold the base.
+func (h *history) transmit(s *simWorker, o *owner, r *Report) *Report {
+	if s.number%2 == 0 {
+		return r
+	}
+	number := s.numbering.Next()
+	bases := o.bases[r.Agent]
+	// The owner loses its bases now and then. This is not drawn, since another draw would
+	// change what the saved histories in testdata mean.
+	if bases == nil || number%31 == 0 {
+		bases = &ReportBases{}
+		o.bases[r.Agent] = bases
+	}
+	copied := *r
+	received := &copied
+	received.Delta = DeltaContext{Enabled: true, Number: number}
+	if d, ok := s.numbering.Encode(r, number, o.Epoch()); ok {
+		var err error
+		if received, err = bases.Expand(overWire(h.t, d)); err != nil {
+			s.numbering.ResetFrom(d.Base)
+			return nil
+		}
+		// The duration is in a query parameter of the request.
+		received.Worker.ColdLeft = r.Worker.ColdLeft
+	}
+	if !bases.Keep(received) {
+		h.t.Fatalf("report %d of %s was not kept", received.Delta.Number, r.Agent)
+	}
+	return received
+}
+
 // applyOrder carries out an order, and checks each start.
 func (h *history) applyOrder(s *simWorker, o Order) {
 	if o.Incarnation != s.incarnation {
@@ -422,6 +465,7 @@
 		o.storeUnreachable = !o.storeUnreachable
 	case 6: // the agent restarts
 		s.process++
+		s.numbering = ReportNumbering{}
 		s.epoch, s.applied, s.absent = 0, 0, nil
 	case 8: // the worker restarts
 		h.restart(s)
--- a/core/job/message.go
+++ b/core/job/message.go
@@ -218,8 +218,13 @@
 	// image adds to a serving image of the worker, by serving and best-effort
 	// image.
 	Interference map[string]map[string]float64 `json:"pressures,omitempty"`
+	// InterferenceVersion identifies the table of interference that the agent should
+	// hold. Interference is absent if that is the version that the report named. It is 0
+	// if there is no table or the agent does not send delta reports.
+	InterferenceVersion uint64 `json:"interference-version,omitempty"`
 	// Traits are the traits of the listed tasks by name; a former process of
-	// the agent may have started them.
+	// the agent may have started them. After a delta report, they are those of the tasks
+	// that it names.
 	Traits map[string]TaskTraits `json:"traits,omitempty"`
 	// Freshness is nil in a reply of an owner of an earlier build.
 	Freshness *Freshness `json:"freshness,omitempty"`
--- a/core/job/reply.go
+++ b/core/job/reply.go
@@ -1,6 +1,14 @@
 package job
 
-import "time"
+import (
+	"encoding/binary"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Reply returns the reply to a report of an agent.
 func (c *Cell) Reply(r *Report, now time.Time) Reply {
@@ -29,13 +37,55 @@
 		out.addOrders(w.pending, r.SharedPayloads)
 		out.Freshness.Partial = false
 	}
-	out.Interference = c.interferenceOn(w)
+	c.addInterference(&out, r, w)
+	if r.Delta.Base > 0 {
+		for _, name := range r.Delta.UnknownTraits {
+			c.addTraits(&out, name)
+		}
+		return out
+	}
 	for i := range r.Running {
 		c.addTraits(&out, r.Running[i].Task)
 	}
 	return out
 }
 
+// addInterference adds the table of interference on w unless the agent holds it.
+func (c *Cell) addInterference(out *Reply, r *Report, w *workerRow) {
+	out.Interference = c.interferenceOn(w)
+	if !r.Delta.Enabled {
+		return
+	}
+	out.InterferenceVersion = interferenceVersion(out.Interference)
+	if out.InterferenceVersion == r.Delta.KnownInterference {
+		out.Interference = nil
+	}
+}
+
+// interferenceVersion returns a hash of a table of interference, or 0 if it is empty.
+func interferenceVersion(table map[string]map[string]float64) uint64 {
+	if len(table) == 0 {
+		return 0
+	}
+	var b []byte
+	for _, serving := range slices.Sorted(maps.Keys(table)) {
+		row := table[serving]
+		b = appendName(b, serving)
+		b = binary.LittleEndian.AppendUint64(b, uint64(len(row)))
+		for _, image := range slices.Sorted(maps.Keys(row)) {
+			b = appendName(b, image)
+			b = binary.LittleEndian.AppendUint64(b, math.Float64bits(row[image]))
+		}
+	}
+	return max(1, xxhash.Sum64(b))
+}
+
+// appendName appends name with its length, so that the boundaries of names are part of
+// the hash.
+func appendName(b []byte, name string) []byte {
+	return append(binary.LittleEndian.AppendUint64(b, uint64(len(name))), name...)
+}
+
 // traits returns the traits of the step's tasks.
 func (s *Step) traits() TaskTraits { return TaskTraits{s.BestEffort, s.TailTarget, s.Image} }
 
--- a/core/job/report_bases.go
+++ b/core/job/report_bases.go
@@ -13,6 +13,11 @@
 	// Number is that of the report, and 0 for a long poll. Base is the number of its
 	// base, and 0 if it arrived whole.
 	Number, Base int64
+	// UnknownTraits are the running tasks whose traits the reply to a delta must have.
+	UnknownTraits []string
+	// KnownInterference is the Reply.InterferenceVersion of the table that the agent
+	// holds, or 0.
+	KnownInterference uint64
 }
 
 // ReportBases are the whole reports of one agent that the owner holds as bases of delta
@@ -45,7 +50,8 @@
 	if err != nil {
 		return nil, err
 	}
-	r.Delta = DeltaContext{Enabled: true, Number: d.Number, Base: d.Base}
+	r.Delta = DeltaContext{Enabled: true, Number: d.Number, Base: d.Base, UnknownTraits: d.UnknownTraits,
+		KnownInterference: d.KnownInterference}
 	return r, nil
 }
 
@@ -104,7 +110,8 @@
 	}
 	d, ok = CompareReports(n.confirmed.report, r)
 	d.Number, d.Base = number, n.confirmed.number
-	return d, ok
+	d.UnknownTraits, d.KnownInterference = r.Delta.UnknownTraits, r.Delta.KnownInterference
+	return d, ok && len(d.UnknownTraits) <= maxChangesLength
 }
 
 // Confirm records that the owner of epoch holds r, which must not change any more.
--- a/io/agent/report_changes_test.go
+++ b/io/agent/report_changes_test.go
@@ -127,3 +127,43 @@
 	is.True(f.gotDelta())
 	is.True(!strings.Contains(f.body, `"number"`))
 }
+
+// An agent that loses the traits or the table of interference that a reply leaves out
+// would no longer throttle tasks beside serving tasks.
+func TestAgentKeepsWhatRepliesLeaveOut(t *testing.T) {
+	is := is.New(t)
+	a, f := newDeltaAgent(t, WithDeltaReports())
+	a.state.runList.Running = []job.Run{{Task: "b", Run: 1}, {Task: "a", Run: 1}}
+	table := map[string]map[string]float64{"feed": {"build": 0.5}}
+	f.reply = *testReply()
+	f.reply.Base, f.reply.InterferenceVersion, f.reply.Interference = 1, 77, table
+	is.NoErr(a.report(t.Context(), false))
+	is.Equal(a.state.throttle.interference, table)
+
+	a.state.runList.Running = append(a.state.runList.Running, job.Run{Task: "c", Run: 1})
+	f.reply.Base, f.reply.Interference = 2, nil
+	is.NoErr(a.report(t.Context(), false))
+	is.Equal(a.state.throttle.interference, table)
+	is.True(strings.Contains(f.body, `"unknown-traits":["c"],"known-interference":77`))
+	f.reply.InterferenceVersion = 76 // of a table in a reply that another overtook
+	is.NoErr(a.report(t.Context(), false))
+	is.Equal(a.state.throttle.interference, table)
+	is.True(!strings.Contains(f.body, "unknown-traits"))
+	f.reply.InterferenceVersion = 0
+	is.NoErr(a.report(t.Context(), false))
+	is.Equal(len(a.state.throttle.interference), 0)
+	is.NoErr(a.report(t.Context(), false))
+	is.True(!strings.Contains(f.body, "known-interference"))
+}
+
+// A reply without a lease has no traits, so the agent must ask for them again.
+func TestTraitsAreAskedForUntilTheyCanArrive(t *testing.T) {
+	is := is.New(t)
+	a, f := newDeltaAgent(t, WithDeltaReports())
+	a.state.runList.Running = []job.Run{{Task: "a", Run: 1}}
+	f.reply = job.Reply{Epoch: 1, Worker: "i-1", Incarnation: 100, Base: 1}
+	for range 3 {
+		is.NoErr(a.report(t.Context(), false))
+	}
+	is.True(strings.Contains(f.body, `"unknown-traits":["a"]`))
+}
--- a/io/scheduler/report_changes.go
+++ b/io/scheduler/report_changes.go
@@ -115,6 +115,9 @@
 		if n, err := strconv.ParseInt(x.QueryParam(agent.ReportNumberParameter), 10, 64); err == nil && n > 0 && !r.LongPoll {
 			r.Delta.Number = n
 		}
+		if v, err := strconv.ParseUint(x.QueryParam(agent.KnownInterferenceParameter), 10, 64); err == nil {
+			r.Delta.KnownInterference = v
+		}
 	}
 	return r, r.Validate()
 }
