--- a/Makefile
+++ b/Makefile
@@ -54,6 +54,7 @@
 	go test ./core/worker -run '^$$' -fuzz FuzzJob -fuzztime 20s
 	go test ./core/operator -run '^$$' -fuzz FuzzDocument -fuzztime 20s
 	go test ./core/peer -run '^$$' -fuzz FuzzMessages -fuzztime 20s
+	go test ./core/job -run '^$$' -fuzz FuzzReportChanges -fuzztime 20s
 	go test ./io/caller -run '^$$' -fuzz FuzzHeaders -fuzztime 20s
 	go test ./platform -run '^$$' -fuzz FuzzDecoders -fuzztime 20s
 
--- a/io/scheduler/report_changes_test.go
+++ b/io/scheduler/report_changes_test.go
@@ -135,6 +135,10 @@
 	b.keep(r, now.Add(reportBasesTTL))
 	b.keep(r, now.Add(reportBasesTTL+2*reportBasesSweepInterval))
 	is.Equal(len(b.rows), 1)
-	b.clear()
-	is.Equal(len(b.rows), 0)
+	c := newTestControl(t)
+	r.Delta.Number = 1
+	c.s.reportBases.keep(r, now)
+	is.Equal(len(c.s.reportBases.rows), 1)
+	c.endSession(ownershipLost{c.session, errSuperseded})
+	is.Equal(len(c.s.reportBases.rows), 0)
 }
--- a/io/standin/fleet/harness_test.go
+++ b/io/standin/fleet/harness_test.go
@@ -88,6 +88,8 @@
 	evacuationDelay time.Duration
 	// environment is added to the environment of the processes.
 	environment []string
+	// deltaReports is true if some of the agents send delta reports.
+	deltaReports bool
 }
 
 // deploymentOption changes a deployment before its processes start.
@@ -103,6 +105,15 @@
 	return func(d *deployment) { d.environment = append(d.environment, variables...) }
 }
 
+// withDeltaReports lets the agents with odd numbers send delta reports. If the processes
+// with odd numbers run an earlier build, it is the agents with even numbers.
+func withDeltaReports() deploymentOption {
+	return func(d *deployment) { d.deltaReports = true }
+}
+
+// hasOddNumber reports whether the number of p is odd.
+func (p *process) hasOddNumber() bool { return strings.ContainsAny(p.name[len(p.name)-1:], "13579") }
+
 // zoneName returns the name of zone n.
 func zoneName(n int) string { return fmt.Sprintf("zone-%d", n) }
 
@@ -206,11 +217,14 @@
 		return
 	}
 	bin := d.bin
-	if *earlierBuild != "" && strings.ContainsAny(p.name[len(p.name)-1:], "13579") {
+	if *earlierBuild != "" && p.hasOddNumber() {
 		bin = *earlierBuild
 	}
 	cmd := exec.Command(bin, p.role)
 	cmd.Env = append(append(os.Environ(), platform.SettingsPathEnv+"="+p.settings), d.environment...)
+	if d.deltaReports && p.hasOddNumber() == (*earlierBuild == "") {
+		cmd.Env = append(cmd.Env, "ROSEMARYGAP_REPORTS=changes")
+	}
 	cmd.Stdout, cmd.Stderr = f, f
 	if err := cmd.Start(); err != nil {
 		d.t.Error(err)
--- a/io/standin/fleet/soak_test.go
+++ b/io/standin/fleet/soak_test.go
@@ -131,6 +131,7 @@
 	if seed%2 == 0 {
 		options = append(options, withEnvironment("ROSEMARYGAP_FAILOVER=connection"))
 	}
+	options = append(options, withDeltaReports())
 	r := newTestRun(t, int(seed), 3, *agentCount, options...)
 	r.mix = m
 	defer func() {
@@ -160,6 +161,7 @@
 	r.wg.Wait()
 	r.healAndWait()
 	r.checkResults()
+	r.checkReportForms()
 }
 
 func (r *testRun) randIntN(n int) int {
