--- a/core/job/message.go
+++ b/core/job/message.go
@@ -139,6 +139,9 @@
 	Left bool `json:"left,omitempty"`
 	// ReceivedAt is when the owner received the report.
 	ReceivedAt time.Time `json:"-"`
+	// Delta is what the agent says about delta reports. It is not in the body, since an
+	// owner of an earlier build refuses unknown fields.
+	Delta DeltaContext `json:"-"`
 }
 
 // maxNameBytes is the maximum length of the names in a report. The name of an agent is
@@ -215,11 +218,22 @@
 	// image adds to a serving image of the worker, by serving and best-effort
 	// image.
 	Interference map[string]map[string]float64 `json:"pressures,omitempty"`
+	// InterferenceVersion identifies the table of interference that the agent should
+	// hold. Interference is absent if that is the version that the report named. It is 0
+	// if there is no table or the agent does not send delta reports.
+	InterferenceVersion uint64 `json:"interference-version,omitempty"`
 	// Traits are the traits of the listed tasks by name; a former process of
-	// the agent may have started them.
+	// the agent may have started them. After a delta report, they are those of the tasks
+	// that it names.
 	Traits map[string]TaskTraits `json:"traits,omitempty"`
 	// Freshness is nil in a reply of an owner of an earlier build.
 	Freshness *Freshness `json:"freshness,omitempty"`
+	// Base is the number of the report if the owner holds it as the base of delta
+	// reports.
+	Base int64 `json:"base,omitempty"`
+	// Whole is true if the report was not applied and the agent must send a whole one at
+	// once. All other fields but Epoch are then empty.
+	Whole bool `json:"whole,omitempty"`
 }
 
 // Freshness tells how old the knowledge is on which the orders of a reply depend. The
--- a/io/standin/fleet/harness_test.go
+++ b/io/standin/fleet/harness_test.go
@@ -102,6 +102,8 @@
 	environment []string
 	// ended waits for the servers, links and workers.
 	ended sync.WaitGroup
+	// deltaReports is true if some of the agents send delta reports.
+	deltaReports bool
 }
 
 // deploymentOption changes a deployment before its processes start.
@@ -122,6 +124,15 @@
 	return withEnvironment("ROSEMARYGAP_ADMISSION=forecast")
 }
 
+// withDeltaReports lets the agents with odd numbers send delta reports. If the processes
+// with odd numbers run an earlier build, it is the agents with even numbers.
+func withDeltaReports() deploymentOption {
+	return func(d *deployment) { d.deltaReports = true }
+}
+
+// hasOddNumber reports whether the number of p is odd.
+func (p *process) hasOddNumber() bool { return strings.ContainsAny(p.name[len(p.name)-1:], "13579") }
+
 // zoneName returns the name of zone n.
 func zoneName(n int) string { return fmt.Sprintf("zone-%d", n) }
 
@@ -235,11 +246,14 @@
 		return
 	}
 	bin := d.bin
-	if *earlierBuild != "" && strings.ContainsAny(p.name[len(p.name)-1:], "13579") {
+	if *earlierBuild != "" && p.hasOddNumber() {
 		bin = *earlierBuild
 	}
 	cmd := exec.Command(bin, p.role)
 	cmd.Env = append(append(os.Environ(), d.environment...), platform.SettingsPathEnv+"="+p.settings)
+	if d.deltaReports && p.hasOddNumber() == (*earlierBuild == "") {
+		cmd.Env = append(cmd.Env, "ROSEMARYGAP_REPORTS=changes")
+	}
 	cmd.Stdout, cmd.Stderr = f, f
 	if err := cmd.Start(); err != nil {
 		d.t.Error(err)
--- a/io/standin/fleet/soak_test.go
+++ b/io/standin/fleet/soak_test.go
@@ -150,6 +150,7 @@
 	if copies {
 		options = append(options, withEnvironment("ROSEMARYGAP_COPIES=on"))
 	}
+	options = append(options, withDeltaReports())
 	r := newTestRun(t, seed, 3, *agentCount, options...)
 	r.mix, r.mayCopy = m, copies
 	if copies {
@@ -188,6 +189,7 @@
 	r.wg.Wait()
 	r.healAndWait()
 	r.checkResults()
+	r.checkReportForms()
 }
 
 func (r *testRun) randIntN(n int) int {
