core/job: limit the moves of a task off slow workers

The task was stopped on a worker as slow, placed there again at once, since others looked slow by then, and stopped again, 28 times.

Change: a task moves off slow workers at most five times; stalls move it as before.

--- a/core/job/faults_test.go
+++ b/core/job/faults_test.go
@@ -228,3 +228,21 @@
 		tc.is.Equal(runID{o.Task, o.Run}, runID{run.Task, run.Run})
 	}
 }
+
+// With estimates that are too short by several times, each worker looks slow in turn. A task
+// must not move between them for ever: it would never end.
+func TestTaskIsMovedOffSlowWorkersAFewTimes(t *testing.T) {
+	tc := newTestCluster(t, 2)
+	tc.submit(testJob(1, step(1, 1000)))
+	for range 60 { // shorter than stallLimit
+		for agent, w := range tc.testWorkers {
+			row := tc.workers.Get(agent)
+			row.speed = workerSpeed{average: 1, samples: minSpeedSamples}
+			if len(w.report.Running) > 0 {
+				row.speed.average = slowSpeed / 4
+			}
+		}
+		tc.deliverReports()
+	}
+	tc.is.Equal(tc.countStarts(), 1+maxSlowMoves)
+}
--- a/core/job/migrate.go
+++ b/core/job/migrate.go
@@ -46,10 +46,14 @@
 	// migrations counts the migrations because of a throttle.
 	migrations int
 	migrating  bool
+	// slowMoves counts the moves because of slow workers.
+	slowMoves int
 }
 
 // reset discards the samples of an earlier run.
-func (s *taskSpeed) reset() { *s = taskSpeed{best: s.best, migrations: s.migrations} }
+func (s *taskSpeed) reset() {
+	*s = taskSpeed{best: s.best, migrations: s.migrations, slowMoves: s.slowMoves}
+}
 
 // observe adds a sample of how much of the task is done.
 func (s *taskSpeed) observe(percent int, throttled bool, now time.Time) {
--- a/core/job/worker_speed.go
+++ b/core/job/worker_speed.go
@@ -72,6 +72,11 @@
 	// restoreTime is how long a start on another worker takes before the task
 	// makes progress again.
 	restoreTime = 300 * time.Millisecond
+	// maxSlowMoves limits how often a task is moved off slow workers. The speed of a worker
+	// is measured against estimates: if these are too short by several times, each worker
+	// looks slow in turn, and without a limit a task moved 28 times between two of them. In
+	// the load slow-workers, where workers are really slow, tasks gain by up to five moves.
+	maxSlowMoves = 5
 )
 
 // moveStuckTasks moves stalled and slow tasks to other workers. It serves
@@ -83,8 +88,11 @@
 		}
 		for _, t := range w.sortedTasks() {
 			if reason := c.moveReason(w, t, now); reason != "" && c.mayStop(t, now) {
-				if reason == reasonStalled {
+				switch reason {
+				case reasonStalled:
 					w.health.recordStall(now)
+				case reasonSlow:
+					t.speed.slowMoves++
 				}
 				c.stopTask(t, reason, now)
 			}
@@ -130,7 +138,7 @@
 		}
 	case t.hasOtherRun():
 		// The other run goes on already where the task would be moved to.
-	case w.speed.isSlow() && !s.spec.BestEffort:
+	case w.speed.isSlow() && !s.spec.BestEffort && t.speed.slowMoves < maxSlowMoves:
 		estimate := c.runTimeRatios.estimate(j, s)
 		remaining := float64(fullPercent-t.percent) / fullPercent * float64(estimate)
 		elsewhere := float64(estimate)
