--- a/core/job/copies_test.go
+++ b/core/job/copies_test.go
@@ -218,7 +218,7 @@
 		"off":          {nil, func(*Step) {}},
 		"not allowed":  {on, func(s *Step) { s.Speculative = false }},
 		"gang":         {on, func(s *Step) { s.Gang = true }},
-		"long-running": {on, func(s *Step) { s.LongRunning = true }},
+		"serving": {on, func(s *Step) { s.LongRunning = true }},
 	} {
 		s := stepWithCopies(1, 800)
 		x.change(&s)
