--- a/core/job/copies_test.go
+++ b/core/job/copies_test.go
@@ -215,10 +215,10 @@
 		options []Option
 		change  func(*Step)
 	}{
-		"off":          {nil, func(*Step) {}},
-		"not allowed":  {on, func(s *Step) { s.Speculative = false }},
-		"gang":         {on, func(s *Step) { s.Gang = true }},
-		"serving": {on, func(s *Step) { s.LongRunning = true }},
+		"off":         {nil, func(*Step) {}},
+		"not allowed": {on, func(s *Step) { s.Speculative = false }},
+		"gang":        {on, func(s *Step) { s.Gang = true }},
+		"serving":     {on, func(s *Step) { s.LongRunning = true }},
 	} {
 		s := stepWithCopies(1, 800)
 		x.change(&s)
