core/job: remember the starts of copies for a worker's next incarnation

After a restart of agent and worker, the late start of a copy could run beside another copy of its task. A copy that took over its task's row also forgot how often the task had been moved off slow workers.

Change: enqueueStart, through which every start goes, makes the record; adopted copies are recorded like adopted runs.

--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -256,8 +256,7 @@
 func (c *Cell) startTask(j *jobRow, s *stepRow, t *taskRow, w *workerRow, now time.Time) {
 	t.starts++
 	c.recordRun(s, t, w, c.runNumber(t.starts), now)
-	w.recordSentStart(t, now)
-	w.enqueueStart(j, s, t)
+	w.enqueueStart(j, s, t, now)
 	w.consumeHold(s)
 	c.logEvent(EventStart, t, w, c.startReason(s.spec, w, now), now)
 	if !j.ordered {
--- a/core/job/copies.go
+++ b/core/job/copies.go
@@ -90,7 +90,7 @@
 	t.starts++
 	x := t.newCopy()
 	c.recordRun(k.step, x, w, c.runNumber(t.starts), now)
-	w.enqueueStart(k.job, k.step, x)
+	w.enqueueStart(k.job, k.step, x, now)
 	t.raced, x.raced, t.race = true, true, &copyRace{x.run, reason}
 	c.logEvent(EventStart, x, w, reasonCopy, now)
 	c.events = append(c.events, Event{Kind: EventCopyStarted, Task: t.name.String(), Run: x.run, Worker: w.ID,
@@ -109,6 +109,7 @@
 func (c *Cell) adoptCopy(j *jobRow, s *stepRow, t *taskRow, w *workerRow, r *Run, now time.Time) {
 	x := t.newCopy()
 	c.recordRun(s, x, w, r.Run, now)
+	w.recordSentStart(x, now)
 	c.shares.adopt(j, s.spec)
 	x.partial = true
 	t.raced, x.raced, t.race = true, true, &copyRace{copyRun: max(t.run, x.run)}
@@ -147,6 +148,7 @@
 	t.failedRuns, t.failedOn, t.preempted = old.failedRuns, old.failedOn, old.preempted
 	t.succeeded, t.notBefore, t.runTime = old.succeeded, old.notBefore, old.runTime
 	t.speed.migrations = max(old.speed.migrations, x.speed.migrations)
+	t.speed.slowMoves = max(old.speed.slowMoves, x.speed.slowMoves)
 	if old.checkpoint != "" && (x.checkpoint == "" || old.percent >= x.percent) {
 		t.checkpoint, t.checkpointAt, t.checkpointPercent = old.checkpoint, old.checkpointAt, old.checkpointPercent
 	}
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -255,14 +255,14 @@
 	for _, t := range w.sortedTasks() {
 		if name := t.name.String(); !t.stopping && !listed[name] {
 			j, s, _ := c.findTask(name)
-			w.recordSentStart(t, now)
-			w.enqueueStart(j, s, t)
+			w.enqueueStart(j, s, t, now)
 		}
 	}
 }
 
 // enqueueStart orders the start of the current run of t.
-func (w *workerRow) enqueueStart(j *jobRow, s *stepRow, t *taskRow) {
+func (w *workerRow) enqueueStart(j *jobRow, s *stepRow, t *taskRow, now time.Time) {
+	w.recordSentStart(t, now)
 	w.enqueueOrder(Order{Kind: OrderStart, Task: t.name.String(), Run: t.run, Payload: j.Payload,
 		Checkpoint: t.checkpoint, Ticket: t.ticket, Traits: s.spec.traits()})
 	t.orderSequence = w.sequence
