core/job, io/scheduler: use the row's own step, and one function for the wait before a claim

No behaviour changes: an evacuated task's step is that of its row, not looked up by name, and claimDelay includes the random part that both callers added. core/job, io/scheduler, io/agent and platform pass.

--- a/core/job/evacuation.go
+++ b/core/job/evacuation.go
@@ -145,9 +145,7 @@
 		return false
 	}
 	if !t.running {
-		j := c.jobs.Get(t.name.Job)
-		s, _ := j.task(t.name)
-		return !s.spec.LongRunning || s.allowsDisruption(t, now)
+		return !t.spec.LongRunning || t.step.allowsDisruption(t, now)
 	}
 	k, ok := c.moveCandidate(t)
 	switch {
--- a/io/scheduler/election.go
+++ b/io/scheduler/election.go
@@ -87,14 +87,15 @@
 	if _, alive := s.mirror.ownership(); alive {
 		return false
 	}
-	process.Pause(ctx, s.claimDelay()+rand.N(campaignJitter), nil)
+	process.Pause(ctx, s.claimDelay(), nil)
 	_, alive := s.mirror.ownership()
 	return !alive && !s.stopping.Load() && ctx.Err() == nil
 }
 
-// claimDelay returns how long this entry waits before a claim.
+// claimDelay returns how long this entry waits before a claim: the less of a processor it
+// may use, the longer, and a random time.
 func (s *Scheduler) claimDelay() time.Duration {
-	return time.Duration(float64(campaignDelay) / max(s.cfg.CPUShare, minCPUShare))
+	return time.Duration(float64(campaignDelay)/max(s.cfg.CPUShare, minCPUShare)) + rand.N(campaignJitter)
 }
 
 // ignoreOwnershipConflict returns nil for errors that mean that the store
--- a/io/scheduler/owner_watch.go
+++ b/io/scheduler/owner_watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -129,7 +128,7 @@
 // endOwnership removes the lease of an owner whose process has ended, unless there is a later
 // owner, and makes this entry claim the ownership. Faster entries come first, as in a claim.
 func (s *Scheduler) endOwnership(ctx context.Context, o job.Ownership) error {
-	process.Pause(ctx, s.claimDelay()+rand.N(campaignJitter), nil)
+	process.Pause(ctx, s.claimDelay(), nil)
 	if now, alive := s.mirror.ownership(); now.Epoch != o.Epoch || !alive || ctx.Err() != nil {
 		return nil
 	}
