--- a/core/event/fields.go
+++ b/core/event/fields.go
@@ -76,6 +76,12 @@
 // Count returns the field with a number of items.
 func Count(n int) Field { return Field{"count", n} }
 
+// Starting returns the field with the number of runs that had only just started.
+func Starting(n int) Field { return Field{"starting", n} }
+
+// Jobs returns the field with a number of jobs.
+func Jobs(n int) Field { return Field{"jobs", n} }
+
 // Level returns the field with the number of probations of a worker since its
 // last success.
 func Level(n int) Field { return Field{"level", n} }
--- a/core/event/job.go
+++ b/core/event/job.go
@@ -44,6 +44,13 @@
 	OwnerEnded = Event{7049, "owner-ended", hclog.Info,
 		[]string{"entry", "epoch"}, "The process of the owner, entry, has ended, and this entry removed its lease so that it is replaced at once.",
 		"Look for the cause in the log of that entry: a stop signal, a panic or its memory limit."}
+	WorkerCrashed = Event{7050, "worker-crashed", hclog.Warn,
+		[]string{"worker", "count", "starting", "jobs", "age", "epoch"},
+		"A worker that had not announced a departure was replaced by a new incarnation; count is the number of its runs, starting the number of those that had only just started, and jobs the number of the jobs of these; age is the age of its newest report.",
+		"If several workers crash within a minute, look for a task with a rising count in 7051."}
+	RunCrashed = Event{7051, "run-crashed", hclog.Info,
+		[]string{"task", "attempt", "worker", "state", "elapsed", "count", "epoch"},
+		"A run ended with the crash of its worker; state is `starting` if it had only just started, or else `running`; elapsed is how long it had certainly been executing; count is the number of workers that have crashed under the task.", "None."}
 	DependencyLost = Event{7022, "dependency-lost", hclog.Warn,
 		[]string{"dependency", "reason"}, "A process or service that this process calls stopped responding.",
 		"Check the named dependency and the network to it."}
@@ -109,7 +116,7 @@
 )
 
 var jobEvents = []Event{SubmissionAccepted, SubmissionRefused, CancellationAnswered, StateUnknown, RequestRelayed,
-	TaskDecided, WorkerDecided, TaskPreempted, WorkerColdChanged, OwnershipTaken, OwnershipLost, OwnerEnded, DependencyLost, DependencyRegained,
+	TaskDecided, WorkerDecided, TaskPreempted, WorkerColdChanged, OwnershipTaken, OwnershipLost, OwnerEnded, WorkerCrashed, RunCrashed, DependencyLost, DependencyRegained,
 	ConfigurationInForce, SettingsReloaded, MessageRefused, LogLinesDropped, OrderCarriedOut, WorkerSeen, OwnerFollowed,
 	TasksThrottled, CancellationsRead, ZoneEvacuated, ZoneReopened, ForecastIgnored, RoomAfterRefusal, ScarcityBegan, ScarcityEnded,
 	CopyStarted, CopyEnded}
--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -49,6 +49,10 @@
 	// Worker are those of the run that counts, or 0 and empty.
 	EventCopyStarted EventKind = "copy-started"
 	EventCopyEnded   EventKind = "copy-ended"
+	// EventWorkerCrashed is a worker whose incarnation ended without a departure while it
+	// had runs, and EventRunCrashed one of these runs, with the state of the run as reason.
+	EventWorkerCrashed EventKind = "worker-crashed"
+	EventRunCrashed    EventKind = "run-crashed"
 	// EventExtraWork is the end of a run that does not count of a task with two runs.
 	EventExtraWork EventKind = "extra-work"
 )
@@ -77,8 +81,13 @@
 	Forecast      bool
 	ForecastError time.Duration
 	TooLate       bool
-	// Elapsed is how long room was scarce, for EventScarcityEnded.
+	// Elapsed is how long room was scarce, for EventScarcityEnded, and how long the run
+	// had certainly been executing, for EventRunCrashed.
 	Elapsed time.Duration
+	// Starting counts the runs, of the Count runs on the worker of EventWorkerCrashed, that
+	// had only just started, and StartingJobs their jobs. For EventRunCrashed, Count is the
+	// number of crashes under the task.
+	Starting, StartingJobs int
 	// ColdLeft is for how long the worker of EventCold is still cold. Slowdown is the
 	// learned factor by which tasks take longer on cold workers, for EventCold and
 	// EventWarm.
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -178,6 +178,7 @@
 		}
 		return
 	}
+	c.receiveCrash(w, now)
 	var late []sentStart
 	if r.Worker.ID == w.ID {
 		late = w.startsOfFormerProcesses(now)
@@ -482,7 +483,7 @@
 		t.speedSince, t.speedPercent = now, r.Percent
 	}
 	if !t.running {
-		t.running, t.firstPercent, t.firstListed = true, r.Percent, now
+		t.running, t.firstPercent, t.firstListed, t.listedClock = true, r.Percent, now, t.worker.clock
 		if t.stopping && now.Sub(t.stopOrderedAt) > lateStartAge {
 			c.logEvent(EventLate, t, t.worker, "listed-after-stop", now)
 		}
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -58,6 +58,10 @@
 	speed        taskSpeed
 	// lastListed is when a worker last listed the run.
 	lastListed time.Time
+	// listedClock is the worker's clock reading at firstListed.
+	listedClock time.Duration
+	// crashes are the crashes of workers under runs of the task.
+	crashes []Crash
 	// partial is true if the time since orderedAt is not that of a whole task: the
 	// run began from a checkpoint, or under an earlier owner.
 	partial bool
--- a/io/scheduler/control.go
+++ b/io/scheduler/control.go
@@ -207,7 +207,7 @@
 			event.RoomAfterRefusal.Emit(c.log, event.Queue(e.Task), event.Epoch(c.cell.Epoch()))
 			continue
 		}
-		if c.logScarcity(e) || c.logCopy(e) {
+		if c.logScarcity(e) || c.logCopy(e) || c.logCrash(e) {
 			continue
 		}
 		countDecision(e)
