--- /dev/null
+++ b/core/job/crash_test.go
@@ -0,0 +1,268 @@
+package job
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Times of a crashCluster, as on the users' platform.
+const (
+	crashDownTime   = 3 * time.Second
+	crashDetectTime = 900 * time.Millisecond
+	crashTick       = 20 * time.Millisecond
+	innocentRunTime = 600 * time.Millisecond
+)
+
+// crashCluster is a testCluster with tasks that crash each worker that runs them, after
+// crashDelay. Other tasks end after innocentRunTime. A worker is back, with another ID, after
+// crashDownTime; until its agent notices, its last report is repeated and gets orders.
+type crashCluster struct {
+	*testCluster
+	deadly     map[string]bool
+	crashDelay time.Duration
+	down       map[string]time.Time
+	started    map[string]time.Time
+	// workersCrashed counts the crashes under each deadly task, and innocentRuns those
+	// under each other task.
+	workersCrashed, innocentCrashes map[string]int
+	final                           map[string]State
+	// evidence is true if the agents report the runs that crashed.
+	evidence bool
+	// crashed are the runs that an agent reports as crashed.
+	crashed map[string][]AbsentRun
+}
+
+func newCrashCluster(t *testing.T, workers int) *crashCluster {
+	cc := &crashCluster{testCluster: newTestCluster(t, workers), deadly: map[string]bool{}, down: map[string]time.Time{},
+		started: map[string]time.Time{}, workersCrashed: map[string]int{}, innocentCrashes: map[string]int{}, final: map[string]State{},
+		crashed: map[string][]AbsentRun{}}
+	return cc
+}
+
+// addDeadly adds job n, of which one task crashes its workers.
+func (cc *crashCluster) addDeadly(n int, steps ...Step) {
+	cc.deadly[Task{Job: testJob(n).ID}.String()] = true
+	j := testJob(n, steps...)
+	j.Accepted = cc.now
+	cc.Add(j, cc.now)
+}
+
+func (cc *crashCluster) addInnocent(n int, steps ...Step) {
+	j := testJob(n, steps...)
+	j.Accepted = cc.now
+	cc.Add(j, cc.now)
+}
+
+// advance runs the cluster for d.
+func (cc *crashCluster) advance(d time.Duration) {
+	for end := cc.now.Add(d); cc.now.Before(end); {
+		cc.now = cc.now.Add(crashTick)
+		for _, agent := range slices.Sorted(maps.Keys(cc.testWorkers)) {
+			cc.step(agent)
+		}
+		for _, e := range cc.Events() {
+			if e.Kind == EventFinal {
+				cc.final[e.Task] = State(e.Reason)
+			}
+		}
+	}
+}
+
+func (cc *crashCluster) step(agent string) {
+	w := cc.testWorkers[agent]
+	if at, ok := cc.down[agent]; ok {
+		if cc.now.Sub(at) < crashDownTime {
+			w.report.Unreachable = 0
+			if silent := cc.now.Sub(at); silent > crashDetectTime {
+				w.report.Unreachable = silent
+			}
+			cc.exchange(agent, func(Order) {})
+			return
+		}
+		cc.restart(agent, w)
+	}
+	w.report.Clock += crashTick
+	for _, r := range slices.Clone(w.report.Running) {
+		switch age := cc.now.Sub(cc.started[r.Task]); {
+		case cc.deadly[r.Task] && age >= cc.crashDelay:
+			cc.crash(agent, w)
+			return
+		case !cc.deadly[r.Task] && age >= innocentRunTime:
+			w.endRun(r.Task, EndDone)
+		}
+	}
+	cc.exchange(agent, func(o Order) { cc.carryOut(w, o) })
+	w.report.Absent = nil
+	for _, r := range w.report.Running {
+		// The tasks that crash at once are never listed.
+		if cc.deadly[r.Task] && cc.crashDelay == 0 {
+			cc.crash(agent, w)
+			return
+		}
+	}
+}
+
+// exchange delivers the report of an agent and passes the orders in the reply to f.
+func (cc *crashCluster) exchange(agent string, f func(Order)) {
+	w := cc.testWorkers[agent]
+	r := w.report
+	r.Absent = append(slices.Clone(r.Absent), cc.crashed[agent]...)
+	cc.is.True(!cc.Receive(&r, cc.now))
+	cc.BeginOwnershipCheck()
+	cc.ConfirmOwnership(cc.now)
+	cc.Tick(cc.now)
+	cc.commitWrites()
+	reply := cc.Reply(&r, cc.now)
+	for _, o := range reply.Orders {
+		if o.Sequence > w.report.Applied {
+			w.report.Applied = o.Sequence
+			w.orders = append(w.orders, o)
+			f(o)
+		}
+	}
+	for len(w.report.Ended) > 0 && w.report.Ended[0].Number <= reply.Acknowledged {
+		w.report.Ended = w.report.Ended[1:]
+	}
+}
+
+func (cc *crashCluster) carryOut(w *testWorker, o Order) {
+	if o.Incarnation != w.report.Worker.Incarnation {
+		return
+	}
+	if o.Kind == OrderStart {
+		cc.started[o.Task] = cc.now
+		w.apply(o)
+		return
+	}
+	before := len(w.report.Running)
+	w.apply(o)
+	if len(w.report.Running) == before {
+		w.report.Absent = append(w.report.Absent, AbsentRun{o.Task, o.Run, "stopped"})
+	}
+}
+
+// crash takes the worker down and records which runs crash with it.
+func (cc *crashCluster) crash(agent string, w *testWorker) {
+	cc.down[agent] = cc.now
+	var rows []AbsentRun
+	for _, r := range w.report.Running {
+		if cc.deadly[r.Task] {
+			cc.workersCrashed[r.Task]++
+		} else {
+			cc.innocentCrashes[r.Task]++
+		}
+		rows = append(rows, cc.crashedRun(r))
+	}
+	if cc.evidence {
+		cc.crashed[agent] = rows
+	}
+}
+
+func (cc *crashCluster) crashedRun(r Run) AbsentRun { return AbsentRun{Task: r.Task, Run: r.Run} }
+
+// restart brings the worker back.
+func (cc *crashCluster) restart(agent string, w *testWorker) {
+	delete(cc.down, agent)
+	next := *w.report.Worker
+	next.Incarnation++
+	next.Sequence = 1
+	next.ID = fmt.Sprintf("i-%s-%d", agent, next.Incarnation)
+	w.report.Worker, w.report.Running, w.report.Ended, w.report.Absent = &next, nil, nil, nil
+	w.report.Clock, w.report.Unreachable, w.lastEnd = time.Second, 0, 0
+}
+
+// replaceOwner starts the next epoch from what is durable.
+func (cc *crashCluster) replaceOwner() {
+	jobs, progress := map[string]Job{}, map[string]Progress{}
+	for id, j := range cc.jobs.All {
+		if !j.state.IsFinal() {
+			jobs[id], progress[id] = j.Job, j.durableProgress()
+		}
+	}
+	cfg := cc.cfg
+	cc.Cell = New(cc.Epoch()+1, cc.now)
+	cc.SetConfiguration(cfg)
+	for agent, w := range cc.testWorkers {
+		cc.LoadAgent(agent)
+		w.report.Epoch, w.report.Applied = cc.Epoch(), 0
+	}
+	for _, id := range slices.Sorted(maps.Keys(jobs)) {
+		cc.is.NoErr(cc.Load(jobs[id], progress[id], cc.now))
+	}
+}
+
+// failedInnocents returns the jobs without a deadly task that were told failed.
+func (cc *crashCluster) failedInnocents() []string {
+	var out []string
+	for id, s := range cc.final {
+		if s == Failed && !cc.deadly[Task{Job: id}.String()] {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// maxCrashesOfTask is one less than the crashes that break the users' rule: a task may be
+// started twice more after three workers have crashed under it.
+const maxCrashesOfTask = 5
+
+// checkGivenUp checks that the jobs with deadly tasks have failed in time and that all others
+// are done.
+func (cc *crashCluster) checkGivenUp(t *testing.T, innocents int) {
+	t.Helper()
+	is := is.New(t)
+	for task := range cc.deadly {
+		id := strings.Split(task, ".")[0]
+		is.Equal(cc.final[id], Failed) // the job with the deadly task
+		if n := cc.workersCrashed[task]; n < 2 || n > maxCrashesOfTask {
+			t.Errorf("%d workers crashed under %s, want 2 to %d", n, task, maxCrashesOfTask)
+		}
+	}
+	is.Equal(cc.failedInnocents(), nil)
+	is.Equal(len(cc.final), innocents+len(cc.deadly))
+}
+
+// A task that crashes each worker that starts it is given up after a few crashes, and the
+// tasks that shared its workers are not.
+func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	for _, delay := range []time.Duration{0, 100 * time.Millisecond, 1500 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			cc := newCrashCluster(t, 6)
+			cc.crashDelay = delay
+			innocents := 0
+			for n := range 100 { // 20 s
+				if n%20 == 5 && n < 60 {
+					cc.addDeadly(1000+n, step(4, 500))
+				}
+				cc.addInnocent(1+n, step(3, 500))
+				innocents++
+				cc.advance(200 * time.Millisecond)
+			}
+			cc.advance(60 * time.Second)
+			cc.checkGivenUp(t, innocents)
+		})
+	}
+}
+
+// The crashes of workers under a task are still known after each change of the owner.
+func TestCrashesOutlastTheOwner(t *testing.T) {
+	cc := newCrashCluster(t, 6)
+	cc.addDeadly(1000, step(4, 500))
+	innocents := 0
+	for n := range 100 { // 20 s
+		cc.addInnocent(1+n, step(3, 500))
+		innocents++
+		cc.advance(200 * time.Millisecond)
+		if n%25 == 24 {
+			cc.replaceOwner()
+		}
+	}
+	cc.advance(60 * time.Second)
+	cc.checkGivenUp(t, innocents)
+}
--- a/io/standin/fleet/ledger.go
+++ b/io/standin/fleet/ledger.go
@@ -218,6 +218,7 @@
 		}
 	}
 	l.checkFailures(worker, name, arrived)
+	l.checkCrashes(worker, name)
 	l.active[name]++
 	l.starts++
 	return r.job.Steps[t.Step].Need
--- a/io/standin/fleet/ledger_failures.go
+++ b/io/standin/fleet/ledger_failures.go
@@ -17,12 +17,15 @@
 	// failed counts the failed runs, and acknowledged those whose end a scheduler has
 	// acknowledged.
 	failed, acknowledged map[string]int
+	// crashed counts the crashes of workers under each deadly task, and startedAfter the
+	// starts after maxCrashes of them.
+	crashed, startedAfter map[string]int
 	// exhaustedAt is when the last permitted failure was acknowledged.
 	exhaustedAt map[string]time.Time
 }
 
 func newFailureRecords() failureRecords {
-	return failureRecords{failed: map[string]int{}, acknowledged: map[string]int{}, exhaustedAt: map[string]time.Time{}}
+	return failureRecords{failed: map[string]int{}, acknowledged: map[string]int{}, crashed: map[string]int{}, startedAfter: map[string]int{}, exhaustedAt: map[string]time.Time{}}
 }
 
 // RecordAcknowledgement records that a scheduler has acknowledged the end of a run. A
@@ -52,9 +55,48 @@
 	}
 }
 
+// Limits on the starts of a task that crashes its workers.
+const (
+	// minCrashes is the number of crashes from which on a task may be given up.
+	minCrashes = 2
+	// maxCrashes is the number of crashes after which it may be started less than
+	// maxStartsAfterCrashes times.
+	maxCrashes            = 3
+	maxStartsAfterCrashes = 3
+)
+
+// isDeadly reports whether a task crashes its worker.
+func isDeadly(task, payload string) bool {
+	return strings.HasSuffix(payload, " deadly") && strings.HasSuffix(task, ".0.0.0")
+}
+
+// RecordCrash records that a worker crashes under the named task.
+func (l *Ledger) RecordCrash(task string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failures.crashed[task]++
+}
+
+// checkCrashes checks a start of a task that may have crashed its workers before. The caller
+// holds mu.
+func (l *Ledger) checkCrashes(worker, task string) {
+	f := &l.failures
+	if f.crashed[task] < maxCrashes {
+		return
+	}
+	l.judged["crashes"]++
+	if f.startedAfter[task]++; f.startedAfter[task] == maxStartsAfterCrashes {
+		l.addViolation("worker %s starts %s for the third time after %d workers crashed under it", worker, task, maxCrashes)
+	}
+}
+
 // mayFail reports whether a task of the job has failed as often as its queue permits, and
-// no copy of it is active, which may still be done. The caller holds mu.
+// no copy of it is active, which may still be done, or has crashed its workers. The caller
+// holds mu.
 func (l *Ledger) mayFail(r *jobRecord) bool {
+	if l.failures.crashed[job.Task{Job: r.job.ID}.String()] >= minCrashes {
+		return true
+	}
 	for i := range r.job.Steps {
 		for n := range r.job.Steps[i].Tasks {
 			name := job.Task{Job: r.job.ID, Step: i, Index: n}.String()
--- a/io/standin/fleet/worker.go
+++ b/io/standin/fleet/worker.go
@@ -28,7 +28,8 @@
 
 // Worker is a fake worker. It only simulates tasks: the payload "ms=50" makes a
 // task run for 50 ms, "ms=50 fail" also makes it fail at the end, and "ms=50 fail=2" makes
-// its first two runs fail. With "ms=50 lasting" the task is ready after 50 ms and does not
+// its first two runs fail. With "ms=50 deadly" the run of the first task of the job crashes
+// the worker. With "ms=50 lasting" the task is ready after 50 ms and does not
 // end. Worker implements platformtest.Worker.
 type Worker struct {
 	id      string
@@ -52,6 +53,8 @@
 	// responding when orderCount is divisible by dropEvery. When orderCount is also
 	// divisible by 2*dropEvery, and dropEvery is not 1, a start takes effect late.
 	dropEvery, orderCount int
+	// down is true while the worker has crashed and is not back.
+	down bool
 	// silent is true while the worker answers no orders, although it executes them.
 	silent       bool
 	fencingToken int64
@@ -134,7 +137,7 @@
 	w.heartbeatSeq++
 	h := job.Worker{ID: w.id, Incarnation: w.incarnationStart.UnixMilli(), Service: w.service, Address: w.address, Zone: w.zone,
 		Labels: []string{"a", "r1"}, Capacity: w.capacity, Draining: w.draining, Sequence: w.heartbeatSeq, Clock: w.clock()}
-	unreachable, incarnationStart := w.unreachable, w.incarnationStart
+	unreachable, incarnationStart := w.unreachable || w.down, w.incarnationStart
 	w.mu.Unlock()
 	if unreachable {
 		return
@@ -232,6 +235,11 @@
 func (w *Worker) Crash() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.crash()
+}
+
+// crash implements Crash. The caller holds mu.
+func (w *Worker) crash() {
 	for name := range w.running {
 		w.ledger.RecordEnd(name, job.EndLapsed, false)
 	}
@@ -244,6 +252,32 @@
 	w.changed = make(chan struct{})
 }
 
+// Times of a crash by a task.
+const (
+	// deadlyDelay is how long the task runs before.
+	deadlyDelay = 10 * time.Millisecond
+	// deadlyDownTime is how long the worker is down.
+	deadlyDownTime = 800 * time.Millisecond
+)
+
+// crashUnder takes the worker down if it still has the run of the named task that began at
+// started, and brings it back as another incarnation.
+func (w *Worker) crashUnder(name string, started time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if t := w.running[name]; t == nil || !t.started.Equal(started) {
+		return
+	}
+	w.ledger.RecordCrash(name)
+	w.down = true
+	w.crash()
+	time.AfterFunc(deadlyDownTime, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.incarnationStart, w.down = time.Now(), false
+	})
+}
+
 // SetFaults sets whether the worker is unreachable. If dropEvery is greater than 0,
 // the worker drops the response to one of every dropEvery orders.
 func (w *Worker) SetFaults(unreachable bool, dropEvery int) {
@@ -271,7 +305,7 @@
 // seen a newer fencing token. Otherwise it records the token. The caller holds mu.
 func (w *Worker) checkCall(id string, token int64) error {
 	switch {
-	case w.unreachable:
+	case w.unreachable, w.down:
 		return platformtest.ErrDropConnection
 	case id != w.id:
 		return platform.ErrOtherIncarnation
@@ -285,7 +319,7 @@
 // recordToken tells the ledger of a call that arrives now, unless it is lost. The caller
 // holds mu.
 func (w *Worker) recordToken(id string, token int64) {
-	if !w.unreachable && id == w.id {
+	if !w.unreachable && !w.down && id == w.id {
 		w.ledger.RecordToken(w.id, w.agentName, token, time.Now())
 	}
 }
@@ -386,6 +420,10 @@
 	w.excludeStalledTime()
 	w.running[s.Task] = &task{run: s.Run, need: need, started: time.Now(), runTime: time.Duration(runTimeMillis) * time.Millisecond,
 		fails: w.ledger.runFails(s.Task, s.Payload), lasting: strings.HasSuffix(s.Payload, " lasting")}
+	if isDeadly(s.Task, s.Payload) {
+		started := w.running[s.Task].started
+		time.AfterFunc(deadlyDelay, func() { w.crashUnder(s.Task, started) })
+	}
 	// A task name begins with the id of its job, which has 16 characters.
 	w.startedJobs[s.Task[:16]] = true
 	return nil
