core/job: count crashes, isolate suspects, and give up tasks that crash their workers

Cause: a run that ends with its worker has no listed end, and only ends 'failed' counted. The task was placed again as if it had never run, mostly on the worker that had just come back, as that is the emptiest.

Change: each crash of a worker is recorded in the durable progress of the tasks that were on it, with the age of the run. Blame falls on the runs that were still starting. A task that started at two crashes is a suspect, and while some task probably crashes its workers (alert), one that started at one crash. Suspects start on isolated workers only, a quarter of all at most, the least suspicious first, and alone if they are likely to be the cause. A job whose tasks alone were starting at a crash, after a crash on another VM, is given up; so is a task with four. Many crashes at one time are no task's fault.

With the options of copies, a task under which a worker has crashed gets none.

--- a/core/event/job.go
+++ b/core/event/job.go
@@ -22,7 +22,7 @@
 		"If the event lasts, check the network between this entry and the store."}
 	TaskDecided = Event{7010, "task-decided", hclog.Info,
 		[]string{"task", "attempt", "worker", "decision", "reason", "age", "elapsed", "epoch"},
-		"The owner, which is the entry that schedules, made a decision about a task; age is the age of the worker's newest report; elapsed is the time from the job's acceptance to its first start or its end, and 0 for other decisions. The reason of a start is `placed`, or `placed-in-rack`, `placed-off-rack` or `placed-cold` where placement depends on the rack of the data or a cold worker.", "None."}
+		"The owner, which is the entry that schedules, made a decision about a task; age is the age of the worker's newest report; elapsed is the time from the job's acceptance to its first start or its end, and 0 for other decisions. The reason of a start is `placed`, or `placed-in-rack`, `placed-off-rack` or `placed-cold` where placement depends on the rack of the data or a cold worker, or `isolated` for a task under which workers have crashed.", "None."}
 	WorkerDecided = Event{7011, "worker-decided", hclog.Info,
 		[]string{"worker", "decision", "reason", "age", "epoch"},
 		"The owner, which is the entry that schedules, changed its view of a worker's state.",
@@ -51,6 +51,14 @@
 	RunCrashed = Event{7051, "run-crashed", hclog.Info,
 		[]string{"task", "attempt", "worker", "state", "elapsed", "count", "epoch"},
 		"A run ended with the crash of its worker; state is `starting` if it had only just started, or else `running`; elapsed is how long it had certainly been executing; count is the number of workers that have crashed under the task.", "None."}
+	JobGivenUp = Event{7052, "job-given-up", hclog.Warn,
+		[]string{"task", "attempt", "worker", "reason", "count", "epoch"},
+		"The job of a task was given up, because the task crashes the workers that start it; count is the number of workers that have crashed under it. The reason is `only-suspect` if only tasks of the job were starting at the last crash, or `many-crashes` if the count is too high whatever else was starting.",
+		"Tell the client account which task it is; the same job would crash workers again."}
+	IsolationChanged = Event{7053, "worker-isolated", hclog.Info,
+		[]string{"worker", "state", "count", "age", "epoch"},
+		"The isolation of a worker `began` or `ended`: only tasks under which workers have crashed start there meanwhile, those of one job at a time; count is the number of steps that wait for such a worker.",
+		"If the count rises, see docs/OPERATIONS.md."}
 	DependencyLost = Event{7022, "dependency-lost", hclog.Warn,
 		[]string{"dependency", "reason"}, "A process or service that this process calls stopped responding.",
 		"Check the named dependency and the network to it."}
@@ -116,7 +124,7 @@
 )
 
 var jobEvents = []Event{SubmissionAccepted, SubmissionRefused, CancellationAnswered, StateUnknown, RequestRelayed,
-	TaskDecided, WorkerDecided, TaskPreempted, WorkerColdChanged, OwnershipTaken, OwnershipLost, OwnerEnded, WorkerCrashed, RunCrashed, DependencyLost, DependencyRegained,
+	TaskDecided, WorkerDecided, TaskPreempted, WorkerColdChanged, OwnershipTaken, OwnershipLost, OwnerEnded, WorkerCrashed, RunCrashed, JobGivenUp, IsolationChanged, DependencyLost, DependencyRegained,
 	ConfigurationInForce, SettingsReloaded, MessageRefused, LogLinesDropped, OrderCarriedOut, WorkerSeen, OwnerFollowed,
 	TasksThrottled, CancellationsRead, ZoneEvacuated, ZoneReopened, ForecastIgnored, RoomAfterRefusal, ScarcityBegan, ScarcityEnded,
 	CopyStarted, CopyEnded}
--- a/core/job/advice.go
+++ b/core/job/advice.go
@@ -59,7 +59,7 @@
 	r := c.newScorer(k, now)
 	var scored []scoredWorker
 	for _, w := range c.workers.All {
-		if c.isUsable(w, k, now) {
+		if c.mayRun(w, k, now) {
 			o := scoredWorker{worker: w}
 			r.setScore(&o)
 			scored = append(scored, o)
--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -53,6 +53,12 @@
 	// had runs, and EventRunCrashed one of these runs, with the state of the run as reason.
 	EventWorkerCrashed EventKind = "worker-crashed"
 	EventRunCrashed    EventKind = "run-crashed"
+	// EventGivenUp is a job that is given up as its tasks crash their workers.
+	EventGivenUp EventKind = "given-up"
+	// EventIsolationBegan and EventIsolationEnded are the begin and the end of the isolation
+	// of a worker. Count is the number of steps with tasks that wait for one.
+	EventIsolationBegan EventKind = "isolation-began"
+	EventIsolationEnded EventKind = "isolation-ended"
 	// EventExtraWork is the end of a run that does not count of a task with two runs.
 	EventExtraWork EventKind = "extra-work"
 )
@@ -85,8 +91,8 @@
 	// had certainly been executing, for EventRunCrashed.
 	Elapsed time.Duration
 	// Starting counts the runs, of the Count runs on the worker of EventWorkerCrashed, that
-	// had only just started, and StartingJobs their jobs. For EventRunCrashed, Count is the
-	// number of crashes under the task.
+	// had only just started, and StartingJobs their jobs. For EventRunCrashed and EventGivenUp,
+	// Count is the number of crashes under the task.
 	Starting, StartingJobs int
 	// ColdLeft is for how long the worker of EventCold is still cold. Slowdown is the
 	// learned factor by which tasks take longer on cold workers, for EventCold and
@@ -138,6 +144,7 @@
 		return err
 	}
 	c.loadExhausted(row)
+	c.loadCrashes(row, now)
 	if row.started {
 		row.state = Running
 	}
@@ -282,6 +289,8 @@
 	// its expected end, in the rack of its data or elsewhere.
 	ReasonPlacedInRack = "placed-in-rack"
 	ReasonPlacedRemote = "placed-off-rack"
+	// ReasonIsolated is given for a suspect of crashes.
+	ReasonIsolated = "isolated"
 	// ReasonPlacedCold is given for a start on a cold worker that is not remote.
 	ReasonPlacedCold = "placed-cold"
 )
@@ -289,6 +298,8 @@
 // startReason returns the reason for a start of a task of s on w, for the log.
 func (c *Cell) startReason(s *Step, w *workerRow, now time.Time) string {
 	switch {
+	case w.isolated:
+		return ReasonIsolated
 	case c.usesExpectedEnd(s) && c.rackFactor(s, w) > 1:
 		return ReasonPlacedRemote
 	case w.isCold(now):
--- a/core/job/choose.go
+++ b/core/job/choose.go
@@ -189,9 +189,15 @@
 	return w.listed && w.unreachable == 0 && Age(w.lastReport, now) <= maxReportAge
 }
 
-// isUsable reports whether w may get tasks of the candidate, apart from its
-// free capacity.
+// isUsable reports whether w may get tasks of the candidate that are not suspects of
+// crashes, apart from its free capacity.
 func (c *Cell) isUsable(w *workerRow, k *candidate, now time.Time) bool {
+	return !w.isolated && c.mayRun(w, k, now)
+}
+
+// mayRun reports whether w may get tasks of the candidate, apart from its free capacity
+// and its isolation.
+func (c *Cell) mayRun(w *workerRow, k *candidate, now time.Time) bool {
 	switch {
 	case !w.hasRecentReport(now), w.ended, w.Draining, w.unknownRuns > 0, w.Service != k.queue.Service:
 		return false
--- a/core/job/copies_decision.go
+++ b/core/job/copies_decision.go
@@ -179,7 +179,7 @@
 
 // wish returns the forecast for a copy of t, and whether t is to be copied.
 func (d *copyDecision) wish(w *workerRow, t *taskRow) (copyWish, bool) {
-	if t.hasOtherRun() || t.race != nil || t.stopping || t.isDone() || t.copies >= maxCopies {
+	if t.hasOtherRun() || t.race != nil || len(t.crashes) > 0 || t.stopping || t.isDone() || t.copies >= maxCopies {
 		return copyWish{}, false
 	}
 	s := d.step(t)
--- a/core/job/crash.go
+++ b/core/job/crash.go
@@ -1,19 +1,115 @@
 package job
 
-import "time"
+import (
+	"slices"
+	"strings"
+	"time"
+)
 
 // Crash is the crash of a worker under a run of a task.
 type Crash struct {
 	Run int64 `json:"run"`
-	// Agent is the agent of the worker.
-	Agent string `json:"agent"`
-	// Starting is true if the run had only just started.
+	// Agent is the agent of the worker, and At when the owner learned of the crash.
+	Agent string    `json:"agent"`
+	At    time.Time `json:"at"`
+	// Age is how long the run had certainly been executing.
+	Age time.Duration `json:"age-ns,omitempty"`
+	// Starting is true if the run was still starting, and Unsure if it may not have started.
 	Starting bool `json:"starting,omitempty"`
+	Unsure   bool `json:"unsure,omitempty"`
+	// Jobs is the number of the jobs with starting runs on the worker.
+	Jobs int `json:"jobs,omitempty"`
 }
 
-// startingTime is how long a run counts as starting. A task that crashes its worker
-// mostly does so as it starts, so a crash is blamed on the runs that are starting.
-const startingTime = time.Second
+// Parameters of the search for tasks that crash their workers.
+const (
+	// startingTime is how long a run counts as starting. A task that crashes its worker
+	// mostly does so as it starts, so a crash is blamed on the runs that are starting. The
+	// time is longer for a task under which a worker crashed later.
+	startingTime = 250 * time.Millisecond
+	// maxBlameAge is the age from which on a crash says nothing about a run, unless there are
+	// only older ones.
+	maxBlameAge = 3 * time.Second
+	// crashFreeTime is how long a run must execute for the earlier crashes under its task
+	// to be forgotten.
+	crashFreeTime = 30 * time.Second
+	// minCrashes is the number of crashes from which on a task may be given up, and
+	// maxCrashes that at which it is given up whatever started beside it. On the platform, a
+	// task that crashes its workers may be started twice more after the third crash; one of
+	// these is left for a crash that no owner noticed.
+	minCrashes = 2
+	maxCrashes = 4
+	// commonCauseTime is within which time the crashes of minCommonCause workers, and at
+	// least the share of commonCauseDivisor of all, count as one event that no task caused,
+	// such as the loss of a rack. Workers restart in different times.
+	commonCauseTime    = time.Second
+	minCommonCause     = 3
+	commonCauseDivisor = 3
+	// alertTime is how long after the second crash under one task each task under which a
+	// worker has crashed is a suspect. At other times most workers crash by themselves, and
+	// isolation would only delay the tasks.
+	alertTime = 30 * time.Second
+	// Two workers that crash within startCrashTime, each within startCrashAge of a start, are
+	// a reason for the same.
+	startCrashTime = 10 * time.Second
+	startCrashAge  = 50 * time.Millisecond
+)
+
+// Reasons for giving up a job, for EventGivenUp.
+const (
+	// reasonOnlySuspect means that only tasks of the job were starting at the last crash.
+	reasonOnlySuspect = "only-suspect"
+	// reasonManyCrashes means that maxCrashes workers have crashed under a task.
+	reasonManyCrashes = "many-crashes"
+)
+
+// Begin of the reasons of absent runs that ended with the crash of their worker, or of which
+// the worker did not answer the start before it crashed.
+const (
+	crashedPrefix = "crashed-after-"
+	unsurePrefix  = "unanswered-crashed-after-"
+)
+
+// CrashedReason returns the reason of an AbsentRun that had been executing for age when its
+// worker crashed, or that may have been if it is unsure whether the run had started. Such runs
+// are reported beside those of the next incarnation, and again to each new owner.
+func CrashedReason(age time.Duration, unsure bool) string {
+	if unsure {
+		return unsurePrefix + age.String()
+	}
+	return crashedPrefix + age.String()
+}
+
+// crash returns the age of a run that was reported with CrashedReason, and whether it is
+// unsure that the run had started. The result ok is false for other runs.
+func (a *AbsentRun) crash() (age time.Duration, unsure, ok bool) {
+	s, unsure := strings.CutPrefix(a.Reason, unsurePrefix)
+	if !unsure {
+		if s, ok = strings.CutPrefix(a.Reason, crashedPrefix); !ok {
+			return 0, false, false
+		}
+	}
+	age, err := time.ParseDuration(s)
+	return age, unsure, err == nil
+}
+
+// crashedRun is a run that a crashed worker had.
+type crashedRun struct {
+	job      *jobRow
+	task     *taskRow
+	run      int64
+	age      time.Duration
+	unsure   bool
+	starting bool
+}
+
+// main returns the row of the task of which t is a run.
+func (t *taskRow) main() *taskRow {
+	if t.original != nil {
+		return t.original
+	}
+	return t
+}
 
 // executed returns how long the current run of t had certainly been executing when its
 // worker last answered.
@@ -24,42 +120,247 @@
 	return max(0, t.firstListed.Sub(t.orderedAt)) + t.worker.clock - t.listedClock
 }
 
-// isStarting reports whether the current run of t had only just started, or may not
-// have started, when its worker last answered.
-func (t *taskRow) isStarting() bool { return t.executed() < startingTime }
+// startingTime returns how long a run of t counts as starting.
+func (t *taskRow) startingTime() time.Duration {
+	d := startingTime
+	for _, x := range t.main().crashes {
+		if x.Age <= maxBlameAge {
+			d = max(d, startingTime+2*x.Age)
+		}
+	}
+	return d
+}
+
+// crashesAtStart counts the crashes under starting runs of t. Those within commonCauseTime
+// count once.
+func (t *taskRow) crashesAtStart() int {
+	n := 0
+	var last time.Time
+	for _, x := range t.crashes {
+		if x.Starting && (n == 0 || x.At.Sub(last) > commonCauseTime) {
+			n++
+			last = x.At
+		}
+	}
+	return n
+}
+
+// agentsCrashedAtStart counts the agents whose workers crashed under runs of t that certainly
+// were starting.
+func (t *taskRow) agentsCrashedAtStart() int {
+	agents := map[string]bool{}
+	for _, x := range t.crashes {
+		if x.Starting && !x.Unsure {
+			agents[x.Agent] = true
+		}
+	}
+	return len(agents)
+}
+
+// suspicion returns how likely it is that t crashes its workers: at each crash, the blame is
+// divided among the jobs with starting runs.
+func (t *taskRow) suspicion() float64 {
+	sum := 0.0
+	for _, x := range t.crashes {
+		if x.Starting {
+			sum += 1 / float64(max(x.Jobs, 1))
+		}
+	}
+	return min(sum, 1)
+}
+
+// receiveCrashes records the crash of an earlier incarnation of r's worker, unless that was
+// recorded before or it announced its departure.
+func (c *Cell) receiveCrashes(w *workerRow, r *Report, now time.Time) {
+	restarted := r.Worker.ID != w.ID || r.Worker.Incarnation != w.Incarnation
+	if !c.receiveCrashedRuns(w, r, now) && restarted && !w.left && !w.Draining {
+		c.inferCrash(w, now)
+	}
+}
+
+// receiveCrashedRuns records the crash of an earlier incarnation of r's worker as the agent
+// reports it. It reports whether r has such runs.
+func (c *Cell) receiveCrashedRuns(w *workerRow, r *Report, now time.Time) bool {
+	found := false
+	var runs []crashedRun
+	for i := range r.Absent {
+		age, unsure, ok := r.Absent[i].crash()
+		found = found || ok
+		if j, _, t := c.findTask(r.Absent[i].Task); ok && t != nil {
+			runs = append(runs, crashedRun{job: j, task: t, run: r.Absent[i].Run, age: age, unsure: unsure})
+		}
+	}
+	c.recordCrash(w, runs, now)
+	return found
+}
+
+// inferCrash records the crash of the current incarnation of w as far as this owner knows its
+// runs: the agent does not tell. It must be called before the runs are released.
+func (c *Cell) inferCrash(w *workerRow, now time.Time) {
+	var runs []crashedRun
+	for _, t := range w.sortedTasks() {
+		j, _, main := c.findTask(t.name.String())
+		runs = append(runs, crashedRun{job: j, task: main, run: t.run, age: t.executed(), unsure: !t.running})
+	}
+	c.recordCrash(w, runs, now)
+}
 
-// receiveCrash records that the incarnation of w ended without a departure, as far as
-// this owner knows its runs. It must be called before the runs are released.
-func (c *Cell) receiveCrash(w *workerRow, now time.Time) {
-	if w.left || w.Draining || len(w.tasks) == 0 {
+// recordCrash records the crash of a worker of w's agent under the given runs. It gives a job
+// up if its tasks are certainly the cause.
+func (c *Cell) recordCrash(w *workerRow, runs []crashedRun, now time.Time) {
+	runs = slices.DeleteFunc(runs, func(r crashedRun) bool {
+		return r.task.isDone() || slices.ContainsFunc(r.task.crashes, func(x Crash) bool { return x.Run == r.run })
+	})
+	isOld := func(r crashedRun) bool { return r.age > maxBlameAge }
+	if slices.ContainsFunc(runs, func(r crashedRun) bool { return !isOld(r) }) {
+		runs = slices.DeleteFunc(runs, isOld)
+	}
+	if len(runs) == 0 {
 		return
 	}
-	e := Event{Kind: EventWorkerCrashed, Worker: w.ID, ReportAge: now.Sub(w.lastReport), Count: len(w.tasks)}
-	jobs := map[string]bool{}
-	for _, run := range w.sortedTasks() {
-		_, _, t := c.findTask(run.name.String())
-		t.crashes = append(t.crashes, Crash{run.run, w.agent, run.isStarting()})
-		if run.isStarting() {
+	e := Event{Kind: EventWorkerCrashed, Worker: w.ID, ReportAge: now.Sub(w.lastReport), Count: len(runs)}
+	jobs := map[*jobRow]bool{}
+	for i := range runs {
+		r := &runs[i]
+		if r.starting = r.age < r.task.startingTime(); r.starting {
 			e.Starting++
-			jobs[t.name.Job] = true
+			jobs[r.job] = true
 		}
-		c.logCrash(t, w, run.executed())
 	}
 	e.StartingJobs = len(jobs)
 	c.events = append(c.events, e)
+	for i := range runs {
+		r := &runs[i]
+		r.task.crashes = append(r.task.crashes, Crash{r.run, w.agent, now, r.age, r.starting, r.unsure, e.StartingJobs})
+		r.job.dirty, r.job.urgent = true, true
+		c.isolation.crashed[r.job.ID] = true
+		c.logCrash(r, w)
+	}
+	if c.hasCommonCause(w, runs, now) {
+		return
+	}
+	c.updateAlert(runs, now)
+	if len(jobs) == 1 {
+		c.giveUpOnlySuspect(w, runs, now)
+	}
+	for i := range runs {
+		if r := &runs[i]; r.starting && r.task.crashesAtStart() >= maxCrashes {
+			c.giveUp(r, w, reasonManyCrashes, now)
+		}
+	}
+}
+
+// recentCrash is the crash of a worker within the last startCrashTime.
+type recentCrash struct {
+	agent string
+	at    time.Time
+	runs  []crashedRun
+	// atStart is true if a run certainly had started less than startCrashAge before.
+	atStart bool
+}
+
+// countAgents returns how many agents have a recent crash for which f is true.
+func (c *Cell) countAgents(f func(recentCrash) bool) int {
+	agents := map[string]bool{}
+	for _, x := range c.recentCrashes {
+		if f(x) {
+			agents[x.agent] = true
+		}
+	}
+	return len(agents)
+}
+
+// hasCommonCause reports whether so many workers have crashed at about the same time as w that
+// no task is the cause. None of their runs is then blamed.
+func (c *Cell) hasCommonCause(w *workerRow, runs []crashedRun, now time.Time) bool {
+	atStart := slices.ContainsFunc(runs, func(r crashedRun) bool { return !r.unsure && r.age < startCrashAge })
+	c.recentCrashes = append(slices.DeleteFunc(c.recentCrashes, func(x recentCrash) bool { return now.Sub(x.at) > startCrashTime }),
+		recentCrash{w.agent, now, runs, atStart})
+	isNear := func(x recentCrash) bool { return now.Sub(x.at) <= commonCauseTime }
+	if c.countAgents(isNear) < max(minCommonCause, (c.workers.Len()+commonCauseDivisor-1)/commonCauseDivisor) {
+		return false
+	}
+	for i := range c.recentCrashes {
+		x := &c.recentCrashes[i]
+		if !isNear(*x) {
+			continue
+		}
+		x.atStart = false
+		for _, r := range x.runs {
+			r.clearBlame()
+		}
+	}
+	return true
 }
 
-// logCrash logs the newest crash of a worker under t.
-func (c *Cell) logCrash(t *taskRow, w *workerRow, executed time.Duration) {
-	x := t.crashes[len(t.crashes)-1]
-	c.events = append(c.events, Event{Kind: EventRunCrashed, Task: t.name.String(), Run: x.Run, Worker: w.ID,
-		Reason: crashState(x), Elapsed: executed, Count: len(t.crashes)})
+// clearBlame records that the crash under r does not speak against its task.
+func (r *crashedRun) clearBlame() {
+	for i := range r.task.crashes {
+		if x := &r.task.crashes[i]; x.Run == r.run && x.Starting {
+			x.Starting = false
+			r.job.dirty = true
+		}
+	}
+}
+
+// updateAlert begins or extends the alert if two workers have crashed under starting runs of
+// one of the tasks.
+func (c *Cell) updateAlert(runs []crashedRun, now time.Time) {
+	for _, r := range runs {
+		if r.task.crashesAtStart() >= minCrashes {
+			c.isolation.alertUntil = Later(c.isolation.alertUntil, now.Add(alertTime))
+		}
+	}
+}
+
+// isAlert reports whether some task probably crashes its workers.
+func (c *Cell) isAlert(now time.Time) bool {
+	return now.Before(c.isolation.alertUntil) ||
+		c.countAgents(func(x recentCrash) bool { return x.atStart && now.Sub(x.at) <= startCrashTime }) >= minCrashes
+}
+
+// giveUpOnlySuspect gives up the job whose tasks alone were starting, if at least minCrashes
+// workers have crashed under each of them.
+func (c *Cell) giveUpOnlySuspect(w *workerRow, runs []crashedRun, now time.Time) {
+	var suspect *crashedRun
+	for i := range runs {
+		r := &runs[i]
+		if !r.starting {
+			continue
+		}
+		// The crashes of one agent may be the fault of its VM.
+		if r.task.agentsCrashedAtStart() < min(minCrashes, c.workers.Len()) || r.task.crashesAtStart() < minCrashes {
+			return
+		}
+		suspect = r
+	}
+	c.giveUp(suspect, w, reasonOnlySuspect, now)
+}
+
+// giveUp fails the job of a run that crashed its worker.
+func (c *Cell) giveUp(r *crashedRun, w *workerRow, reason string, now time.Time) {
+	if r.job.state.IsFinal() {
+		return
+	}
+	c.events = append(c.events, Event{Kind: EventGivenUp, Task: r.task.name.String(), Run: r.run, Worker: w.ID, Reason: reason,
+		Count: len(r.task.crashes)})
+	c.endJob(r.job, Failed, now)
+}
+
+// forgetCrashes forgets the crashes under t once a run of it has executed for crashFreeTime.
+func (t *taskRow) forgetCrashes(j *jobRow) {
+	if m := t.main(); len(m.crashes) > 0 && t.executed() >= crashFreeTime {
+		m.crashes = nil
+		j.dirty = true
+	}
 }
 
-// crashState returns the state of the run at the crash, for the log.
-func crashState(x Crash) string {
-	if x.Starting {
-		return "starting"
+// logCrash logs the newest crash of a worker under the task of r.
+func (c *Cell) logCrash(r *crashedRun, w *workerRow) {
+	state := "running"
+	if r.starting {
+		state = "starting"
 	}
-	return "running"
+	c.events = append(c.events, Event{Kind: EventRunCrashed, Task: r.task.name.String(), Run: r.run, Worker: w.ID,
+		Reason: state, Elapsed: r.age, Count: len(r.task.crashes)})
 }
--- a/core/job/crash_test.go
+++ b/core/job/crash_test.go
@@ -88,6 +88,9 @@
 		cc.restart(agent, w)
 	}
 	w.report.Clock += crashTick
+	for i := range w.report.Running {
+		w.report.Running[i].Percent = int(min(99, 100*cc.now.Sub(cc.started[w.report.Running[i].Task])/(2*time.Second)))
+	}
 	for _, r := range slices.Clone(w.report.Running) {
 		switch age := cc.now.Sub(cc.started[r.Task]); {
 		case cc.deadly[r.Task] && age >= cc.crashDelay:
@@ -97,8 +100,9 @@
 			w.endRun(r.Task, EndDone)
 		}
 	}
+	reported := len(w.report.Absent)
 	cc.exchange(agent, func(o Order) { cc.carryOut(w, o) })
-	w.report.Absent = nil
+	w.report.Absent = w.report.Absent[reported:]
 	for _, r := range w.report.Running {
 		// The tasks that crash at once are never listed.
 		if cc.deadly[r.Task] && cc.crashDelay == 0 {
@@ -157,15 +161,13 @@
 		} else {
 			cc.innocentCrashes[r.Task]++
 		}
-		rows = append(rows, cc.crashedRun(r))
+		rows = append(rows, AbsentRun{r.Task, r.Run, CrashedReason(cc.now.Sub(cc.started[r.Task]), false)})
 	}
 	if cc.evidence {
 		cc.crashed[agent] = rows
 	}
 }
 
-func (cc *crashCluster) crashedRun(r Run) AbsentRun { return AbsentRun{Task: r.Task, Run: r.Run} }
-
 // restart brings the worker back.
 func (cc *crashCluster) restart(agent string, w *testWorker) {
 	delete(cc.down, agent)
@@ -229,40 +231,48 @@
 }
 
 // A task that crashes each worker that starts it is given up after a few crashes, and the
-// tasks that shared its workers are not.
+// tasks that shared its workers are not, whether the agents tell which runs crashed or not.
 func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
-	for _, delay := range []time.Duration{0, 100 * time.Millisecond, 1500 * time.Millisecond} {
-		t.Run(delay.String(), func(t *testing.T) {
+	for _, evidence := range []bool{false, true} {
+		for _, delay := range []time.Duration{0, 100 * time.Millisecond, 1500 * time.Millisecond} {
+			t.Run(fmt.Sprintf("evidence=%t/%v", evidence, delay), func(t *testing.T) {
+				cc := newCrashCluster(t, 6)
+				cc.crashDelay, cc.evidence = delay, evidence
+				innocents := 0
+				for n := range 100 { // 20 s
+					if n%20 == 5 && n < 60 {
+						cc.addDeadly(1000+n, step(4, 500))
+					}
+					cc.addInnocent(1+n, step(3, 500))
+					innocents++
+					cc.advance(200 * time.Millisecond)
+				}
+				cc.advance(60 * time.Second)
+				cc.checkGivenUp(t, innocents)
+			})
+		}
+	}
+}
+
+// The crashes of workers under a task are known after each change of the owner, also if every
+// owner is replaced while a worker of the task is down.
+func TestCrashesOutlastTheOwner(t *testing.T) {
+	for _, period := range []int{1, 5, 25} { // of 200 ms
+		t.Run(fmt.Sprint(period), func(t *testing.T) {
 			cc := newCrashCluster(t, 6)
-			cc.crashDelay = delay
+			cc.evidence = true
+			cc.addDeadly(1000, step(4, 500))
 			innocents := 0
 			for n := range 100 { // 20 s
-				if n%20 == 5 && n < 60 {
-					cc.addDeadly(1000+n, step(4, 500))
-				}
 				cc.addInnocent(1+n, step(3, 500))
 				innocents++
 				cc.advance(200 * time.Millisecond)
+				if n%period == period-1 {
+					cc.replaceOwner()
+				}
 			}
 			cc.advance(60 * time.Second)
 			cc.checkGivenUp(t, innocents)
 		})
 	}
 }
-
-// The crashes of workers under a task are still known after each change of the owner.
-func TestCrashesOutlastTheOwner(t *testing.T) {
-	cc := newCrashCluster(t, 6)
-	cc.addDeadly(1000, step(4, 500))
-	innocents := 0
-	for n := range 100 { // 20 s
-		cc.addInnocent(1+n, step(3, 500))
-		innocents++
-		cc.advance(200 * time.Millisecond)
-		if n%25 == 24 {
-			cc.replaceOwner()
-		}
-	}
-	cc.advance(60 * time.Second)
-	cc.checkGivenUp(t, innocents)
-}
--- a/core/job/durable.go
+++ b/core/job/durable.go
@@ -174,6 +174,7 @@
 	for _, id := range ended {
 		c.jobs.Delete(id)
 		delete(c.interference.loads, id)
+		delete(c.isolation.crashed, id)
 	}
 }
 
--- a/core/job/place.go
+++ b/core/job/place.go
@@ -144,6 +144,7 @@
 	c.failExhausted(now)
 	c.rackWaits, c.reservingSteps = 0, 0
 	all := c.candidates(now)
+	c.placeSuspects(all, now)
 	for k := range c.inOrder(all) {
 		switch {
 		case !c.ensureTickets(k, now):
@@ -166,7 +167,7 @@
 	waits := false
 	for i := range k.step.tasks {
 		t := &k.step.tasks[i]
-		if t.state != taskWaiting || now.Before(t.notBefore) {
+		if t.state != taskWaiting || now.Before(t.notBefore) || t.isSuspect(k.step.spec, c.isolation.alert) {
 			continue
 		}
 		if scored == nil {
--- a/core/job/progress.go
+++ b/core/job/progress.go
@@ -28,6 +28,8 @@
 	// Checkpoints are the checkpoints from which tasks resume, with the same
 	// keys.
 	Checkpoints map[string]string `json:"checkpoints,omitempty"`
+	// Crashes are the crashes of workers under each task, with the same keys.
+	Crashes map[string][]Crash `json:"crashes,omitempty"`
 }
 
 // Final is the durable state of a job that has ended.
@@ -40,7 +42,7 @@
 
 func (j *jobRow) durableProgress() Progress {
 	p := Progress{Started: j.started, Next: j.nextOccurrence, Done: map[string]string{},
-		Failures: map[string][]int64{}, Checkpoints: map[string]string{}}
+		Failures: map[string][]int64{}, Checkpoints: map[string]string{}, Crashes: map[string][]Crash{}}
 	for _, o := range j.occurrences {
 		for i := range o.steps {
 			s := &o.steps[i]
@@ -53,6 +55,9 @@
 				if len(t.failedRuns) > 0 {
 					p.Failures[key] = slices.Clone(t.failedRuns)
 				}
+				if len(t.crashes) > 0 && !t.isDone() {
+					p.Crashes[key] = slices.Clone(t.crashes)
+				}
 				if t.checkpoint != "" && !t.isDone() {
 					p.Checkpoints[key] = t.checkpoint
 				}
@@ -99,6 +104,13 @@
 		}
 		t.failedRuns = f
 	}
+	for key, crashes := range p.Crashes {
+		t, err := j.restoredTask(key)
+		if err != nil {
+			return err
+		}
+		t.crashes = crashes
+	}
 	for key, checkpoint := range p.Checkpoints {
 		t, err := j.restoredTask(key)
 		if err != nil {
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -47,6 +47,7 @@
 	if r.Process < w.process && now.Sub(w.lastReport) < formerProcessWindow || w.supersedes(r) || w.precedesDeparture(r) {
 		return false
 	}
+	c.receiveCrashes(w, r, now)
 	w.lastReport = now
 	c.markChanged(w)
 	if r.Process != w.process {
@@ -178,7 +179,6 @@
 		}
 		return
 	}
-	c.receiveCrash(w, now)
 	var late []sentStart
 	if r.Worker.ID == w.ID {
 		late = w.startsOfFormerProcesses(now)
@@ -421,7 +421,7 @@
 // there.
 func (c *Cell) receiveAbsent(w *workerRow, a AbsentRun, now time.Time) {
 	_, s, t := c.findTask(a.Task)
-	if t == nil {
+	if _, _, crashed := a.crash(); t == nil || crashed {
 		return
 	}
 	run := t.runOn(w, a.Run)
@@ -498,6 +498,7 @@
 		t.checkpoint, t.checkpointAt, t.checkpointPercent = r.Checkpoint, now, r.Percent
 	}
 	t.throttled = r.Throttled
+	t.forgetCrashes(j)
 	t.worker.endProbationIfReady(t, now)
 	switch {
 	case !s.spec.BestEffort:
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -319,6 +319,8 @@
 	recentStarts []sentStart
 	// releases must be reset when the tasks of the worker change.
 	releases expectedReleases
+	// isolated is true while only suspects of crashes start on the worker.
+	isolated bool
 	// lastProgress is when any task of the worker last made progress or ended.
 	lastProgress time.Time
 	// lastSample is when the worker last gave a sample to the interference
@@ -396,6 +398,8 @@
 	rackWaits, reservingSteps int
 	preemption                preemption
 	copies                    copies
+	isolation                 isolation
+	recentCrashes             []recentCrash
 }
 
 // rosterRow is the state of an agent that may have received orders.
@@ -424,7 +428,8 @@
 		roster: map[string]rosterRow{}, endedJobs: map[string]bool{}, earlyCancellations: map[string]bool{},
 		claims: map[*workerRow]room{}, runTimeRatios: newRunTimeRatios(), meanWork: meanWork{},
 		interference: newInterferenceModel(), forecaster: newForecaster(),
-		policy: policy{compare: byTimelinessAndPriority, learns: true, reserves: true}}
+		isolation: isolation{crashed: map[string]bool{}},
+		policy:    policy{compare: byTimelinessAndPriority, learns: true, reserves: true}}
 	for _, o := range options {
 		o(c)
 	}
--- a/core/job/stats.go
+++ b/core/job/stats.go
@@ -23,6 +23,9 @@
 	// another worker has room, and ReservedWorkers the workers on which steps reserve
 	// room.
 	RackWaits, ReservedWorkers int
+	// IsolatedWorkers counts the workers that are isolated, and SuspectSteps the steps whose
+	// tasks wait for one.
+	IsolatedWorkers, SuspectSteps int
 }
 
 // Stats returns the values for the metrics.
@@ -49,6 +52,7 @@
 		}
 	}
 	out.RackWaits, out.ReservedWorkers = c.rackWaits, len(c.claims)
+	out.IsolatedWorkers, out.SuspectSteps = len(c.isolation.workers), c.isolation.waiting
 	out.ColdFactor = c.coldSpeed.factor()
 	for _, w := range c.workers.All {
 		if w.isCold(now) {
--- a/io/scheduler/crashes.go
+++ b/io/scheduler/crashes.go
@@ -5,10 +5,13 @@
 
 	"rosemarygap/core/event"
 	"rosemarygap/core/job"
+	"rosemarygap/core/status"
 
 	"github.com/VictoriaMetrics/metrics"
 )
 
+var jobsGivenUp = metrics.NewCounter("rosemarygap_jobs_given_up_total")
+
 // countCrash counts a crash of a worker.
 func countCrash(e job.Event) {
 	cause := "unknown"
@@ -28,6 +31,17 @@
 	case job.EventRunCrashed:
 		event.RunCrashed.Emit(c.log, event.Task(e.Task), event.Attempt(int(e.Run)), event.Worker(e.Worker), event.State(e.Reason),
 			event.Elapsed(e.Elapsed), event.Count(e.Count), event.Epoch(c.cell.Epoch()))
+	case job.EventGivenUp:
+		jobsGivenUp.Inc()
+		event.JobGivenUp.Emit(c.log, event.Task(e.Task), event.Attempt(int(e.Run)), event.Worker(e.Worker),
+			event.Reason(status.Code(e.Reason)), event.Count(e.Count), event.Epoch(c.cell.Epoch()))
+	case job.EventIsolationBegan, job.EventIsolationEnded:
+		state := "began"
+		if e.Kind == job.EventIsolationEnded {
+			state = "ended"
+		}
+		event.IsolationChanged.Emit(c.log, event.Worker(e.Worker), event.State(state), event.Count(e.Count),
+			event.Age(e.ReportAge), event.Epoch(c.cell.Epoch()))
 	default:
 		return false
 	}
--- a/io/scheduler/metrics.go
+++ b/io/scheduler/metrics.go
@@ -61,6 +61,8 @@
 	}
 	g.set.GetOrCreateGauge("rosemarygap_rack_waiting_tasks", nil).Set(float64(stats.RackWaits))
 	g.set.GetOrCreateGauge("rosemarygap_reserved_workers", nil).Set(float64(stats.ReservedWorkers))
+	g.set.GetOrCreateGauge("rosemarygap_isolated_workers", nil).Set(float64(stats.IsolatedWorkers))
+	g.set.GetOrCreateGauge("rosemarygap_suspect_steps", nil).Set(float64(stats.SuspectSteps))
 	g.set.GetOrCreateGauge("rosemarygap_cold_workers", nil).Set(float64(stats.ColdWorkers))
 	g.set.GetOrCreateGauge("rosemarygap_cold_worker_slowdown", nil).Set(stats.ColdFactor)
 	for worker, age := range stats.ReportAges {
