io/agent: report which runs crashed with the worker, and how old they were

A new owner knew nothing of a crash that its predecessor had not recorded yet, which takes the 3 s that the worker is down; and an owner counts all runs that it has not seen listed as starting, also those that never reached the worker.

The agent lives through both. It reports the runs of an incarnation that ended without a departure, with the time since their starts were sent, to each owner of the next 15 s, as absent runs with a reason of their own. An owner of an earlier build takes them for runs that never start, which is true; a run whose start was not answered is marked as unsure and is no proof.

--- a/io/agent/orders.go
+++ b/io/agent/orders.go
@@ -93,6 +93,7 @@
 	}
 	o.unconfirmed = false
 	o.beginCall(time.Now())
+	a.state.recordSent(o.Order, time.Now())
 	err := a.startOnce(ctx, o, leaseUntil)
 	var refused *platform.OrderRefusedError
 	switch {
--- a/io/agent/owner.go
+++ b/io/agent/owner.go
@@ -248,7 +248,7 @@
 		a.setOwner(o)
 		return nil
 	}
-	a.state.removeReported(r.Absent)
+	a.state.removeReported(r.Absent, reply.Epoch)
 	orders, acknowledged := a.state.applyReply(&reply, sentAt, time.Now())
 	if acknowledged {
 		process.Wake(a.wakeRenewal)
--- a/io/agent/state.go
+++ b/io/agent/state.go
@@ -93,6 +93,12 @@
 	unansweredStarts map[runKey]unansweredStart
 	throttle         throttle
 	freshness        freshness
+	// begunAt is when this process began. sentAt is when the starts of the current runs were
+	// first sent, and aliveAt when the worker last answered a start or a renewal.
+	begunAt, aliveAt time.Time
+	sentAt           map[runKey]time.Time
+	// crashedRuns are the runs of earlier incarnations that ended with a crash.
+	crashedRuns []crashedRun
 	// maxCancellationsAge is how old the knowledge of the cancellations may be at a
 	// start.
 	maxCancellationsAge time.Duration
@@ -107,6 +113,8 @@
 	return &state{processID: processID, maxLease: b.MaxWorkerLease, maxCancellationsAge: maxCancellationsAge(b.MaxCancelDelay),
 		maxEvacuationsAge: maxEvacuationsAge(b.MaxEvacuationDelay),
 		runs:              map[runKey]*localRun{}, traits: map[string]job.TaskTraits{},
+		begunAt:          time.Now(),
+		sentAt:           map[runKey]time.Time{},
 		unansweredStarts: map[runKey]unansweredStart{}, throttle: newThrottle()}
 }
 
@@ -146,11 +154,15 @@
 	if s.worker == nil || s.worker.Zone != w.Zone {
 		s.zone = zoneKnowledge{}
 	}
+	if s.worker != nil {
+		s.recordCrash(time.Now())
+	}
 	s.replaced, s.firstClock = s.worker != nil && s.worker.ID == w.ID, 0
 	s.worker, s.left = &w, false
 	s.runList, s.runListEpoch, s.workerClock, s.leaseDeadline = job.RunList{}, 0, 0, 0
 	s.grantedUntil, s.acknowledged, s.answeredAt = 0, 0, time.Time{}
 	clear(s.runs)
+	clear(s.sentAt)
 	s.throttle = newThrottle()
 }
 
@@ -215,7 +227,11 @@
 		w.ColdLeft = max(0, left)
 		r.Worker = &w
 	}
-	if longPoll || r.Worker == nil {
+	if r.Worker == nil {
+		return r
+	}
+	r.Absent = s.unreportedCrashes(now)
+	if longPoll {
 		return r
 	}
 	r.Unreachable, r.LeaseEnded = s.unreachableFor(now)
@@ -343,6 +359,9 @@
 	}
 	k := runKey{o.Task, o.Run}
 	r := s.runs[k]
+	if outcome == runStarted {
+		s.aliveAt = now
+	}
 	if outcome == runStarted && (r == nil || r.state == runClosed) {
 		return
 	}
@@ -440,13 +459,15 @@
 		s.leaseDeadline = max(s.leaseDeadline, runs.Clock+s.maxLease)
 		s.firstClock = runs.Clock
 	}
-	s.workerClock, s.answeredAt = max(s.workerClock, runs.Clock), now
+	s.workerClock, s.answeredAt, s.aliveAt = max(s.workerClock, runs.Clock), now, now
 	if runs.Clock < s.runList.Clock || r.epoch != s.epoch {
 		return false
 	}
 	changed = s.runListEpoch != r.epoch || s.differs(&runs)
 	s.runList, s.runListEpoch = runs, r.epoch
-	return s.matchRuns(requestedAt) || changed
+	changed = s.matchRuns(requestedAt) || changed
+	s.forgetSent()
+	return changed
 }
 
 // setIncarnation switches to an incarnation that answered before its first
@@ -499,10 +520,11 @@
 	return found
 }
 
-// removeReported removes the absent runs that the owner received in a report.
-func (s *state) removeReported(reported []job.AbsentRun) {
+// removeReported removes the absent runs that the owner of an epoch received in a report.
+func (s *state) removeReported(reported []job.AbsentRun, epoch int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.markCrashesReported(reported, epoch)
 	for _, a := range reported {
 		k := runKey{a.Task, a.Run}
 		if r := s.runs[k]; r != nil && r.absent {
