io/agent, platform: report starts that could not be sent, and workers without a listener, at once

A crashed worker looks empty to the owner until its agent has had no answer for 0.9 s, so the next tasks were ordered there. Their starts waited until the worker was back, 3 s later, though nothing listened at its address and none had been sent; and they counted as runs that might have crashed.

A call whose connection was refused was not sent. The agent reports such a run as absent at once, and its worker as unreachable until something listens again. Running work is not touched: it is lost only with a new incarnation or the lease. An agent in its first 15 s waits as before, since the process before it may have sent the start.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -23,6 +23,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/oklog/run"
+	"github.com/pkg/errors"
 )
 
 // Periods and limits of the agent.
@@ -250,6 +251,9 @@
 		return false
 	}
 	a.workerHealth.Observe(err)
+	if errors.Is(err, platform.ErrNotSent) {
+		a.state.recordRefusing()
+	}
 	if err != nil {
 		renewFailures.Inc()
 		process.Wake(a.wakeReport)
--- a/io/agent/order_queue_test.go
+++ b/io/agent/order_queue_test.go
@@ -139,9 +139,16 @@
 
 func newTestAgent(t *testing.T, silent bool) *testAgent {
 	w := newTestWorker(silent)
+	a := newTestAgentWith(t, w)
+	a.worker = w
+	return a
+}
+
+// newTestAgentWith returns a test agent that calls its worker through transport.
+func newTestAgentWith(t *testing.T, transport http.RoundTripper) *testAgent {
 	a := New(platform.Settings{Name: "agent"}, hclog.NewNullLogger())
 	a.state, _, _ = newTestState(t)
-	a.worker = platform.NewWorker(&http.Client{Transport: w}, netip.MustParseAddrPort("127.0.0.1:1"))
+	a.worker = platform.NewWorker(&http.Client{Transport: transport}, netip.MustParseAddrPort("127.0.0.1:1"))
 	ctx, cancel := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
 	for range orderExecutors {
@@ -152,7 +159,7 @@
 	}
 	wg.Go(func() { _ = a.cancelLoop(ctx) })
 	t.Cleanup(func() { cancel(); wg.Wait() })
-	return &testAgent{Agent: a, worker: w}
+	return &testAgent{Agent: a}
 }
 
 func testTask(n int) string { return fmt.Sprintf("%016x.0.0.0", n) }
--- a/io/agent/orders.go
+++ b/io/agent/orders.go
@@ -106,6 +106,11 @@
 		return a.refuseStart(o, "unhealthy")
 	case errors.Is(err, platform.ErrFenced), errors.Is(err, platform.ErrOtherIncarnation):
 		return "superseded"
+	case errors.Is(err, platform.ErrNotSent) && !o.unanswered && time.Since(a.startedAt) >= unansweredStartTTL:
+		// The process before this sent no call either that could still take effect.
+		a.state.recordNotSent(o.Order, time.Now())
+		process.Wake(a.wakeReport)
+		return "not-sent"
 	}
 	o.unanswered = true
 	a.state.recordUnanswered(o.Order, time.Now())
--- a/io/agent/state.go
+++ b/io/agent/state.go
@@ -93,6 +93,8 @@
 	unansweredStarts map[runKey]unansweredStart
 	throttle         throttle
 	freshness        freshness
+	// refusing is true if the worker's last call found no listener.
+	refusing bool
 	// begunAt is when this process began. sentAt is when the starts of the current runs were
 	// first sent, and aliveAt when the worker last answered a start or a renewal.
 	begunAt, aliveAt time.Time
@@ -163,6 +165,7 @@
 	s.grantedUntil, s.acknowledged, s.answeredAt = 0, 0, time.Time{}
 	clear(s.runs)
 	clear(s.sentAt)
+	s.refusing = false
 	s.throttle = newThrottle()
 }
 
@@ -265,16 +268,17 @@
 }
 
 // unreachableFor returns how long the worker has not answered, and whether its
-// lease has certainly expired. The duration is 0 below unreachableAfter. The
-// caller holds s.mu.
+// lease has certainly expired. The duration is 0 below unreachableAfter, unless nothing
+// listens at the worker's address. The caller holds s.mu.
 func (s *state) unreachableFor(now time.Time) (time.Duration, bool) {
 	if s.answeredAt.IsZero() {
 		return 0, false
 	}
 	unreachable := now.Sub(s.answeredAt)
-	if unreachable < unreachableAfter {
+	if unreachable < unreachableAfter && !s.refusing {
 		return 0, false
 	}
+	unreachable = max(unreachable, time.Millisecond)
 	remaining := s.leaseDeadline - s.workerClock
 	return unreachable, unreachable > job.AddClockDrift(remaining)+leaseMargin
 }
@@ -360,7 +364,7 @@
 	k := runKey{o.Task, o.Run}
 	r := s.runs[k]
 	if outcome == runStarted {
-		s.aliveAt = now
+		s.aliveAt, s.refusing = now, false
 	}
 	if outcome == runStarted && (r == nil || r.state == runClosed) {
 		return
@@ -368,6 +372,25 @@
 	s.runs[k] = &localRun{state: outcome, decidedAt: now, reason: reason, stopOrdered: r != nil && r.stopOrdered}
 }
 
+// recordNotSent records that a start cannot take effect, as nothing listens at the worker's
+// address. No list is needed to tell that the run is absent.
+func (s *state) recordNotSent(o job.Order, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.worker == nil || o.Worker != s.worker.ID || o.Incarnation != s.worker.Incarnation {
+		return
+	}
+	s.refusing = true
+	s.runs[runKey{o.Task, o.Run}] = &localRun{state: runClosed, decidedAt: now, reason: "not-sent", absent: true}
+}
+
+// recordRefusing records that nothing listens at the worker's address.
+func (s *state) recordRefusing() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusing = true
+}
+
 // checkOrder reports whether o may still be executed: it must be for the
 // current worker and epoch. A start may not be executed if the worker is draining or
 // its lease was reported to have ended. For a start, it also returns the end of the
@@ -459,7 +482,7 @@
 		s.leaseDeadline = max(s.leaseDeadline, runs.Clock+s.maxLease)
 		s.firstClock = runs.Clock
 	}
-	s.workerClock, s.answeredAt, s.aliveAt = max(s.workerClock, runs.Clock), now, now
+	s.workerClock, s.answeredAt, s.aliveAt, s.refusing = max(s.workerClock, runs.Clock), now, now, false
 	if runs.Clock < s.runList.Clock || r.epoch != s.epoch {
 		return false
 	}
