core/job: judge a reported crash by all of its runs, also those recorded before

A crash is reported again to each new owner.

TestRecordedRunsStayCompany fails before: the innocent job is told failed.

--- a/core/job/crash.go
+++ b/core/job/crash.go
@@ -95,8 +95,12 @@
 
 // crashedRun is a run that a crashed worker had.
 type crashedRun struct {
+	// name is the name of the task. job and task are nil if it is not known any more, and
+	// recorded is true if an earlier report told of the crash.
+	name     Task
 	job      *jobRow
 	task     *taskRow
+	recorded bool
 	run      int64
 	age      time.Duration
 	unsure   bool
@@ -181,17 +185,19 @@
 // receiveCrashedRuns records the crash of an earlier incarnation of r's worker as the agent
 // reports it. It reports whether r has such runs.
 func (c *Cell) receiveCrashedRuns(w *workerRow, r *Report, now time.Time) bool {
-	found := false
 	var runs []crashedRun
 	for i := range r.Absent {
 		age, unsure, ok := r.Absent[i].crash()
-		found = found || ok
-		if j, _, t := c.findTask(r.Absent[i].Task); ok && t != nil {
-			runs = append(runs, crashedRun{job: j, task: t, run: r.Absent[i].Run, age: age, unsure: unsure})
+		name, err := ParseTask(r.Absent[i].Task)
+		if !ok || err != nil {
+			continue
 		}
+		x := crashedRun{name: name, run: r.Absent[i].Run, age: age, unsure: unsure}
+		x.job, _, x.task = c.findTask(r.Absent[i].Task)
+		runs = append(runs, x)
 	}
 	c.recordCrash(w, runs, now)
-	return found
+	return len(runs) > 0
 }
 
 // inferCrash records the crash of the current incarnation of w as far as this owner knows its
@@ -200,35 +206,36 @@
 	var runs []crashedRun
 	for _, t := range w.sortedTasks() {
 		j, _, main := c.findTask(t.name.String())
-		runs = append(runs, crashedRun{job: j, task: main, run: t.run, age: t.executed(), unsure: !t.running})
+		runs = append(runs, crashedRun{name: t.name, job: j, task: main, run: t.run, age: t.executed(), unsure: !t.running})
 	}
 	c.recordCrash(w, runs, now)
 }
 
 // recordCrash records the crash of a worker of w's agent under the given runs. It gives a job
-// up if its tasks are certainly the cause.
+// up if its tasks are certainly the cause. An earlier owner may have recorded the crash for
+// some of the runs: they count as company of the others.
 func (c *Cell) recordCrash(w *workerRow, runs []crashedRun, now time.Time) {
-	runs = slices.DeleteFunc(runs, func(r crashedRun) bool {
-		return r.task.isDone() || slices.ContainsFunc(r.task.crashes, func(x Crash) bool { return x.Run == r.run })
-	})
 	isOld := func(r crashedRun) bool { return r.age > maxBlameAge }
 	if slices.ContainsFunc(runs, func(r crashedRun) bool { return !isOld(r) }) {
 		runs = slices.DeleteFunc(runs, isOld)
 	}
-	if len(runs) == 0 {
-		return
-	}
 	e := Event{Kind: EventWorkerCrashed, Worker: w.ID, ReportAge: now.Sub(w.lastReport), Count: len(runs)}
-	jobs := map[*jobRow]bool{}
+	jobs := map[string]bool{}
+	isNew := false
 	for i := range runs {
 		r := &runs[i]
-		if r.starting = r.age < r.task.startingTime(); r.starting {
+		if r.judge(); r.starting {
 			e.Starting++
-			jobs[r.job] = true
+			jobs[r.name.Job] = true
 		}
+		isNew = isNew || !r.recorded
+	}
+	if !isNew {
+		return
 	}
 	e.StartingJobs = len(jobs)
 	c.events = append(c.events, e)
+	runs = slices.DeleteFunc(runs, func(r crashedRun) bool { return r.recorded })
 	for i := range runs {
 		r := &runs[i]
 		r.task.crashes = append(r.task.crashes, Crash{r.run, w.agent, now, r.age, r.starting, r.unsure, e.StartingJobs})
@@ -250,6 +257,20 @@
 	}
 }
 
+// judge sets whether the crash was recorded under r before, or need not be, and whether r was
+// starting.
+func (r *crashedRun) judge() {
+	if r.task == nil {
+		r.recorded, r.starting = true, r.age < startingTime
+		return
+	}
+	if i := slices.IndexFunc(r.task.crashes, func(x Crash) bool { return x.Run == r.run }); i >= 0 {
+		r.recorded, r.starting = true, r.task.crashes[i].Starting
+		return
+	}
+	r.recorded, r.starting = r.task.isDone(), r.age < r.task.startingTime()
+}
+
 // recentCrash is the crash of a worker within the last startCrashTime.
 type recentCrash struct {
 	agent string
@@ -334,7 +355,9 @@
 		}
 		suspect = r
 	}
-	c.giveUp(suspect, w, reasonOnlySuspect, now)
+	if suspect != nil {
+		c.giveUp(suspect, w, reasonOnlySuspect, now)
+	}
 }
 
 // giveUp fails the job of a run that crashed its worker.
@@ -342,7 +365,7 @@
 	if r.job.state.IsFinal() {
 		return
 	}
-	c.events = append(c.events, Event{Kind: EventGivenUp, Task: r.task.name.String(), Run: r.run, Worker: w.ID, Reason: reason,
+	c.events = append(c.events, Event{Kind: EventGivenUp, Task: r.name.String(), Run: r.run, Worker: w.ID, Reason: reason,
 		Count: len(r.task.crashes)})
 	c.endJob(r.job, Failed, now)
 }
@@ -361,6 +384,6 @@
 	if r.starting {
 		state = "starting"
 	}
-	c.events = append(c.events, Event{Kind: EventRunCrashed, Task: r.task.name.String(), Run: r.run, Worker: w.ID,
+	c.events = append(c.events, Event{Kind: EventRunCrashed, Task: r.name.String(), Run: r.run, Worker: w.ID,
 		Reason: state, Elapsed: r.age, Count: len(r.task.crashes)})
 }
--- a/core/job/crash_test.go
+++ b/core/job/crash_test.go
@@ -276,3 +276,32 @@
 		})
 	}
 }
+
+// An owner that was replaced may have stored a crash for some of the runs only, or ended the
+// job of the cause. A run that the next owner has not seen recorded is not the only suspect then.
+func TestRecordedRunsStayCompany(t *testing.T) {
+	for _, ended := range []bool{false, true} {
+		is := is.New(t)
+		tc := newTestCluster(t, 3)
+		cause, innocent := testJob(1, step(1, 100)), testJob(2, step(1, 100))
+		crash := func(agent string, run int64) Crash {
+			return Crash{Run: run, Agent: agent, At: tc.now, Starting: true, Jobs: 2}
+		}
+		load := func(j Job, crashes ...Crash) {
+			is.NoErr(tc.Load(j, Progress{Crashes: map[string][]Crash{"0.0.0": crashes}}, tc.now))
+		}
+		if !ended {
+			load(cause, crash("agent-0", 1), crash("agent-1", 2))
+		}
+		load(innocent, crash("agent-0", 1))
+		tc.now = tc.now.Add(4 * time.Second)
+		r := tc.testWorkers["agent-1"].report
+		for _, j := range []Job{cause, innocent} {
+			r.Absent = append(r.Absent, AbsentRun{Task{Job: j.ID}.String(), 2, CrashedReason(0, false)})
+		}
+		tc.Receive(&r, tc.now)
+		is.Equal(tc.jobs.Get(innocent.ID).state, Queued)
+		_, _, task := tc.findTask(Task{Job: innocent.ID}.String())
+		is.Equal(len(task.crashes), 2)
+	}
+}
