core/job: isolate an eighth of the workers, and half of them while they are idle

A crash takes an isolated worker away for 3 s. With a quarter of 11 workers isolated, that and the drain before it cost the other tasks more than the suspects gained. While less than half of the processors are in use, isolation costs nothing and the suspects should not wait.

--- a/core/job/isolation.go
+++ b/core/job/isolation.go
@@ -8,9 +8,12 @@
 
 // Parameters of isolation.
 const (
-	// isolationDivisor is the inverse of the share of the workers of the cell that may be
-	// isolated at a time: a quarter.
-	isolationDivisor = 4
+	// isolationDivisor is the inverse of the share of the workers that may be isolated at a
+	// time, an eighth, while the others have work. A crash takes a worker away for seconds, so
+	// that more would slow down all other tasks. idleIsolationDivisor replaces it while less
+	// than half of the processors are in use.
+	isolationDivisor     = 8
+	idleIsolationDivisor = 2
 	// quietTime is how long the runs on an isolated worker that are not suspects must have
 	// been executing when a suspect starts there.
 	quietTime = time.Second
@@ -206,12 +209,17 @@
 
 // maxIsolated returns how many workers may be isolated.
 func (c *Cell) maxIsolated(now time.Time) int {
-	usable := 0
+	usable, used, capacity := 0, 0, 0
 	for _, w := range c.workers.All {
 		if w.hasRecentReport(now) {
 			usable++
+			used += w.used.Processors + w.bestEffortProcessors
+			capacity += w.Capacity.Processors
 		}
 	}
+	if 2*used < capacity {
+		return max(1, usable/idleIsolationDivisor)
+	}
 	return max(1, usable/isolationDivisor)
 }
 
--- a/core/metric/catalogue.go
+++ b/core/metric/catalogue.go
@@ -20,7 +20,7 @@
 	{"rosemarygap_worker_crashes_total", []string{"cause"}, "workers that were replaced by a new incarnation without a departure while they had runs, as the owner saw it; the cause is `start` if runs had only just started, or else `unknown`"},
 	{"rosemarygap_jobs_given_up_total", nil, "jobs that the owner gave up because a task of them crashes the workers that start it; event 7052 names the task; alert if it is above 0"},
 	{"rosemarygap_suspect_steps", nil, "steps with tasks under which workers have crashed and which wait for an isolated worker; reported by the owner"},
-	{"rosemarygap_isolated_workers", nil, "workers on which only tasks start under which workers have crashed, at most a quarter of all; reported by the owner"},
+	{"rosemarygap_isolated_workers", nil, "workers on which only tasks start under which workers have crashed, at most an eighth of all while the others are busy; reported by the owner"},
 	{"rosemarygap_journal_write_seconds", nil, "latency of the owner's writes to the store, as a histogram"},
 	{"rosemarygap_journal_write_failures_total", nil, "writes to the store that failed or got no response; they are retried"},
 	{"rosemarygap_orders_total", []string{"order", "outcome"}, "orders that the agent executed on its worker"},
