core/job: tell tasks that crash their workers from those that share a crash by chance

Isolated workers do not count, half of all workers must crash, and a second such event is no excuse (TestTasksThatCrashWorkersTogetherAreGivenUp). - A step whose tasks had crashed every agent waited for ever (a history of TestHistoriesWithCopies, kept). Two crashes are proof at like ages only, else three.

--- a/core/job/crash.go
+++ b/core/job/crash.go
@@ -17,6 +17,8 @@
 	// Starting is true if the run was still starting, and Unsure if it may not have started.
 	Starting bool `json:"starting,omitempty"`
 	Unsure   bool `json:"unsure,omitempty"`
+	// Common is true if many workers crashed at about the same time.
+	Common bool `json:"common,omitempty"`
 	// Jobs is the number of the jobs with starting runs on the worker.
 	Jobs int `json:"jobs,omitempty"`
 }
@@ -30,21 +32,21 @@
 	// maxBlameAge is the age from which on a crash says nothing about a run, unless there are
 	// only older ones.
 	maxBlameAge = 3 * time.Second
-	// crashFreeTime is how long a run must execute for the earlier crashes under its task
-	// to be forgotten.
-	crashFreeTime = 30 * time.Second
 	// minCrashes is the number of crashes from which on a task may be given up, and
 	// maxCrashes that at which it is given up whatever started beside it. On the platform, a
 	// task that crashes its workers may be started twice more after the third crash; one of
 	// these is left for a crash that no owner noticed.
 	minCrashes = 2
 	maxCrashes = 4
+	// Two crashes are proof only if the ages of the runs differ by less than sameAgeTolerance.
+	// Otherwise a third one is needed: a worker may crash by itself while a suspect starts.
+	sameAgeTolerance = 50 * time.Millisecond
+	certainCrashes   = 3
 	// commonCauseTime is within which time the crashes of minCommonCause workers, and at
-	// least the share of commonCauseDivisor of all, count as one event that no task caused,
-	// such as the loss of a rack. Workers restart in different times.
-	commonCauseTime    = time.Second
-	minCommonCause     = 3
-	commonCauseDivisor = 3
+	// least half of all, count as one event that no task caused, such as a loss of power.
+	// Workers restart in different times.
+	commonCauseTime = time.Second
+	minCommonCause  = 3
 	// alertTime is how long after the second crash under one task each task under which a
 	// worker has crashed is a suspect. At other times most workers crash by themselves, and
 	// isolation would only delay the tasks.
@@ -135,13 +137,27 @@
 	return d
 }
 
-// crashesAtStart counts the crashes under starting runs of t. Those within commonCauseTime
+// blamed returns the crashes for which t may be to blame: those under starting runs. One with a
+// common cause is left out; a second one is not, as several tasks may crash workers at a time.
+func (t *taskRow) blamed() []Crash {
+	var out []Crash
+	common := false
+	for _, x := range t.crashes {
+		if x.Starting && (!x.Common || common) {
+			out = append(out, x)
+		}
+		common = common || x.Common
+	}
+	return out
+}
+
+// crashesAtStart counts the crashes for which t may be to blame. Those within commonCauseTime
 // count once.
 func (t *taskRow) crashesAtStart() int {
 	n := 0
 	var last time.Time
-	for _, x := range t.crashes {
-		if x.Starting && (n == 0 || x.At.Sub(last) > commonCauseTime) {
+	for _, x := range t.blamed() {
+		if n == 0 || x.At.Sub(last) > commonCauseTime {
 			n++
 			last = x.At
 		}
@@ -153,22 +169,31 @@
 // were starting.
 func (t *taskRow) agentsCrashedAtStart() int {
 	agents := map[string]bool{}
-	for _, x := range t.crashes {
-		if x.Starting && !x.Unsure {
+	for _, x := range t.blamed() {
+		if !x.Unsure {
 			agents[x.Agent] = true
 		}
 	}
 	return len(agents)
 }
 
+// crashesAlike reports whether the crashes under starting runs of t prove that t is the cause if
+// nothing else was starting.
+func (t *taskRow) crashesAlike() bool {
+	n := t.crashesAtStart()
+	if n != minCrashes {
+		return n >= certainCrashes
+	}
+	b := t.blamed()
+	return (b[len(b)-1].Age - b[0].Age).Abs() < sameAgeTolerance
+}
+
 // suspicion returns how likely it is that t crashes its workers: at each crash, the blame is
 // divided among the jobs with starting runs.
 func (t *taskRow) suspicion() float64 {
 	sum := 0.0
-	for _, x := range t.crashes {
-		if x.Starting {
-			sum += 1 / float64(max(x.Jobs, 1))
-		}
+	for _, x := range t.blamed() {
+		sum += 1 / float64(max(x.Jobs, 1))
 	}
 	return min(sum, 1)
 }
@@ -178,7 +203,7 @@
 func (c *Cell) receiveCrashes(w *workerRow, r *Report, now time.Time) {
 	restarted := r.Worker.ID != w.ID || r.Worker.Incarnation != w.Incarnation
 	if !c.receiveCrashedRuns(w, r, now) && restarted && !w.left && !w.Draining {
-		c.inferCrash(w, now)
+		c.inferCrash(w, r, now)
 	}
 }
 
@@ -201,10 +226,18 @@
 }
 
 // inferCrash records the crash of the current incarnation of w as far as this owner knows its
-// runs: the agent does not tell. It must be called before the runs are released.
-func (c *Cell) inferCrash(w *workerRow, now time.Time) {
+// runs: the agent, which sent r, does not tell. A run whose order the agent has not received
+// cannot have started. It must be called before the runs are released.
+func (c *Cell) inferCrash(w *workerRow, r *Report, now time.Time) {
+	received := int64(0)
+	if r.Epoch == c.epoch {
+		received = r.Applied
+	}
 	var runs []crashedRun
 	for _, t := range w.sortedTasks() {
+		if t.orderSequence > received {
+			continue
+		}
 		j, _, main := c.findTask(t.name.String())
 		runs = append(runs, crashedRun{name: t.name, job: j, task: main, run: t.run, age: t.executed(), unsure: !t.running})
 	}
@@ -238,16 +271,18 @@
 	runs = slices.DeleteFunc(runs, func(r crashedRun) bool { return r.recorded })
 	for i := range runs {
 		r := &runs[i]
-		r.task.crashes = append(r.task.crashes, Crash{r.run, w.agent, now, r.age, r.starting, r.unsure, e.StartingJobs})
+		if !r.starting {
+			r.task.crashes = nil // the run has passed the times of the earlier crashes
+		}
+		r.task.crashes = append(r.task.crashes, Crash{Run: r.run, Agent: w.agent, At: now, Age: r.age,
+			Starting: r.starting, Unsure: r.unsure, Jobs: e.StartingJobs})
 		r.job.dirty, r.job.urgent = true, true
 		c.isolation.crashed[r.job.ID] = true
 		c.logCrash(r, w)
 	}
-	if c.hasCommonCause(w, runs, now) {
-		return
-	}
+	common := c.hasCommonCause(w, runs, now)
 	c.updateAlert(runs, now)
-	if len(jobs) == 1 {
+	if len(jobs) == 1 && !common {
 		c.giveUpOnlySuspect(w, runs, now)
 	}
 	for i := range runs {
@@ -278,6 +313,9 @@
 	runs  []crashedRun
 	// atStart is true if a run certainly had started less than startCrashAge before.
 	atStart bool
+	// isolated is true if the worker was isolated. Several suspects may crash such workers
+	// at about the same time.
+	isolated bool
 }
 
 // countAgents returns how many agents have a recent crash for which f is true.
@@ -292,13 +330,13 @@
 }
 
 // hasCommonCause reports whether so many workers have crashed at about the same time as w that
-// no task is the cause. None of their runs is then blamed.
+// no task is the cause, and records that for their runs.
 func (c *Cell) hasCommonCause(w *workerRow, runs []crashedRun, now time.Time) bool {
 	atStart := slices.ContainsFunc(runs, func(r crashedRun) bool { return !r.unsure && r.age < startCrashAge })
 	c.recentCrashes = append(slices.DeleteFunc(c.recentCrashes, func(x recentCrash) bool { return now.Sub(x.at) > startCrashTime }),
-		recentCrash{w.agent, now, runs, atStart})
+		recentCrash{w.agent, now, runs, atStart, w.isolated})
 	isNear := func(x recentCrash) bool { return now.Sub(x.at) <= commonCauseTime }
-	if c.countAgents(isNear) < max(minCommonCause, (c.workers.Len()+commonCauseDivisor-1)/commonCauseDivisor) {
+	if c.countAgents(func(x recentCrash) bool { return isNear(x) && !x.isolated }) < max(minCommonCause, (c.workers.Len()+1)/2) {
 		return false
 	}
 	for i := range c.recentCrashes {
@@ -314,11 +352,11 @@
 	return true
 }
 
-// clearBlame records that the crash under r does not speak against its task.
+// clearBlame records that the crash under r had a common cause.
 func (r *crashedRun) clearBlame() {
 	for i := range r.task.crashes {
-		if x := &r.task.crashes[i]; x.Run == r.run && x.Starting {
-			x.Starting = false
+		if x := &r.task.crashes[i]; x.Run == r.run && !x.Common {
+			x.Common = true
 			r.job.dirty = true
 		}
 	}
@@ -350,7 +388,7 @@
 			continue
 		}
 		// The crashes of one agent may be the fault of its VM.
-		if r.task.agentsCrashedAtStart() < min(minCrashes, c.workers.Len()) || r.task.crashesAtStart() < minCrashes {
+		if r.task.agentsCrashedAtStart() < min(minCrashes, c.workers.Len()) || !r.task.crashesAlike() {
 			return
 		}
 		suspect = r
@@ -370,9 +408,10 @@
 	c.endJob(r.job, Failed, now)
 }
 
-// forgetCrashes forgets the crashes under t once a run of it has executed for crashFreeTime.
-func (t *taskRow) forgetCrashes(j *jobRow) {
-	if m := t.main(); len(m.crashes) > 0 && t.executed() >= crashFreeTime {
+// exonerate forgets the crashes under t once a run of it has executed for longer than before any
+// of them: a task that crashes its workers does so each time.
+func (t *taskRow) exonerate(j *jobRow) {
+	if m := t.main(); len(m.crashes) > 0 && t.executed() >= t.startingTime() {
 		m.crashes = nil
 		j.dirty = true
 	}
--- a/core/job/crash_test.go
+++ b/core/job/crash_test.go
@@ -254,6 +254,47 @@
 	}
 }
 
+// Several tasks that crash isolated workers at about the same time are no loss of power.
+func TestTasksThatCrashWorkersTogetherAreGivenUp(t *testing.T) {
+	cc := newCrashCluster(t, 6)
+	cc.evidence = true
+	for n := range 5 {
+		cc.addDeadly(1000+n, step(1, 500))
+		cc.advance(300 * time.Millisecond)
+	}
+	for n := range 20 {
+		cc.addInnocent(1+n, step(3, 500))
+		cc.advance(200 * time.Millisecond)
+	}
+	cc.advance(60 * time.Second)
+	cc.checkGivenUp(t, 20)
+}
+
+// A task whose run outlasted the time at which an earlier one crashed did not cause that crash,
+// and is not given up for the next one.
+func TestOutlastingRunExonerates(t *testing.T) {
+	cc := newCrashCluster(t, 2)
+	cc.addInnocent(1, step(1, 500))
+	cc.advance(100 * time.Millisecond)
+	crash := func() {
+		for agent, w := range cc.testWorkers {
+			if len(w.report.Running) > 0 {
+				cc.restart(agent, w)
+			}
+		}
+		cc.advance(100 * time.Millisecond)
+	}
+	_, _, task := cc.findTask(Task{Job: testJob(1).ID}.String())
+	crash()
+	cc.is.Equal(task.crashesAtStart(), 1)
+	cc.advance(450 * time.Millisecond)
+	cc.is.Equal(len(task.crashes), 0)
+	crash()
+	cc.is.Equal(task.crashesAtStart(), 0)
+	cc.advance(time.Second)
+	cc.is.Equal(cc.final[testJob(1).ID], Done)
+}
+
 // The crashes of workers under a task are known after each change of the owner, also if every
 // owner is replaced while a worker of the task is down.
 func TestCrashesOutlastTheOwner(t *testing.T) {
--- a/core/job/isolation.go
+++ b/core/job/isolation.go
@@ -160,7 +160,7 @@
 // startSuspectStep starts the suspects of x on w as far as there is room. It reports whether
 // it started any.
 func (c *Cell) startSuspectStep(w *workerRow, x *suspectStep, now time.Time) bool {
-	if !c.mayRun(w, x.candidate, now) || x.hasCrashed(w.agent) && c.workers.Len() > 1 || !c.ensureTickets(x.candidate, now) {
+	if !c.mayIsolate(w, x, now) || !c.ensureTickets(x.candidate, now) {
 		return false
 	}
 	started := false
@@ -190,6 +190,23 @@
 	})
 }
 
+// mayIsolate reports whether the tasks of x may run isolated on w. A further crash of an agent
+// that has crashed under them would prove nothing, so w is not used if another one can be.
+func (c *Cell) mayIsolate(w *workerRow, x *suspectStep, now time.Time) bool {
+	if !c.mayRun(w, x.candidate, now) {
+		return false
+	}
+	if !x.hasCrashed(w.agent) {
+		return true
+	}
+	for _, o := range c.workers.All {
+		if !x.hasCrashed(o.agent) && c.mayRun(o, x.candidate, now) {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *Cell) beginIsolation(w *workerRow, now time.Time) {
 	w.isolated = true
 	c.isolation.workers = append(c.isolation.workers, w)
@@ -240,13 +257,12 @@
 
 // chooseIsolated returns the worker to isolate for a step: of those that have room for one
 // of its tasks, the one with the least work to lose in a crash. It returns nil if there is
-// none. A worker of an agent that has crashed under the step would prove nothing.
+// none.
 func (c *Cell) chooseIsolated(x *suspectStep, now time.Time) *workerRow {
 	var best *workerRow
 	work := func(w *workerRow) int { return w.used.Processors + w.bestEffortProcessors }
 	for _, w := range c.workers.All {
-		if w.isolated || x.hasCrashed(w.agent) && c.workers.Len() > 1 || !c.mayRun(w, x.candidate, now) ||
-			!w.hasRoom(x.step.spec, x.queue.Priority) {
+		if w.isolated || !c.mayIsolate(w, x, now) || !w.hasRoom(x.step.spec, x.queue.Priority) {
 			continue
 		}
 		if best == nil || work(w) < work(best) {
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -498,7 +498,7 @@
 		t.checkpoint, t.checkpointAt, t.checkpointPercent = r.Checkpoint, now, r.Percent
 	}
 	t.throttled = r.Throttled
-	t.forgetCrashes(j)
+	t.exonerate(j)
 	t.worker.endProbationIfReady(t, now)
 	switch {
 	case !s.spec.BestEffort:
--- a/core/job/rules_test.go
+++ b/core/job/rules_test.go
@@ -463,3 +463,36 @@
 		tc.is.Equal(s.waiting, map[bool]int{false: 0, true: 1}[busy])
 	}
 }
+
+// A worker whose capacity has shrunk below what is reserved there gets no task of any kind until
+// enough has ended, and gets tasks again once its capacity has grown.
+func TestShrunkCapacity(t *testing.T) {
+	bestEffort, gang, wide := step(4, 500), step(2, 500), step(40, 500)
+	bestEffort.BestEffort, gang.Gang, wide.Rack = true, true, "r1"
+	for i, s := range []Step{step(4, 500), bestEffort, gang, wide} {
+		tc := newTestCluster(t, 1)
+		tc.submit(testJob(1, step(4, 2000)))
+		w := tc.testWorkers["agent-0"]
+		setCapacity := func(r Resources) {
+			next := *w.report.Worker
+			next.Sequence++
+			next.Capacity = r
+			w.report.Worker = &next
+		}
+		started := func() int { return tc.countStarts() - 4 }
+		setCapacity(Resources{Processors: 4000, Memory: 300})
+		tc.deliverReports()
+		tc.Add(testJob(2, s), tc.now)
+		for range 200 {
+			tc.deliverReports()
+		}
+		tc.is.Equal(started(), 0) // step i
+		setCapacity(Resources{Processors: 16000, Memory: 64000})
+		for range 5 {
+			tc.deliverReports()
+		}
+		if started() == 0 {
+			t.Errorf("step %d does not start after the capacity has grown", i)
+		}
+	}
+}
--- a/io/standin/fleet/ledger_failures.go
+++ b/io/standin/fleet/ledger_failures.go
@@ -90,6 +90,23 @@
 	}
 }
 
+// checkCapacity checks that a start, whose order reached w at arrived, does not bring w over its
+// capacity. A capacity that was reduced counts once the scheduler must know it. The caller
+// holds w.mu.
+func (l *Ledger) checkCapacity(w *Worker, task string, used job.Resources, arrived time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	capacity := w.currentCapacity()
+	if arrived.Sub(w.reducedAt) < contactTime+heartbeatPeriod {
+		capacity = w.capacity
+	} else if w.share < 100 {
+		l.judged["reduced capacity"]++
+	}
+	if !used.Fits(capacity) {
+		l.addViolation("worker %s exceeds its capacity by starting %s", w.id, task)
+	}
+}
+
 // mayFail reports whether a task of the job has failed as often as its queue permits, and
 // no copy of it is active, which may still be done, or has crashed its workers. The caller
 // holds mu.
--- a/io/standin/fleet/soak_loads_test.go
+++ b/io/standin/fleet/soak_loads_test.go
@@ -16,6 +16,8 @@
 	drains
 	lastingJobs
 	wideJobs
+	deadlyJobs
+	reductions
 )
 
 // sendFailingJobs starts callers for jobs of which each run of a task fails, or the first
@@ -33,6 +35,34 @@
 	})
 }
 
+// deadlySeeds is the interval of the seeds with jobs that crash their workers, and with workers
+// whose capacity shrinks and grows.
+const deadlySeeds = 3
+
+// sendDeadlyJobs sends jobs of which one task crashes its workers until stop is closed.
+func (r *testRun) sendDeadlyJobs(seed uint64, stop <-chan struct{}) {
+	rng := rand.New(rand.NewPCG(seed, deadlyJobs))
+	r.sendEvery(3*time.Second, stop, func(n int) {
+		j := oneStepJob(fmt.Sprintf("%08x%08x", seed, deadlyJobs+n), 1+rng.IntN(4), fmt.Sprintf("ms=%d deadly", 100+rng.IntN(300)))
+		r.wg.Go(func() { r.submitAndFollow(j, false, false) })
+	})
+}
+
+// reduceCapacities reduces the capacity of one worker after the other for a while until stop
+// is closed.
+func (r *testRun) reduceCapacities(seed uint64, stop <-chan struct{}) {
+	rng := rand.New(rand.NewPCG(seed, reductions))
+	for {
+		w := r.agents[rng.IntN(len(r.agents))].worker
+		if !pause(stop, time.Duration(200+rng.IntN(800))*time.Millisecond) {
+			return
+		}
+		w.SetShare(int64(20 + rng.IntN(60)))
+		pause(stop, contactTime+time.Duration(500+rng.IntN(3000))*time.Millisecond)
+		w.SetShare(100)
+	}
+}
+
 // admissionSeeds is the interval of the seeds that run with admission and wide jobs.
 const admissionSeeds = 3
 
--- a/io/standin/fleet/soak_test.go
+++ b/io/standin/fleet/soak_test.go
@@ -172,6 +172,10 @@
 	if admission {
 		r.wg.Go(func() { r.sendWideJobs(seed, stop) })
 	}
+	if seed%deadlySeeds == 2 {
+		r.wg.Go(func() { r.sendDeadlyJobs(seed, stop) })
+		r.wg.Go(func() { r.reduceCapacities(seed, stop) })
+	}
 	if m == evacuations {
 		r.wg.Go(func() { r.evacuateZones(seed, stop) })
 	}
