core/job: bound the cost of decisions about isolation

After a storm of crashes a hundred steps may wait for an isolated worker while a thousand reports a second arrive, each of which compared all of them with all workers. A decision is made every 20 ms, compares four steps with the workers, and the next one goes on with those after them. No figure was taken; the tests and the random histories pass as before.

--- a/core/job/isolation.go
+++ b/core/job/isolation.go
@@ -21,6 +21,11 @@
 	// together on an isolated worker. Most suspects are innocent; if the worker crashes, they
 	// start again one job at a time.
 	maxGroupSuspicion = 0.5
+	// isolationInterval is the least time between two decisions, and maxIsolationAttempts the
+	// number of steps that are compared with all workers in one. After a storm of crashes, a
+	// hundred steps may wait while a thousand reports a second arrive.
+	isolationInterval    = 20 * time.Millisecond
+	maxIsolationAttempts = 4
 )
 
 // isolation is the state of the isolated workers. Tasks that may have crashed their workers
@@ -35,6 +40,11 @@
 	alertUntil time.Time
 	alert      bool
 	workers    []*workerRow
+	// decidedAt is when the last decision was made.
+	decidedAt time.Time
+	// skipped is the number of waiting steps for which the last decisions found no worker. The
+	// next one begins after them.
+	skipped int
 	// waiting is the number of steps that waited for an isolated worker at the last tick.
 	waiting int
 }
@@ -67,6 +77,8 @@
 	*candidate
 	tasks     []*taskRow
 	suspicion float64
+	// agents are those whose workers have crashed under the tasks.
+	agents map[string]bool
 }
 
 // suspectSteps returns the candidates with waiting suspects, the least suspicious first: most
@@ -78,12 +90,15 @@
 		if !c.isolation.crashed[k.job.ID] {
 			continue
 		}
-		x := suspectStep{candidate: k}
+		x := suspectStep{candidate: k, agents: map[string]bool{}}
 		for n := range k.step.tasks {
 			t := &k.step.tasks[n]
 			if t.state == taskWaiting && !now.Before(t.notBefore) && t.isSuspect(k.step.spec, c.isolation.alert) {
 				x.tasks = append(x.tasks, t)
 				x.suspicion = max(x.suspicion, t.suspicion())
+				for _, y := range t.crashes {
+					x.agents[y.Agent] = true
+				}
 			}
 		}
 		if len(x.tasks) > 0 {
@@ -100,9 +115,10 @@
 // suspects wait, and ends the isolation of those that no suspect needs.
 func (c *Cell) placeSuspects(all []candidate, now time.Time) {
 	i := &c.isolation
-	if len(i.crashed) == 0 && len(i.workers) == 0 {
+	if len(i.crashed) == 0 && len(i.workers) == 0 || now.Sub(i.decidedAt) < isolationInterval {
 		return
 	}
+	i.decidedAt = now
 	i.alert = c.isAlert(now)
 	waiting := c.suspectSteps(all, now)
 	i.waiting = len(waiting)
@@ -120,10 +136,15 @@
 		}
 		waiting = rest
 	}
-	for limit := c.maxIsolated(now); len(waiting) > 0 && len(i.workers) < limit; {
+	if i.skipped >= len(waiting) {
+		i.skipped = 0
+	}
+	waiting = waiting[i.skipped:]
+	for attempts := 0; attempts < maxIsolationAttempts && len(waiting) > 0 && len(i.workers) < c.maxIsolated(now); attempts++ {
 		w := c.chooseIsolated(&waiting[0], now)
 		if w == nil {
 			waiting = waiting[1:]
+			i.skipped++
 			continue
 		}
 		c.beginIsolation(w, now)
@@ -183,24 +204,17 @@
 	return slices.ContainsFunc(x.tasks, func(t *taskRow) bool { return t.crashesAtStart() >= minCrashes })
 }
 
-// hasCrashed reports whether the worker of agent has crashed under a waiting task of x.
-func (x *suspectStep) hasCrashed(agent string) bool {
-	return slices.ContainsFunc(x.tasks, func(t *taskRow) bool {
-		return slices.ContainsFunc(t.crashes, func(y Crash) bool { return y.Agent == agent })
-	})
-}
-
 // mayIsolate reports whether the tasks of x may run isolated on w. A further crash of an agent
 // that has crashed under them would prove nothing, so w is not used if another one can be.
 func (c *Cell) mayIsolate(w *workerRow, x *suspectStep, now time.Time) bool {
 	if !c.mayRun(w, x.candidate, now) {
 		return false
 	}
-	if !x.hasCrashed(w.agent) {
+	if !x.agents[w.agent] {
 		return true
 	}
 	for _, o := range c.workers.All {
-		if !x.hasCrashed(o.agent) && c.mayRun(o, x.candidate, now) {
+		if !x.agents[o.agent] && c.mayRun(o, x.candidate, now) {
 			return false
 		}
 	}
