--- a/core/job/crash.go
+++ b/core/job/crash.go
@@ -248,37 +248,22 @@
 // up if its tasks are certainly the cause. An earlier owner may have recorded the crash for
 // some of the runs: they count as company of the others.
 func (c *Cell) recordCrash(w *workerRow, runs []crashedRun, now time.Time) {
-	isOld := func(r crashedRun) bool { return r.age > maxBlameAge }
-	if slices.ContainsFunc(runs, func(r crashedRun) bool { return !isOld(r) }) {
-		runs = slices.DeleteFunc(runs, isOld)
-	}
-	e := Event{Kind: EventWorkerCrashed, Worker: w.ID, ReportAge: now.Sub(w.lastReport), Count: len(runs)}
-	jobs := map[string]bool{}
-	isNew := false
+	runs = withoutOldRuns(runs)
+	all, starting, jobs := len(runs), 0, map[string]bool{}
 	for i := range runs {
-		r := &runs[i]
-		if r.judge(); r.starting {
-			e.Starting++
+		if r := &runs[i]; r.judge() {
+			starting++
 			jobs[r.name.Job] = true
 		}
-		isNew = isNew || !r.recorded
 	}
-	if !isNew {
+	runs = slices.DeleteFunc(runs, func(r crashedRun) bool { return r.recorded })
+	if len(runs) == 0 {
 		return
 	}
-	e.StartingJobs = len(jobs)
-	c.events = append(c.events, e)
-	runs = slices.DeleteFunc(runs, func(r crashedRun) bool { return r.recorded })
+	c.events = append(c.events, Event{Kind: EventWorkerCrashed, Worker: w.ID, ReportAge: now.Sub(w.lastReport),
+		Count: all, Starting: starting, StartingJobs: len(jobs)})
 	for i := range runs {
-		r := &runs[i]
-		if !r.starting {
-			r.task.crashes = nil // the run has passed the times of the earlier crashes
-		}
-		r.task.crashes = append(r.task.crashes, Crash{Run: r.run, Agent: w.agent, At: now, Age: r.age,
-			Starting: r.starting, Unsure: r.unsure, Jobs: e.StartingJobs})
-		r.job.dirty, r.job.urgent = true, true
-		c.isolation.crashed[r.job.ID] = true
-		c.logCrash(r, w)
+		c.addCrash(&runs[i], w, len(jobs), now)
 	}
 	common := c.hasCommonCause(w, runs, now)
 	c.updateAlert(runs, now)
@@ -292,18 +277,42 @@
 	}
 }
 
-// judge sets whether the crash was recorded under r before, or need not be, and whether r was
-// starting.
-func (r *crashedRun) judge() {
+// withoutOldRuns returns the runs up to maxBlameAge, or all if there are only older ones.
+func withoutOldRuns(runs []crashedRun) []crashedRun {
+	isOld := func(r crashedRun) bool { return r.age > maxBlameAge }
+	if !slices.ContainsFunc(runs, func(r crashedRun) bool { return !isOld(r) }) {
+		return runs
+	}
+	return slices.DeleteFunc(runs, isOld)
+}
+
+// addCrash adds the crash of w under r to those of its task. The given number of jobs had
+// starting runs.
+func (c *Cell) addCrash(r *crashedRun, w *workerRow, jobs int, now time.Time) {
+	if !r.starting {
+		r.task.crashes = nil // the run outlasted the times of the earlier crashes
+	}
+	r.task.crashes = append(r.task.crashes, Crash{Run: r.run, Agent: w.agent, At: now, Age: r.age,
+		Starting: r.starting, Unsure: r.unsure, Jobs: jobs})
+	r.job.dirty, r.job.urgent = true, true
+	c.isolation.crashed[r.job.ID] = true
+	c.logCrash(r, w)
+}
+
+// judge sets whether the crash was recorded under r before, or need not be. It sets and returns
+// whether r was starting.
+func (r *crashedRun) judge() bool {
 	if r.task == nil {
 		r.recorded, r.starting = true, r.age < startingTime
-		return
+		return r.starting
 	}
-	if i := slices.IndexFunc(r.task.crashes, func(x Crash) bool { return x.Run == r.run }); i >= 0 {
-		r.recorded, r.starting = true, r.task.crashes[i].Starting
-		return
+	known := slices.IndexFunc(r.task.crashes, func(x Crash) bool { return x.Run == r.run })
+	if known >= 0 {
+		r.recorded, r.starting = true, r.task.crashes[known].Starting
+		return r.starting
 	}
 	r.recorded, r.starting = r.task.isDone(), r.age < r.task.startingTime()
+	return r.starting
 }
 
 // recentCrash is the crash of a worker within the last startCrashTime.
