--- a/core/job/crash.go
+++ b/core/job/crash.go
@@ -151,9 +151,15 @@
 	return out
 }
 
-// crashesAtStart counts the crashes for which t may be to blame. Those within commonCauseTime
-// count once.
-func (t *taskRow) crashesAtStart() int {
+// setCrashes sets the crashes under t.
+func (t *taskRow) setCrashes(all []Crash) {
+	t.crashes = all
+	t.crashesAtStart = t.countCrashesAtStart()
+}
+
+// countCrashesAtStart counts the crashes for which t may be to blame. Those within
+// commonCauseTime count once.
+func (t *taskRow) countCrashesAtStart() int {
 	n := 0
 	var last time.Time
 	for _, x := range t.blamed() {
@@ -180,7 +186,7 @@
 // crashesAlike reports whether the crashes under starting runs of t prove that t is the cause if
 // nothing else was starting.
 func (t *taskRow) crashesAlike() bool {
-	n := t.crashesAtStart()
+	n := t.crashesAtStart
 	if n != minCrashes {
 		return n >= certainCrashes
 	}
@@ -271,7 +277,7 @@
 		c.giveUpOnlySuspect(w, runs, now)
 	}
 	for i := range runs {
-		if r := &runs[i]; r.starting && r.task.crashesAtStart() >= maxCrashes {
+		if r := &runs[i]; r.starting && r.task.crashesAtStart >= maxCrashes {
 			c.giveUp(r, w, reasonManyCrashes, now)
 		}
 	}
@@ -289,11 +295,12 @@
 // addCrash adds the crash of w under r to those of its task. The given number of jobs had
 // starting runs.
 func (c *Cell) addCrash(r *crashedRun, w *workerRow, jobs int, now time.Time) {
+	earlier := r.task.crashes
 	if !r.starting {
-		r.task.crashes = nil // the run outlasted the times of the earlier crashes
+		earlier = nil // the run outlasted the times of the earlier crashes
 	}
-	r.task.crashes = append(r.task.crashes, Crash{Run: r.run, Agent: w.agent, At: now, Age: r.age,
-		Starting: r.starting, Unsure: r.unsure, Jobs: jobs})
+	r.task.setCrashes(append(earlier, Crash{Run: r.run, Agent: w.agent, At: now, Age: r.age,
+		Starting: r.starting, Unsure: r.unsure, Jobs: jobs}))
 	r.job.dirty, r.job.urgent = true, true
 	c.isolation.crashed[r.job.ID] = true
 	c.logCrash(r, w)
@@ -366,6 +373,7 @@
 	for i := range r.task.crashes {
 		if x := &r.task.crashes[i]; x.Run == r.run && !x.Common {
 			x.Common = true
+			r.task.setCrashes(r.task.crashes)
 			r.job.dirty = true
 		}
 	}
@@ -375,7 +383,7 @@
 // one of the tasks.
 func (c *Cell) updateAlert(runs []crashedRun, now time.Time) {
 	for _, r := range runs {
-		if r.task.crashesAtStart() >= minCrashes {
+		if r.task.crashesAtStart >= minCrashes {
 			c.isolation.alertUntil = Later(c.isolation.alertUntil, now.Add(alertTime))
 		}
 	}
@@ -421,7 +429,7 @@
 // of them: a task that crashes its workers does so each time.
 func (t *taskRow) exonerate(j *jobRow) {
 	if m := t.main(); len(m.crashes) > 0 && t.executed() >= t.startingTime() {
-		m.crashes = nil
+		m.setCrashes(nil)
 		j.dirty = true
 	}
 }
--- a/core/job/crash_test.go
+++ b/core/job/crash_test.go
@@ -286,11 +286,11 @@
 	}
 	_, _, task := cc.findTask(Task{Job: testJob(1).ID}.String())
 	crash()
-	cc.is.Equal(task.crashesAtStart(), 1)
+	cc.is.Equal(task.crashesAtStart, 1)
 	cc.advance(450 * time.Millisecond)
 	cc.is.Equal(len(task.crashes), 0)
 	crash()
-	cc.is.Equal(task.crashesAtStart(), 0)
+	cc.is.Equal(task.crashesAtStart, 0)
 	cc.advance(time.Second)
 	cc.is.Equal(cc.final[testJob(1).ID], Done)
 }
--- a/core/job/isolation.go
+++ b/core/job/isolation.go
@@ -69,7 +69,7 @@
 	if alert {
 		least = 1
 	}
-	return t.crashesAtStart() >= least
+	return t.crashesAtStart >= least
 }
 
 // suspectStep is a candidate with waiting tasks that are suspects.
@@ -201,7 +201,7 @@
 
 // hasRepeatedCrash reports whether two workers have crashed under a task of x as it started.
 func (x *suspectStep) hasRepeatedCrash() bool {
-	return slices.ContainsFunc(x.tasks, func(t *taskRow) bool { return t.crashesAtStart() >= minCrashes })
+	return slices.ContainsFunc(x.tasks, func(t *taskRow) bool { return t.crashesAtStart >= minCrashes })
 }
 
 // mayIsolate reports whether the tasks of x may run isolated on w. A further crash of an agent
--- a/core/job/progress.go
+++ b/core/job/progress.go
@@ -109,7 +109,7 @@
 		if err != nil {
 			return err
 		}
-		t.crashes = crashes
+		t.setCrashes(crashes)
 	}
 	for key, checkpoint := range p.Checkpoints {
 		t, err := j.restoredTask(key)
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -60,8 +60,10 @@
 	lastListed time.Time
 	// listedClock is the worker's clock reading at firstListed.
 	listedClock time.Duration
-	// crashes are the crashes of workers under runs of the task.
-	crashes []Crash
+	// crashes are the crashes of workers under runs of the task, and crashesAtStart the number
+	// of those for which it may be to blame. Both are set by setCrashes.
+	crashes        []Crash
+	crashesAtStart int
 	// partial is true if the time since orderedAt is not that of a whole task: the
 	// run began from a checkpoint, or under an earlier owner.
 	partial bool
--- a/io/standin/fleet/soak_test.go
+++ b/io/standin/fleet/soak_test.go
@@ -48,10 +48,11 @@
 // regressionSeeds are seeds that found faults in the past, with the cause of the
 // failure. TestSoak always runs them.
 var regressionSeeds = map[uint64]string{
-	131:  "a delayed start order reached the next incarnation of a worker with the same id, and the task was placed on another worker",
-	2013: "an owner that resumed after a pause processed a report of an old incarnation after one of the next incarnation, and acknowledged ends of the next one",
-	116:  "a delayed renewal acknowledged ends of the next incarnation of a worker with the same id",
-	111:  "a run whose end was acknowledged by mistake was missing from all lists, and its job never ended",
+	131:   "a delayed start order reached the next incarnation of a worker with the same id, and the task was placed on another worker",
+	2013:  "an owner that resumed after a pause processed a report of an old incarnation after one of the next incarnation, and acknowledged ends of the next one",
+	116:   "a delayed renewal acknowledged ends of the next incarnation of a worker with the same id; a task that shared a crash was given up for an unrelated one",
+	20003: "several tasks that crashed their workers at one time passed for a loss of power and were never given up, as in seed 131",
+	111:   "a run whose end was acknowledged by mistake was missing from all lists, and its job never ended",
 }
 
 // silentRegressionSeeds are the same for TestSoakSilentWorkers.
