io/agent: keep absent runs whose crash alone was reported

Both tasks had crashed with their worker, and the next incarnation answered their stops, but the owner never heard of that: the reply to a long poll that carried the crashed runs removed the absent runs of the same names, which no report had had. The owner waited for them for ever, on a worker that stayed isolated.

Only what a report had, by its reason, is removed. TestReportedCrashKeepsAbsentRun fails before.

--- a/io/agent/crashed_runs_test.go
+++ b/io/agent/crashed_runs_test.go
@@ -63,6 +63,29 @@
 	})
 }
 
+// The stop of a run that crashed is answered by the next incarnation. A reply to a report of the
+// crash alone must not drop that the run is absent: the owner would wait for it for ever.
+func TestReportedCrashKeepsAbsentRun(t *testing.T) {
+	is := is.New(t)
+	s, w, _ := newTestState(t)
+	o := testOrder(1, job.OrderStart)
+	s.applyReply(testReply(o), time.Now(), time.Now())
+	s.recordOutcome(o, runStarted, "", time.Now())
+	next := w
+	next.Incarnation, next.Sequence = w.Incarnation+1, 1
+	s.applyHeartbeat(next)
+	crash := s.report("agent", true, time.Now()).Absent
+	is.Equal(len(crash), 1)
+	stop := o
+	stop.Kind, stop.Incarnation = job.OrderStop, next.Incarnation
+	s.recordOutcome(stop, runClosed, "stopped", time.Now())
+	r, _ := s.nextRenewal()
+	now := time.Now().Add(time.Second)
+	s.applyRunList(r, job.RunList{Incarnation: next.Incarnation, Clock: time.Second}, now, now)
+	s.removeReported(crash, 1)
+	is.Equal(crashReasons(s, false), map[string]string{o.Task: "stopped"})
+}
+
 // A worker that announced its departure, or drains, did not crash.
 func TestDepartureIsNoCrash(t *testing.T) {
 	for _, leave := range []func(*state, job.Worker){
--- a/io/agent/state.go
+++ b/io/agent/state.go
@@ -550,7 +550,8 @@
 	s.markCrashesReported(reported, epoch)
 	for _, a := range reported {
 		k := runKey{a.Task, a.Run}
-		if r := s.runs[k]; r != nil && r.absent {
+		// A crash of the same run may have been reported, but not that its stop was answered.
+		if r := s.runs[k]; r != nil && r.absent && r.reason == a.Reason {
 			delete(s.runs, k)
 		}
 	}
