--- a/io/standin/fleet/soak_test.go
+++ b/io/standin/fleet/soak_test.go
@@ -52,6 +52,7 @@
 	2013:  "an owner that resumed after a pause processed a report of an old incarnation after one of the next incarnation, and acknowledged ends of the next one",
 	116:   "a delayed renewal acknowledged ends of the next incarnation of a worker with the same id; a task that shared a crash was given up for an unrelated one",
 	20003: "several tasks that crashed their workers at one time passed for a loss of power and were never given up, as in seed 131",
+	40028: "a reply to a report of crashed runs removed the answers to their stops, and their jobs never ended",
 	111:   "a run whose end was acknowledged by mistake was missing from all lists, and its job never ended",
 }
 
