--- a/core/job/crash_test.go
+++ b/core/job/crash_test.go
@@ -28,7 +28,7 @@
 	crashDelay time.Duration
 	down       map[string]time.Time
 	started    map[string]time.Time
-	// workersCrashed counts the crashes under each deadly task, and innocentRuns those
+	// workersCrashed counts the crashes under each deadly task, and innocentCrashes those
 	// under each other task.
 	workersCrashed, innocentCrashes map[string]int
 	final                           map[string]State
