io/process, io/scheduler: open a new connection to the store after a call without an answer

Cause: all open connections had gone silent, the idle ones too, and each further read took another of them from the pool and waited 1.5 s for it.

After a call without an answer the idle connections are closed, so that the next call opens one.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -114,7 +114,7 @@
 	a := &Agent{
 		cfg: cfg, log: l, startedAt: startedAt,
 		worker:        platform.NewWorker(platform.NewHTTPClient(), cfg.WorkerAddress),
-		store:         platform.NewStore(platform.NewHTTPClient(), cfg.StoreAddress, platform.WithObserver(process.CountStoreCall)),
+		store:         process.NewStore(cfg.StoreAddress, func(platform.StoreCall) {}),
 		reportClient:  httpjson.NewClient(reportTimeout),
 		pollClient:    httpjson.NewClient(longPollWait + reportTimeout),
 		state:         newState(startedAt.UnixNano(), cfg.Bounds),
--- a/io/process/metrics.go
+++ b/io/process/metrics.go
@@ -1,12 +1,10 @@
 package process
 
 import (
-	"fmt"
 	"net/http"
 
 	"rosemarygap/core/status"
 	"rosemarygap/io/httpjson"
-	"rosemarygap/platform"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/labstack/echo/v4"
@@ -38,10 +36,3 @@
 	}
 	return status.CodeOf(err)
 }
-
-// CountStoreCall counts a call to the platform's store and records its
-// duration.
-func CountStoreCall(c platform.StoreCall) {
-	metrics.GetOrCreateCounter(fmt.Sprintf(`rosemarygap_platform_store_calls_total{call=%q,outcome=%q}`, c.Kind, c.Outcome)).Inc()
-	metrics.GetOrCreateHistogram(fmt.Sprintf(`rosemarygap_platform_store_call_seconds{call=%q}`, c.Kind)).Update(c.Elapsed.Seconds())
-}
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -118,10 +118,7 @@
 // New returns a scheduler with the given settings.
 func New(cfg platform.Settings, l hclog.Logger, options ...Option) *Scheduler {
 	storeOutage := &outage.Detector{}
-	store := platform.NewStore(platform.NewHTTPClient(), cfg.StoreAddress, platform.WithObserver(func(c platform.StoreCall) {
-		process.CountStoreCall(c)
-		storeOutage.Observe(c.Answered(), time.Now())
-	}))
+	store := process.NewStore(cfg.StoreAddress, func(c platform.StoreCall) { storeOutage.Observe(c.Answered(), time.Now()) })
 	s := &Scheduler{cfg: cfg, log: l, store: store, storeOutage: storeOutage, relayClient: httpjson.NewClient(relayTimeout, httpjson.WithDialTimeout(relayDialTimeout)), mirror: newMirror(l, store), processID: time.Now().UnixNano(),
 		reports: make(chan agentReport, maxMessageBatch), messages: make(chan any, maxMessageBatch),
 		superseded: make(chan struct{}, 1), stop: make(chan struct{}), ownerEnded: make(chan struct{}, 1),
--- a/io/standin/fleet/link.go
+++ b/io/standin/fleet/link.go
@@ -45,6 +45,9 @@
 	return &Link{listener: l, target: target, conns: map[net.Conn]bool{}}, nil
 }
 
+// Address returns the address on which the link listens.
+func (l *Link) Address() netip.AddrPort { return l.listener.Addr().(*net.TCPAddr).AddrPort() }
+
 // Run accepts and forwards connections until ctx is done. When it returns, the listener
 // and all connections are closed.
 func (l *Link) Run(ctx context.Context) {
