io/standin/deployment, scripts: ports of executions side by side do not overlap

Each test process chose its ports one after the other, 61 ports after those of the process before; a run of the deployment tests takes several hundred, so two executions chose the same ones between the check and the use. The demo begins at a range on which nothing listens.

--- a/io/standin/deployment/deployment.go
+++ b/io/standin/deployment/deployment.go
@@ -16,7 +16,6 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -110,36 +109,6 @@
 	return d
 }
 
-// The range of ports for tests lies below the ephemeral ports of the system. An
-// outgoing connection could otherwise take a port between its choice and its use.
-const (
-	firstPort = 10000
-	lastPort  = 20000
-)
-
-// portCounter selects the port that FreeAddress tries next. Each test process
-// starts at a different port: two with successive process ids start 61 ports apart.
-var portCounter atomic.Int64
-
-func init() { portCounter.Store(int64(os.Getpid()) * 61) }
-
-// FreeAddress returns a loopback address that nothing listens on. The address is
-// not reused by this process until the range of ports is exhausted.
-func FreeAddress(t testing.TB) netip.AddrPort {
-	t.Helper()
-	for range lastPort - firstPort {
-		port := firstPort + portCounter.Add(1)%(lastPort-firstPort)
-		a := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(port))
-		l, err := net.Listen("tcp", a.String())
-		if err == nil {
-			l.Close()
-			return a
-		}
-	}
-	t.Fatal("no free port in the range for tests")
-	return netip.AddrPort{}
-}
-
 func (d *Deployment) startProcess(name, program string, args ...string) *Process {
 	d.t.Helper()
 	log, err := os.Create(filepath.Join(d.logDir, name+".log"))
--- a/io/standin/deployment/walk_test.go
+++ b/io/standin/deployment/walk_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"html"
 	"io"
-	"net"
 	"net/http"
 	"net/http/cookiejar"
 	"net/netip"
@@ -37,11 +36,6 @@
 	// port of the store.
 	operatorPortOffset = 20
 	outageDuration     = 1500 * time.Millisecond
-	// The ranges of ports for scripts/up.sh lie below the ephemeral ports of the
-	// system.
-	firstUpPort   = 22000
-	portRanges    = 60
-	portsPerRange = 80
 )
 
 // walkthrough follows the steps of docs/OPERATING.md with the command line and a
@@ -64,7 +58,10 @@
 	}
 	defer out.Close()
 	up := exec.Command("scripts/up.sh")
-	port := findPortRange(t)
+	port, err := addresses.takeBlock()
+	if err != nil {
+		t.Fatal(err)
+	}
 	up.Env = append(os.Environ(), "UP_DIR="+dir, "UP_PORT="+strconv.Itoa(port), "ROSEMARYGAP_OPERATOR_TOKEN="+operatorToken)
 	up.Dir, up.Stdout, up.Stderr = repoRoot, out, out
 	if err := up.Start(); err != nil {
@@ -83,26 +80,6 @@
 	return w, up
 }
 
-// findPortRange returns the first port of a range of ports that nothing listens
-// on.
-func findPortRange(t *testing.T) int {
-	for i := range portRanges {
-		first := firstUpPort + (os.Getpid()+i)%portRanges*portsPerRange
-		free := true
-		for p := first; p < first+portsPerRange && free; p++ {
-			l, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(p))
-			if free = err == nil; free {
-				l.Close()
-			}
-		}
-		if free {
-			return first
-		}
-	}
-	t.Fatal("no free range of ports for scripts/up.sh")
-	return 0
-}
-
 func (w *walkthrough) output() string {
 	b, _ := os.ReadFile(w.logPath)
 	return string(b)
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -4,13 +4,18 @@
 # faults: it kills an entry, kills a worker, and takes the platform stand-in, which
 # provides the key-value service, down for five seconds. It stops only the processes that it
 # started.
-#   DEMO_PORT  first port (default 21000)
+#   DEMO_PORT  first port (default: a range of ports that nothing listens on)
 set -u
 cd "$(dirname "$0")/.." || exit 1
 go build -o bin/ ./cmd/... || exit 1
 run=demo-run
 rm -rf "$run" && mkdir -p "$run"
-base=${DEMO_PORT:-21000}
+base=${DEMO_PORT:-}
+# Executions side by side, such as those of two clones, begin at different ranges.
+for ((i = 0; i < 50 && ${#base} == 0; i++)); do
+  port=$((22000 + (($$ + i) % 50) * 100))
+  (exec 3<>/dev/tcp/127.0.0.1/$port) 2>/dev/null || base=$port
+done
 zones=(kelowna vernon penticton)
 pids=()
 
