--- a/core/event/fields.go
+++ b/core/event/fields.go
@@ -86,6 +86,19 @@
 // last success.
 func Level(n int) Field { return Field{"level", n} }
 
+// Step returns the field with the name of a step of a job, which the names of its tasks
+// begin with.
+func Step(name string) Field { return Field{"step", name} }
+
+// Objective returns the field with the latency objective of a job.
+func Objective(d time.Duration) Field { return Field{"objective", d} }
+
+// Capacity returns the field with processors in thousandths.
+func Capacity(milli int) Field { return Field{"capacity", milli} }
+
+// Free returns the field with processors that are not in use, in thousandths.
+func Free(milli int) Field { return Field{"free", milli} }
+
 // Team returns the field with the name of a team.
 func Team(name string) Field { return Field{"team", name} }
 
--- a/core/event/job.go
+++ b/core/event/job.go
@@ -5,8 +5,8 @@
 // Events of scheduling on the users' platform have the numbers 7000 to 7999.
 var (
 	SubmissionAccepted = Event{7001, "submission-accepted", hclog.Info,
-		[]string{"job", "queue", "elapsed", "revision"},
-		"A job was stored; revision is that of the configuration in force at that time.", "None."}
+		[]string{"job", "queue", "elapsed", "revision", "objective"},
+		"A job was stored; revision is that of the configuration in force at that time, and objective the job's latency objective.", "None."}
 	SubmissionRefused = Event{7002, "submission-refused", hclog.Info,
 		[]string{"job", "queue", "elapsed", "reason"},
 		"A job was not accepted; if the reason is unknown-outcome, it may have been stored nevertheless.",
@@ -103,6 +103,17 @@
 		[]string{"task", "attempt", "worker", "outcome", "epoch"},
 		"It is known what became of a copy: it `won`, it `lost` to the other run or to the end of the job, or it `failed`; attempt and worker are those of the run that counts, or 0 and empty if none does.",
 		"If most copies are lost or failed, see docs/OPERATIONS.md."}
+	StepWaited = Event{7054, "step-waited", hclog.Info,
+		[]string{"step", "reason", "count", "elapsed", "epoch"},
+		"Tasks of a step that was ready waited for the elapsed time up to now; count is their number at the begin. The reason is `no-room`, `reserved` (the only room is kept for others, or its worker has just restarted), `interference` (with serving tasks), `rack`, `isolation`, `ticket` or `retry`. A wait of over 5 s is logged in parts, one of under 0.1 s is not.",
+		"`rosemarygap delays` adds them up."}
+	RoomSampled = Event{7055, "room-sampled", hclog.Info,
+		[]string{"capacity", "free", "count", "epoch"},
+		"Tasks wait, count in all; capacity are the processors of all workers and free those that their tasks are expected to leave unused, in thousandths. At most once a second.", "None."}
+	OutlookWorsened = Event{7056, "outlook-worsened", hclog.Info,
+		[]string{"job", "reason", "epoch"},
+		"By the estimates of its remaining steps, a job can no longer meet its latency objective (`late`) or end while its result has a value (`too-late`).",
+		"`rosemarygap delays` tells what it waited for."}
 	TasksThrottled = Event{7033, "tasks-throttled", hclog.Info,
 		[]string{"worker", "count", "throttle"},
 		"Best-effort tasks were limited to a share of their processors, in percent.", "None."}
@@ -127,4 +138,4 @@
 	TaskDecided, WorkerDecided, TaskPreempted, WorkerColdChanged, OwnershipTaken, OwnershipLost, OwnerEnded, WorkerCrashed, RunCrashed, JobGivenUp, IsolationChanged, DependencyLost, DependencyRegained,
 	ConfigurationInForce, SettingsReloaded, MessageRefused, LogLinesDropped, OrderCarriedOut, WorkerSeen, OwnerFollowed,
 	TasksThrottled, CancellationsRead, ZoneEvacuated, ZoneReopened, ForecastIgnored, RoomAfterRefusal, ScarcityBegan, ScarcityEnded,
-	CopyStarted, CopyEnded}
+	CopyStarted, CopyEnded, StepWaited, RoomSampled, OutlookWorsened}
--- a/core/job/advice.go
+++ b/core/job/advice.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strconv"
 	"time"
 
 	"rosemarygap/core/clock"
@@ -37,11 +36,6 @@
 	Workers []string
 }
 
-// advisorStepName returns the name under which the advisor knows the step.
-func (k *candidate) advisorStepName() string {
-	return k.job.ID + "." + strconv.Itoa(k.occ.number) + "." + strconv.Itoa(k.number)
-}
-
 // ensureTickets reports whether the candidate may be placed. If the
 // candidate needs tickets and has none that are valid, ensureTickets adds a
 // request to the advisor.
@@ -66,7 +60,7 @@
 		}
 	}
 	slices.SortFunc(scored, func(x, y scoredWorker) int { return cmp.Compare(y.score, x.score) })
-	req := AdvisorRequest{Step: k.advisorStepName()}
+	req := AdvisorRequest{Step: stepName(k.job, k.occ, k.number)}
 	for _, o := range scored[:min(len(scored), maxRequestedWorkers)] {
 		req.Workers = append(req.Workers, o.worker.ID)
 	}
--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -59,6 +59,16 @@
 	// of a worker. Count is the number of steps with tasks that wait for one.
 	EventIsolationBegan EventKind = "isolation-began"
 	EventIsolationEnded EventKind = "isolation-ended"
+	// EventStepWaited is the end of a span in which ready tasks of a step waited; Task is
+	// the name of the step, Count the number of its waiting tasks at the begin, Elapsed the
+	// length of the span and Reason why they waited.
+	EventStepWaited EventKind = "step-waited"
+	// EventRoomSampled is the room while tasks wait: Capacity and Free are processors of
+	// all workers in thousandths, and Count is the number of waiting tasks.
+	EventRoomSampled EventKind = "room-sampled"
+	// EventOutlookWorsened means that a job can no longer meet its latency objective, or
+	// no longer end while its result has a value; Reason is which.
+	EventOutlookWorsened EventKind = "outlook-worsened"
 	// EventExtraWork is the end of a run that does not count of a task with two runs.
 	EventExtraWork EventKind = "extra-work"
 )
@@ -109,6 +119,8 @@
 	// expected to end, for EventCopyStarted.
 	OtherWorker string
 	Gain        time.Duration
+	// Capacity and Free are processors in thousandths, for EventRoomSampled.
+	Capacity, Free int
 }
 
 // sinceAcceptance returns the time from the acceptance of a job to now. It is
@@ -263,6 +275,7 @@
 		c.stopCopy(t, string(s), now)
 		c.endRace(t, nil, 0, copyLost)
 	}
+	c.endWaits(j, now)
 	e := Event{Kind: EventFinal, Task: j.ID, Reason: string(s), SinceAcceptance: sinceAcceptance(j, now)}
 	c.compareEnd(&e, j, now)
 	c.events = append(c.events, e)
--- a/core/job/choose.go
+++ b/core/job/choose.go
@@ -87,9 +87,9 @@
 // scoredWorkers returns the usable workers that have room for a task of the
 // candidate's step, with their scores. Unless rack is empty, it returns only
 // workers with that label. It leaves out the workers that have not changed since
-// the given version.
-func (c *Cell) scoredWorkers(k *candidate, r *scorer, rack string, since int64) []scoredWorker {
-	var out []scoredWorker
+// the given version. If there are none, withheld reports whether a worker has room that
+// is claimed or that it must not use yet.
+func (c *Cell) scoredWorkers(k *candidate, r *scorer, rack string, since int64) (out []scoredWorker, withheld bool) {
 	for _, w := range c.workers.All {
 		if w.version <= since || !w.hasRoom(k.step.spec, k.queue.Priority) || !c.isUsable(w, k, r.now) ||
 			rack != "" && !slices.Contains(w.Labels, rack) {
@@ -99,6 +99,7 @@
 		if !c.rampBegin(w).IsZero() || len(c.claims) > 0 {
 			o.limited, o.ramp, o.claimed = true, c.rampOf(w, r.now), c.claims[w]
 			if !o.allowsAnother(k.step.spec) {
+				withheld = true
 				continue
 			}
 		}
@@ -106,7 +107,7 @@
 		r.byEnd = r.byEnd || r.timed && w.isCold(r.now)
 		out = append(out, o)
 	}
-	return out
+	return out, withheld
 }
 
 // racks returns the sorted racks of the cell's workers. The labels of a worker
--- a/core/job/place.go
+++ b/core/job/place.go
@@ -95,6 +95,7 @@
 		}
 		if !computed {
 			deadline, forecast = c.forecast(j, o, q, now)
+			c.recordOutlook(j, forecast)
 			density = c.density(j, o, q)
 			computed = true
 		}
@@ -103,6 +104,15 @@
 	return out
 }
 
+// Objective returns the latency objective of a job, or 0 if the job runs until it is
+// cancelled, or by a schedule.
+func (q *Queue) Objective(j *Job) time.Duration {
+	if j.Steps[0].LongRunning || j.Schedule.Times > 0 {
+		return 0
+	}
+	return q.objective(criticalPathOf(j.Steps))
+}
+
 // objective returns the latency objective of a job with the given critical path.
 func (q *Queue) objective(criticalPath time.Duration) time.Duration {
 	return time.Duration(q.Stretch*float64(criticalPath)) + q.Target
@@ -146,49 +156,62 @@
 	all := c.candidates(now)
 	c.placeSuspects(all, now)
 	for k := range c.inOrder(all) {
+		var reason waitReason
 		switch {
 		case !c.ensureTickets(k, now):
+			reason = waitTicket
 		case k.step.spec.Gang:
-			c.placeGang(k, now)
+			reason = c.placeGang(k, now)
 		default:
-			c.placeStep(k, now)
+			reason = c.placeStep(k, now)
 		}
+		c.recordWait(k, reason, now)
 	}
+	c.sampleRoom(all, now)
 	c.preemptTasks(all, now)
 	c.copyTasks(all, now)
 }
 
 // placeStep starts the waiting tasks of a candidate, in order, until no worker has
-// room for the next one.
-func (c *Cell) placeStep(k *candidate, now time.Time) {
+// room for the next one. It returns why the others wait.
+func (c *Cell) placeStep(k *candidate, now time.Time) waitReason {
 	since := k.step.blocked.since(now)
 	r := c.newScorer(k, now)
 	var scored []scoredWorker
-	waits := false
+	reason := notWaiting
 	for i := range k.step.tasks {
 		t := &k.step.tasks[i]
-		if t.state != taskWaiting || now.Before(t.notBefore) || t.isSuspect(k.step.spec, c.isolation.alert) {
+		switch {
+		case t.state != taskWaiting:
+			continue
+		case now.Before(t.notBefore):
+			reason = waitRetry
+			continue
+		case t.isSuspect(k.step.spec, c.isolation.alert):
+			reason = waitIsolation
 			continue
 		}
 		if scored == nil {
-			if scored = c.scoredWorkers(k, r, "", since); len(scored) == 0 {
+			var withheld bool
+			if scored, withheld = c.scoredWorkers(k, r, "", since); len(scored) == 0 {
 				c.keepRackClaims(k, since)
 				k.step.blocked.record(c.version, since, now)
 				c.reserveRoom(k, r)
-				return
+				return waitForRoom(withheld, since)
 			}
 			k.step.rackClaims = k.step.rackClaims[:0]
 		}
 		o := chooseWorker(scored, k, t, r)
 		if o == nil {
 			k.step.blocked.record(c.version, since, now)
-			if t.waitingSince.IsZero() { // it does not wait for a worker without interference
-				c.reserveRoom(k, r)
+			if !t.waitingSince.IsZero() {
+				return waitInterference
 			}
-			return
+			c.reserveRoom(k, r)
+			return waitForRoom(false, since)
 		}
 		if c.waitsForRack(k, r, t, o) {
-			waits = true
+			reason = waitRack
 			continue
 		}
 		t.ticket = k.step.tickets.byWorker[o.worker.ID]
@@ -196,27 +219,31 @@
 		r.recordPlaced(o)
 		c.recordStart(k)
 	}
-	if waits {
+	if reason == waitRack {
 		k.step.blocked.record(c.version, since, now)
 	}
+	return reason
 }
 
 // placeGang starts all members of a gang or none. If the gang asks for one rack,
-// placeGang tries each rack before it uses workers of several racks.
-func (c *Cell) placeGang(k *candidate, now time.Time) {
+// placeGang tries each rack before it uses workers of several racks. It returns why the
+// gang waits.
+func (c *Cell) placeGang(k *candidate, now time.Time) waitReason {
 	if k.step.waiting < len(k.step.tasks) {
-		return
+		return notWaiting
 	}
 	if k.step.spec.SameRack {
 		for _, rack := range c.racks() {
 			if c.placeGangOn(k, rack, now) {
-				return
+				return notWaiting
 			}
 		}
 	}
-	if !c.placeGangOn(k, "", now) {
-		c.reserveRoom(k, c.newScorer(k, now))
+	if c.placeGangOn(k, "", now) {
+		return notWaiting
 	}
+	c.reserveRoom(k, c.newScorer(k, now))
+	return waitRoom
 }
 
 // placeGangOn starts all members of a gang, or none, on workers with the label
@@ -224,7 +251,7 @@
 func (c *Cell) placeGangOn(k *candidate, rack string, now time.Time) bool {
 	s := k.step
 	r := c.newScorer(k, now)
-	scored := c.scoredWorkers(k, r, rack, allWorkers)
+	scored, _ := c.scoredWorkers(k, r, rack, allWorkers)
 	var placed []*taskRow
 	for i := range s.tasks {
 		t := &s.tasks[i]
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -111,6 +111,7 @@
 	// rackClaims are the workers there whose room its tasks wait for.
 	rackClaims  []*workerRow
 	reservation reservation
+	wait        stepWait
 	// observed is what decisions about preemption know about the step, or nil.
 	observed *batchStep
 	// tickets are the tickets of the advisor, for queues that require them.
@@ -162,6 +163,8 @@
 	cancelled        bool
 	// criticalPath is the longest chain of estimates of one occurrence.
 	criticalPath time.Duration
+	// outlook is the worst timeliness that was forecast for the job.
+	outlook timeliness
 	// work is the estimated work of one occurrence in processor seconds.
 	work float64
 	// occurrences are the open occurrences: those that are due and incomplete,
@@ -363,6 +366,8 @@
 	// learnedCheckedAt is when they were last compared with the current ones.
 	storedLearned    LearnedParameters
 	learnedCheckedAt time.Time
+	// roomSampledAt is when the room was last logged.
+	roomSampledAt time.Time
 	// lastSweep is when all workers and tasks were last checked.
 	lastSweep time.Time
 	// lastWrite is when PendingWrites last returned changes.
--- a/core/job/types.go
+++ b/core/job/types.go
@@ -261,6 +261,12 @@
 	return t.Job + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
 }
 
+// stepName returns the name of a step, which the names of its tasks begin with. The advisor
+// knows it by that name.
+func stepName(j *jobRow, o *occurrenceRow, step int) string {
+	return j.ID + "." + strconv.Itoa(o.number) + "." + strconv.Itoa(step)
+}
+
 // ErrTaskName is the error for a malformed task name.
 var ErrTaskName = errors.New("malformed task name")
 
--- a/io/commandline/commandline.go
+++ b/io/commandline/commandline.go
@@ -30,6 +30,7 @@
 	Scheduler *SchedulerCommand `arg:"subcommand:scheduler" help:"accept jobs and schedule their tasks on the users' platform, on an entry VM"`
 	Agent     *AgentCommand     `arg:"subcommand:agent" help:"execute the scheduler's orders on a worker of the users' platform"`
 	Story     *StoryCommand     `arg:"subcommand:story" help:"print the log lines of one job from all processes, ordered by time"`
+	Delays    *DelaysCommand    `arg:"subcommand:delays" help:"print where the time of the jobs went and why they waited, from the logs of all processes"`
 	Check     *CheckCommand     `arg:"subcommand:check" help:"validate a configuration document offline"`
 	Schema    *SchemaCommand    `arg:"subcommand:schema" help:"print the JSON Schema of configuration documents"`
 	Apply     *ApplyCommand     `arg:"subcommand:apply" help:"apply a configuration document"`
--- a/io/commandline/story.go
+++ b/io/commandline/story.go
@@ -66,34 +66,43 @@
 	return nil
 }
 
-// readLog returns the lines of a log file that are about the job. It skips lines
-// without a JSON object.
-func (c *StoryCommand) readLog(name string) ([]logLine, error) {
+// readLogLines calls add for each line of a log file with a JSON object, with the text
+// before the object and the rest of the line.
+func readLogLines(name string, add func(prefix, object string)) error {
 	f, err := os.Open(name)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer f.Close()
-	var out []logLine
 	scanner := bufio.NewScanner(f)
 	scanner.Buffer(nil, maxLogLineBytes)
 	for scanner.Scan() {
-		start := strings.IndexByte(scanner.Text(), '{')
-		if start < 0 || !strings.Contains(scanner.Text(), c.ID) {
-			continue
+		if start := strings.IndexByte(scanner.Text(), '{'); start >= 0 {
+			add(scanner.Text()[:start], scanner.Text()[start:])
+		}
+	}
+	return scanner.Err()
+}
+
+// readLog returns the lines of a log file that are about the job.
+func (c *StoryCommand) readLog(name string) ([]logLine, error) {
+	var out []logLine
+	err := readLogLines(name, func(prefix, object string) {
+		if !strings.Contains(object, c.ID) {
+			return
 		}
 		var fields map[string]any
-		d := json.NewDecoder(strings.NewReader(scanner.Text()[start:]))
+		d := json.NewDecoder(strings.NewReader(object))
 		d.UseNumber()
 		if d.Decode(&fields) != nil || !c.isAboutJob(fields) {
-			continue
+			return
 		}
 		timestamp, _ := fields["@timestamp"].(string)
 		message, _ := fields["@message"].(string)
 		module, _ := fields["@module"].(string)
-		out = append(out, logLine{timestamp, processName(scanner.Text()[:start], name), module, message, fields})
-	}
-	return out, scanner.Err()
+		out = append(out, logLine{timestamp, processName(prefix, name), module, message, fields})
+	})
+	return out, err
 }
 
 // processName returns the last word of prefix, the text before the JSON object of
--- a/io/scheduler/caller.go
+++ b/io/scheduler/caller.go
@@ -120,7 +120,7 @@
 	}
 	countSubmission("accepted", time.Since(r.receivedAt))
 	event.SubmissionAccepted.Emit(s.log, event.Job(r.id), event.Queue(r.queue.ID()),
-		event.Elapsed(time.Since(r.receivedAt)), event.Revision(r.cfg.Version))
+		event.Elapsed(time.Since(r.receivedAt)), event.Revision(r.cfg.Version), event.Objective(r.queue.Objective(&j)))
 	return r.JSONBlob(http.StatusOK, platform.EncodeState(job.Queued))
 }
 
--- a/io/scheduler/control.go
+++ b/io/scheduler/control.go
@@ -207,7 +207,7 @@
 			event.RoomAfterRefusal.Emit(c.log, event.Queue(e.Task), event.Epoch(c.cell.Epoch()))
 			continue
 		}
-		if c.logScarcity(e) || c.logCopy(e) || c.logCrash(e) {
+		if c.logWait(e) || c.logScarcity(e) || c.logCopy(e) || c.logCrash(e) {
 			continue
 		}
 		countDecision(e)
@@ -230,6 +230,22 @@
 	}
 }
 
+// logWait logs why jobs wait. It returns false for other events.
+func (c *control) logWait(e job.Event) bool {
+	switch e.Kind {
+	case job.EventStepWaited:
+		event.StepWaited.Emit(c.log, event.Step(e.Task), event.Reason(status.Code(e.Reason)), event.Count(e.Count),
+			event.Elapsed(e.Elapsed), event.Epoch(c.cell.Epoch()))
+	case job.EventRoomSampled:
+		event.RoomSampled.Emit(c.log, event.Capacity(e.Capacity), event.Free(e.Free), event.Count(e.Count), event.Epoch(c.cell.Epoch()))
+	case job.EventOutlookWorsened:
+		event.OutlookWorsened.Emit(c.log, event.Job(e.Task), event.Reason(status.Code(e.Reason)), event.Epoch(c.cell.Epoch()))
+	default:
+		return false
+	}
+	return true
+}
+
 // logScarcity logs the begin or the end of scarcity. It returns false for other events.
 func (c *control) logScarcity(e job.Event) bool {
 	switch e.Kind {
