core/swing, core/job: place beside serving tasks by a forecast of their load

Cause: whether a batch task would push serving tasks over their target was judged by the recent peak of their load. It swings by 0.2 around 0.58 within 10 s, so there was never room beside it for a task of two seconds, though there is in each trough. Ruled out: too few processors (32% unused while tasks wait).

core/swing fits one wave to the load of the last 25 s and forecasts the highest load until a task's expected end. Without a regular swing of at least 0.05 the recent peak decides as before.

--- a/core/job/interference.go
+++ b/core/job/interference.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"rosemarygap/core/swing"
 )
 
 // Parameters of the interference model.
@@ -115,6 +117,8 @@
 	// level is the moving average of the utilization, or 0 before the first
 	// sample; peak is its recent maximum.
 	level, peak float64
+	// swing forecasts the load if it swings regularly.
+	swing swing.Load
 	// samples are the newest samples by worker.
 	samples map[string]utilizationSample
 }
@@ -181,11 +185,12 @@
 		r.observe(sample.utilization-previous.utilization, sample.use.minus(previous.use, 1), 2)
 	}
 	l.samples[worker] = sample
-	l.update(max(0, sample.utilization-r.predict(sample.use, 0)))
+	l.update(max(0, sample.utilization-r.predict(sample.use, 0)), sample.at)
 }
 
 // update adds a sample of the load.
-func (l *servingLoad) update(level float64) {
+func (l *servingLoad) update(level float64, at time.Time) {
+	l.swing.Observe(level, at)
 	if l.level == 0 {
 		l.level = level
 	}
@@ -193,6 +198,18 @@
 	l.peak = max(l.level, l.peak-peakDecay*(l.peak-l.level))
 }
 
+// loadDeviations is the number of standard deviations that are added to a forecast.
+const loadDeviations = 1.0
+
+// highestUntil returns the highest load that is expected until a time: that of a regular
+// swing, or else the recent peak.
+func (l *servingLoad) highestUntil(until, now time.Time) float64 {
+	if forecast, ok := l.swing.Max(now, until, loadDeviations); ok {
+		return min(l.peak, forecast)
+	}
+	return l.peak
+}
+
 // Units of processors and of progress.
 const (
 	// processorUnit is one processor in thousandths.
--- a/core/job/interference_test.go
+++ b/core/job/interference_test.go
@@ -96,28 +96,27 @@
 }
 
 // Guards against use that does not count in proportion to the size of the worker in the
-// predicted utilization, and against a copy of the use for each prediction: under
+// predicted interference, and against a copy of the use for each prediction: under
 // overload, there are thousands a second.
 func TestPredictedUseRefersToWorkerSize(t *testing.T) {
 	is := is.New(t)
 	tc := newTestCluster(t, 0)
-	tc.interference.loadOf("feed").peak = 0.25
 	small, large := newServingRow(16000, 1), newServingRow(64000, 4)
-	predicted := tc.servingUtilizations(large, tc.now)
-	is.Equal(predicted, []servingUtilization{{"feeds", 0.25 + 10*priorEffect}})
-	is.Equal(predicted, tc.servingUtilizations(small, tc.now))
+	predicted := tc.servingInterferences(large, tc.now)
+	is.Equal(predicted, []servingInterference{{servingJob{"feed", "feeds"}, 10 * priorEffect}})
+	is.Equal(predicted, tc.servingInterferences(small, tc.now))
 	is.Equal(testing.AllocsPerRun(100, func() {
 		large.predicted.at = time.Time{}
-		tc.servingUtilizations(large, tc.now)
+		tc.servingInterferences(large, tc.now)
 	}), 0.0)
 }
 
-// BenchmarkPredictedUtilization measures the prediction for the serving tasks of a worker.
-func BenchmarkPredictedUtilization(b *testing.B) {
+// BenchmarkPredictedInterference measures the prediction for the serving tasks of a worker.
+func BenchmarkPredictedInterference(b *testing.B) {
 	now := time.Unix(1000, 0)
 	c, w := New(1, now), newServingRow(64000, 4)
 	for b.Loop() {
 		w.predicted.at = time.Time{}
-		c.servingUtilizations(w, now)
+		c.servingInterferences(w, now)
 	}
 }
--- a/core/job/load_test.go
+++ b/core/job/load_test.go
@@ -136,6 +136,7 @@
 	{name: "cold-untold", hidesCold: true},
 	{name: "factor-unknown", hidesFactor: true},
 	{name: "no-reservations", options: []Option{WithoutReservations()}},
+	{name: "no-load-forecast", options: []Option{WithoutLoadForecast()}},
 	{name: "factor-unknown-arrival-order", hidesFactor: true, options: []Option{WithArrivalOrder()}},
 }
 
--- a/core/job/overload.go
+++ b/core/job/overload.go
@@ -2,37 +2,36 @@
 
 import "time"
 
-// utilizationMaxAge is how old the predicted utilization of a worker's serving tasks
-// may be. It changes with each report of any worker that runs tasks of the same jobs
-// or images, by little within this time.
-const utilizationMaxAge = 50 * time.Millisecond
+// interferenceMaxAge is how old the predicted interference on a worker may be. It changes
+// with each report of any worker that runs tasks of the same images, by little within this
+// time.
+const interferenceMaxAge = 50 * time.Millisecond
 
-// servingUtilization is the predicted utilization of the serving tasks of one image
-// on a worker, with the best-effort tasks that run there.
-type servingUtilization struct {
-	image       string
-	utilization float64
+// servingInterference is the utilization that the best-effort tasks on a worker are
+// predicted to add to the serving tasks of a job and image there.
+type servingInterference struct {
+	servingJob
+	added float64
 }
 
-// predictedUtilization holds the predictions for the serving tasks of a worker.
-type predictedUtilization struct {
+// predictedInterference holds the predictions for the serving tasks of a worker.
+type predictedInterference struct {
 	at      time.Time
-	serving []servingUtilization
+	serving []servingInterference
 }
 
-// servingUtilizations returns the predictions for the serving tasks of w. It keeps
+// servingInterferences returns the predictions for the serving tasks of w. It keeps
 // them until they are too old or the tasks of w change: under overload, many steps
 // are compared with each worker many times a second.
-func (c *Cell) servingUtilizations(w *workerRow, now time.Time) []servingUtilization {
+func (c *Cell) servingInterferences(w *workerRow, now time.Time) []servingInterference {
 	p := &w.predicted
-	if !p.at.IsZero() && now.Sub(p.at) < utilizationMaxAge {
+	if !p.at.IsZero() && now.Sub(p.at) < interferenceMaxAge {
 		return p.serving
 	}
 	p.at, p.serving = now, p.serving[:0]
 	scale := InterferenceScale(w.Capacity)
 	for k := range w.servingTasks {
-		utilization := c.interference.loadOf(k.job).peak + c.interference.predict(k.image, w.bestEffortByImage)/scale
-		p.serving = append(p.serving, servingUtilization{k.image, utilization})
+		p.serving = append(p.serving, servingInterference{k, c.interference.predict(k.image, w.bestEffortByImage) / scale})
 	}
 	return p.serving
 }
@@ -58,6 +57,9 @@
 	// increases is the utilization that the task adds on a worker of the reference
 	// size, by serving image.
 	increases map[string]float64
+	// loads is the highest load of each serving job while a task of the step is expected
+	// to run.
+	loads map[string]float64
 }
 
 func (c *Cell) newScorer(k *candidate, now time.Time) *scorer {
@@ -67,7 +69,7 @@
 	}
 	byEnd := c.usesExpectedEnd(k.step.spec)
 	return &scorer{cell: c, step: k.step.spec, now: now, runTime: runTime, byEnd: byEnd,
-		timed: byEnd || now.Before(c.coldUntil) && !k.step.spec.LongRunning, increases: map[string]float64{}}
+		timed: byEnd || now.Before(c.coldUntil) && !k.step.spec.LongRunning, increases: map[string]float64{}, loads: map[string]float64{}}
 }
 
 // increase returns the utilization that a task of the step adds to a serving image on a
@@ -82,14 +84,28 @@
 	return v
 }
 
+// load returns the highest load of a serving job while a task of the step is expected to
+// run.
+func (r *scorer) load(job string) float64 {
+	v, ok := r.loads[job]
+	if !ok {
+		l := r.cell.interference.loadOf(job)
+		if v = l.peak; r.cell.policy.forecastsLoad {
+			v = l.highestUntil(r.now.Add(r.runTime), r.now)
+		}
+		r.loads[job] = v
+	}
+	return v
+}
+
 // predictOverload returns by how much the utilization of a serving task of w would
 // exceed placementUtilizationLimit beside one more task of the step, and how much
 // utilization the task would add: both are maxima over the serving tasks.
 func (r *scorer) predictOverload(w *workerRow) (excess, added float64) {
 	scale := InterferenceScale(w.Capacity)
-	for _, u := range r.cell.servingUtilizations(w, r.now) {
+	for _, u := range r.cell.servingInterferences(w, r.now) {
 		increase := r.increase(u.image) / scale
-		excess, added = max(excess, u.utilization+increase-placementUtilizationLimit), max(added, increase)
+		excess, added = max(excess, r.load(u.job)+u.added+increase-placementUtilizationLimit), max(added, increase)
 	}
 	return excess, added
 }
--- a/core/job/policy.go
+++ b/core/job/policy.go
@@ -9,6 +9,8 @@
 	compare  func(a, b *candidate) int
 	learns   bool
 	reserves bool
+	// forecastsLoad is false if serving load is judged by its recent peak alone.
+	forecastsLoad bool
 }
 
 // Option sets the policy of a cell, or what it takes into account.
@@ -30,6 +32,10 @@
 // WithoutReservations disables the reservation of room for steps that wait for it.
 func WithoutReservations() Option { return func(c *Cell) { c.policy.reserves = false } }
 
+// WithoutLoadForecast judges the load of serving tasks by its recent peak, also if it
+// swings regularly.
+func WithoutLoadForecast() Option { return func(c *Cell) { c.policy.forecastsLoad = false } }
+
 // WithDeadlines orders jobs of equal priority and timeliness by deadline, also when
 // there is more work than room. It is the baseline of earliest deadline first.
 func WithDeadlines() Option { return func(c *Cell) { c.policy.compare = byDeadline } }
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -319,7 +319,7 @@
 	// make it suitable for a blocked step.
 	version int64
 	// predicted must be reset when the tasks of the worker change.
-	predicted predictedUtilization
+	predicted predictedInterference
 	// recentStarts are the starts that were ordered within LateStartWindow, oldest first.
 	recentStarts []sentStart
 	// releases must be reset when the tasks of the worker change.
@@ -436,7 +436,7 @@
 		claims: map[*workerRow]room{}, runTimeRatios: newRunTimeRatios(), meanWork: meanWork{},
 		interference: newInterferenceModel(), forecaster: newForecaster(),
 		isolation: isolation{crashed: map[string]bool{}},
-		policy:    policy{compare: byTimelinessAndPriority, learns: true, reserves: true}}
+		policy:    policy{compare: byTimelinessAndPriority, learns: true, reserves: true, forecastsLoad: true}}
 	for _, o := range options {
 		o(c)
 	}
--- a/core/job/rules_test.go
+++ b/core/job/rules_test.go
@@ -268,7 +268,7 @@
 		servingWorker = worker
 	}
 	tc.interference.regressionOf("feed").restore(map[string]float64{"heavy": 0.3, "light": 0.001})
-	tc.interference.loadOf(testJob(1).ID).update(0.7)
+	tc.interference.loadOf(testJob(1).ID).update(0.7, tc.now)
 	heavy := step(8, 2000)
 	heavy.BestEffort, heavy.Image = true, "heavy"
 	tc.submit(testJob(2, heavy))
--- a/core/job/wait_test.go
+++ b/core/job/wait_test.go
@@ -44,7 +44,7 @@
 		serving.LongRunning, serving.TailTarget, serving.Image = true, 100*time.Millisecond, "feed"
 		tc.submit(testJob(1, serving))
 		tc.interference.regressionOf("feed").restore(map[string]float64{"heavy": 0.3})
-		tc.interference.loadOf(testJob(1).ID).update(0.7)
+		tc.interference.loadOf(testJob(1).ID).update(0.7, tc.now)
 		heavy := step(1, 2000)
 		heavy.BestEffort, heavy.Image = true, "heavy"
 		tc.submit(testJob(2, heavy))
