core/job: suspects of crashes whose results have no value wait for idle workers

Such suspects start once the workers have not been crowded for a second; the platform allows jobs to wait while more than half of the processors are in use.

TestWorthlessSuspectsWaitForIdleWorkers: 2 crashes while busy before, none now.

--- a/core/job/choose.go
+++ b/core/job/choose.go
@@ -34,14 +34,8 @@
 // setRoom sets how long the best-effort tasks of each candidate wait for a worker
 // without interference, and whether processors are scarce.
 func (c *Cell) setRoom(all []candidate) {
-	free, capacity := 0, 0
-	for _, w := range c.workers.All {
-		if !c.evacuations.allowsStarts(w.Zone) {
-			continue
-		}
-		free += max(0, w.freeProcessors())
-		capacity += w.Capacity.Processors
-	}
+	_, capacity := c.freeProcessors()
+	crowded := c.isCrowded()
 	backlog := 0.0
 	for i := range all {
 		if s := all[i].step; !s.spec.BestEffort {
@@ -52,12 +46,31 @@
 	for i := range all {
 		all[i].scarce = scarce
 		all[i].interferenceWait = idleInterferenceWait
-		if free*fullPercent < capacity*crowdedFreePercent || all[i].hasRunningTasks() {
+		if crowded || all[i].hasRunningTasks() {
 			all[i].interferenceWait = busyInterferenceWait
 		}
 	}
 }
 
+// freeProcessors returns the processors of the workers that may start tasks, and those that
+// their tasks are expected to leave unused.
+func (c *Cell) freeProcessors() (free, capacity int) {
+	for _, w := range c.workers.All {
+		if c.evacuations.allowsStarts(w.Zone) {
+			free += max(0, w.freeProcessors())
+			capacity += w.Capacity.Processors
+		}
+	}
+	return free, capacity
+}
+
+// isCrowded reports whether so few processors are free that the platform allows jobs without
+// running tasks to wait.
+func (c *Cell) isCrowded() bool {
+	free, capacity := c.freeProcessors()
+	return free*fullPercent < capacity*crowdedFreePercent
+}
+
 // scoredWorker is a worker that tasks of a step may run on, with its score.
 type scoredWorker struct {
 	worker *workerRow
--- a/core/job/crash_test.go
+++ b/core/job/crash_test.go
@@ -346,3 +346,30 @@
 		is.Equal(len(task.crashes), 2)
 	}
 }
+
+// While the workers are busy, a task that has crashed two workers does not take a third one
+// away once its result has no value any more. Its job still ends when they are idle again.
+func TestWorthlessSuspectsWaitForIdleWorkers(t *testing.T) {
+	is := is.New(t)
+	cc := newCrashCluster(t, 8)
+	name := Task{Job: testJob(1).ID}
+	cc.addInnocent(99, step(8, 12000)) // takes three quarters of the processors
+	cc.advance(innocentRunTime / 2)
+	cc.deadly[name.String()] = true
+	j := testJob(1, step(1, 100))
+	j.Accepted = cc.now.Add(-10 * time.Second) // three times the objective is 9 s
+	cc.Add(j, cc.now)
+	_, _, row := cc.findTask(name.String())
+	for n := range minCrashes {
+		at := cc.now.Add(time.Duration(2*n-10) * time.Second)
+		row.setCrashes(append(row.crashes, Crash{Run: int64(n), Agent: fmt.Sprint("agent-", n), At: at, Starting: true, Jobs: 2}))
+	}
+	cc.isolation.crashed[name.Job] = true
+	for n := range 20 {
+		cc.addInnocent(100+n, step(8, 12000))
+		cc.advance(innocentRunTime / 2)
+	}
+	is.Equal(cc.workersCrashed[name.String()], 0)
+	cc.advance(20 * time.Second)
+	is.Equal(cc.final[name.Job], Failed)
+}
--- a/core/job/isolation.go
+++ b/core/job/isolation.go
@@ -21,6 +21,10 @@
 	// together on an isolated worker. Most suspects are innocent; if the worker crashes, they
 	// start again one job at a time.
 	maxGroupSuspicion = 0.5
+	// worthlessSuspectDelay is for how long the workers must not have been crowded when a
+	// suspect starts whose result has no value any more. On the platform, such a job must
+	// make progress within 3 s.
+	worthlessSuspectDelay = time.Second
 	// isolationInterval is the least time between two decisions, and maxIsolationAttempts the
 	// number of steps that are compared with all workers in one. After a storm of crashes, a
 	// hundred steps may wait while a thousand reports a second arrive.
@@ -40,6 +44,8 @@
 	alertUntil time.Time
 	alert      bool
 	workers    []*workerRow
+	// crowdedAt is when the workers were crowded last.
+	crowdedAt time.Time
 	// decidedAt is when the last decision was made.
 	decidedAt time.Time
 	// skipped is the number of waiting steps for which the last decisions found no worker. The
@@ -85,9 +91,14 @@
 // of them are innocent, and pass quickly. Those that are too late to have a value are last.
 func (c *Cell) suspectSteps(all []candidate, now time.Time) []suspectStep {
 	var out []suspectStep
+	if c.isCrowded() {
+		c.isolation.crowdedAt = now
+	}
+	idle := now.Sub(c.isolation.crowdedAt) >= worthlessSuspectDelay
 	for i := range all {
 		k := &all[i]
-		if !c.isolation.crashed[k.job.ID] {
+		// The next crash would take a worker from jobs whose results have a value.
+		if !c.isolation.crashed[k.job.ID] || !idle && k.timeliness == tooLate {
 			continue
 		}
 		x := suspectStep{candidate: k, agents: map[string]bool{}}
