--- a/core/event/job.go
+++ b/core/event/job.go
@@ -31,10 +31,6 @@
 		[]string{"worker", "state", "elapsed", "slowdown", "epoch"},
 		"A worker became `cold` by its own heartbeat, for the elapsed time from now, or is `warm` again; slowdown is the factor, in percent, by which the owner expects tasks to take longer on cold workers.",
 		"If a worker stays cold for minutes, or becomes cold without a restart, inspect its VM."}
-	TaskPreempted = Event{7012, "task-preempted", hclog.Info,
-		[]string{"task", "job", "priority", "epoch"},
-		"The owner stopped a task for a job that would be late; job is that job, and priority is the rank of its queue. Event 7010 with decision stop and reason preempted comes before it.",
-		"If a batch job is late because of it, see docs/OPERATIONS.md."}
 	OwnershipTaken = Event{7020, "ownership-taken", hclog.Info,
 		[]string{"entry", "epoch", "count"},
 		"This entry became the owner and started to schedule; count is the number of jobs that have not ended.", "None."}
@@ -135,7 +131,7 @@
 )
 
 var jobEvents = []Event{SubmissionAccepted, SubmissionRefused, CancellationAnswered, StateUnknown, RequestRelayed,
-	TaskDecided, WorkerDecided, TaskPreempted, WorkerColdChanged, OwnershipTaken, OwnershipLost, OwnerEnded, WorkerCrashed, RunCrashed, JobGivenUp, IsolationChanged, DependencyLost, DependencyRegained,
+	TaskDecided, WorkerDecided, WorkerColdChanged, OwnershipTaken, OwnershipLost, OwnerEnded, WorkerCrashed, RunCrashed, JobGivenUp, IsolationChanged, DependencyLost, DependencyRegained,
 	ConfigurationInForce, SettingsReloaded, MessageRefused, LogLinesDropped, OrderCarriedOut, WorkerSeen, OwnerFollowed,
 	TasksThrottled, CancellationsRead, ZoneEvacuated, ZoneReopened, ForecastIgnored, RoomAfterRefusal, ScarcityBegan, ScarcityEnded,
 	CopyStarted, CopyEnded, StepWaited, RoomSampled, OutlookWorsened}
--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -109,12 +109,8 @@
 	// EventWarm.
 	ColdLeft time.Duration
 	Slowdown float64
-	// Preemptor and Priority are the job for which a task was preempted and the priority
-	// of its queue. LostWork is the work in processor seconds that must be done again, or
-	// that does not count, for EventExtraWork.
-	Preemptor string
-	Priority  int
-	LostWork  float64
+	// LostWork is the work in processor seconds that does not count, for EventExtraWork.
+	LostWork float64
 	// OtherWorker is the worker of the present run and Gain by how much sooner the copy is
 	// expected to end, for EventCopyStarted.
 	OtherWorker string
@@ -286,7 +282,6 @@
 	t.starts++
 	c.recordRun(s, t, w, c.runNumber(t.starts), now)
 	w.enqueueStart(j, s, t, now)
-	w.consumeHold(s)
 	c.logEvent(EventStart, t, w, c.startReason(s.spec, w, now), now)
 	if !j.ordered {
 		j.ordered, j.state = true, Running
@@ -356,7 +351,7 @@
 // reserveCapacity reserves the capacity of n tasks of a job's step; a negative
 // n frees it.
 func (w *workerRow) reserveCapacity(job string, s *Step, n int) {
-	w.predicted.at, w.releases.at, w.stopping.known = time.Time{}, time.Time{}, false
+	w.predicted.at, w.releases.at = time.Time{}, time.Time{}
 	w.used.Memory += int64(n) * s.Need.Memory
 	w.used.Accelerators += n * s.Need.Accelerators
 	if s.BestEffort {
@@ -405,7 +400,7 @@
 	if t.state != taskAssigned || t.stopping {
 		return
 	}
-	t.stopping, t.stopOrderedAt, t.worker.stopping.known = true, now, false
+	t.stopping, t.stopOrderedAt = true, now
 	t.worker.enqueueOrder(Order{Kind: OrderStop, Task: t.name.String(), Run: t.run})
 	c.logEvent(EventStop, t, t.worker, reason, now)
 }
--- a/core/job/choose.go
+++ b/core/job/choose.go
@@ -249,7 +249,6 @@
 		}
 		need.Processors = 0
 	}
-	need = need.Plus(w.heldFrom(priority))
 	// Tasks of jobs take no slots, so slots are left out of the comparison.
 	need.Slots = 0
 	return w.used.Plus(need).Fits(w.Capacity.Max(Resources{Slots: w.used.Slots}))
--- a/core/job/copies.go
+++ b/core/job/copies.go
@@ -145,7 +145,7 @@
 	*t = *x
 	t.original, t.copy = nil, nil
 	t.starts, t.copies, t.race = old.starts, old.copies, old.race
-	t.failedRuns, t.failedOn, t.preempted = old.failedRuns, old.failedOn, old.preempted
+	t.failedRuns, t.failedOn = old.failedRuns, old.failedOn
 	t.succeeded, t.notBefore, t.runTime = old.succeeded, old.notBefore, old.runTime
 	t.speed.migrations = max(old.speed.migrations, x.speed.migrations)
 	t.speed.slowMoves = max(old.speed.slowMoves, x.speed.slowMoves)
--- a/core/job/place.go
+++ b/core/job/place.go
@@ -168,7 +168,6 @@
 		c.recordWait(k, reason, now)
 	}
 	c.sampleRoom(all, now)
-	c.preemptTasks(all, now)
 	c.copyTasks(all, now)
 }
 
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -70,7 +70,6 @@
 	// stopping is true once the run has been ordered to stop, at stopOrderedAt.
 	stopping      bool
 	stopOrderedAt time.Time
-	preempted     preemptedTask
 	// checkpointAt is when the checkpoint was first listed, with checkpointPercent.
 	checkpointAt      time.Time
 	checkpointPercent int
@@ -112,8 +111,6 @@
 	rackClaims  []*workerRow
 	reservation reservation
 	wait        stepWait
-	// observed is what decisions about preemption know about the step, or nil.
-	observed *batchStep
 	// tickets are the tickets of the advisor, for queues that require them.
 	tickets advisorTickets
 }
@@ -295,10 +292,6 @@
 	// of one processor.
 	servingTasks      map[servingJob]int
 	bestEffortByImage usage
-	// holds is the room that is kept for tasks of higher-ranked queues.
-	holds []hold
-	// stopping must be reset when the tasks of the worker change or one is stopped.
-	stopping stoppingRoom
 	// unknownRuns counts the listed runs that are not assigned to the worker,
 	// for which no capacity is reserved.
 	unknownRuns int
@@ -403,7 +396,6 @@
 	// them are of the current or the last call of placeTasks.
 	claims                    map[*workerRow]room
 	rackWaits, reservingSteps int
-	preemption                preemption
 	copies                    copies
 	isolation                 isolation
 	recentCrashes             []recentCrash
--- a/core/metric/catalogue.go
+++ b/core/metric/catalogue.go
@@ -45,8 +45,6 @@
 	{"rosemarygap_reserved_workers", nil, "workers on which steps that wait for long, or tasks that wait for the rack of their data, reserve room; reported by the owner"},
 	{"rosemarygap_cold_workers", nil, "workers that say in their heartbeats that they are still cold; reported by the owner"},
 	{"rosemarygap_cold_worker_slowdown", nil, "learned factor by which tasks take longer on cold workers, 2 until a task has run on one; reported by the owner"},
-	{"rosemarygap_preemptions_total", nil, "tasks that the owner stopped for a step of a higher-ranked queue that would be late; event 7012 names the job; always 0 with `--preemption off`"},
-	{"rosemarygap_preempted_processor_seconds_total", nil, "work that these tasks must do again, in processor seconds; if it grows by more than the urgent jobs need, batch jobs lack checkpoints or urgent work lacks capacity"},
 	{"rosemarygap_copies_total", []string{"outcome"}, "copies of tasks by what became of them: `won`, `lost` or `failed`; events 7047 and 7048 name the tasks; absent with `--copies off`"},
 	{"rosemarygap_copy_processor_seconds_total", nil, "work of runs that did not count of tasks that had two runs, in processor seconds; copies hold at most a twentieth of the usable processors of a service"},
 	{"rosemarygap_platform_store_calls_total", []string{"call", "outcome"}, "calls of this process to the platform's store; the outcomes are `ok`, `conflict`, `refused`, `not-found`, `compacted`, `malformed` and `no-answer`"},
--- a/io/commandline/scheduler.go
+++ b/io/commandline/scheduler.go
@@ -53,7 +53,6 @@
 	Admission  string `arg:"--admission,env:ROSEMARYGAP_ADMISSION" default:"off" help:"which jobs are refused: off, or forecast for those that would end when their results have no value"`
 	FairShares string `arg:"--fair-shares,env:ROSEMARYGAP_FAIR_SHARES" default:"off" help:"how scarce room is divided: off (by value and deadline, whoever asks) or zone (fairly among the queues and the zones in which jobs were submitted)"`
 	Failover   string `arg:"--failover,env:ROSEMARYGAP_FAILOVER" default:"lease" help:"when an owner that was killed is replaced: lease (when its lease expires) or connection (as soon as the other entries find that its process has ended)"`
-	Preemption string `arg:"--preemption,env:ROSEMARYGAP_PREEMPTION" default:"off" help:"whether steps that would be late preempt batch tasks of lower-ranked queues: off or on"`
 	Copies     string `arg:"--copies,env:ROSEMARYGAP_COPIES" default:"off" help:"whether tasks of steps that allow it get a second run on another worker when theirs would end late: off or on"`
 }
 
@@ -80,8 +79,6 @@
 		return badSetting("--fair-shares", c.FairShares)
 	case c.Failover != failoverLease && c.Failover != failoverConnection:
 		return badSetting("--failover", c.Failover)
-	case c.Preemption != switchOff && c.Preemption != switchOn:
-		return badSetting("--preemption", c.Preemption)
 	case c.Copies != switchOff && c.Copies != switchOn:
 		return badSetting("--copies", c.Copies)
 	}
@@ -100,9 +97,6 @@
 	if c.Failover == failoverConnection {
 		out = append(out, scheduler.WithConnectionFailover())
 	}
-	if c.Preemption == switchOn {
-		out = append(out, scheduler.WithPreemption())
-	}
 	if c.Copies == switchOn {
 		out = append(out, scheduler.WithCopies())
 	}
--- a/io/scheduler/control.go
+++ b/io/scheduler/control.go
@@ -224,9 +224,6 @@
 		event.TaskDecided.Emit(c.log, event.Task(e.Task), event.Attempt(int(e.Run)), event.Worker(e.Worker),
 			event.Decision(string(e.Kind)), event.Reason(status.Code(e.Reason)), event.Age(e.ReportAge),
 			event.Elapsed(e.SinceAcceptance), event.Epoch(c.cell.Epoch()))
-		if e.Preemptor != "" {
-			event.TaskPreempted.Emit(c.log, event.Task(e.Task), event.Job(e.Preemptor), event.Priority(e.Priority), event.Epoch(c.cell.Epoch()))
-		}
 	}
 }
 
--- a/io/scheduler/metrics.go
+++ b/io/scheduler/metrics.go
@@ -21,8 +21,6 @@
 	forecastErrorSeconds = metrics.NewHistogram("rosemarygap_forecast_error_seconds")
 	acceptedTooLate      = metrics.NewCounter("rosemarygap_accepted_too_late_total")
 	refusedWithRoom      = metrics.NewCounter("rosemarygap_refused_with_room_total")
-	preemptions          = metrics.NewCounter("rosemarygap_preemptions_total")
-	preemptedSeconds     = metrics.NewFloatCounter("rosemarygap_preempted_processor_seconds_total")
 )
 
 // gaugeInterval is the time between two updates of the owner's gauges. The
@@ -117,10 +115,6 @@
 	if e.Reason == job.ReasonPlacedInRack || e.Reason == job.ReasonPlacedRemote {
 		metrics.GetOrCreateCounter(fmt.Sprintf(`rosemarygap_rack_starts_total{reason=%q}`, e.Reason)).Inc()
 	}
-	if e.Preemptor != "" {
-		preemptions.Inc()
-		preemptedSeconds.Add(e.LostWork)
-	}
 	reason := e.Reason
 	if e.Kind != job.EventEnd && e.Kind != job.EventStop && e.Kind != job.EventFinal {
 		// Other events include refusals, whose reasons come from the workers,
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -105,11 +105,6 @@
 	}
 }
 
-// WithPreemption lets steps that would be late preempt batch tasks of lower-ranked queues.
-func WithPreemption() Option {
-	return func(s *Scheduler) { s.cellOptions = append(s.cellOptions, job.WithPreemption()) }
-}
-
 // WithCopies starts copies of tasks whose steps allow it and whose runs would end late.
 func WithCopies() Option {
 	return func(s *Scheduler) { s.cellOptions = append(s.cellOptions, job.WithCopies()) }
