core/swing: no forecast without fresh samples, and fewer searches of the period

A load whose samples end, for example as its workers are cut off, was forecast by the old wave for ever. Now there is no forecast once the newest sample is older than 3 s; the recent peak decides, as for a load without a swing. TestNoForecastOfIrregularLoad covers the first.

--- a/core/swing/swing.go
+++ b/core/swing/swing.go
@@ -34,6 +34,12 @@
 	minAmplitude = 0.05
 	// fitInterval is the least time between two fits.
 	fitInterval = time.Second
+	// searchInterval is the least time between two searches of the period. In between, the
+	// wave is fitted with the same period.
+	searchInterval = 4 * time.Second
+	// maxSampleAge is how old the newest sample may be. The error of the period grows with
+	// the time since then.
+	maxSampleAge = 3 * time.Second
 	// recentBuckets is the number of the newest buckets from which the present difference
 	// from the wave is taken.
 	recentBuckets = 2
@@ -42,9 +48,9 @@
 // Load is the history of a load and the wave that was fitted to it. The zero value has
 // no history.
 type Load struct {
-	buckets  []bucket
-	wave     wave
-	fittedAt time.Time
+	buckets              []bucket
+	wave                 wave
+	fittedAt, searchedAt time.Time
 }
 
 // bucket is the mean of the samples of one bucketLength.
@@ -80,11 +86,14 @@
 
 // Max returns the highest load that is expected between from and to, plus the given number
 // of standard deviations. The result is false if the load does not swing regularly, or
-// was not observed for long enough to tell.
+// was not observed for long enough to tell, or not lately.
 func (l *Load) Max(from, to time.Time, deviations float64) (float64, bool) {
+	if n := len(l.buckets); n == 0 || from.Sub(l.buckets[n-1].at) > maxSampleAge {
+		return 0, false
+	}
 	if from.Sub(l.fittedAt) >= fitInterval {
 		l.fittedAt = from
-		l.fit()
+		l.fit(from)
 	}
 	if l.wave.period == 0 {
 		return 0, false
@@ -93,15 +102,18 @@
 }
 
 // fit fits the wave of the period that leaves the least variance.
-func (l *Load) fit() {
-	l.wave = wave{}
-	if len(l.buckets) < 2 {
-		return
+func (l *Load) fit(now time.Time) {
+	first, last := minPeriod, maxPeriod
+	if l.wave.period > 0 && now.Sub(l.searchedAt) < searchInterval {
+		first, last = l.wave.period, l.wave.period
+	} else {
+		l.searchedAt = now
 	}
+	l.wave = wave{}
 	total := l.residual(&wave{mean: l.meanLoad(), origin: l.buckets[0].at, period: maxPeriod})
 	seen := l.buckets[len(l.buckets)-1].at.Sub(l.buckets[0].at)
 	least := total * (1 - minExplained)
-	for p := minPeriod; p <= maxPeriod && seen.Seconds() >= minPeriodsSeen*p.Seconds(); p = time.Duration(float64(p) * periodRatio) {
+	for p := first; p <= last && seen.Seconds() >= minPeriodsSeen*p.Seconds(); p = time.Duration(float64(p) * periodRatio) {
 		if w, ok := l.fitPeriod(p); ok {
 			if r := l.residual(&w); r < least && w.amplitude() >= minAmplitude {
 				least, l.wave = r, w
--- a/core/swing/swing_test.go
+++ b/core/swing/swing_test.go
@@ -50,7 +50,7 @@
 }
 
 // A load that does not swing regularly has no forecast, nor has one of which less than a
-// wave was seen.
+// wave was seen, or nothing lately.
 func TestNoForecastOfIrregularLoad(t *testing.T) {
 	is := is.New(t)
 	begin := time.Unix(1000, 0)
@@ -70,6 +70,13 @@
 	now := observe(&short, begin, 3*time.Second, func(s float64) float64 { return math.Sin(2 * math.Pi * s / 10) })
 	_, ok := short.Max(now, now.Add(time.Second), 0)
 	is.True(!ok)
+	var silent Load
+	now = observe(&silent, begin, 25*time.Second, func(s float64) float64 { return math.Sin(2 * math.Pi * s / 10) })
+	_, ok = silent.Max(now, now.Add(time.Second), 0)
+	is.True(ok)
+	now = now.Add(2 * maxSampleAge)
+	_, ok = silent.Max(now, now.Add(time.Second), 0)
+	is.True(!ok) // the samples have ended
 	var none Load
 	_, ok = none.Max(now, now.Add(time.Second), 0)
 	is.True(!ok)
@@ -79,7 +86,15 @@
 	var l Load
 	now := observe(&l, time.Unix(1000, 0), 25*time.Second, func(s float64) float64 { return math.Sin(2 * math.Pi * s / 10) })
 	for b.Loop() {
-		l.fit()
+		l.searchedAt = time.Time{}
+		l.fit(now)
+	}
+}
+
+func BenchmarkFitSamePeriod(b *testing.B) {
+	var l Load
+	now := observe(&l, time.Unix(1000, 0), 25*time.Second, func(s float64) float64 { return math.Sin(2 * math.Pi * s / 10) })
+	for b.Loop() {
+		l.fit(now)
 	}
-	_ = now
 }
