core/swing: times of buckets are the means of their samples, and the period is refined

Causes: a bucket had the time of its first sample, so that the wave came up to 0.25 s late, and the periods tried are 7% apart. Samples may be 10 s old, since a wave of 10 s is still known by then.

--- a/core/swing/swing.go
+++ b/core/swing/swing.go
@@ -34,12 +34,9 @@
 	minAmplitude = 0.05
 	// fitInterval is the least time between two fits.
 	fitInterval = time.Second
-	// searchInterval is the least time between two searches of the period. In between, the
-	// wave is fitted with the same period.
-	searchInterval = 4 * time.Second
-	// maxSampleAge is how old the newest sample may be. The error of the period grows with
-	// the time since then.
-	maxSampleAge = 3 * time.Second
+	// maxSampleAge is how old the newest sample may be: the load may have changed, and the
+	// error of the period grows with the time since then.
+	maxSampleAge = 10 * time.Second
 	// recentBuckets is the number of the newest buckets from which the present difference
 	// from the wave is taken.
 	recentBuckets = 2
@@ -48,16 +45,16 @@
 // Load is the history of a load and the wave that was fitted to it. The zero value has
 // no history.
 type Load struct {
-	buckets              []bucket
-	wave                 wave
-	fittedAt, searchedAt time.Time
+	buckets  []bucket
+	wave     wave
+	fittedAt time.Time
 }
 
-// bucket is the mean of the samples of one bucketLength.
+// bucket is the mean of the samples of one bucketLength. Their mean time is at.
 type bucket struct {
-	at      time.Time
-	mean    float64
-	samples float64
+	begin, at time.Time
+	mean      float64
+	samples   int
 }
 
 // wave is mean + cosine*cos(w) + sine*sin(w), with w the phase since origin.
@@ -72,16 +69,17 @@
 
 // Observe adds a sample of the load at the given time, which must not decrease.
 func (l *Load) Observe(v float64, at time.Time) {
-	if n := len(l.buckets); n > 0 && at.Sub(l.buckets[n-1].at) < bucketLength {
+	if n := len(l.buckets); n > 0 && at.Sub(l.buckets[n-1].begin) < bucketLength {
 		b := &l.buckets[n-1]
 		b.samples++
-		b.mean += (v - b.mean) / b.samples
+		b.mean += (v - b.mean) / float64(b.samples)
+		b.at = b.at.Add(at.Sub(b.at) / time.Duration(b.samples))
 		return
 	}
 	if len(l.buckets) == maxBuckets {
 		l.buckets = append(l.buckets[:0], l.buckets[1:]...)
 	}
-	l.buckets = append(l.buckets, bucket{at, v, 1})
+	l.buckets = append(l.buckets, bucket{at, at, v, 1})
 }
 
 // Max returns the highest load that is expected between from and to, plus the given number
@@ -93,7 +91,7 @@
 	}
 	if from.Sub(l.fittedAt) >= fitInterval {
 		l.fittedAt = from
-		l.fit(from)
+		l.fit()
 	}
 	if l.wave.period == 0 {
 		return 0, false
@@ -102,31 +100,33 @@
 }
 
 // fit fits the wave of the period that leaves the least variance.
-func (l *Load) fit(now time.Time) {
-	first, last := minPeriod, maxPeriod
-	if l.wave.period > 0 && now.Sub(l.searchedAt) < searchInterval {
-		first, last = l.wave.period, l.wave.period
-	} else {
-		l.searchedAt = now
-	}
+func (l *Load) fit() {
 	l.wave = wave{}
 	total := l.residual(&wave{mean: l.meanLoad(), origin: l.buckets[0].at, period: maxPeriod})
 	seen := l.buckets[len(l.buckets)-1].at.Sub(l.buckets[0].at)
 	least := total * (1 - minExplained)
-	for p := first; p <= last && seen.Seconds() >= minPeriodsSeen*p.Seconds(); p = time.Duration(float64(p) * periodRatio) {
+	try := func(p time.Duration) {
 		if w, ok := l.fitPeriod(p); ok {
 			if r := l.residual(&w); r < least && w.amplitude() >= minAmplitude {
 				least, l.wave = r, w
 			}
 		}
 	}
+	for p := minPeriod; p <= maxPeriod && seen.Seconds() >= minPeriodsSeen*p.Seconds(); p = scale(p, periodRatio) {
+		try(p)
+	}
 	if l.wave.period == 0 {
 		return
 	}
+	best, step := l.wave.period, math.Sqrt(periodRatio)
+	try(scale(best, step))
+	try(scale(best, 1/step))
 	l.wave.deviation = math.Sqrt(least)
 	l.wave.offset = l.recentOffset()
 }
 
+func scale(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
+
 func (l *Load) meanLoad() float64 {
 	sum := 0.0
 	for _, b := range l.buckets {
