--- a/core/job/choose.go
+++ b/core/job/choose.go
@@ -34,8 +34,8 @@
 // setRoom sets how long the best-effort tasks of each candidate wait for a worker
 // without interference, and whether processors are scarce.
 func (c *Cell) setRoom(all []candidate) {
-	_, capacity := c.freeProcessors()
-	crowded := c.isCrowded()
+	free, capacity := c.freeProcessors()
+	crowded := isCrowded(free, capacity)
 	backlog := 0.0
 	for i := range all {
 		if s := all[i].step; !s.spec.BestEffort {
@@ -66,10 +66,7 @@
 
 // isCrowded reports whether so few processors are free that the platform allows jobs without
 // running tasks to wait.
-func (c *Cell) isCrowded() bool {
-	free, capacity := c.freeProcessors()
-	return free*fullPercent < capacity*crowdedFreePercent
-}
+func isCrowded(free, capacity int) bool { return free*fullPercent < capacity*crowdedFreePercent }
 
 // scoredWorker is a worker that tasks of a step may run on, with its score.
 type scoredWorker struct {
--- a/core/job/isolation.go
+++ b/core/job/isolation.go
@@ -91,7 +91,7 @@
 // of them are innocent, and pass quickly. Those that are too late to have a value are last.
 func (c *Cell) suspectSteps(all []candidate, now time.Time) []suspectStep {
 	var out []suspectStep
-	if c.isCrowded() {
+	if isCrowded(c.freeProcessors()) {
 		c.isolation.crowdedAt = now
 	}
 	idle := now.Sub(c.isolation.crowdedAt) >= worthlessSuspectDelay
