--- a/review/standin/deploy.go
+++ b/review/standin/deploy.go
@@ -198,6 +198,17 @@
 	return w.start()
 }
 
+// takeAway empties a worker and takes it away with its machine, as planned.
+func (d *deployment) takeAway(i int) error {
+	if err := d.workers[i].leave(3 * time.Second); err != nil {
+		return err
+	}
+	time.Sleep(time.Second)
+	d.sides[i].signal(syscall.SIGTERM)
+	d.sides[i].wait()
+	return nil
+}
+
 // startAll starts the given numbers of edge and side machines, the latter with workers.
 func (d *deployment) startAll(fronts, sides int) error {
 	var seeds []string
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -132,6 +132,29 @@
 	b.server.Close()
 }
 
+// leave reports that the worker drains, waits a while after the acknowledgement, says that
+// it leaves, and ends.
+func (w *worker) leave(drain time.Duration) error {
+	w.mu.Lock()
+	b := w.boot
+	w.draining = true
+	w.mu.Unlock()
+	w.sendBeat(b)
+	time.Sleep(drain)
+	r, err := http.NewRequest(http.MethodDelete, "http://"+w.control+"/v1/instances/"+w.id, nil)
+	if err != nil {
+		return err
+	}
+	x, err := w.client.Do(r)
+	if err != nil {
+		return err
+	}
+	x.Body.Close()
+	w.log.add("worker %s leaves: %d", w.id, x.StatusCode)
+	w.crash()
+	return nil
+}
+
 // beats sends liveness reports until the life ends.
 func (w *worker) beats(b *boot) {
 	for {
