--- a/review/standin/case_repeats.go
+++ b/review/standin/case_repeats.go
@@ -12,7 +12,7 @@
 // the calls of the machine that leads without an answer, for 4 s at a time.
 func repeats(d *deployment, trouble bool) ([]string, error) {
 	const (
-		nightJobs = 3000
+		nightJobs = 5000
 		feeds     = 6
 		rounds    = 5
 	)
@@ -44,6 +44,7 @@
 	}
 	for i := range nightJobs {
 		ids <- i
+		time.Sleep(3 * time.Millisecond) // the store takes 400 writes a second
 	}
 	close(ids)
 	for range 16 {
