--- a/review/standin/advisor.go
+++ b/review/standin/advisor.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"net/http"
 	"sync"
 	"time"
@@ -32,7 +31,7 @@
 		Step    string   `json:"step"`
 		Workers []string `json:"workers"`
 	}
-	if err := json.NewDecoder(r.Body).Decode(&m); err != nil || len(m.Workers) > maxAdvised {
+	if err := decode(r.Body, &m); err != nil || len(m.Workers) > maxAdvised {
 		reply(w, http.StatusBadRequest, map[string]string{})
 		return
 	}
--- a/review/standin/case_advice.go
+++ b/review/standin/case_advice.go
@@ -20,8 +20,8 @@
 	if err := d.serve(fmt.Sprintf("%s.1:%d", d.net, controlPort), a); err != nil {
 		return nil, err
 	}
-	d.addQueue("watch", map[string]any{"priority": 0, "max-attempts": 2, "stretch": 2.2, "target-duration-ms": 2500})
-	d.addQueue("plate", map[string]any{"priority": 0, "max-attempts": 4, "stretch": 1.5, "target-duration-ms": 1000,
+	d.addQueue("watch", map[string]any{"priority": 0, "failure-limit": 2, "stretch": 2.2, "objective-ms": 2500})
+	d.addQueue("plate", map[string]any{"priority": 0, "failure-limit": 4, "stretch": 1.5, "objective-ms": 1000,
 		"hint": map[string]any{"decide-ms": decideTime.Milliseconds(), "interval-ms": perWorker.Milliseconds(), "valid-ms": ticketValid.Milliseconds()}})
 	d.putConfig()
 	if err := d.startAll(3, workers); err != nil {
@@ -35,7 +35,7 @@
 	}
 	// Each of the first workers has a task that lasts, on 4 of its 16 cores.
 	if !d.submit("watch", "ee00000000000000", map[string]any{"spec": "ms=300 lasts=1", "phases": []map[string]any{
-		{"count": workers, "cpu": 4000, "mem-mb": 1000, "estimate-ms": 300, "long-running": true, "max-per-server": 1}}}) {
+		{"count": workers, "cpu": 4000, "memory-mib": 1000, "estimated-ms": 300, "lasts": true, "worker-limit": 1}}}) {
 		return nil, fmt.Errorf("the job was not accepted")
 	}
 	time.Sleep(2 * time.Second)
@@ -61,7 +61,7 @@
 	var broken []string
 	for i := range jobs {
 		id := fmt.Sprintf("ff%014x", i)
-		if !d.submit("plate", id, map[string]any{"spec": "ms=1000", "phases": []map[string]any{{"count": 4, "cpu": 1000, "mem-mb": 500, "estimate-ms": 1000}}}) {
+		if !d.submit("plate", id, map[string]any{"spec": "ms=1000", "phases": []map[string]any{{"count": 4, "cpu": 1000, "memory-mib": 500, "estimated-ms": 1000}}}) {
 			return nil, fmt.Errorf("a job was not accepted")
 		}
 		time.Sleep(500 * time.Millisecond)
@@ -94,7 +94,7 @@
 			return nil
 		}
 		if !d.submit("watch", fmt.Sprintf("ee%014x", 1+i), map[string]any{"spec": "ms=300 lasts=1", "phases": []map[string]any{
-			{"count": 1, "cpu": 500, "mem-mb": 500, "estimate-ms": 300, "long-running": true}}}) {
+			{"count": 1, "cpu": 500, "memory-mib": 500, "estimated-ms": 300, "lasts": true}}}) {
 			return fmt.Errorf("a job was not accepted")
 		}
 		time.Sleep(300 * time.Millisecond)
--- a/review/standin/case_ends.go
+++ b/review/standin/case_ends.go
@@ -13,7 +13,7 @@
 		jobs  = 6
 		tasks = 1000
 	)
-	d.addQueue("proof", map[string]any{"priority": 0, "max-attempts": 4, "stretch": 1.5, "target-duration-ms": 250})
+	d.addQueue("proof", map[string]any{"priority": 0, "failure-limit": 4, "stretch": 1.5, "objective-ms": 250})
 	d.putConfig()
 	if err := d.startAll(3, 3); err != nil {
 		return nil, err
@@ -23,7 +23,7 @@
 	}
 	for i := range jobs {
 		if !d.submit("proof", fmt.Sprintf("cc%014x", i), map[string]any{"spec": "ms=250",
-			"phases": []map[string]any{{"count": tasks, "cpu": 240, "mem-mb": 480, "estimate-ms": 250}}}) {
+			"phases": []map[string]any{{"count": tasks, "cpu": 240, "memory-mib": 480, "estimated-ms": 250}}}) {
 			return nil, fmt.Errorf("a job was not accepted")
 		}
 	}
--- a/review/standin/case_gang.go
+++ b/review/standin/case_gang.go
@@ -11,7 +11,7 @@
 // gangCase runs a gang that saves its progress while one of the workers under it crashes.
 func gangCase(d *deployment, trouble bool) ([]string, error) {
 	const id = "dd00000000000001"
-	d.addQueue("build", map[string]any{"priority": 2, "max-attempts": 4, "stretch": 2.0, "target-duration-ms": 1000})
+	d.addQueue("build", map[string]any{"priority": 2, "failure-limit": 4, "stretch": 2.0, "objective-ms": 1000})
 	d.putConfig()
 	if err := d.startAll(3, 7); err != nil {
 		return nil, err
@@ -20,7 +20,7 @@
 		return nil, err
 	}
 	if !d.submit("build", id, map[string]any{"spec": "ms=9000 gang=4 saves=1",
-		"phases": []map[string]any{{"count": 4, "cpu": 9000, "mem-mb": 1000, "estimate-ms": 9000, "gang": true, "checkpointing": true}}}) {
+		"phases": []map[string]any{{"count": 4, "cpu": 9000, "memory-mib": 1000, "estimated-ms": 9000, "gang": true, "checkpointing": true}}}) {
 		return nil, fmt.Errorf("the job was not accepted")
 	}
 	time.Sleep(4300 * time.Millisecond)
--- a/review/standin/case_repeats.go
+++ b/review/standin/case_repeats.go
@@ -16,8 +16,8 @@
 		feeds     = 6
 		rounds    = 5
 	)
-	d.addQueue("feed", map[string]any{"priority": 0, "max-attempts": 4, "stretch": 2.0, "target-duration-ms": 1000})
-	d.addQueue("night", map[string]any{"priority": 2, "max-attempts": 2, "stretch": 2.0, "target-duration-ms": 1000})
+	d.addQueue("feed", map[string]any{"priority": 0, "failure-limit": 4, "stretch": 2.0, "objective-ms": 1000})
+	d.addQueue("night", map[string]any{"priority": 2, "failure-limit": 2, "stretch": 2.0, "objective-ms": 1000})
 	d.putConfig()
 	if err := d.startAll(3, 4); err != nil {
 		return nil, err
@@ -35,7 +35,7 @@
 			for i := range ids {
 				id := fmt.Sprintf("aa%014x", i)
 				if !d.submit("night", id, map[string]any{"spec": text + " ms=2000", "repeats": 1, "start-at-ms": tonight, "period-ms": 1000,
-					"phases": []map[string]any{{"count": 4, "cpu": 1000, "mem-mb": 512, "estimate-ms": 2000}}}) {
+					"phases": []map[string]any{{"count": 4, "cpu": 1000, "memory-mib": 512, "estimated-ms": 2000}}}) {
 					bad <- id
 				}
 			}
@@ -58,7 +58,7 @@
 	for i := range feeds {
 		if !d.submit("feed", fmt.Sprintf("bb%014x", i), map[string]any{"spec": "ms=250", "repeats": 10000,
 			"start-at-ms": begin.Add(time.Duration(i) * 67 * time.Millisecond).UnixMilli(), "period-ms": 400,
-			"phases": []map[string]any{{"count": 2, "cpu": 500, "mem-mb": 256, "estimate-ms": 250}}}) {
+			"phases": []map[string]any{{"count": 2, "cpu": 500, "memory-mib": 256, "estimated-ms": 250}}}) {
 			return nil, fmt.Errorf("a feed was not accepted")
 		}
 	}
--- a/review/standin/case_reserve.go
+++ b/review/standin/case_reserve.go
@@ -14,8 +14,8 @@
 		workers = 12
 		id      = "ff00000000000001"
 	)
-	d.addQueue("watch", map[string]any{"priority": 0, "max-attempts": 2, "stretch": 2.2, "target-duration-ms": 2500})
-	d.addQueue("build", map[string]any{"priority": 2, "max-attempts": 2, "stretch": 2.0, "target-duration-ms": 1000})
+	d.addQueue("watch", map[string]any{"priority": 0, "failure-limit": 2, "stretch": 2.2, "objective-ms": 2500})
+	d.addQueue("build", map[string]any{"priority": 2, "failure-limit": 2, "stretch": 2.0, "objective-ms": 1000})
 	d.putConfig()
 	if err := d.startAll(3, workers); err != nil {
 		return nil, err
@@ -25,7 +25,7 @@
 	}
 	// All workers but one have a task that lasts, on 1 of their 16 cores.
 	if !d.submit("watch", "ee00000000000000", map[string]any{"spec": "ms=300 lasts=1", "phases": []map[string]any{
-		{"count": workers - 1, "cpu": 1000, "mem-mb": 1000, "estimate-ms": 300, "long-running": true, "max-per-server": 1}}}) {
+		{"count": workers - 1, "cpu": 1000, "memory-mib": 1000, "estimated-ms": 300, "lasts": true, "worker-limit": 1}}}) {
 		return nil, fmt.Errorf("the job was not accepted")
 	}
 	time.Sleep(4 * time.Second)
@@ -47,7 +47,7 @@
 	}
 	// 4 s after the change, everything is calm.
 	time.Sleep(5 * time.Second)
-	if !d.submit("build", id, map[string]any{"spec": "ms=2700", "phases": []map[string]any{{"count": 1, "cpu": 14500, "mem-mb": 3000, "estimate-ms": 2700}}}) {
+	if !d.submit("build", id, map[string]any{"spec": "ms=2700", "phases": []map[string]any{{"count": 1, "cpu": 14500, "memory-mib": 3000, "estimated-ms": 2700}}}) {
 		return nil, fmt.Errorf("the job was not accepted")
 	}
 	// That is the end of the traffic; finish_s is 14 s.
--- a/review/standin/deploy.go
+++ b/review/standin/deploy.go
@@ -172,12 +172,9 @@
 // putConfig writes the configuration to the store.
 func (d *deployment) putConfig() {
 	d.version += 3
-	b, err := json.Marshal(map[string]any{"version": d.version, "routes": d.queues,
+	b := encode(map[string]any{"version": d.version, "routes": d.queues,
 		"services": []map[string]any{{"name": "svc", "health-path": "/healthz", "max-conns": 64, "admission-check": false}},
 		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 262144}})
-	if err != nil {
-		panic(err)
-	}
 	d.store.put("op/config", b)
 	d.rec.printf("config version %d", d.version)
 }
@@ -406,11 +403,7 @@
 func (d *deployment) call(m *machine, method, path string, body any, timeout time.Duration) (int, map[string]any) {
 	var r io.Reader
 	if body != nil {
-		b, err := json.Marshal(body)
-		if err != nil {
-			panic(err)
-		}
-		r = bytes.NewReader(b)
+		r = bytes.NewReader(encode(body))
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
@@ -420,7 +413,7 @@
 	}
 	q.Host = "jobs.example"
 	q.Header.Set("Content-Type", "application/json")
-	q.Header.Set("Request-Deadline", fmt.Sprint(timeout.Milliseconds()))
+	q.Header.Set(header("time-budget"), fmt.Sprint(timeout.Milliseconds()))
 	x, err := d.client.Do(q)
 	if err != nil {
 		return 0, nil
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"io"
 	"net/http"
 	"sort"
@@ -166,10 +165,7 @@
 }
 
 func reply(w http.ResponseWriter, code int, v any) {
-	b, err := json.Marshal(v)
-	if err != nil {
-		panic(err)
-	}
+	b := encode(v)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(code)
 	_, _ = w.Write(b)
@@ -179,12 +175,12 @@
 func (s *store) handler(machine string) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/kv-key", s.serveKey)
-	mux.HandleFunc("GET /v1/kv-range", s.serveRange)
-	mux.HandleFunc("GET /v1/kv-watch", func(w http.ResponseWriter, r *http.Request) { s.serveWatch(w, r, machine) })
-	mux.HandleFunc("POST /v1/kv-txn", func(w http.ResponseWriter, r *http.Request) { s.serveTxn(w, r, machine) })
-	mux.HandleFunc("POST /v1/kv-lease", s.serveLease)
+	mux.HandleFunc("GET "+path("list", ""), s.serveRange)
+	mux.HandleFunc("GET "+path("watch", ""), func(w http.ResponseWriter, r *http.Request) { s.serveWatch(w, r, machine) })
+	mux.HandleFunc("POST "+path("commit", ""), func(w http.ResponseWriter, r *http.Request) { s.serveTxn(w, r, machine) })
+	mux.HandleFunc("POST "+path("grant", ""), s.serveLease)
 	mux.HandleFunc("POST /v1/kv-keep/{id}", s.serveKeep)
-	mux.HandleFunc("DELETE /v1/kv-lease-end/{id}", s.serveLeaseEnd)
+	mux.HandleFunc("DELETE "+path("end-lease", "/{id}"), s.serveLeaseEnd)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
@@ -210,12 +206,12 @@
 	revision := s.revision
 	s.mu.Unlock()
 	if !ok {
-		reply(w, http.StatusNotFound, map[string]int64{"as-of": revision})
+		reply(w, http.StatusNotFound, map[string]int64{"store-revision": revision})
 		return
 	}
 	reply(w, http.StatusOK, struct {
 		item
-		AsOf int64 `json:"as-of"`
+		AsOf int64 `json:"store-revision"`
 	}{i, revision})
 }
 
@@ -240,7 +236,7 @@
 	}
 	revision := s.revision
 	s.mu.Unlock()
-	reply(w, http.StatusOK, map[string]any{"items": out, "has-more": more, "as-of": revision})
+	reply(w, http.StatusOK, map[string]any{"items": out, "further": more, "store-revision": revision})
 }
 
 func (s *store) serveWatch(w http.ResponseWriter, r *http.Request, machine string) {
@@ -272,13 +268,13 @@
 			return
 		}
 		if len(events) > 0 {
-			reply(w, http.StatusOK, map[string]any{"events": events, "as-of": revision})
+			reply(w, http.StatusOK, map[string]any{"events": events, "store-revision": revision})
 			return
 		}
 		select {
 		case <-changed:
 		case <-deadline:
-			reply(w, http.StatusOK, map[string]any{"events": events, "as-of": revision})
+			reply(w, http.StatusOK, map[string]any{"events": events, "store-revision": revision})
 			return
 		case <-r.Context().Done():
 			return
@@ -299,7 +295,7 @@
 		} `json:"writes"`
 		Deletes []string `json:"deletes"`
 	}
-	if err := json.NewDecoder(r.Body).Decode(&t); err != nil || len(t.Precondition)+len(t.Writes)+len(t.Deletes) > 32 {
+	if err := decode(r.Body, &t); err != nil || len(t.Precondition)+len(t.Writes)+len(t.Deletes) > 32 {
 		reply(w, http.StatusBadRequest, map[string]string{})
 		return
 	}
@@ -343,9 +339,9 @@
 
 func (s *store) serveLease(w http.ResponseWriter, r *http.Request) {
 	var m struct {
-		TTL int64 `json:"ttl-ms"`
+		TTL int64 `json:"lease-time"`
 	}
-	if err := json.NewDecoder(r.Body).Decode(&m); err != nil {
+	if err := decode(r.Body, &m); err != nil {
 		reply(w, http.StatusBadRequest, map[string]string{})
 		return
 	}
@@ -354,7 +350,7 @@
 	defer s.mu.Unlock()
 	s.nextID++
 	s.leases[s.nextID] = &lease{ttl, time.Since(s.began) + ttl}
-	reply(w, http.StatusOK, map[string]int64{"lease": s.nextID, "ttl-ms": ttl.Milliseconds()})
+	reply(w, http.StatusOK, map[string]int64{"lease": s.nextID, "lease-time": ttl.Milliseconds()})
 }
 
 func (s *store) serveKeep(w http.ResponseWriter, r *http.Request) {
@@ -368,7 +364,7 @@
 		return
 	}
 	l.end = time.Since(s.began) + l.ttl
-	reply(w, http.StatusOK, map[string]int64{"ttl-ms": l.ttl.Milliseconds()})
+	reply(w, http.StatusOK, map[string]int64{"lease-time": l.ttl.Milliseconds()})
 }
 
 func (s *store) serveLeaseEnd(w http.ResponseWriter, r *http.Request) {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -93,8 +92,8 @@
 	b := &boot{began: time.Now(), born: time.Now().UnixMilli(), running: map[string]*taskRun{}, highest: map[string]int64{},
 		changed: make(chan struct{}), listener: l}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/run-start", func(x http.ResponseWriter, r *http.Request) { w.serve(b, x, r, w.runStart) })
-	mux.HandleFunc("POST /v1/run-stop", func(x http.ResponseWriter, r *http.Request) { w.serve(b, x, r, w.runStop) })
+	mux.HandleFunc("POST "+path("start", ""), func(x http.ResponseWriter, r *http.Request) { w.serve(b, x, r, w.runStart) })
+	mux.HandleFunc("POST "+path("stop", ""), func(x http.ResponseWriter, r *http.Request) { w.serve(b, x, r, w.runStop) })
 	mux.HandleFunc("POST /v1/pace", func(x http.ResponseWriter, r *http.Request) { w.serve(b, x, r, w.pace) })
 	mux.HandleFunc("POST /v1/hold", func(x http.ResponseWriter, r *http.Request) { w.serveHold(b, x, r) })
 	mux.HandleFunc("GET /healthz", func(x http.ResponseWriter, _ *http.Request) { x.WriteHeader(http.StatusOK) })
@@ -141,7 +140,7 @@
 	w.mu.Unlock()
 	w.sendBeat(b)
 	time.Sleep(drain)
-	r, err := http.NewRequest(http.MethodDelete, "http://"+w.control+"/v1/instances/"+w.id, nil)
+	r, err := http.NewRequest(http.MethodDelete, "http://"+w.control+path("workers", "/"+w.id), nil)
 	if err != nil {
 		return err
 	}
@@ -177,11 +176,11 @@
 		state = "draining"
 	}
 	m := map[string]any{"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": 8, "state": state,
-		"cold-left-ms": 0, "capacity": map[string]int{"cpu": w.cpu, "mem-mb": w.mem, "gpu": 0}, "labels": []string{"a", w.rack},
+		"cold-ms": 0, "capacity": map[string]int{"cpu": w.cpu, "memory-mib": w.mem, "gpu": 0}, "labels": []string{"a", w.rack},
 		"clock-ms": b.clock().Milliseconds(), "seq": b.beat, "born": b.born}
 	w.mu.Unlock()
-	body, _ := json.Marshal(m)
-	r, _ := http.NewRequest(http.MethodPut, "http://"+w.control+"/v1/instances/"+w.id, bytes.NewReader(body))
+	body := encode(m)
+	r, _ := http.NewRequest(http.MethodPut, "http://"+w.control+path("workers", "/"+w.id), bytes.NewReader(body))
 	r.Header.Set("Content-Type", "application/json")
 	if x, err := w.client.Do(r); err == nil {
 		_, _ = io.Copy(io.Discard, x.Body)
@@ -289,10 +288,10 @@
 	Run        int64  `json:"run"`
 	Spec       string `json:"spec"`
 	Deadline   int64  `json:"deadline-ms"`
-	Token      int64  `json:"fencing-token"`
+	Token      int64  `json:"epoch"`
 	Checkpoint string `json:"checkpoint"`
 	Ticket     string `json:"ticket"`
-	SeenUpto   int64  `json:"seen-upto"`
+	SeenUpto   int64  `json:"acknowledged"`
 	Wait       int64  `json:"wait-ms"`
 	Percent    int    `json:"percent"`
 }
@@ -313,11 +312,11 @@
 // serve serves an order.
 func (w *worker) serve(b *boot, x http.ResponseWriter, r *http.Request, carryOut func(*boot, *order) (int, string)) {
 	var o order
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+	if err := decode(r.Body, &o); err != nil {
 		reply(x, http.StatusBadRequest, map[string]string{})
 		return
 	}
-	target := r.Header.Get("Target-Instance")
+	target := r.Header.Get(header("addressee"))
 	w.mu.Lock()
 	if b.dead {
 		w.mu.Unlock()
@@ -396,11 +395,11 @@
 // serveHold serves the extension of the lease with the lists of runs.
 func (w *worker) serveHold(b *boot, x http.ResponseWriter, r *http.Request) {
 	var o order
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+	if err := decode(r.Body, &o); err != nil {
 		reply(x, http.StatusBadRequest, map[string]string{})
 		return
 	}
-	target := r.Header.Get("Target-Instance")
+	target := r.Header.Get(header("addressee"))
 	deadline := time.After(time.Duration(o.Wait) * time.Millisecond)
 	w.mu.Lock()
 	if b.dead {
