io/scheduler: log and count the advisor's answers

A job of a queue with an advisor that never starts left "step-waited ... ticket" alone in the log: whether the advisor denied all workers, did not answer, or gave tickets that expired unused could not be told. Event 7057 (advice-received) has, for each call, the step, how many workers were asked about, how many are allowed, the time and the error; rosemarygap_advisor_workers_total and rosemarygap_advisor_call_seconds count the same.

--- a/core/event/fields.go
+++ b/core/event/fields.go
@@ -76,6 +76,9 @@
 // Count returns the field with a number of items.
 func Count(n int) Field { return Field{"count", n} }
 
+// Allowed returns the field with the number of workers that the advisor allows.
+func Allowed(n int) Field { return Field{"allowed", n} }
+
 // Starting returns the field with the number of runs that had only just started.
 func Starting(n int) Field { return Field{"starting", n} }
 
--- a/core/event/job.go
+++ b/core/event/job.go
@@ -110,6 +110,10 @@
 		[]string{"job", "reason", "epoch"},
 		"By the estimates of its remaining steps, a job can no longer meet its latency objective (`late`) or end while its result has a value (`too-late`).",
 		"`rosemarygap delays` tells what it waited for."}
+	AdviceReceived = Event{7057, "advice-received", hclog.Info,
+		[]string{"step", "count", "allowed", "elapsed", "reason", "epoch"},
+		"The owner asked the advisor which of count workers may run a step, and allowed of them may. If a reason is given, the call failed.",
+		"If allowed stays 0, no worker that the step needs may run it: ask whoever sets the policy of its queue."}
 	TasksThrottled = Event{7033, "tasks-throttled", hclog.Info,
 		[]string{"worker", "count", "throttle"},
 		"Best-effort tasks were limited to a share of their processors, in percent.", "None."}
@@ -134,4 +138,4 @@
 	TaskDecided, WorkerDecided, WorkerColdChanged, OwnershipTaken, OwnershipLost, OwnerEnded, WorkerCrashed, RunCrashed, JobGivenUp, IsolationChanged, DependencyLost, DependencyRegained,
 	ConfigurationInForce, SettingsReloaded, MessageRefused, LogLinesDropped, OrderCarriedOut, WorkerSeen, OwnerFollowed,
 	TasksThrottled, CancellationsRead, ZoneEvacuated, ZoneReopened, ForecastIgnored, RoomAfterRefusal, ScarcityBegan, ScarcityEnded,
-	CopyStarted, CopyEnded, StepWaited, RoomSampled, OutlookWorsened}
+	CopyStarted, CopyEnded, StepWaited, AdviceReceived, RoomSampled, OutlookWorsened}
--- a/core/metric/catalogue.go
+++ b/core/metric/catalogue.go
@@ -45,6 +45,8 @@
 	{"rosemarygap_reserved_workers", nil, "workers on which steps that wait for long, or tasks that wait for the rack of their data, reserve room; reported by the owner"},
 	{"rosemarygap_cold_workers", nil, "workers that say in their heartbeats that they are still cold; reported by the owner"},
 	{"rosemarygap_cold_worker_slowdown", nil, "learned factor by which tasks take longer on cold workers, 2 until a task has run on one; reported by the owner"},
+	{"rosemarygap_advisor_workers_total", []string{"answer"}, "workers that the owner asked the advisor about: `allowed` and `denied` by its answers, `none` if the call failed"},
+	{"rosemarygap_advisor_call_seconds", nil, "latency of the owner's calls to the advisor, as a histogram"},
 	{"rosemarygap_copies_total", []string{"outcome"}, "copies of tasks by what became of them: `won`, `lost` or `failed`; events 7047 and 7048 name the tasks; absent with `--copies off`"},
 	{"rosemarygap_copy_processor_seconds_total", nil, "work of runs that did not count of tasks that had two runs, in processor seconds; copies hold at most a twentieth of the usable processors of a service"},
 	{"rosemarygap_platform_store_calls_total", []string{"call", "outcome"}, "calls of this process to the platform's store; the outcomes are `ok`, `conflict`, `refused`, `not-found`, `compacted`, `malformed` and `no-answer`"},
--- a/io/scheduler/advisor.go
+++ b/io/scheduler/advisor.go
@@ -4,7 +4,9 @@
 	"context"
 	"time"
 
+	"rosemarygap/core/event"
 	"rosemarygap/core/job"
+	"rosemarygap/core/status"
 )
 
 // Limits of requests to the advisor, which issues the tickets that runs of some
@@ -65,9 +67,21 @@
 	began := time.Now()
 	tickets, ttl, err := s.advisor.RequestTickets(callCtx, q.request.Step, q.request.Workers)
 	s.advisorHealth.Observe(err)
+	s.logAdvice(q, len(tickets), err, time.Since(began))
 	if err == nil {
 		// The validity of a ticket may begin when the advisor receives the
 		// request, so it is counted from before the call.
 		s.sendToControl(ctx, advisorResult{q.session, q.request, tickets, began.Add(ttl)})
 	}
 }
+
+// logAdvice logs and counts the outcome of a call to the advisor.
+func (s *Scheduler) logAdvice(q advisorRequest, allowed int, err error, elapsed time.Duration) {
+	reason := ""
+	if err != nil {
+		reason = err.Error()
+	}
+	event.AdviceReceived.Emit(s.log, event.Step(q.request.Step), event.Count(len(q.request.Workers)), event.Allowed(allowed),
+		event.Elapsed(elapsed), event.Reason(status.Code(reason)), event.Epoch(q.session.ownership.Epoch))
+	countAdvice(len(q.request.Workers), allowed, err, elapsed)
+}
--- a/io/scheduler/metrics.go
+++ b/io/scheduler/metrics.go
@@ -20,6 +20,7 @@
 	firstStartSeconds    = metrics.NewHistogram("rosemarygap_first_start_seconds")
 	forecastErrorSeconds = metrics.NewHistogram("rosemarygap_forecast_error_seconds")
 	acceptedTooLate      = metrics.NewCounter("rosemarygap_accepted_too_late_total")
+	advisorCallSeconds   = metrics.NewHistogram("rosemarygap_advisor_call_seconds")
 	refusedWithRoom      = metrics.NewCounter("rosemarygap_refused_with_room_total")
 )
 
@@ -123,3 +124,18 @@
 	}
 	metrics.GetOrCreateCounter(fmt.Sprintf(`rosemarygap_task_decisions_total{decision=%q,reason=%q}`, e.Kind, reason)).Inc()
 }
+
+// countAdvice counts the workers of a request to the advisor by its answer, and records
+// how long the call took.
+func countAdvice(asked, allowed int, err error, elapsed time.Duration) {
+	count := func(answer string, n int) {
+		metrics.GetOrCreateCounter(fmt.Sprintf(`rosemarygap_advisor_workers_total{answer=%q}`, answer)).Add(n)
+	}
+	advisorCallSeconds.Update(elapsed.Seconds())
+	if err != nil {
+		count("none", asked)
+		return
+	}
+	count("allowed", allowed)
+	count("denied", max(0, asked-allowed))
+}
