core/job: remember which workers the advisor denied for a step

Cause: ensureTickets asked about the 12 usable workers with the best score and replaced the tickets of the step by the answer.

The same cause on related paths: a step whose 12 tickets were for full workers waited until they expired before others were asked about; a gang or a step with max-per-server that needs more workers than one request names never started; a step that no worker may run asked every second, forever, in the one queue of calls that all steps share.

Now a step keeps the answer for each worker. A request names workers of which it is not known that they are denied, those with room first; it follows an answer at once and names twice as many workers after each answer that lets no task start, up to the platform's limit. There is none while enough workers have room and a ticket. At most two requests have no answer, and steps that were answered least often are first, so that a step which no worker may run costs others little. A new worker is asked about like any that was not asked about before.

TestDeniedWorkersAreNotAskedAboutAgain, TestStepThatNoWorkerMayRun, TestTasksBeyondTheFirstTickets and TestGangOnManyWorkers fail before (no start; 10 requests for each worker in 10 s; 24 of 40 tasks after 1 s; no member started) and pass now.

--- a/core/job/advice.go
+++ b/core/job/advice.go
@@ -8,26 +8,91 @@
 	"rosemarygap/core/clock"
 )
 
-// Limits of requests to an advisor.
+// Limits of requests to the advisor.
 const (
-	// maxRequestedWorkers limits the workers in one request: each worker
-	// makes the call longer, and a step needs only a few.
-	maxRequestedWorkers = 12
+	// MaxAdviceWorkers is the maximum number of workers in one request. minAdviceWorkers is
+	// the number in the first request for a step: each worker makes the call longer, and a
+	// step needs only a few. The number doubles with each answer after which no task starts.
+	MaxAdviceWorkers = 100
+	minAdviceWorkers = 12
+	// maxOpenAdvice is the maximum number of requests without an answer. The advisor serves
+	// one at a time, so further ones would wait while what they ask changes.
+	maxOpenAdvice = 2
 	// ticketMargin is how long before its expiry a ticket is no longer used.
 	// An order usually reaches the worker within milliseconds. Only a
 	// repeated order, which may take up to a second, can arrive after the
 	// expiry.
 	ticketMargin = 400 * time.Millisecond
-	// advisorRetryInterval is how long to wait for an answer before the
-	// request is repeated.
-	advisorRetryInterval = time.Second
+	// adviceRetryInterval is the time between a request that failed and the next one for
+	// the same step.
+	adviceRetryInterval = time.Second
 )
 
-// advisorTickets holds the advisor's tickets for a step, by worker.
-type advisorTickets struct {
-	byWorker    map[string]string
-	expires     time.Time
-	requestedAt time.Time
+// workerAdvice is the advisor's newest answer about a worker.
+type workerAdvice struct {
+	// ticket is empty if the worker may not run the step.
+	ticket  string
+	expires time.Time
+}
+
+// advice is what the advisor has answered about the workers for a step. Whether a worker may
+// run the step never changes, so no worker that is denied is asked about again.
+type advice struct {
+	byWorker map[string]workerAdvice
+	// expires is when the last ticket expires.
+	expires time.Time
+	// open is true while a request for the step has no answer.
+	open bool
+	// answers counts the answers since a task of the step last started.
+	answers int
+	// retryAt is the earliest time of the next request after one that failed, or for which
+	// there was no worker to ask about.
+	retryAt time.Time
+}
+
+// permission is what the advisor has answered about a worker.
+type permission int
+
+const (
+	notAsked permission = iota
+	denied
+	// ticketExpired means that the worker may run the step, but that its ticket is no longer
+	// valid.
+	ticketExpired
+	ticketValid
+)
+
+func (a *advice) permission(w *workerRow, now time.Time) permission {
+	x, ok := a.byWorker[w.ID]
+	switch {
+	case !ok:
+		return notAsked
+	case x.ticket == "":
+		return denied
+	case clock.Expired(x.expires, now.Add(ticketMargin)):
+		return ticketExpired
+	}
+	return ticketValid
+}
+
+// ticket returns the valid ticket for starts on w, or "".
+func (a *advice) ticket(w *workerRow, now time.Time) string {
+	if a.permission(w, now) != ticketValid {
+		return ""
+	}
+	return a.byWorker[w.ID].ticket
+}
+
+// hasTicket reports whether a task of the candidate that starts on w has the ticket that it
+// requires, if any.
+func (k *candidate) hasTicket(w *workerRow, now time.Time) bool {
+	return !k.queue.RequiresTicket || k.step.advice.permission(w, now) == ticketValid
+}
+
+// hasAnyTicket reports whether the candidate requires no tickets, or has a valid one for any
+// worker.
+func (k *candidate) hasAnyTicket(now time.Time) bool {
+	return !k.queue.RequiresTicket || !clock.Expired(k.step.advice.expires, now.Add(ticketMargin))
 }
 
 // AdvisorRequest asks the advisor which workers may run a step.
@@ -36,43 +101,114 @@
 	Workers []string
 }
 
-// ensureTickets reports whether the candidate may be placed. If the
-// candidate needs tickets and has none that are valid, ensureTickets adds a
-// request to the advisor.
-func (c *Cell) ensureTickets(k *candidate, now time.Time) bool {
-	if !k.queue.RequiresTicket {
-		return true
-	}
-	a := &k.step.tickets
-	if !clock.Expired(a.expires, now.Add(ticketMargin)) && len(a.byWorker) > 0 {
-		return true
+// requestAdvice adds requests to the advisor for those of the given candidates that have
+// waiting tasks: first for the steps with the fewest answers, in the given order, since the
+// others may be denied everywhere.
+func (c *Cell) requestAdvice(waiting []*candidate, now time.Time) {
+	if len(waiting) == 0 || c.openAdvice >= maxOpenAdvice {
+		return
 	}
-	if now.Sub(a.requestedAt) < advisorRetryInterval {
-		return false
+	slices.SortStableFunc(waiting, func(x, y *candidate) int { return cmp.Compare(x.step.advice.answers, y.step.advice.answers) })
+	for _, k := range waiting {
+		a := &k.step.advice
+		if a.open || now.Before(a.retryAt) {
+			continue
+		}
+		req := AdvisorRequest{Step: stepName(k.job, k.occ, k.number), Workers: c.workersToAsk(k, now)}
+		if len(req.Workers) == 0 {
+			a.retryAt = now.Add(blockedRetryInterval)
+			continue
+		}
+		a.open = true
+		c.advisorRequests = append(c.advisorRequests, req)
+		if c.openAdvice++; c.openAdvice >= maxOpenAdvice {
+			return
+		}
 	}
+}
+
+// workerToAsk is a worker that a request may name.
+type workerToAsk struct {
+	scoredWorker
+	hasRoom, allowed bool
+}
+
+// compare orders the workers with the most promising first.
+func (x workerToAsk) compare(y workerToAsk) int {
+	return cmp.Or(cmp.Compare(boolRank(y.hasRoom), boolRank(x.hasRoom)), cmp.Compare(boolRank(y.allowed), boolRank(x.allowed)),
+		cmp.Compare(y.score, x.score))
+}
+
+// workersToAsk returns the IDs of the workers that the next request for the candidate's step
+// names. There are none while enough workers have room and a ticket. While no other worker has
+// room, a few tickets for workers without room are kept, so that a task can start as soon as
+// there is room.
+func (c *Cell) workersToAsk(k *candidate, now time.Time) []string {
 	r := c.newScorer(k, now)
-	var scored []scoredWorker
+	needed := 1
+	if k.step.spec.Gang {
+		needed = k.step.waiting
+	}
+	kept := min(max(minAdviceWorkers, needed), MaxAdviceWorkers)
+	most := min(kept<<min(k.step.advice.answers, 4), MaxAdviceWorkers)
+	var ask []workerToAsk
+	ready, withRoom := 0, 0
 	for _, w := range c.workers.All {
-		if c.mayRun(w, k, now) {
-			o := scoredWorker{worker: w}
-			r.setScore(&o)
-			scored = append(scored, o)
+		p := k.step.advice.permission(w, now)
+		if p == denied || !c.mayRun(w, k, now) {
+			continue
+		}
+		x := workerToAsk{scoredWorker: scoredWorker{worker: w}, allowed: p == ticketExpired}
+		r.setScore(&x.scoredWorker)
+		fit := 0
+		if !x.interferes {
+			fit = c.fit(w, k, needed, now)
+		}
+		if p == ticketValid {
+			ready += fit
+			kept--
+			continue
 		}
+		if x.hasRoom = fit > 0; x.hasRoom {
+			withRoom++
+		}
+		ask = append(ask, x)
 	}
-	slices.SortFunc(scored, func(x, y scoredWorker) int { return cmp.Compare(y.score, x.score) })
-	req := AdvisorRequest{Step: stepName(k.job, k.occ, k.number)}
-	for _, o := range scored[:min(len(scored), maxRequestedWorkers)] {
-		req.Workers = append(req.Workers, o.worker.ID)
+	switch {
+	case ready >= needed:
+		return nil
+	case withRoom > 0:
+		most = min(most, withRoom)
+	default:
+		most = min(most, max(0, kept))
 	}
-	if len(req.Workers) > 0 {
-		a.requestedAt = now
-		c.advisorRequests = append(c.advisorRequests, req)
+	slices.SortStableFunc(ask, workerToAsk.compare)
+	var out []string
+	for _, x := range ask[:min(len(ask), most)] {
+		out = append(out, x.worker.ID)
+	}
+	return out
+}
+
+// fit returns how many further tasks of the candidate's step w has room for beside what is
+// claimed, up to most.
+func (c *Cell) fit(w *workerRow, k *candidate, most int, now time.Time) int {
+	s := k.step.spec
+	limit := c.rampOf(w, now)
+	left := w.room().minus(c.claims[w])
+	if s.MaxPerWorker > 0 {
+		most = min(most, s.MaxPerWorker-w.tasksOf(k.job.ID, k.occ.number, k.number))
 	}
-	return false
+	n := 0
+	for n < most && left.fits(w, s, k.queue.Priority) && limit.allows(w, s) {
+		left = left.minus(roomFor(s))
+		n++
+	}
+	return n
 }
 
-// AdvisorRequests returns the requests to the advisor that were added since
-// the last call.
+// AdvisorRequests returns the requests to the advisor that were added since the last call.
+// For each of them, either SetTickets or AdviceFailed must be called.
 func (c *Cell) AdvisorRequests() []AdvisorRequest {
 	out := c.advisorRequests
 	c.advisorRequests = nil
@@ -80,17 +216,41 @@
 }
 
 // SetTickets stores the advisor's answer to req: tickets by worker, which are
-// valid until expires.
+// valid until expires. The other workers of req may not run the step.
 func (c *Cell) SetTickets(req AdvisorRequest, tickets map[string]string, expires time.Time) {
-	// A step name with an index appended is the name of a task of the step.
-	t, err := ParseTask(req.Step + ".0")
-	if err != nil {
+	s := c.closeRequest(req)
+	if s == nil {
 		return
 	}
-	if j := c.jobs.Get(t.Job); j != nil {
-		if s, _ := j.task(t); s != nil {
-			s.tickets.byWorker, s.tickets.expires = tickets, expires
-			s.blocked = blockedStep{}
-		}
+	a := &s.advice
+	if a.byWorker == nil {
+		a.byWorker = map[string]workerAdvice{}
+	}
+	for _, id := range req.Workers {
+		a.byWorker[id] = workerAdvice{tickets[id], expires}
+	}
+	if len(tickets) > 0 {
+		a.expires = expires
+	}
+	a.answers++
+	s.blocked = blockedStep{}
+}
+
+// AdviceFailed records that req got no answer. It is repeated after a pause.
+func (c *Cell) AdviceFailed(req AdvisorRequest, now time.Time) {
+	if s := c.closeRequest(req); s != nil {
+		s.advice.retryAt = now.Add(adviceRetryInterval)
+	}
+}
+
+// closeRequest records that req is no longer open. It returns the step, or nil if the
+// step does not exist any more.
+func (c *Cell) closeRequest(req AdvisorRequest) *stepRow {
+	c.openAdvice = max(0, c.openAdvice-1)
+	// A step name with an index appended is the name of a task of the step.
+	_, s, _ := c.findTask(req.Step + ".0")
+	if s != nil {
+		s.advice.open = false
 	}
+	return s
 }
--- a/core/job/advice_test.go
+++ b/core/job/advice_test.go
@@ -1,12 +1,148 @@
 package job
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 )
 
+// testTicketTTL is how long a ticket of an advisedCluster is valid.
+const testTicketTTL = 3 * time.Second
+
+// advisedCluster is a testCluster whose queue requires tickets, with an advisor that
+// answers each request before the next reports.
+type advisedCluster struct {
+	*testCluster
+	allowed map[string]bool
+	// denied are the steps that no worker may run.
+	denied   map[string]bool
+	requests []AdvisorRequest
+}
+
+// newAdvisedCluster returns a cluster of workers on which the advisor allows the agents
+// with the given numbers.
+func newAdvisedCluster(t *testing.T, workers int, allowed ...int) *advisedCluster {
+	ac := &advisedCluster{testCluster: newTestCluster(t, workers), allowed: map[string]bool{}, denied: map[string]bool{}}
+	ac.cfg.Queues[0].RequiresTicket = true
+	ac.SetConfiguration(ac.cfg)
+	for _, i := range allowed {
+		ac.allowed[fmt.Sprintf("i-agent-%d", i)] = true
+	}
+	return ac
+}
+
+// pass advances the time by d in steps of 20 ms, in each of which the advisor answers and
+// all agents report.
+func (ac *advisedCluster) pass(d time.Duration) {
+	for end := ac.now.Add(d); ac.now.Before(end); {
+		for _, r := range ac.AdvisorRequests() {
+			ac.requests = append(ac.requests, r)
+			ac.answer(r)
+		}
+		ac.deliverReports()
+	}
+}
+
+func (ac *advisedCluster) answer(r AdvisorRequest) {
+	tickets := map[string]string{}
+	for _, id := range r.Workers {
+		if ac.allowed[id] && !ac.denied[r.Step] {
+			tickets[id] = "ticket-" + id
+		}
+	}
+	ac.SetTickets(r, tickets, ac.now.Add(testTicketTTL))
+}
+
+// runningOn returns the sorted numbers of the workers that run tasks of job n.
+func (ac *advisedCluster) runningOn(n int) []string {
+	var out []string
+	for _, w := range ac.testWorkers {
+		for _, r := range w.report.Running {
+			if task, err := ParseTask(r.Task); err == nil && task.Job == testJob(n).ID {
+				out = append(out, w.report.Worker.ID)
+			}
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// asked returns how often the advisor was asked about a worker.
+func (ac *advisedCluster) asked(worker string) int {
+	n := 0
+	for _, r := range ac.requests {
+		if slices.Contains(r.Workers, worker) {
+			n++
+		}
+	}
+	return n
+}
+
+// The workers with the most room are those that the policy of the queue denies: the step
+// must start on the others, and not ask about the same ones again and again.
+func TestDeniedWorkersAreNotAskedAboutAgain(t *testing.T) {
+	ac := newAdvisedCluster(t, 30, 29)
+	ac.testWorkers["agent-29"].report.Worker.Capacity.Processors = 8000
+	ac.deliverReports()
+	ac.Add(testJob(1, step(2, 100)), ac.now)
+	ac.pass(time.Second)
+	ac.is.Equal(ac.runningOn(1), []string{"i-agent-29", "i-agent-29"})
+	for i := range 29 {
+		ac.is.True(ac.asked(fmt.Sprintf("i-agent-%d", i)) <= 1)
+	}
+}
+
+// A step that no worker may run must neither ask about the same workers again and again nor
+// keep other steps of the queue from their answers, and it starts on a worker that joins later.
+func TestStepThatNoWorkerMayRun(t *testing.T) {
+	ac := newAdvisedCluster(t, 30, 3, 4)
+	stuck := testJob(1).ID + ".0.0"
+	ac.denied[stuck] = true
+	ac.Add(testJob(1, step(2, 100)), ac.now)
+	ac.pass(10 * time.Second)
+	ac.is.Equal(ac.runningOn(1), nil)
+	for i := range 30 {
+		ac.is.Equal(ac.asked(fmt.Sprintf("i-agent-%d", i)), 1)
+	}
+	ac.Add(testJob(2, step(1, 100)), ac.now)
+	ac.pass(time.Second)
+	ac.is.Equal(len(ac.runningOn(2)), 1)
+	delete(ac.denied, stuck) // the answers about the workers so far do not change
+	ac.allowed["i-agent-30"] = true
+	ac.addWorker("agent-30")
+	ac.pass(time.Second)
+	ac.is.Equal(ac.runningOn(1), []string{"i-agent-30", "i-agent-30"})
+}
+
+// The workers of the first answer have no room for all tasks of the step: the others must get
+// tickets at once, and not when the first ones have expired.
+func TestTasksBeyondTheFirstTickets(t *testing.T) {
+	all := make([]int, 20)
+	for i := range all {
+		all[i] = i
+	}
+	ac := newAdvisedCluster(t, len(all), all...)
+	ac.Add(testJob(1, step(40, 7000)), ac.now)
+	ac.pass(time.Second)
+	ac.is.Equal(len(ac.runningOn(1)), 40)
+}
+
+// A gang needs tickets for more workers at a time than one request names.
+func TestGangOnManyWorkers(t *testing.T) {
+	ac := newAdvisedCluster(t, 60)
+	for i := range 60 {
+		ac.allowed[fmt.Sprintf("i-agent-%d", i)] = i%2 == 0
+	}
+	gang := step(30, 100)
+	gang.Gang, gang.MaxPerWorker = true, 1
+	ac.Add(testJob(1, gang), ac.now)
+	ac.pass(time.Second)
+	ac.is.Equal(len(ac.runningOn(1)), 30)
+}
+
 // A step of a queue that requires tickets starts only on a worker for which the
 // advisor gave a ticket, and while the ticket is valid.
 func TestStepRequiresTicket(t *testing.T) {
--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -280,6 +280,8 @@
 // startTask reserves capacity for a new run of t on w and orders its start.
 func (c *Cell) startTask(j *jobRow, s *stepRow, t *taskRow, w *workerRow, now time.Time) {
 	t.starts++
+	t.ticket = s.advice.ticket(w, now)
+	s.advice.answers = 0
 	c.recordRun(s, t, w, c.runNumber(t.starts), now)
 	w.enqueueStart(j, s, t, now)
 	c.logEvent(EventStart, t, w, c.startReason(s.spec, w, now), now)
--- a/core/job/choose.go
+++ b/core/job/choose.go
@@ -154,10 +154,7 @@
 // isEligible reports whether t may start on a scored worker now.
 func (r *scorer) isEligible(o *scoredWorker, k *candidate, t *taskRow) bool {
 	w, s := o.worker, k.step.spec
-	if k.queue.RequiresTicket && k.step.tickets.byWorker[w.ID] == "" {
-		return false
-	}
-	return w.hasRoom(s, k.queue.Priority) && w.allowsAnother(s, t.name) && w.acceptsTasks(r.now) && (!o.limited || o.allowsAnother(s))
+	return k.hasTicket(w, r.now) && w.hasRoom(s, k.queue.Priority) && w.allowsAnother(s, t.name) && w.acceptsTasks(r.now) && (!o.limited || o.allowsAnother(s))
 }
 
 // choose returns the best worker that has room for t, or nil.
@@ -257,13 +254,18 @@
 	if s.MaxPerWorker == 0 {
 		return true
 	}
+	return w.tasksOf(name.Job, name.Occurrence, name.Step) < s.MaxPerWorker
+}
+
+// tasksOf returns how many tasks of a step of an occurrence are assigned to w.
+func (w *workerRow) tasksOf(job string, occurrence, step int) int {
 	n := 0
-	for other := range w.tasks {
-		if other.Job == name.Job && other.Occurrence == name.Occurrence && other.Step == name.Step {
+	for t := range w.tasks {
+		if t.Job == job && t.Occurrence == occurrence && t.Step == step {
 			n++
 		}
 	}
-	return n < s.MaxPerWorker
+	return n
 }
 
 // negligibleInterference is the added utilization up to which a task counts as
--- a/core/job/copies_decision.go
+++ b/core/job/copies_decision.go
@@ -376,8 +376,7 @@
 		return contested
 	}
 	contested := slices.ContainsFunc(d.waiting, func(k *candidate) bool {
-		return w.hasRoom(k.step.spec, k.queue.Priority) && d.cell.isUsable(w, k, d.now) &&
-			(!k.queue.RequiresTicket || k.step.tickets.byWorker[w.ID] != "")
+		return w.hasRoom(k.step.spec, k.queue.Priority) && d.cell.isUsable(w, k, d.now) && k.hasTicket(w, d.now)
 	})
 	d.contested[w] = contested
 	return contested
--- a/core/job/copies_test.go
+++ b/core/job/copies_test.go
@@ -232,9 +232,10 @@
 		"ticket": func(cc *copyCluster) {
 			cc.cfg.Queues[0].RequiresTicket = true
 			s, _ := cc.jobs.Get(cc.job.ID).task(Task{Job: cc.job.ID})
-			s.tickets.byWorker = map[string]string{}
+			expires := cc.now.Add(time.Hour)
+			s.advice = advice{byWorker: map[string]workerAdvice{}, expires: expires}
 			for _, w := range cc.testWorkers {
-				s.tickets.byWorker[w.report.Worker.ID] = "t"
+				s.advice.byWorker[w.report.Worker.ID] = workerAdvice{"t", expires}
 			}
 		},
 		"too late": func(cc *copyCluster) { cc.jobs.Get(cc.job.ID).Accepted = cc.now.Add(-time.Minute) },
--- a/core/job/faults_test.go
+++ b/core/job/faults_test.go
@@ -167,10 +167,11 @@
 	tc.is.True(tc.Reply(&r, woken).Freshness.CancellationsAge >= 5*time.Second)
 
 	queue := &Queue{RequiresTicket: true}
-	s := stepRow{tickets: advisorTickets{byWorker: map[string]string{"w": "ticket"}, expires: tc.now.Add(3 * time.Second)}, spec: &Step{}}
+	expires := tc.now.Add(3 * time.Second)
+	s := stepRow{advice: advice{byWorker: map[string]workerAdvice{w.ID: {"ticket", expires}}, expires: expires}, spec: &Step{}}
 	k := candidate{queue: queue, step: &s, job: &jobRow{}, occ: &occurrenceRow{}}
-	tc.is.True(tc.ensureTickets(&k, tc.now))
-	tc.is.True(!tc.ensureTickets(&k, woken))
+	tc.is.True(k.hasAnyTicket(tc.now) && k.hasTicket(w, tc.now))
+	tc.is.True(!k.hasAnyTicket(woken) && !k.hasTicket(w, woken))
 }
 
 // An agent removes itself from the stored roster when its worker has left. The removal can
--- a/core/job/isolation.go
+++ b/core/job/isolation.go
@@ -192,7 +192,7 @@
 // startSuspectStep starts the suspects of x on w as far as there is room. It reports whether
 // it started any.
 func (c *Cell) startSuspectStep(w *workerRow, x *suspectStep, now time.Time) bool {
-	if !c.mayIsolate(w, x, now) || !c.ensureTickets(x.candidate, now) {
+	if !c.mayIsolate(w, x, now) || !x.hasTicket(w, now) {
 		return false
 	}
 	started := false
@@ -200,9 +200,6 @@
 		if !w.hasRoom(x.step.spec, x.queue.Priority) || !w.allowsAnother(x.step.spec, t.name) || !w.acceptsTasks(now) {
 			break
 		}
-		if t.ticket = x.step.tickets.byWorker[w.ID]; x.queue.RequiresTicket && t.ticket == "" {
-			break
-		}
 		c.startTask(x.job, x.step, t, w, now)
 		c.recordStart(x.candidate)
 		started = true
--- a/core/job/place.go
+++ b/core/job/place.go
@@ -155,10 +155,11 @@
 	c.rackWaits, c.reservingSteps = 0, 0
 	all := c.candidates(now)
 	c.placeSuspects(all, now)
+	var unadvised []*candidate
 	for k := range c.inOrder(all) {
 		var reason waitReason
 		switch {
-		case !c.ensureTickets(k, now):
+		case !k.hasAnyTicket(now):
 			reason = waitTicket
 		case k.step.spec.Gang:
 			reason = c.placeGang(k, now)
@@ -166,7 +167,11 @@
 			reason = c.placeStep(k, now)
 		}
 		c.recordWait(k, reason, now)
+		if k.queue.RequiresTicket && k.step.waiting > 0 {
+			unadvised = append(unadvised, k)
+		}
 	}
+	c.requestAdvice(unadvised, now)
 	c.sampleRoom(all, now)
 	c.copyTasks(all, now)
 }
@@ -213,7 +218,6 @@
 			reason = waitRack
 			continue
 		}
-		t.ticket = k.step.tickets.byWorker[o.worker.ID]
 		c.startTask(k.job, k.step, t, o.worker, now)
 		r.recordPlaced(o)
 		c.recordStart(k)
@@ -274,7 +278,6 @@
 		if complete {
 			// All members share one run number.
 			t.starts = starts
-			t.ticket = s.tickets.byWorker[w.ID]
 			c.startTask(k.job, s, t, w, now)
 		}
 	}
--- a/core/job/rack_wait.go
+++ b/core/job/rack_wait.go
@@ -157,8 +157,7 @@
 	if r.rack == nil {
 		r.rack = []*workerRow{}
 		for _, w := range r.cell.workers.All {
-			if slices.Contains(w.Labels, r.step.Rack) && r.cell.isUsable(w, k, r.now) &&
-				(!k.queue.RequiresTicket || k.step.tickets.byWorker[w.ID] != "") {
+			if slices.Contains(w.Labels, r.step.Rack) && r.cell.isUsable(w, k, r.now) && k.hasTicket(w, r.now) {
 				r.rack = append(r.rack, w)
 			}
 		}
--- a/core/job/reservation.go
+++ b/core/job/reservation.go
@@ -170,7 +170,7 @@
 		perWorker = min(perWorker, s.MaxPerWorker)
 	}
 	for _, w := range c.workers.All {
-		if !c.isUsable(w, k, r.now) || k.queue.RequiresTicket && k.step.tickets.byWorker[w.ID] == "" {
+		if !c.isUsable(w, k, r.now) || !k.hasTicket(w, r.now) {
 			continue
 		}
 		o := scoredWorker{worker: w}
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -111,8 +111,8 @@
 	rackClaims  []*workerRow
 	reservation reservation
 	wait        stepWait
-	// tickets are the tickets of the advisor, for queues that require them.
-	tickets advisorTickets
+	// advice is that of the advisor, for queues that require tickets.
+	advice advice
 }
 
 // isDone reports whether a run of the task has ended as done.
@@ -364,8 +364,11 @@
 	// lastSweep is when all workers and tasks were last checked.
 	lastSweep time.Time
 	// lastWrite is when PendingWrites last returned changes.
-	lastWrite       time.Time
+	lastWrite time.Time
+	// advisorRequests are the requests to the advisor that are still to be sent, and
+	// openAdvice is the number of those without an answer.
 	advisorRequests []AdvisorRequest
+	openAdvice      int
 	// removedAgents are agents to delete from the stored roster.
 	removedAgents []string
 	// endedJobs are the jobs that ended in this epoch, so that late messages
--- a/io/scheduler/advisor.go
+++ b/io/scheduler/advisor.go
@@ -12,8 +12,7 @@
 // Limits of requests to the advisor, which issues the tickets that runs of some
 // queues require.
 const (
-	// maxAdvisorRequests is the size of the queue of requests. A request that
-	// does not fit is dropped, and the cell repeats it.
+	// maxAdvisorRequests is the size of the queue of requests.
 	maxAdvisorRequests = 64
 	// advisorTimeout is the timeout of one call to the advisor. A call may have
 	// to wait at the advisor until 32 earlier calls of several hundred
@@ -21,13 +20,14 @@
 	advisorTimeout = 10 * time.Second
 )
 
-// advisorResult is a message to the control goroutine with the advisor's
-// answer to a request.
+// advisorResult is a message to the control goroutine with the outcome of a request.
 type advisorResult struct {
 	session *ownerSession
 	request job.AdvisorRequest
 	tickets map[string]string
 	expires time.Time
+	// failed is true if the advisor did not answer.
+	failed bool
 }
 
 // advisorRequest is a request to the advisor, with the session of the owner
@@ -37,17 +37,29 @@
 	request job.AdvisorRequest
 }
 
-// requestTickets queues the cell's requests to the advisor. The cell repeats
-// those for which the queue has no room.
+// requestTickets queues the cell's requests to the advisor. Those for which the queue has
+// no room fail.
 func (c *control) requestTickets() {
 	for _, q := range c.cell.AdvisorRequests() {
 		select {
 		case c.s.advisorRequests <- advisorRequest{c.session, q}:
 		default:
+			c.cell.AdviceFailed(q, time.Now())
 		}
 	}
 }
 
+// applyAdvice passes the outcome of a request to the cell that made it.
+func (c *control) applyAdvice(x advisorResult) {
+	switch {
+	case c.cell == nil || c.session != x.session:
+	case x.failed:
+		c.cell.AdviceFailed(x.request, time.Now())
+	default:
+		c.cell.SetTickets(x.request, x.tickets, x.expires)
+	}
+}
+
 // serveAdvisorRequests calls the advisor for the queued requests, one at a
 // time, as the advisor also serves one call at a time.
 func (s *Scheduler) serveAdvisorRequests(ctx context.Context) error {
@@ -68,11 +80,9 @@
 	tickets, ttl, err := s.advisor.RequestTickets(callCtx, q.request.Step, q.request.Workers)
 	s.advisorHealth.Observe(err)
 	s.logAdvice(q, len(tickets), err, time.Since(began))
-	if err == nil {
-		// The validity of a ticket may begin when the advisor receives the
-		// request, so it is counted from before the call.
-		s.sendToControl(ctx, advisorResult{q.session, q.request, tickets, began.Add(ttl)})
-	}
+	// The validity of a ticket may begin when the advisor receives the
+	// request, so it is counted from before the call.
+	s.sendToControl(ctx, advisorResult{q.session, q.request, tickets, began.Add(ttl), err != nil})
 }
 
 // logAdvice logs and counts the outcome of a call to the advisor.
--- a/io/scheduler/control.go
+++ b/io/scheduler/control.go
@@ -361,9 +361,7 @@
 	case notice:
 		c.queueNotice(x)
 	case advisorResult:
-		if c.cell != nil && c.session == x.session {
-			c.cell.SetTickets(x.request, x.tickets, x.expires)
-		}
+		c.applyAdvice(x)
 	case loadedState:
 		c.startSession(x)
 	case ownershipLost:
