core/job: do not use a ticket of an earlier incarnation, or one that its worker refused

What callers would see: starts that their worker refuses, for as long as the ticket would be valid, and a worker that gets no other task for 250 ms after each of them.

A worker that starts again under its ID got starts with the ticket of its earlier life, and a refusal for the ticket (409, ticket) was taken for one of the worker: the same ticket was sent again after 100 ms. Answers, denials too, now hold for the incarnation that was asked about, and a refused ticket counts as expired. Its step asks again after a second, and the health of the worker is not affected.

TestTicketOfEarlierIncarnation and TestRefusedTicketIsNotUsedAgain fail before (start with ticket-i-agent-0-1 on incarnation 2; the other queue's task does not start) and pass now.

--- a/core/job/advice.go
+++ b/core/job/advice.go
@@ -28,8 +28,10 @@
 	adviceRetryInterval = time.Second
 )
 
-// workerAdvice is the advisor's newest answer about a worker.
+// workerAdvice is the advisor's newest answer about a worker. It does not hold for a later
+// incarnation.
 type workerAdvice struct {
+	incarnation int64
 	// ticket is empty if the worker may not run the step.
 	ticket  string
 	expires time.Time
@@ -65,7 +67,7 @@
 func (a *advice) permission(w *workerRow, now time.Time) permission {
 	x, ok := a.byWorker[w.ID]
 	switch {
-	case !ok:
+	case !ok || x.incarnation != w.Incarnation:
 		return notAsked
 	case x.ticket == "":
 		return denied
@@ -99,6 +101,8 @@
 type AdvisorRequest struct {
 	Step    string
 	Workers []string
+	// incarnations are those of the workers when the request was made.
+	incarnations []int64
 }
 
 // requestAdvice adds requests to the advisor for those of the given candidates that have
@@ -114,11 +118,16 @@
 		if a.open || now.Before(a.retryAt) {
 			continue
 		}
-		req := AdvisorRequest{Step: stepName(k.job, k.occ, k.number), Workers: c.workersToAsk(k, now)}
-		if len(req.Workers) == 0 {
+		workers := c.workersToAsk(k, now)
+		if len(workers) == 0 {
 			a.retryAt = now.Add(blockedRetryInterval)
 			continue
 		}
+		req := AdvisorRequest{Step: stepName(k.job, k.occ, k.number)}
+		for _, x := range workers {
+			req.Workers = append(req.Workers, x.worker.ID)
+			req.incarnations = append(req.incarnations, x.worker.Incarnation)
+		}
 		a.open = true
 		c.advisorRequests = append(c.advisorRequests, req)
 		if c.openAdvice++; c.openAdvice >= maxOpenAdvice {
@@ -139,11 +148,10 @@
 		cmp.Compare(y.score, x.score))
 }
 
-// workersToAsk returns the IDs of the workers that the next request for the candidate's step
-// names. There are none while enough workers have room and a ticket. While no other worker has
+// workersToAsk returns the workers that the next request for the candidate's step names. There are none while enough workers have room and a ticket. While no other worker has
 // room, a few tickets for workers without room are kept, so that a task can start as soon as
 // there is room.
-func (c *Cell) workersToAsk(k *candidate, now time.Time) []string {
+func (c *Cell) workersToAsk(k *candidate, now time.Time) []workerToAsk {
 	r := c.newScorer(k, now)
 	needed := 1
 	if k.step.spec.Gang {
@@ -183,11 +191,7 @@
 		most = min(most, max(0, kept))
 	}
 	slices.SortStableFunc(ask, workerToAsk.compare)
-	var out []string
-	for _, x := range ask[:min(len(ask), most)] {
-		out = append(out, x.worker.ID)
-	}
-	return out
+	return ask[:min(len(ask), most)]
 }
 
 // fit returns how many further tasks of the candidate's step w has room for beside what is
@@ -226,8 +230,8 @@
 	if a.byWorker == nil {
 		a.byWorker = map[string]workerAdvice{}
 	}
-	for _, id := range req.Workers {
-		a.byWorker[id] = workerAdvice{tickets[id], expires}
+	for i, id := range req.Workers {
+		a.byWorker[id] = workerAdvice{req.incarnations[i], tickets[id], expires}
 	}
 	if len(tickets) > 0 {
 		a.expires = expires
@@ -243,6 +247,15 @@
 	}
 }
 
+// refuseTicket records that w refused the ticket for a start, so that it is not used again.
+func (a *advice) refuseTicket(w *workerRow, now time.Time) {
+	if x, ok := a.byWorker[w.ID]; ok && x.ticket != "" {
+		x.expires = time.Time{}
+		a.byWorker[w.ID] = x
+	}
+	a.retryAt = Later(a.retryAt, now.Add(adviceRetryInterval))
+}
+
 // closeRequest records that req is no longer open. It returns the step, or nil if the
 // step does not exist any more.
 func (c *Cell) closeRequest(req AdvisorRequest) *stepRow {
--- a/core/job/advice_test.go
+++ b/core/job/advice_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -50,12 +51,18 @@
 	tickets := map[string]string{}
 	for _, id := range r.Workers {
 		if ac.allowed[id] && !ac.denied[r.Step] {
-			tickets[id] = "ticket-" + id
+			tickets[id] = ac.ticketFor(id)
 		}
 	}
 	ac.SetTickets(r, tickets, ac.now.Add(testTicketTTL))
 }
 
+// ticketFor returns the ticket that is valid for the present incarnation of a worker.
+func (ac *advisedCluster) ticketFor(worker string) string {
+	w := ac.testWorkers[strings.TrimPrefix(worker, "i-")].report.Worker
+	return fmt.Sprintf("ticket-%s-%d", w.ID, w.Incarnation)
+}
+
 // runningOn returns the sorted numbers of the workers that run tasks of job n.
 func (ac *advisedCluster) runningOn(n int) []string {
 	var out []string
@@ -130,6 +137,46 @@
 	ac.is.Equal(len(ac.runningOn(1)), 40)
 }
 
+// A ticket is for one life of a worker: after a restart under the same ID, a start must have a
+// new one.
+func TestTicketOfEarlierIncarnation(t *testing.T) {
+	ac := newAdvisedCluster(t, 1, 0)
+	w := ac.testWorkers["agent-0"]
+	ac.Add(testJob(1, step(2, 16000)), ac.now) // the second task waits for room
+	ac.pass(200 * time.Millisecond)
+	ac.is.Equal(len(w.orders), 1)
+	ac.is.Equal(w.orders[0].Ticket, "ticket-i-agent-0-1")
+	next := *w.report.Worker
+	next.Incarnation = 2
+	w.report.Worker, w.report.Running, w.report.Ended, w.orders = &next, nil, nil, nil
+	ac.pass(200 * time.Millisecond)
+	ac.is.Equal(len(ac.runningOn(1)), 1)
+	for _, o := range w.orders {
+		ac.is.True(o.Kind != OrderStart || o.Ticket == "ticket-i-agent-0-2")
+	}
+}
+
+// A worker that refuses a ticket is asked about again before the next start on it, and other
+// tasks may start there meanwhile.
+func TestRefusedTicketIsNotUsedAgain(t *testing.T) {
+	ac := newAdvisedCluster(t, 1, 0)
+	w := ac.testWorkers["agent-0"]
+	ac.Add(testJob(1, step(1, 100)), ac.now)
+	ac.pass(100 * time.Millisecond)
+	ac.is.Equal(len(w.orders), 1)
+	run := w.report.Running[0]
+	w.report.Running, w.report.Absent = nil, []AbsentRun{{Task: run.Task, Run: run.Run, Reason: RefusedTicket}}
+	ac.deliverReports()
+	w.report.Absent = nil
+	ac.is.Equal(len(ac.runningOn(1)), 0)
+	ac.Add(Job{ID: testJob(2).ID, Queue: "host/urgent/", Steps: []Step{step(1, 100)}, Accepted: ac.now}, ac.now)
+	ac.pass(100 * time.Millisecond)
+	ac.is.Equal(len(ac.runningOn(2)), 1)
+	ac.pass(adviceRetryInterval)
+	ac.is.Equal(ac.asked("i-agent-0"), 2)
+	ac.is.Equal(len(ac.runningOn(1)), 1)
+}
+
 // A gang needs tickets for more workers at a time than one request names.
 func TestGangOnManyWorkers(t *testing.T) {
 	ac := newAdvisedCluster(t, 60)
--- a/core/job/copies_test.go
+++ b/core/job/copies_test.go
@@ -235,7 +235,7 @@
 			expires := cc.now.Add(time.Hour)
 			s.advice = advice{byWorker: map[string]workerAdvice{}, expires: expires}
 			for _, w := range cc.testWorkers {
-				s.advice.byWorker[w.report.Worker.ID] = workerAdvice{"t", expires}
+				s.advice.byWorker[w.report.Worker.ID] = workerAdvice{w.report.Worker.Incarnation, "t", expires}
 			}
 		},
 		"too late": func(cc *copyCluster) { cc.jobs.Get(cc.job.ID).Accepted = cc.now.Add(-time.Minute) },
--- a/core/job/message.go
+++ b/core/job/message.go
@@ -105,6 +105,9 @@
 	Reason string `json:"reason"`
 }
 
+// RefusedTicket is the reason of a run that the worker refused as its ticket is not valid.
+const RefusedTicket = "ticket"
+
 // Report is the report of an agent about its worker to the owner.
 type Report struct {
 	// Agent and Process identify the agent and its process.
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -433,6 +433,10 @@
 	c.releaseTask(s, run)
 	if !stopping {
 		t.notBefore = now.Add(refusedDelay)
+		if a.Reason == RefusedTicket {
+			s.advice.refuseTicket(w, now)
+			return
+		}
 		w.health.recordRefusal(now)
 	}
 }
