core/job: move a task only to a worker on which the advisor allows it

What callers would see: a task of a queue with an advisor that is stopped and started again on the same worker, and loses its work each time.

The stopped task then found only its former worker. It counts workers now that the advisor allows; if there are others of which that is not known, it asks about them, and the task moves once one is allowed.

TestNoMoveToDeniedWorker (20 orders in 20 s in place of 1) and TestMoveToWorkerThatWasNotAskedAbout fail before and pass now.

--- a/core/job/advice.go
+++ b/core/job/advice.go
@@ -85,10 +85,19 @@
 	return a.byWorker[w.ID].ticket
 }
 
+// permission returns that of the candidate's step on w. A candidate that requires no tickets
+// may run anywhere.
+func (k *candidate) permission(w *workerRow, now time.Time) permission {
+	if !k.queue.RequiresTicket {
+		return ticketValid
+	}
+	return k.step.advice.permission(w, now)
+}
+
 // hasTicket reports whether a task of the candidate that starts on w has the ticket that it
 // requires, if any.
 func (k *candidate) hasTicket(w *workerRow, now time.Time) bool {
-	return !k.queue.RequiresTicket || k.step.advice.permission(w, now) == ticketValid
+	return k.permission(w, now) == ticketValid
 }
 
 // hasAnyTicket reports whether the candidate requires no tickets, or has a valid one for any
@@ -105,15 +114,31 @@
 	incarnations []int64
 }
 
-// requestAdvice adds requests to the advisor for those of the given candidates that have
-// waiting tasks: first for the steps with the fewest answers, in the given order, since the
-// others may be denied everywhere.
-func (c *Cell) requestAdvice(waiting []*candidate, now time.Time) {
-	if len(waiting) == 0 || c.openAdvice >= maxOpenAdvice {
+// adviceWish is a candidate that needs a ticket for one of the workers that suit it.
+type adviceWish struct {
+	*candidate
+	suits func(*workerRow) bool
+}
+
+// wishAdvice adds the wish of a candidate with waiting tasks for tickets.
+func (c *Cell) wishAdvice(k *candidate, now time.Time) {
+	if !k.queue.RequiresTicket || c.openAdvice >= maxOpenAdvice {
+		return
+	}
+	c.adviceWishes = append(c.adviceWishes, adviceWish{k, func(w *workerRow) bool { return c.isUsable(w, k, now) }})
+}
+
+// requestAdvice adds requests to the advisor for the wishes of this tick: first for the steps
+// with the fewest answers, since the others may be denied everywhere.
+func (c *Cell) requestAdvice(now time.Time) {
+	wishes := c.adviceWishes
+	c.adviceWishes = nil
+	if len(wishes) == 0 || c.openAdvice >= maxOpenAdvice {
 		return
 	}
-	slices.SortStableFunc(waiting, func(x, y *candidate) int { return cmp.Compare(x.step.advice.answers, y.step.advice.answers) })
-	for _, k := range waiting {
+	slices.SortStableFunc(wishes, func(x, y adviceWish) int { return cmp.Compare(x.step.advice.answers, y.step.advice.answers) })
+	for i := range wishes {
+		k := &wishes[i]
 		a := &k.step.advice
 		if a.open || now.Before(a.retryAt) {
 			continue
@@ -148,11 +173,11 @@
 		cmp.Compare(y.score, x.score))
 }
 
-// workersToAsk returns the workers that the next request for the candidate's step names. There are none while enough workers have room and a ticket. While no other worker has
+// workersToAsk returns the workers that the next request for the step of a wish names. There are none while enough workers have room and a ticket. While no other worker has
 // room, a few tickets for workers without room are kept, so that a task can start as soon as
 // there is room.
-func (c *Cell) workersToAsk(k *candidate, now time.Time) []workerToAsk {
-	r := c.newScorer(k, now)
+func (c *Cell) workersToAsk(k *adviceWish, now time.Time) []workerToAsk {
+	r := c.newScorer(k.candidate, now)
 	needed := 1
 	if k.step.spec.Gang {
 		needed = k.step.waiting
@@ -163,14 +188,14 @@
 	ready, withRoom := 0, 0
 	for _, w := range c.workers.All {
 		p := k.step.advice.permission(w, now)
-		if p == denied || !c.mayRun(w, k, now) {
+		if p == denied || !k.suits(w) {
 			continue
 		}
 		x := workerToAsk{scoredWorker: scoredWorker{worker: w}, allowed: p == ticketExpired}
 		r.setScore(&x.scoredWorker)
 		fit := 0
 		if !x.interferes {
-			fit = c.fit(w, k, needed, now)
+			fit = c.fit(w, k.candidate, needed, now)
 		}
 		if p == ticketValid {
 			ready += fit
--- a/core/job/advice_test.go
+++ b/core/job/advice_test.go
@@ -177,6 +177,28 @@
 	ac.is.Equal(len(ac.runningOn(1)), 1)
 }
 
+// A task that makes no progress must not be stopped to move to a worker that may not run it: it
+// would come back to the same worker.
+func TestNoMoveToDeniedWorker(t *testing.T) {
+	ac := newAdvisedCluster(t, 2, 0)
+	ac.Add(testJob(1, step(1, 100)), ac.now)
+	ac.pass(20 * time.Second)
+	ac.is.Equal(len(ac.testWorkers["agent-0"].orders), 1)
+}
+
+// A task that makes no progress moves to a worker that was not asked about when it started.
+func TestMoveToWorkerThatWasNotAskedAbout(t *testing.T) {
+	ac := newAdvisedCluster(t, 30, 0, 29)
+	ac.testWorkers["agent-0"].report.Worker.Capacity.Processors = 17000
+	ac.testWorkers["agent-29"].report.Worker.Capacity.Processors = 8000 // it is asked about last
+	ac.Add(testJob(1, step(1, 100)), ac.now)
+	ac.pass(40 * time.Millisecond)
+	ac.is.Equal(ac.runningOn(1), []string{"i-agent-0"})
+	ac.is.Equal(ac.asked("i-agent-29"), 0)
+	ac.pass(3 * time.Second)
+	ac.is.True(len(ac.testWorkers["agent-29"].orders) > 0)
+}
+
 // A gang needs tickets for more workers at a time than one request names.
 func TestGangOnManyWorkers(t *testing.T) {
 	ac := newAdvisedCluster(t, 60)
--- a/core/job/place.go
+++ b/core/job/place.go
@@ -155,7 +155,6 @@
 	c.rackWaits, c.reservingSteps = 0, 0
 	all := c.candidates(now)
 	c.placeSuspects(all, now)
-	var unadvised []*candidate
 	for k := range c.inOrder(all) {
 		var reason waitReason
 		switch {
@@ -167,11 +166,11 @@
 			reason = c.placeStep(k, now)
 		}
 		c.recordWait(k, reason, now)
-		if k.queue.RequiresTicket && k.step.waiting > 0 {
-			unadvised = append(unadvised, k)
+		if k.step.waiting > 0 {
+			c.wishAdvice(k, now)
 		}
 	}
-	c.requestAdvice(unadvised, now)
+	c.requestAdvice(now)
 	c.sampleRoom(all, now)
 	c.copyTasks(all, now)
 }
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -369,6 +369,8 @@
 	// openAdvice is the number of those without an answer.
 	advisorRequests []AdvisorRequest
 	openAdvice      int
+	// adviceWishes are those of the current tick.
+	adviceWishes []adviceWish
 	// removedAgents are agents to delete from the stored roster.
 	removedAgents []string
 	// endedJobs are the jobs that ended in this epoch, so that late messages
--- a/core/job/worker_speed.go
+++ b/core/job/worker_speed.go
@@ -155,22 +155,36 @@
 
 // hasRoomElsewhere reports whether a usable worker other than w has room for t
 // and is not slow. If withoutInterference is true, t must not interfere with
-// serving tasks there.
+// serving tasks there. If t requires a ticket, the advisor must allow that worker: it is asked
+// about those of which this is not known.
 func (c *Cell) hasRoomElsewhere(w *workerRow, k *candidate, t *taskRow, withoutInterference bool, now time.Time) bool {
 	r := c.newScorer(k, now)
-	for _, other := range c.workers.All {
+	suits := func(other *workerRow) bool {
 		if other == w || other.speed.isSlow() || !other.hasRoom(k.step.spec, k.queue.Priority) || !c.isUsable(other, k, now) ||
 			!other.allowsAnother(k.step.spec, t.name) {
-			continue
+			return false
 		}
 		// On a cold worker, a task that makes progress would hardly end earlier.
 		if other.isCold(now) && now.Sub(t.lastProgress) <= stallLimit || !c.rampOf(other, now).allows(other, k.step.spec) {
-			continue
+			return false
 		}
 		o := scoredWorker{worker: other}
-		if r.setScore(&o); !withoutInterference || !o.interferes {
+		r.setScore(&o)
+		return !withoutInterference || !o.interferes
+	}
+	mayAsk := false
+	for _, other := range c.workers.All {
+		p := k.permission(other, now)
+		if p == denied || p == notAsked && mayAsk || !suits(other) {
+			continue
+		}
+		if p != notAsked {
 			return true
 		}
+		mayAsk = true
+	}
+	if mayAsk {
+		c.adviceWishes = append(c.adviceWishes, adviceWish{k, suits})
 	}
 	return false
 }
