core/job: tickets of a slow advisor are used, and a request fits their validity

What callers would see: jobs of a queue whose advisor is slow never start, although it allows workers.

Nothing kept a request small enough to be answered in time: the queue's own figures for a call and for each worker were not used. Tickets that would have expired before they arrived now count from their arrival; if one is refused after all, the step asks again after a second. A request names no more workers than the advisor answers for in half of the validity and in 2 s. Tickets without any validity are not asked for again at once.

TestSlowAdvisor, TestTicketsWithoutValidity and TestRequestsToSlowAdvisor fail with these three rules taken out (no start; over 4 requests in 3 s; 12 workers of 0.2 s each in one request) and pass now.

--- a/core/job/advice.go
+++ b/core/job/advice.go
@@ -18,7 +18,11 @@
 	// maxOpenAdvice is the maximum number of requests without an answer. The advisor serves
 	// one at a time, so further ones would wait while what they ask changes.
 	maxOpenAdvice = 2
-	// ticketMargin is how long before its expiry a ticket is no longer used.
+	// maxAdviceTime is the longest time that a request should take to be answered. A job
+	// has to make progress within 3 s.
+	maxAdviceTime = 2 * time.Second
+	// ticketMargin is how long before its expiry a ticket is no longer used, unless it is
+	// valid for a short time only.
 	// An order usually reaches the worker within milliseconds. Only a
 	// repeated order, which may take up to a second, can arrive after the
 	// expiry.
@@ -33,16 +37,16 @@
 type workerAdvice struct {
 	incarnation int64
 	// ticket is empty if the worker may not run the step.
-	ticket  string
-	expires time.Time
+	ticket      string
+	usableUntil time.Time
 }
 
 // advice is what the advisor has answered about the workers for a step. Whether a worker may
 // run the step never changes, so no worker that is denied is asked about again.
 type advice struct {
 	byWorker map[string]workerAdvice
-	// expires is when the last ticket expires.
-	expires time.Time
+	// usableUntil is until when the last ticket may be used.
+	usableUntil time.Time
 	// open is true while a request for the step has no answer.
 	open bool
 	// answers counts the answers since a task of the step last started.
@@ -71,7 +75,7 @@
 		return notAsked
 	case x.ticket == "":
 		return denied
-	case clock.Expired(x.expires, now.Add(ticketMargin)):
+	case clock.Expired(x.usableUntil, now):
 		return ticketExpired
 	}
 	return ticketValid
@@ -103,7 +107,7 @@
 // hasAnyTicket reports whether the candidate requires no tickets, or has a valid one for any
 // worker.
 func (k *candidate) hasAnyTicket(now time.Time) bool {
-	return !k.queue.RequiresTicket || !clock.Expired(k.step.advice.expires, now.Add(ticketMargin))
+	return !k.queue.RequiresTicket || !clock.Expired(k.step.advice.usableUntil, now)
 }
 
 // AdvisorRequest asks the advisor which workers may run a step.
@@ -182,8 +186,9 @@
 	if k.step.spec.Gang {
 		needed = k.step.waiting
 	}
-	kept := min(max(minAdviceWorkers, needed), MaxAdviceWorkers)
-	most := min(kept<<min(k.step.advice.answers, 4), MaxAdviceWorkers)
+	limit := k.queue.AdvisorTiming.maxWorkers()
+	kept := min(max(minAdviceWorkers, needed), limit)
+	most := min(kept<<min(k.step.advice.answers, 4), limit)
 	var ask []workerToAsk
 	ready, withRoom := 0, 0
 	for _, w := range c.workers.All {
@@ -219,6 +224,19 @@
 	return ask[:min(len(ask), most)]
 }
 
+// maxWorkers returns how many workers a request may name: the advisor has to answer while the
+// first tickets are valid, and other steps wait for it meanwhile.
+func (t *AdvisorTiming) maxWorkers() int {
+	longest := maxAdviceTime
+	if t.TicketTTL > 0 {
+		longest = min(longest, t.TicketTTL/2)
+	}
+	if t.PerWorker <= 0 {
+		return MaxAdviceWorkers
+	}
+	return int(min(max(1, (longest-t.PerCall)/t.PerWorker), MaxAdviceWorkers))
+}
+
 // fit returns how many further tasks of the candidate's step w has room for beside what is
 // claimed, up to most.
 func (c *Cell) fit(w *workerRow, k *candidate, most int, now time.Time) int {
@@ -244,22 +262,47 @@
 	return out
 }
 
-// SetTickets stores the advisor's answer to req: tickets by worker, which are
-// valid until expires. The other workers of req may not run the step.
-func (c *Cell) SetTickets(req AdvisorRequest, tickets map[string]string, expires time.Time) {
+// Advice is an answer of the advisor.
+type Advice struct {
+	// Tickets are the tickets by the ID of the worker. The other workers of the request may
+	// not run the step.
+	Tickets map[string]string
+	// Sent and Received are when the request was sent and the answer received.
+	Sent, Received time.Time
+	// TTL is how long the tickets are valid.
+	TTL time.Duration
+}
+
+// usableUntil returns until when the tickets may be used for starts. They are issued at some
+// time between the request and the answer. The earlier time is assumed, unless the tickets
+// would then have expired before they arrived.
+func (a *Advice) usableUntil() time.Time {
+	usable := a.TTL - min(ticketMargin, a.TTL/4)
+	if until := a.Sent.Add(usable); !clock.Expired(until, a.Received) {
+		return until
+	}
+	return a.Received.Add(usable)
+}
+
+// SetTickets stores the advisor's answer to req.
+func (c *Cell) SetTickets(req AdvisorRequest, answer Advice) {
 	s := c.closeRequest(req)
 	if s == nil {
 		return
 	}
 	a := &s.advice
+	until := answer.usableUntil()
 	if a.byWorker == nil {
 		a.byWorker = map[string]workerAdvice{}
 	}
 	for i, id := range req.Workers {
-		a.byWorker[id] = workerAdvice{req.incarnations[i], tickets[id], expires}
+		a.byWorker[id] = workerAdvice{req.incarnations[i], answer.Tickets[id], until}
 	}
-	if len(tickets) > 0 {
-		a.expires = expires
+	if len(answer.Tickets) > 0 {
+		a.usableUntil = until
+		if answer.TTL <= 0 {
+			a.retryAt = answer.Received.Add(adviceRetryInterval)
+		}
 	}
 	a.answers++
 	s.blocked = blockedStep{}
@@ -275,7 +318,7 @@
 // refuseTicket records that w refused the ticket for a start, so that it is not used again.
 func (a *advice) refuseTicket(w *workerRow, now time.Time) {
 	if x, ok := a.byWorker[w.ID]; ok && x.ticket != "" {
-		x.expires = time.Time{}
+		x.usableUntil = time.Time{}
 		a.byWorker[w.ID] = x
 	}
 	a.retryAt = Later(a.retryAt, now.Add(adviceRetryInterval))
--- a/core/job/advice_test.go
+++ b/core/job/advice_test.go
@@ -21,6 +21,8 @@
 	// denied are the steps that no worker may run.
 	denied   map[string]bool
 	requests []AdvisorRequest
+	// latency is how long the advisor has taken when its answer arrives.
+	latency time.Duration
 }
 
 // newAdvisedCluster returns a cluster of workers on which the advisor allows the agents
@@ -54,7 +56,7 @@
 			tickets[id] = ac.ticketFor(id)
 		}
 	}
-	ac.SetTickets(r, tickets, ac.now.Add(testTicketTTL))
+	ac.SetTickets(r, Advice{Tickets: tickets, Sent: ac.now.Add(-ac.latency), Received: ac.now, TTL: testTicketTTL})
 }
 
 // ticketFor returns the ticket that is valid for the present incarnation of a worker.
@@ -199,6 +201,46 @@
 	ac.is.True(len(ac.testWorkers["agent-29"].orders) > 0)
 }
 
+// An advisor that takes longer than its tickets are valid issues them when it answers: a step
+// that counted the time from the request would never start.
+func TestSlowAdvisor(t *testing.T) {
+	ac := newAdvisedCluster(t, 2, 0)
+	ac.latency = testTicketTTL
+	ac.Add(testJob(1, step(1, 100)), ac.now)
+	ac.pass(time.Second)
+	ac.is.Equal(ac.runningOn(1), []string{"i-agent-0"})
+}
+
+// An answer without a valid ticket must not be followed by the next request at once.
+func TestTicketsWithoutValidity(t *testing.T) {
+	ac := newAdvisedCluster(t, 2, 0)
+	ac.Add(testJob(1, step(1, 100)), ac.now)
+	ac.deliverReports()
+	for range 150 { // 3 s
+		for _, r := range ac.AdvisorRequests() {
+			ac.requests = append(ac.requests, r)
+			ac.SetTickets(r, Advice{Tickets: map[string]string{"i-agent-0": "t"}, Sent: ac.now, Received: ac.now})
+		}
+		ac.deliverReports()
+	}
+	ac.is.True(len(ac.requests) <= 4)
+}
+
+// A request must not name more workers than the advisor can answer for while the first tickets
+// are valid.
+func TestRequestsToSlowAdvisor(t *testing.T) {
+	ac := newAdvisedCluster(t, 30, 29)
+	ac.cfg.Queues[0].AdvisorTiming = AdvisorTiming{PerCall: 100 * time.Millisecond, PerWorker: 200 * time.Millisecond, TicketTTL: testTicketTTL}
+	ac.SetConfiguration(ac.cfg)
+	ac.testWorkers["agent-29"].report.Worker.Capacity.Processors = 8000 // it is asked about last
+	ac.Add(testJob(1, step(1, 100)), ac.now)
+	ac.pass(2 * time.Second)
+	ac.is.Equal(ac.runningOn(1), []string{"i-agent-29"})
+	for _, r := range ac.requests {
+		ac.is.True(100*time.Millisecond+time.Duration(len(r.Workers))*200*time.Millisecond <= testTicketTTL/2)
+	}
+}
+
 // A gang needs tickets for more workers at a time than one request names.
 func TestGangOnManyWorkers(t *testing.T) {
 	ac := newAdvisedCluster(t, 60)
@@ -226,7 +268,7 @@
 	tc.is.Equal(len(qs[0].Workers), 3)
 	tc.deliverReports()
 	tc.is.Equal(len(tc.AdvisorRequests()), 0) // no second request while one is open
-	tc.SetTickets(qs[0], map[string]string{"i-agent-1": "ticket"}, tc.now.Add(3*time.Second))
+	tc.SetTickets(qs[0], Advice{Tickets: map[string]string{"i-agent-1": "ticket"}, Sent: tc.now, Received: tc.now, TTL: 3 * time.Second})
 	tc.deliverReports()
 	tc.deliverReports()
 	tc.is.Equal(len(tc.testWorkers["agent-1"].orders), 2)
--- a/core/job/copies_test.go
+++ b/core/job/copies_test.go
@@ -233,7 +233,7 @@
 			cc.cfg.Queues[0].RequiresTicket = true
 			s, _ := cc.jobs.Get(cc.job.ID).task(Task{Job: cc.job.ID})
 			expires := cc.now.Add(time.Hour)
-			s.advice = advice{byWorker: map[string]workerAdvice{}, expires: expires}
+			s.advice = advice{byWorker: map[string]workerAdvice{}, usableUntil: expires}
 			for _, w := range cc.testWorkers {
 				s.advice.byWorker[w.report.Worker.ID] = workerAdvice{w.report.Worker.Incarnation, "t", expires}
 			}
--- a/core/job/faults_test.go
+++ b/core/job/faults_test.go
@@ -168,7 +168,7 @@
 
 	queue := &Queue{RequiresTicket: true}
 	expires := tc.now.Add(3 * time.Second)
-	s := stepRow{advice: advice{byWorker: map[string]workerAdvice{w.ID: {w.Incarnation, "ticket", expires}}, expires: expires}, spec: &Step{}}
+	s := stepRow{advice: advice{byWorker: map[string]workerAdvice{w.ID: {w.Incarnation, "ticket", expires}}, usableUntil: expires}, spec: &Step{}}
 	k := candidate{queue: queue, step: &s, job: &jobRow{}, occ: &occurrenceRow{}}
 	tc.is.True(k.hasAnyTicket(tc.now) && k.hasTicket(w, tc.now))
 	tc.is.True(!k.hasAnyTicket(woken) && !k.hasTicket(w, woken))
--- a/core/job/types.go
+++ b/core/job/types.go
@@ -333,8 +333,8 @@
 	MaxValue  float64 `json:"max-value,omitempty"`
 }
 
-// AdvisorTiming describes how long an advisor takes to answer. The scheduler does
-// not use it.
+// AdvisorTiming describes how long an advisor takes to answer, which limits the workers in a
+// request.
 type AdvisorTiming struct {
 	// PerCall is the fixed part of the duration of a call; each worker in the
 	// request adds PerWorker.
--- a/io/scheduler/advisor.go
+++ b/io/scheduler/advisor.go
@@ -24,8 +24,7 @@
 type advisorResult struct {
 	session *ownerSession
 	request job.AdvisorRequest
-	tickets map[string]string
-	expires time.Time
+	advice  job.Advice
 	// failed is true if the advisor did not answer.
 	failed bool
 }
@@ -56,7 +55,7 @@
 	case x.failed:
 		c.cell.AdviceFailed(x.request, time.Now())
 	default:
-		c.cell.SetTickets(x.request, x.tickets, x.expires)
+		c.cell.SetTickets(x.request, x.advice)
 	}
 }
 
@@ -80,9 +79,7 @@
 	tickets, ttl, err := s.advisor.RequestTickets(callCtx, q.request.Step, q.request.Workers)
 	s.advisorHealth.Observe(err)
 	s.logAdvice(q, len(tickets), err, time.Since(began))
-	// The validity of a ticket may begin when the advisor receives the
-	// request, so it is counted from before the call.
-	s.sendToControl(ctx, advisorResult{q.session, q.request, tickets, began.Add(ttl), err != nil})
+	s.sendToControl(ctx, advisorResult{q.session, q.request, job.Advice{Tickets: tickets, Sent: began, Received: time.Now(), TTL: ttl}, err != nil})
 }
 
 // logAdvice logs and counts the outcome of a call to the advisor.
