core/job: isolate a suspect of crashes only where it has a ticket

What callers would see: a job of a queue with an advisor waits forever after two of its workers have crashed, and workers are isolated and released all the time, which keeps other tasks away.

It takes only workers with a ticket now, and a step of which all waiting tasks are suspects asks about the workers that may be isolated for it.

TestSuspectIsIsolatedWhereItMayRun fails before (no start in 2 s) and passes now.

--- a/core/job/advice.go
+++ b/core/job/advice.go
@@ -124,12 +124,19 @@
 	suits func(*workerRow) bool
 }
 
-// wishAdvice adds the wish of a candidate with waiting tasks for tickets.
+// wishAdvice adds the wish of a candidate with waiting tasks for tickets. If all of them are
+// suspects of crashes, these are for workers that may be isolated for them.
 func (c *Cell) wishAdvice(k *candidate, now time.Time) {
 	if !k.queue.RequiresTicket || c.openAdvice >= maxOpenAdvice {
 		return
 	}
-	c.adviceWishes = append(c.adviceWishes, adviceWish{k, func(w *workerRow) bool { return c.isUsable(w, k, now) }})
+	suits := func(w *workerRow) bool { return c.isUsable(w, k, now) }
+	if c.isolation.crashed[k.job.ID] {
+		if x := c.suspectsOf(k, now); len(x.tasks) == k.step.waiting {
+			suits = func(w *workerRow) bool { return c.mayIsolate(w, &x, now) }
+		}
+	}
+	c.adviceWishes = append(c.adviceWishes, adviceWish{k, suits})
 }
 
 // requestAdvice adds requests to the advisor for the wishes of this tick: first for the steps
--- a/core/job/advice_test.go
+++ b/core/job/advice_test.go
@@ -241,6 +241,22 @@
 	}
 }
 
+// A suspect of crashes must be isolated on a worker for which it has a ticket, and not again and
+// again on the one with the least work, which may not run it.
+func TestSuspectIsIsolatedWhereItMayRun(t *testing.T) {
+	ac := newAdvisedCluster(t, 30, 29)
+	ac.testWorkers["agent-29"].report.Worker.Capacity.Processors = 8000 // it is asked about last
+	ac.Add(testJob(1, step(1, 100)), ac.now)
+	_, _, task := ac.findTask(Task{Job: testJob(1).ID}.String())
+	task.setCrashes([]Crash{{Run: 1, Agent: "gone-1", At: ac.now.Add(-time.Minute), Starting: true, Jobs: 1},
+		{Run: 2, Agent: "gone-2", At: ac.now, Starting: true, Jobs: 1}})
+	ac.isolation.crashed[testJob(1).ID] = true
+	ac.is.True(task.isSuspect(&testJob(1, step(1, 100)).Steps[0], false))
+	ac.pass(2 * time.Second)
+	ac.is.Equal(ac.runningOn(1), []string{"i-agent-29"})
+	ac.is.True(ac.workers.Get("agent-29").isolated)
+}
+
 // A gang needs tickets for more workers at a time than one request names.
 func TestGangOnManyWorkers(t *testing.T) {
 	ac := newAdvisedCluster(t, 60)
--- a/core/job/isolation.go
+++ b/core/job/isolation.go
@@ -101,18 +101,7 @@
 		if !c.isolation.crashed[k.job.ID] || !idle && k.timeliness == tooLate {
 			continue
 		}
-		x := suspectStep{candidate: k, agents: map[string]bool{}}
-		for n := range k.step.tasks {
-			t := &k.step.tasks[n]
-			if t.state == taskWaiting && !now.Before(t.notBefore) && t.isSuspect(k.step.spec, c.isolation.alert) {
-				x.tasks = append(x.tasks, t)
-				x.suspicion = max(x.suspicion, t.suspicion())
-				for _, y := range t.crashes {
-					x.agents[y.Agent] = true
-				}
-			}
-		}
-		if len(x.tasks) > 0 {
+		if x := c.suspectsOf(k, now); len(x.tasks) > 0 {
 			out = append(out, x)
 		}
 	}
@@ -122,6 +111,22 @@
 	return out
 }
 
+// suspectsOf returns the waiting tasks of a candidate that are suspects.
+func (c *Cell) suspectsOf(k *candidate, now time.Time) suspectStep {
+	x := suspectStep{candidate: k, agents: map[string]bool{}}
+	for n := range k.step.tasks {
+		t := &k.step.tasks[n]
+		if t.state == taskWaiting && !now.Before(t.notBefore) && t.isSuspect(k.step.spec, c.isolation.alert) {
+			x.tasks = append(x.tasks, t)
+			x.suspicion = max(x.suspicion, t.suspicion())
+			for _, y := range t.crashes {
+				x.agents[y.Agent] = true
+			}
+		}
+	}
+	return x
+}
+
 // placeSuspects starts suspects on isolated workers. It isolates further workers while
 // suspects wait, and ends the isolation of those that no suspect needs.
 func (c *Cell) placeSuspects(all []candidate, now time.Time) {
@@ -278,13 +283,13 @@
 }
 
 // chooseIsolated returns the worker to isolate for a step: of those that have room for one
-// of its tasks, the one with the least work to lose in a crash. It returns nil if there is
-// none.
+// of its tasks and the ticket that it requires, the one with the least work to lose in a crash.
+// It returns nil if there is none.
 func (c *Cell) chooseIsolated(x *suspectStep, now time.Time) *workerRow {
 	var best *workerRow
 	work := func(w *workerRow) int { return w.used.Processors + w.bestEffortProcessors }
 	for _, w := range c.workers.All {
-		if w.isolated || !c.mayIsolate(w, x, now) || !w.hasRoom(x.step.spec, x.queue.Priority) {
+		if w.isolated || !c.mayIsolate(w, x, now) || !x.hasTicket(w, now) || !w.hasRoom(x.step.spec, x.queue.Priority) {
 			continue
 		}
 		if best == nil || work(w) < work(best) {
