core/job: tasks that no worker may run are no backlog

What callers would see: with fair shares, other queues are served as under scarcity, with room reserved for steps, while most processors are free.

TestStepThatNoWorkerMayRunIsNoBacklog fails before and passes now.

--- a/core/job/advice.go
+++ b/core/job/advice.go
@@ -51,6 +51,9 @@
 	open bool
 	// answers counts the answers since a task of the step last started.
 	answers int
+	// deniedEverywhere is true if the advisor denied all workers that suited the step when
+	// they were last considered.
+	deniedEverywhere bool
 	// retryAt is the earliest time of the next request after one that failed, or for which
 	// there was no worker to ask about.
 	retryAt time.Time
@@ -110,6 +113,21 @@
 	return !k.queue.RequiresTicket || !clock.Expired(k.step.advice.usableUntil, now)
 }
 
+// isDeniedEverywhere reports whether the advisor denies the candidate's step on every worker
+// that could run its tasks.
+func (k *candidate) isDeniedEverywhere() bool {
+	return k.queue.RequiresTicket && k.step.advice.deniedEverywhere
+}
+
+// backlog returns the estimated processor seconds of the waiting tasks, or 0 if no worker may
+// run them.
+func (k *candidate) backlog() float64 {
+	if k.isDeniedEverywhere() {
+		return 0
+	}
+	return processorSeconds(k.step.spec, k.step.waiting)
+}
+
 // AdvisorRequest asks the advisor which workers may run a step.
 type AdvisorRequest struct {
 	Step    string
@@ -184,23 +202,28 @@
 		cmp.Compare(y.score, x.score))
 }
 
-// workersToAsk returns the workers that the next request for the step of a wish names. There are none while enough workers have room and a ticket. While no other worker has
-// room, a few tickets for workers without room are kept, so that a task can start as soon as
-// there is room.
-func (c *Cell) workersToAsk(k *adviceWish, now time.Time) []workerToAsk {
+// survey is what is known about the workers that suit a wish.
+type survey struct {
+	// ask are the workers without a valid ticket that are not denied; withRoom of them have
+	// room for a task.
+	ask      []workerToAsk
+	withRoom int
+	// ticketed are the workers with a valid ticket, which have room for ready tasks.
+	ticketed, ready int
+	denied          int
+}
+
+// surveyWorkers returns the survey for a wish that needs room for the given number of tasks.
+func (c *Cell) surveyWorkers(k *adviceWish, needed int, now time.Time) survey {
 	r := c.newScorer(k.candidate, now)
-	needed := 1
-	if k.step.spec.Gang {
-		needed = k.step.waiting
-	}
-	limit := k.queue.AdvisorTiming.maxWorkers()
-	kept := min(max(minAdviceWorkers, needed), limit)
-	most := min(kept<<min(k.step.advice.answers, 4), limit)
-	var ask []workerToAsk
-	ready, withRoom := 0, 0
+	var out survey
 	for _, w := range c.workers.All {
+		if !k.suits(w) {
+			continue
+		}
 		p := k.step.advice.permission(w, now)
-		if p == denied || !k.suits(w) {
+		if p == denied {
+			out.denied++
 			continue
 		}
 		x := workerToAsk{scoredWorker: scoredWorker{worker: w}, allowed: p == ticketExpired}
@@ -210,25 +233,43 @@
 			fit = c.fit(w, k.candidate, needed, now)
 		}
 		if p == ticketValid {
-			ready += fit
-			kept--
+			out.ticketed++
+			out.ready += fit
 			continue
 		}
 		if x.hasRoom = fit > 0; x.hasRoom {
-			withRoom++
+			out.withRoom++
 		}
-		ask = append(ask, x)
+		out.ask = append(out.ask, x)
 	}
+	return out
+}
+
+// workersToAsk returns the workers that the next request for the step of a wish names. There
+// are none while enough workers have room and a ticket. While no other worker has
+// room, a few tickets for workers without room are kept, so that a task can start as soon as
+// there is room.
+func (c *Cell) workersToAsk(k *adviceWish, now time.Time) []workerToAsk {
+	a := &k.step.advice
+	needed := 1
+	if k.step.spec.Gang {
+		needed = k.step.waiting
+	}
+	limit := k.queue.AdvisorTiming.maxWorkers()
+	kept := min(max(minAdviceWorkers, needed), limit)
+	most := min(kept<<min(a.answers, 4), limit)
+	v := c.surveyWorkers(k, needed, now)
+	a.deniedEverywhere = v.denied > 0 && v.ticketed == 0 && len(v.ask) == 0
 	switch {
-	case ready >= needed:
+	case v.ready >= needed:
 		return nil
-	case withRoom > 0:
-		most = min(most, withRoom)
+	case v.withRoom > 0:
+		most = min(most, v.withRoom)
 	default:
-		most = min(most, max(0, kept))
+		most = min(most, max(0, kept-v.ticketed))
 	}
-	slices.SortStableFunc(ask, workerToAsk.compare)
-	return ask[:min(len(ask), most)]
+	slices.SortStableFunc(v.ask, workerToAsk.compare)
+	return v.ask[:min(len(v.ask), most)]
 }
 
 // maxWorkers returns how many workers a request may name: the advisor has to answer while the
--- a/core/job/advice_test.go
+++ b/core/job/advice_test.go
@@ -257,6 +257,30 @@
 	ac.is.True(ac.workers.Get("agent-29").isolated)
 }
 
+// Work that cannot run is no reason to divide the room of others: a backlog that no worker may
+// run must not make processors scarce.
+func TestStepThatNoWorkerMayRunIsNoBacklog(t *testing.T) {
+	for _, shares := range []bool{false, true} {
+		ac := newAdvisedCluster(t, 4)
+		if shares {
+			WithFairShares()(ac.Cell)
+		}
+		stuck := step(200, 4000)
+		stuck.Estimate = 10 * time.Second
+		ac.Add(testJob(1, stuck), ac.now)
+		ac.pass(time.Second)
+		ac.is.True(ac.jobs.Get(testJob(1).ID) != nil)
+		ac.Add(Job{ID: testJob(2).ID, Queue: "host/urgent/", Steps: []Step{step(1, 16000)}, Accepted: ac.now}, ac.now)
+		ac.Add(Job{ID: testJob(3).ID, Queue: "host/urgent/", Steps: []Step{step(5, 16000)}, Accepted: ac.now}, ac.now)
+		ac.pass(500 * time.Millisecond)
+		all := ac.candidates(ac.now)
+		ac.is.Equal(len(all), 2)
+		for _, k := range all {
+			ac.is.True(!k.scarce)
+		}
+	}
+}
+
 // A gang needs tickets for more workers at a time than one request names.
 func TestGangOnManyWorkers(t *testing.T) {
 	ac := newAdvisedCluster(t, 60)
--- a/core/job/choose.go
+++ b/core/job/choose.go
@@ -38,8 +38,8 @@
 	crowded := isCrowded(free, capacity)
 	backlog := 0.0
 	for i := range all {
-		if s := all[i].step; !s.spec.BestEffort {
-			backlog += processorSeconds(s.spec, s.waiting)
+		if k := &all[i]; !k.step.spec.BestEffort {
+			backlog += k.backlog()
 		}
 	}
 	scarce := backlog > maxBacklog.Seconds()*float64(capacity)/processorUnit
--- a/core/job/forecast_cell.go
+++ b/core/job/forecast_cell.go
@@ -202,7 +202,7 @@
 	b.waiting = append(b.waiting, blocked...)
 	for i := range b.waiting {
 		k := &b.waiting[i]
-		b.work = append(b.work, processorSeconds(k.step.spec, k.step.waiting)*c.ratio(k.job.Queue))
+		b.work = append(b.work, k.backlog()*c.ratio(k.job.Queue))
 	}
 	c.learnRates(&b)
 	return b
@@ -214,7 +214,9 @@
 func (c *Cell) learnRates(b *backlog) {
 	scarce, held := map[serviceKind]bool{}, map[serviceKind]float64{}
 	for i := range b.waiting[:b.ready] {
-		scarce[serviceKind{b.waiting[i].queue.Service, b.waiting[i].step.spec.BestEffort}] = true
+		if k := &b.waiting[i]; !k.isDeniedEverywhere() {
+			scarce[serviceKind{k.queue.Service, k.step.spec.BestEffort}] = true
+		}
 	}
 	for u, n := range b.used {
 		held[u.serviceKind] += n
--- a/core/job/share.go
+++ b/core/job/share.go
@@ -179,7 +179,7 @@
 	waiting := [taskKinds]map[*accountRow]bool{{}, {}}
 	for i := range all {
 		k := all[i].step.spec.kind()
-		backlog[k] += processorSeconds(all[i].step.spec, all[i].step.waiting)
+		backlog[k] += all[i].backlog()
 		waiting[k][all[i].job.account] = true
 	}
 	for k := range taskKinds {
