core/job: ask first about workers that the advisor allowed for other steps of the queue

What callers see: each job of a queue whose policy allows few workers, or not those with the most room, waits for several calls of the advisor before its first task starts.

The owner remembers the workers that were allowed for any step of the queue, at most 65,536 in all, and names them first. They outweigh free processors in the order, but not data in another rack or a slow worker. The other workers are asked about after them as before, since the policy may tell steps apart.

--- a/core/job/advice.go
+++ b/core/job/advice.go
@@ -1,8 +1,6 @@
 package job
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"rosemarygap/core/clock"
@@ -136,172 +134,6 @@
 	incarnations []int64
 }
 
-// adviceWish is a candidate that needs a ticket for one of the workers that suit it.
-type adviceWish struct {
-	*candidate
-	suits func(*workerRow) bool
-}
-
-// wishAdvice adds the wish of a candidate with waiting tasks for tickets. If all of them are
-// suspects of crashes, these are for workers that may be isolated for them.
-func (c *Cell) wishAdvice(k *candidate, now time.Time) {
-	if !k.queue.RequiresTicket || c.openAdvice >= maxOpenAdvice {
-		return
-	}
-	suits := func(w *workerRow) bool { return c.isUsable(w, k, now) }
-	if c.isolation.crashed[k.job.ID] {
-		if x := c.suspectsOf(k, now); len(x.tasks) == k.step.waiting {
-			suits = func(w *workerRow) bool { return c.mayIsolate(w, &x, now) }
-		}
-	}
-	c.adviceWishes = append(c.adviceWishes, adviceWish{k, suits})
-}
-
-// requestAdvice adds requests to the advisor for the wishes of this tick: first for the steps
-// with the fewest answers, since the others may be denied everywhere.
-func (c *Cell) requestAdvice(now time.Time) {
-	wishes := c.adviceWishes
-	c.adviceWishes = nil
-	if len(wishes) == 0 || c.openAdvice >= maxOpenAdvice {
-		return
-	}
-	slices.SortStableFunc(wishes, func(x, y adviceWish) int { return cmp.Compare(x.step.advice.answers, y.step.advice.answers) })
-	for i := range wishes {
-		k := &wishes[i]
-		a := &k.step.advice
-		if a.open || now.Before(a.retryAt) {
-			continue
-		}
-		workers := c.workersToAsk(k, now)
-		if len(workers) == 0 {
-			a.retryAt = now.Add(blockedRetryInterval)
-			continue
-		}
-		req := AdvisorRequest{Step: stepName(k.job, k.occ, k.number)}
-		for _, x := range workers {
-			req.Workers = append(req.Workers, x.worker.ID)
-			req.incarnations = append(req.incarnations, x.worker.Incarnation)
-		}
-		a.open = true
-		c.advisorRequests = append(c.advisorRequests, req)
-		if c.openAdvice++; c.openAdvice >= maxOpenAdvice {
-			return
-		}
-	}
-}
-
-// workerToAsk is a worker that a request may name.
-type workerToAsk struct {
-	scoredWorker
-	hasRoom, allowed bool
-}
-
-// compare orders the workers with the most promising first.
-func (x workerToAsk) compare(y workerToAsk) int {
-	return cmp.Or(cmp.Compare(boolRank(y.hasRoom), boolRank(x.hasRoom)), cmp.Compare(boolRank(y.allowed), boolRank(x.allowed)),
-		cmp.Compare(y.score, x.score))
-}
-
-// survey is what is known about the workers that suit a wish.
-type survey struct {
-	// ask are the workers without a valid ticket that are not denied; withRoom of them have
-	// room for a task.
-	ask      []workerToAsk
-	withRoom int
-	// ticketed are the workers with a valid ticket, which have room for ready tasks.
-	ticketed, ready int
-	denied          int
-}
-
-// surveyWorkers returns the survey for a wish that needs room for the given number of tasks.
-func (c *Cell) surveyWorkers(k *adviceWish, needed int, now time.Time) survey {
-	r := c.newScorer(k.candidate, now)
-	var out survey
-	for _, w := range c.workers.All {
-		if !k.suits(w) {
-			continue
-		}
-		p := k.step.advice.permission(w, now)
-		if p == denied {
-			out.denied++
-			continue
-		}
-		x := workerToAsk{scoredWorker: scoredWorker{worker: w}, allowed: p == ticketExpired}
-		r.setScore(&x.scoredWorker)
-		fit := 0
-		if !x.interferes {
-			fit = c.fit(w, k.candidate, needed, now)
-		}
-		if p == ticketValid {
-			out.ticketed++
-			out.ready += fit
-			continue
-		}
-		if x.hasRoom = fit > 0; x.hasRoom {
-			out.withRoom++
-		}
-		out.ask = append(out.ask, x)
-	}
-	return out
-}
-
-// workersToAsk returns the workers that the next request for the step of a wish names. There
-// are none while enough workers have room and a ticket. While no other worker has
-// room, a few tickets for workers without room are kept, so that a task can start as soon as
-// there is room.
-func (c *Cell) workersToAsk(k *adviceWish, now time.Time) []workerToAsk {
-	a := &k.step.advice
-	needed := 1
-	if k.step.spec.Gang {
-		needed = k.step.waiting
-	}
-	limit := k.queue.AdvisorTiming.maxWorkers()
-	kept := min(max(minAdviceWorkers, needed), limit)
-	most := min(kept<<min(a.answers, 4), limit)
-	v := c.surveyWorkers(k, needed, now)
-	a.deniedEverywhere = v.denied > 0 && v.ticketed == 0 && len(v.ask) == 0
-	switch {
-	case v.ready >= needed:
-		return nil
-	case v.withRoom > 0:
-		most = min(most, v.withRoom)
-	default:
-		most = min(most, max(0, kept-v.ticketed))
-	}
-	slices.SortStableFunc(v.ask, workerToAsk.compare)
-	return v.ask[:min(len(v.ask), most)]
-}
-
-// maxWorkers returns how many workers a request may name: the advisor has to answer while the
-// first tickets are valid, and other steps wait for it meanwhile.
-func (t *AdvisorTiming) maxWorkers() int {
-	longest := maxAdviceTime
-	if t.TicketTTL > 0 {
-		longest = min(longest, t.TicketTTL/2)
-	}
-	if t.PerWorker <= 0 {
-		return MaxAdviceWorkers
-	}
-	return int(min(max(1, (longest-t.PerCall)/t.PerWorker), MaxAdviceWorkers))
-}
-
-// fit returns how many further tasks of the candidate's step w has room for beside what is
-// claimed, up to most.
-func (c *Cell) fit(w *workerRow, k *candidate, most int, now time.Time) int {
-	s := k.step.spec
-	limit := c.rampOf(w, now)
-	left := w.room().minus(c.claims[w])
-	if s.MaxPerWorker > 0 {
-		most = min(most, s.MaxPerWorker-w.tasksOf(k.job.ID, k.occ.number, k.number))
-	}
-	n := 0
-	for n < most && left.fits(w, s, k.queue.Priority) && limit.allows(w, s) {
-		left = left.minus(roomFor(s))
-		n++
-	}
-	return n
-}
-
 // AdvisorRequests returns the requests to the advisor that were added since the last call.
 // For each of them, either SetTickets or AdviceFailed must be called.
 func (c *Cell) AdvisorRequests() []AdvisorRequest {
@@ -334,7 +166,7 @@
 
 // SetTickets stores the advisor's answer to req.
 func (c *Cell) SetTickets(req AdvisorRequest, answer Advice) {
-	s := c.closeRequest(req)
+	j, s := c.closeRequest(req)
 	if s == nil {
 		return
 	}
@@ -345,6 +177,9 @@
 	}
 	for i, id := range req.Workers {
 		a.byWorker[id] = workerAdvice{req.incarnations[i], answer.Tickets[id], until}
+		if answer.Tickets[id] != "" {
+			c.allowedWorkers.add(j.Queue, id)
+		}
 	}
 	if len(answer.Tickets) > 0 {
 		a.usableUntil = until
@@ -358,7 +193,7 @@
 
 // AdviceFailed records that req got no answer. It is repeated after a pause.
 func (c *Cell) AdviceFailed(req AdvisorRequest, now time.Time) {
-	if s := c.closeRequest(req); s != nil {
+	if _, s := c.closeRequest(req); s != nil {
 		s.advice.retryAt = now.Add(adviceRetryInterval)
 	}
 }
@@ -372,14 +207,14 @@
 	a.retryAt = Later(a.retryAt, now.Add(adviceRetryInterval))
 }
 
-// closeRequest records that req is no longer open. It returns the step, or nil if the
-// step does not exist any more.
-func (c *Cell) closeRequest(req AdvisorRequest) *stepRow {
+// closeRequest records that req is no longer open. It returns the step with its job; s is nil
+// if the step does not exist any more.
+func (c *Cell) closeRequest(req AdvisorRequest) (j *jobRow, s *stepRow) {
 	c.openAdvice = max(0, c.openAdvice-1)
 	// A step name with an index appended is the name of a task of the step.
-	_, s, _ := c.findTask(req.Step + ".0")
+	j, s, _ = c.findTask(req.Step + ".0")
 	if s != nil {
 		s.advice.open = false
 	}
-	return s
+	return j, s
 }
--- a/core/job/advice_test.go
+++ b/core/job/advice_test.go
@@ -281,6 +281,35 @@
 	}
 }
 
+// A queue's policy allows few workers, not those with the most room: the steps of later jobs
+// must ask about the allowed ones first, and not search for them anew.
+func TestLaterStepsAskAboutAllowedWorkersFirst(t *testing.T) {
+	ac := newAdvisedCluster(t, 200, 198, 199)
+	for _, agent := range []string{"agent-198", "agent-199"} {
+		ac.testWorkers[agent].report.Worker.Capacity.Processors = 8000
+	}
+	ac.deliverReports()
+	ac.Add(testJob(1, step(1, 100)), ac.now)
+	ac.pass(time.Second)
+	ac.is.Equal(len(ac.runningOn(1)), 1)
+	ac.is.True(len(ac.requests) > 2)
+	for n := 2; n < 10; n++ {
+		for _, w := range ac.testWorkers {
+			for _, r := range w.report.Running {
+				w.endRun(r.Task, EndDone)
+			}
+		}
+		ac.pass(200 * time.Millisecond)
+		ac.requests = nil
+		ac.Add(testJob(n, step(1, 100)), ac.now)
+		ac.pass(60 * time.Millisecond)
+		ac.is.Equal(len(ac.runningOn(n)), 1)
+		ac.is.Equal(ac.requests[0].Step, testJob(n).ID+".0.0")
+		ac.is.Equal(len(ac.requests[0].Workers), minAdviceWorkers)
+		ac.is.True(slices.Contains(ac.requests[0].Workers, "i-agent-198") || slices.Contains(ac.requests[0].Workers, "i-agent-199"))
+	}
+}
+
 // A gang needs tickets for more workers at a time than one request names.
 func TestGangOnManyWorkers(t *testing.T) {
 	ac := newAdvisedCluster(t, 60)
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -370,7 +370,8 @@
 	advisorRequests []AdvisorRequest
 	openAdvice      int
 	// adviceWishes are those of the current tick.
-	adviceWishes []adviceWish
+	adviceWishes   []adviceWish
+	allowedWorkers allowedWorkers
 	// removedAgents are agents to delete from the stored roster.
 	removedAgents []string
 	// endedJobs are the jobs that ended in this epoch, so that late messages
