platform, core/job: refuse a heartbeat with a number or a name that no worker has

Cause: of the numbers of a heartbeat, only those that cannot be decoded and negative capacities were refused. The highest start time and the highest number of a heartbeat are kept, so that all later heartbeats counted as old; a capacity of 2^63-1 was added to those of the other workers; an ID or a zone of over 500 bytes made the owner refuse the reports of the agent.

A plausible number from another writer is not covered here.

--- a/core/job/faults_test.go
+++ b/core/job/faults_test.go
@@ -247,3 +247,24 @@
 	}
 	tc.is.Equal(tc.countStarts(), 1+maxSlowMoves)
 }
+
+// A report with a number that no worker has must be refused: sums over all workers would
+// overflow, and other workers would seem to be full.
+func TestReportOfImpossibleWorkerIsRefused(t *testing.T) {
+	is := is.New(t)
+	for _, change := range []func(*Worker){
+		func(w *Worker) { w.Capacity.Processors = math.MaxInt },
+		func(w *Worker) { w.Capacity.Memory = math.MaxInt64 },
+		func(w *Worker) { w.Capacity.Accelerators = math.MaxInt },
+		func(w *Worker) { w.Incarnation = math.MaxInt64 },
+		func(w *Worker) { w.Sequence = math.MaxInt64 },
+		func(w *Worker) { w.Clock = math.MaxInt64 },
+		func(w *Worker) { w.Labels = make([]string, maxLabels+1) },
+	} {
+		w := Worker{ID: "i-1", Incarnation: 1, Capacity: Resources{Processors: 16000, Memory: 64000}}
+		r := Report{Agent: "agent", Worker: &w}
+		is.NoErr(r.Validate())
+		change(&w)
+		is.True(r.Validate() != nil)
+	}
+}
--- a/core/job/message.go
+++ b/core/job/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"time"
 
 	"rosemarygap/core/status"
@@ -158,10 +159,64 @@
 	case r.Agent == "" || len(r.Agent) > maxNameBytes:
 		return status.At(status.ErrBadName, "agent", r.Agent[:min(len(r.Agent), maxNameBytes)])
 	case w == nil:
-	case w.ID == "" || len(w.ID) > maxNameBytes:
-		return status.At(status.ErrBadName, "worker.id", w.ID[:min(len(w.ID), maxNameBytes)])
-	case w.Capacity.Processors < 0 || w.Capacity.Memory < 0 || w.Capacity.Accelerators < 0:
-		return status.At(status.ErrOutOfRange, "worker.capacity", "")
+	default:
+		return w.Validate()
+	}
+	return nil
+}
+
+// Limits on the values of a worker. They are far above any real value.
+const (
+	// maxIncarnation is the Unix time in milliseconds of about the year 10900. The highest
+	// incarnation is kept, so that one too high would precede no later one.
+	maxIncarnation = 1 << 48
+	maxSequence    = 1 << 53
+	// maxWorkerClock is the highest reading of a worker's monotonic clock. The newest
+	// reading is kept, so that one too high would end all later leases in the past.
+	maxWorkerClock = 100 * 365 * 24 * time.Hour
+	maxLabels      = 64
+)
+
+// Validate returns an error with a status code if no worker can have the described values.
+func (w *Worker) Validate() error {
+	if w.ID == "" {
+		return status.At(status.ErrBadName, "worker.id", "")
+	}
+	for _, x := range append([]string{w.ID, w.Service, w.Zone, w.VM}, w.Labels...) {
+		if len(x) > maxNameBytes {
+			return status.At(status.ErrBadName, "worker", x[:maxNameBytes])
+		}
+	}
+	outOfRange := func(field string, v int64) error {
+		return status.At(status.ErrOutOfRange, "worker."+field, strconv.FormatInt(v, 10))
+	}
+	switch r := w.Capacity; {
+	case len(w.Labels) > maxLabels:
+		return outOfRange("labels", int64(len(w.Labels)))
+	case r.Processors < 0 || r.Processors > maxProcessors:
+		return outOfRange("capacity.processors-milli", int64(r.Processors))
+	case r.Memory < 0 || r.Memory > maxMemory:
+		return outOfRange("capacity.memory-mib", r.Memory)
+	case r.Accelerators < 0 || r.Accelerators > maxAccelerators:
+		return outOfRange("capacity.accelerators", int64(r.Accelerators))
+	case w.Incarnation < 0 || w.Incarnation > maxIncarnation:
+		return outOfRange("incarnation", w.Incarnation)
+	case w.Sequence < 0 || w.Sequence > maxSequence:
+		return outOfRange("sequence", w.Sequence)
+	case w.Clock < 0 || w.Clock > maxWorkerClock:
+		return outOfRange("clock-ns", int64(w.Clock))
+	}
+	return nil
+}
+
+// Validate returns an error with a status code if no worker can have the incarnation and the
+// clock reading of the list.
+func (l *RunList) Validate() error {
+	switch {
+	case l.Incarnation < 0 || l.Incarnation > maxIncarnation:
+		return status.At(status.ErrOutOfRange, "incarnation", strconv.FormatInt(l.Incarnation, 10))
+	case l.Clock < 0 || l.Clock > maxWorkerClock:
+		return status.At(status.ErrOutOfRange, "clock-ns", strconv.FormatInt(int64(l.Clock), 10))
 	}
 	return nil
 }
