io/agent: another incarnation becomes the worker only once it has answered

What callers would see: one heartbeat of another writer, with the ID and address of a worker and any start time later than the worker's own, or with another ID, takes the worker out of use for good, and its tasks start elsewhere while they run on.

Cause: the agent switched to the incarnation of a heartbeat at once, dropped what it knew of the current one, and took the heartbeats and answers of that one for outdated from then on. The agent now asks the worker: a renewal under the ID of the heartbeat that extends no lease. 421, or a list with another start time, refuses the heartbeat (event 7026); an answer with the same start time makes it the worker, and is its first list, so that a start of a worker takes no more calls than before. Without an answer it is asked again every 100 ms for 5 s.

TestHeartbeatOfAnotherWriterDoesNotReplaceWorker fails with the earlier switch put back (the worker is "i-1 7000000") and passes now; TestNextIncarnationIsConfirmed passes with three calls without an answer.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -3,7 +3,8 @@
 // the worker's lease, and throttles best-effort tasks that run next to serving
 // tasks.
 //
-// Invariant: the agent starts only runs that the owner of the newest known
+// Invariant: the current worker is one that has answered under the ID of its heartbeat. The
+// agent starts only runs that the owner of the newest known
 // epoch ordered, and none after it answered a heartbeat which says that the
 // worker is draining, or after it received a stop of the run. It sends a start
 // only while its knowledge of what was withdrawn is recent. The agent has no
@@ -93,6 +94,8 @@
 	wakeConfirm chan struct{}
 	// wakeCancel wakes cancelLoop.
 	wakeCancel chan struct{}
+	// wakeIdentify wakes identifyLoop.
+	wakeIdentify chan struct{}
 	// workerLeft is signalled when the worker has announced its departure.
 	workerLeft chan struct{}
 	// orders are executed by executeAny and executeStops.
@@ -123,6 +126,7 @@
 		acknowledged:  make(chan struct{}, 1),
 		wakeConfirm:   make(chan struct{}, 1),
 		wakeCancel:    make(chan struct{}, 1),
+		wakeIdentify:  make(chan struct{}, 1),
 		workerLeft:    make(chan struct{}, 1),
 		owner:         newOwnerView(cfg.Seeds, cfg.PeerPort),
 		throttleSlots: make(chan struct{}, throttleCalls),
@@ -155,7 +159,7 @@
 	process.AddListener(&g, controlListener, shutdownTimeout)
 	process.AddListener(&g, metricsListener, shutdownTimeout)
 	for _, f := range append(actors, a.awaitDeparture, a.renewLoop, a.immediateRenewLoop, a.reportLoop, a.pollLoop, a.watchOwner, a.confirmLoop,
-		a.cancelLoop) {
+		a.cancelLoop, a.identifyLoop) {
 		process.AddActor(&g, f)
 	}
 	for range orderExecutors {
--- a/io/agent/state.go
+++ b/io/agent/state.go
@@ -58,6 +58,8 @@
 	// maxLease is the longest lease that a worker accepts.
 	maxLease time.Duration
 	worker   *job.Worker
+	// unconfirmedHeartbeats are those of other incarnations, oldest first.
+	unconfirmedHeartbeats []unconfirmedHeartbeat
 	// coldUntil is when the worker stops being cold by its newest heartbeat.
 	coldUntil time.Time
 	// left is true once the worker has announced its departure.
@@ -120,8 +122,8 @@
 		unansweredStarts: map[runKey]unansweredStart{}, throttle: newThrottle()}
 }
 
-// applyHeartbeat applies a heartbeat. It reports whether it is from another
-// incarnation, and whether anything changed that the owner must know.
+// applyHeartbeat applies a heartbeat that the worker has confirmed. It reports whether it is
+// from another incarnation, and whether anything changed that the owner must know.
 func (s *state) applyHeartbeat(w job.Worker) (newIncarnation, changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -132,16 +134,7 @@
 		s.coldUntil = time.Now().Add(w.ColdLeft)
 		return true, true
 	case w.ID == old.ID && w.Incarnation == old.Incarnation:
-		if w.Sequence <= old.Sequence {
-			return false, false
-		}
-		changed = w.Draining != old.Draining || w.Capacity != old.Capacity
-		if w.Zone != old.Zone {
-			s.zone = zoneKnowledge{}
-		}
-		s.worker = &w
-		s.coldUntil = time.Now().Add(w.ColdLeft)
-		return false, changed
+		return false, s.updateWorker(w)
 	case w.Incarnation < old.Incarnation, w.ID != old.ID && w.Incarnation == old.Incarnation:
 		return false, false
 	}
@@ -150,6 +143,22 @@
 	return true, true
 }
 
+// updateWorker applies a heartbeat of the current incarnation. It reports whether anything
+// changed that the owner must know. The caller holds s.mu.
+func (s *state) updateWorker(w job.Worker) (changed bool) {
+	old := s.worker
+	if w.Sequence <= old.Sequence {
+		return false
+	}
+	changed = w.Draining != old.Draining || w.Capacity != old.Capacity
+	if w.Zone != old.Zone {
+		s.zone = zoneKnowledge{}
+	}
+	s.worker = &w
+	s.coldUntil = time.Now().Add(w.ColdLeft)
+	return changed
+}
+
 // setWorker makes w the worker and drops the state of the earlier incarnation,
 // except for its unanswered starts. The caller holds s.mu.
 func (s *state) setWorker(w job.Worker) {
