io/agent: one implausible heartbeat does not change what is known of the worker

What callers would see: one heartbeat of another writer with the ID, address and start time of a worker and a high seq freezes what is known of the worker, for example as draining, and with no capacity, other labels, another zone or another service takes it out of use until its next heartbeat; a capacity that is too large lets too many tasks start on it.

Cause: of one incarnation, any heartbeat with a higher number counted. Now a heartbeat must continue the numbers (by 8 and one more for each 100 ms since the last), and agree in service, zone, VM, address and labels, with a capacity that is not above any before, nor below a quarter. One that does not counts once it has been repeated for a second, so that the worker's own changes and jumps of its numbers count with the next heartbeat. A smaller capacity counts at once, as before. Late heartbeats do not end a drain. What remains: one that says draining with a number that continues the worker's counts until the worker's next, for up to 3 s.

TestZoneKnowledge expected a new zone in one heartbeat of the same incarnation to count; it checks now that this takes a second one, and that a new incarnation's counts at once. go test ./io/standin/fleet -run 'TestSoak$|TestSoakEvac|Silent|Shrunk|TestDrain' passed (293 s).

--- a/io/agent/evacuations_test.go
+++ b/io/agent/evacuations_test.go
@@ -160,6 +160,14 @@
 	s, w, _ := newTestState(t)
 	s.zone = z
 	w.Zone, w.Sequence = "b", 2
+	sent := time.Now()
+	s.receiveHeartbeat(w, sent)
+	is.Equal(s.zone, z) // it may be from another writer
+	w.Sequence = 3
+	s.receiveHeartbeat(w, sent.Add(repeatInterval))
+	is.Equal(s.zone, zoneKnowledge{})
+	s.zone = z
+	w.Zone, w.Sequence, w.Incarnation = "c", 1, w.Incarnation+1
 	s.applyHeartbeat(w)
 	is.Equal(s.zone, zoneKnowledge{})
 }
--- a/io/agent/heartbeat.go
+++ b/io/agent/heartbeat.go
@@ -97,7 +97,7 @@
 		s.addUnconfirmed(w, now)
 		return false, false
 	}
-	return true, s.worker.ID == w.ID && s.worker.Incarnation == w.Incarnation && s.updateWorker(w)
+	return true, s.worker.ID == w.ID && s.worker.Incarnation == w.Incarnation && s.updateWorker(w, now)
 }
 
 // addUnconfirmed keeps a heartbeat in place of an earlier one of the same incarnation. The
--- a/io/agent/state.go
+++ b/io/agent/state.go
@@ -60,6 +60,7 @@
 	worker   *job.Worker
 	// unconfirmedHeartbeats are those of other incarnations, oldest first.
 	unconfirmedHeartbeats []unconfirmedHeartbeat
+	plausibility          plausibility
 	// coldUntil is when the worker stops being cold by its newest heartbeat.
 	coldUntil time.Time
 	// left is true once the worker has announced its departure.
@@ -130,32 +131,41 @@
 	old := s.worker
 	switch {
 	case old == nil:
-		s.setWorker(w)
-		s.coldUntil = time.Now().Add(w.ColdLeft)
+		s.beginIncarnation(w)
 		return true, true
 	case w.ID == old.ID && w.Incarnation == old.Incarnation:
-		return false, s.updateWorker(w)
+		return false, s.updateWorker(w, time.Now())
 	case w.Incarnation < old.Incarnation, w.ID != old.ID && w.Incarnation == old.Incarnation:
 		return false, false
 	}
-	s.setWorker(w)
-	s.coldUntil = time.Now().Add(w.ColdLeft)
+	s.beginIncarnation(w)
 	return true, true
 }
 
+// beginIncarnation makes w the worker, as its first heartbeat describes it. The caller holds
+// s.mu.
+func (s *state) beginIncarnation(w job.Worker) {
+	s.setWorker(w)
+	now := time.Now()
+	s.plausibility.record(&w, now)
+	s.coldUntil = now.Add(w.ColdLeft)
+}
+
 // updateWorker applies a heartbeat of the current incarnation. It reports whether anything
 // changed that the owner must know. The caller holds s.mu.
-func (s *state) updateWorker(w job.Worker) (changed bool) {
+func (s *state) updateWorker(w job.Worker, now time.Time) (changed bool) {
 	old := s.worker
-	if w.Sequence <= old.Sequence {
+	if !s.plausibility.admit(&w, old, now) {
 		return false
 	}
+	// The owner ignores a description with a lower number than it has seen.
+	w.Sequence = max(w.Sequence, old.Sequence+1)
 	changed = w.Draining != old.Draining || w.Capacity != old.Capacity
 	if w.Zone != old.Zone {
 		s.zone = zoneKnowledge{}
 	}
 	s.worker = &w
-	s.coldUntil = time.Now().Add(w.ColdLeft)
+	s.coldUntil = now.Add(w.ColdLeft)
 	return changed
 }
 
@@ -169,7 +179,7 @@
 		s.recordCrash(time.Now())
 	}
 	s.replaced, s.firstClock = s.worker != nil && s.worker.ID == w.ID, 0
-	s.worker, s.left = &w, false
+	s.worker, s.left, s.plausibility = &w, false, plausibility{}
 	s.runList, s.runListEpoch, s.workerClock, s.leaseDeadline = job.RunList{}, 0, 0, 0
 	s.grantedUntil, s.acknowledged, s.answeredAt = 0, 0, time.Time{}
 	clear(s.runs)
