io/peer: skip an odd registration in place of reading none

Reported by other operators: an odd entry in a list stops all that read it. On the product's own interface this could happen: readMembers gave up the whole list of entries when one value could not be decoded (nested deeply, a number too large, a port out of range), so that the view of the members of every entry expired, and none could grant claims. The watch of the same keys skipped such values, and those that name another entry, without a log line.

TestOddRegistrationIsSkipped fails before (exceeded max depth) and passes now.

--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -12,6 +12,7 @@
 package peer
 
 import (
+	"encoding/json"
 	"net/netip"
 	"strconv"
 
@@ -19,7 +20,10 @@
 	"rosemarygap/core/interference"
 	"rosemarygap/core/operator"
 	"rosemarygap/core/rendezvous"
+	"rosemarygap/core/status"
 	"rosemarygap/core/worker"
+
+	"github.com/pkg/errors"
 )
 
 // Member is the registration of one entry in the platform's store.
@@ -33,6 +37,19 @@
 	Operator    netip.AddrPort `json:"operator-address"`
 }
 
+// DecodeMember decodes the registration of an entry. The error is status.ErrUnknownRef if the
+// value names another entry.
+func DecodeMember(id string, value []byte) (Member, error) {
+	var m Member
+	if err := json.Unmarshal(value, &m); err != nil {
+		return Member{}, errors.Wrapf(err, "decode registration of %q", id)
+	}
+	if m.ID != id {
+		return Member{}, status.At(status.ErrUnknownRef, "id", m.ID)
+	}
+	return m, nil
+}
+
 // CellOfJob returns the cell that stores a job.
 func CellOfJob(id string, cells int) int { return cellOf("job/"+id, cells) }
 
--- a/io/entry/registration.go
+++ b/io/entry/registration.go
@@ -218,8 +218,9 @@
 		event.PeerRemoved.Emit(c.log, event.Entry(id))
 		return
 	}
-	var m peer.Member
-	if json.Unmarshal(kv.Value, &m) != nil || m.ID != id {
+	m, err := peer.DecodeMember(id, kv.Value)
+	if err != nil {
+		event.MessageRefused.Emit(c.log, event.Dependency("store"), event.Reason(status.Code(kv.Key+": "+err.Error())))
 		return
 	}
 	if c.members.Get(id) == nil {
--- a/io/peer/membership.go
+++ b/io/peer/membership.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/netip"
+	"strings"
 	"time"
 
 	"rosemarygap/core/caller"
@@ -120,6 +121,8 @@
 	return err
 }
 
+// readMembers reads the registered members. It skips registrations that cannot be decoded,
+// which the watch of the registrations logs.
 func (cm *ClaimManager) readMembers(ctx context.Context) ([]caller.Member, error) {
 	list, err := cm.store.List(ctx, coreplatform.EntryPrefix)
 	if err != nil {
@@ -128,9 +131,9 @@
 	var members []caller.Member
 	addresses := make(map[caller.Member]netip.AddrPort)
 	for _, e := range list.KeyValues {
-		var m peer.Member
-		if err := json.Unmarshal(e.Value, &m); err != nil {
-			return nil, errors.Wrap(err, "decode member")
+		m, err := peer.DecodeMember(strings.TrimPrefix(e.Key, coreplatform.EntryPrefix), e.Value)
+		if err != nil {
+			continue
 		}
 		k := caller.Member{ID: m.ID, Incarnation: m.Incarnation}
 		members = append(members, k)
