core/endpoint: refuse announcements with an impossible incarnation or number

Incarnations are 0 to 2^62 now (nanoseconds since 1970 reach that in 2116) and numbers 0 to 2^53. TestAnnouncementWithImpossibleNumbers fails before and passes now. A plausible later incarnation from another writer still replaces the endpoint: endpoints cannot be asked on this interface. Announcements of workers expire by themselves.

--- a/core/endpoint/membership.go
+++ b/core/endpoint/membership.go
@@ -10,6 +10,7 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"time"
 
 	"rosemarygap/core/clock"
@@ -61,6 +62,9 @@
 const (
 	maxSlots       = 4096
 	maxConnections = 65536
+	// maxIncarnation is the Unix time in nanoseconds of about the year 2116.
+	maxIncarnation = 1 << 62
+	maxSeq         = 1 << 53
 )
 
 // Check returns an error with a status code if a is invalid.
@@ -78,6 +82,10 @@
 		return status.At(status.ErrOutOfRange, "slots", "")
 	case a.Connections < 1 || a.Connections > maxConnections:
 		return status.At(status.ErrOutOfRange, "connections", "")
+	case a.Incarnation < 0 || a.Incarnation > maxIncarnation:
+		return status.At(status.ErrOutOfRange, "incarnation", strconv.FormatInt(a.Incarnation, 10))
+	case a.Seq < 0 || a.Seq > maxSeq:
+		return status.At(status.ErrOutOfRange, "seq", strconv.FormatInt(a.Seq, 10))
 	}
 	return nil
 }
--- a/core/endpoint/membership_test.go
+++ b/core/endpoint/membership_test.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"math"
 	"net/netip"
 	"testing"
 	"time"
@@ -53,3 +54,21 @@
 		})
 	}
 }
+
+// An announcement with the highest incarnation or number must be refused: no announcement of the
+// endpoint itself would ever count again.
+func TestAnnouncementWithImpossibleNumbers(t *testing.T) {
+	is := is.New(t)
+	for _, change := range []func(*Announcement){
+		func(a *Announcement) { a.Incarnation = math.MaxInt64 },
+		func(a *Announcement) { a.Incarnation = -1 },
+		func(a *Announcement) { a.Seq = math.MaxInt64 },
+		func(a *Announcement) { a.Seq = -1 },
+	} {
+		a := Announcement{ID: "endpoint-1", Service: "catalogue", Address: netip.MustParseAddrPort("127.0.0.1:9001"),
+			Incarnation: time.Now().UnixNano(), Seq: 1, State: Ready, Slots: 8, Connections: 64}
+		is.NoErr(a.Check())
+		change(&a)
+		is.True(a.Check() != nil)
+	}
+}
