core/job, io/agent: a list with 500 ends may omit the end of a run

Cause: a worker lists 500 ends at a time and further ones once these are acknowledged, which waits for the store. A run with a later end is in no list. The owner stopped it as vanished after 3 s, the agent reported it as absent, and its task started again; a successor of the owner took the agent for resolved. A list with 500 ends or more now shows neither that a run is absent or vanished, nor that an earlier owner's runs have ended. Their room stays reserved, so no further starts come to a worker whose ends cannot be acknowledged.

--- a/core/job/faults_test.go
+++ b/core/job/faults_test.go
@@ -268,3 +268,49 @@
 		is.True(r.Validate() != nil)
 	}
 }
+
+// While a worker has more ends than it lists at a time, as they cannot become durable during an
+// outage of the store, a run that it does not list may have ended as done. Its task must not
+// start again.
+func TestRunsBehindListedEndsAreNotLost(t *testing.T) {
+	tc, w := newClusterWithRun(t, step(1, 100))
+	task := w.report.Running[0]
+	w.report.Running = nil
+	for n := range int64(MaxListedEnds) {
+		w.report.Ended = append(w.report.Ended, End{Number: n + 1, Task: Task{Job: testJob(9).ID, Index: int(n)}.String(), Run: 1, Outcome: EndDone})
+	}
+	w.lastEnd = MaxListedEnds
+	for range 500 { // 10 s
+		tc.deliverReports()
+	}
+	tc.is.Equal(len(w.orders), 1)
+	w.report.Ended = []End{{Number: w.lastEnd + 1, Task: task.Task, Run: task.Run, Outcome: EndDone}}
+	for range 50 {
+		tc.deliverReports()
+	}
+	tc.is.Equal(len(w.orders), 1)
+	tc.is.Equal(tc.jobs.Get(testJob(1).ID), (*jobRow)(nil)) // the job is done
+}
+
+// A successor of the owner must not take the runs of earlier owners for ended either, while the
+// list of a worker may omit ends.
+func TestRunsBehindListedEndsAreNotResolved(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	agent := "agent-0"
+	next := New(2, tc.now)
+	next.SetConfiguration(tc.cfg)
+	next.LoadAgent(agent)
+	tc.is.NoErr(next.Load(testJob(1, step(1, 100)), Progress{Started: true}, tc.now))
+	r := tc.testWorkers[agent].report
+	r.Epoch, r.Ended = 2, make([]End, MaxListedEnds)
+	for n := range r.Ended {
+		r.Ended[n] = End{Number: int64(n) + 1, Task: Task{Job: testJob(9).ID, Index: n}.String(), Run: 1, Outcome: EndDone}
+	}
+	next.Receive(&r, tc.now)
+	tc.is.True(!next.priorRunsResolved(tc.now))
+	r.Ended = []End{{Number: MaxListedEnds + 1, Task: Task{Job: testJob(1).ID}.String(), Run: 1, Outcome: EndDone}}
+	next.Receive(&r, tc.now)
+	tc.is.True(next.priorRunsResolved(tc.now))
+	next.Tick(tc.now)
+	tc.is.Equal(next.jobs.Get(testJob(1).ID).state, Done)
+}
--- a/core/job/message.go
+++ b/core/job/message.go
@@ -88,6 +88,13 @@
 	Checkpoint string  `json:"checkpoint,omitempty"`
 }
 
+// MaxListedEnds is the number of ended runs that a worker lists at a time. It lists further ones
+// as these are acknowledged.
+const MaxListedEnds = 500
+
+// MayOmitEnds reports whether a list with these ended runs may omit others.
+func MayOmitEnds(listed []End) bool { return len(listed) >= MaxListedEnds }
+
 // RunList is a worker's list of its running and ended runs.
 type RunList struct {
 	Incarnation int64
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -221,7 +221,6 @@
 // receiveLists processes the lists of running, ended and absent runs of a
 // worker.
 func (c *Cell) receiveLists(w *workerRow, r *Report, now time.Time) {
-	first := !w.listed
 	w.listed = true
 	for i := range r.Ended {
 		c.receiveEnd(w, &r.Ended[i], now)
@@ -234,7 +233,7 @@
 		c.receiveRunning(w, &r.Running[i], now)
 	}
 	c.stopVanished(w, r, now)
-	if first {
+	if !MayOmitEnds(r.Ended) {
 		c.resolveAgent(r.Agent)
 	}
 	c.sampleInterference(w, r, now)
@@ -320,7 +319,7 @@
 // were never reported. Once they certainly do not run, their tasks can start
 // again.
 func (c *Cell) stopVanished(w *workerRow, r *Report, now time.Time) {
-	if r.Unreachable > 0 || len(w.pending) > 0 {
+	if r.Unreachable > 0 || len(w.pending) > 0 || MayOmitEnds(r.Ended) {
 		return
 	}
 	for _, t := range w.sortedTasks() {
--- a/io/agent/faults_test.go
+++ b/io/agent/faults_test.go
@@ -66,3 +66,24 @@
 	is.Equal(len(orders), 1)
 	is.Equal(orders[0].Kind, job.OrderStart)
 }
+
+// A stopped run that is missing in a list may be among the ends that the list omits. It must not
+// be reported as absent: it may have ended as done.
+func TestListWithManyEndsShowsNoAbsentRun(t *testing.T) {
+	is := is.New(t)
+	s, _, now := newTestState(t)
+	s.applyReply(testReply(testOrder(1, job.OrderStart)), now, now)
+	s.recordOutcome(testOrder(1, job.OrderStart), runClosed, "stopped", now)
+	ends := make([]job.End, job.MaxListedEnds)
+	for n := range ends {
+		ends[n] = job.End{Number: int64(n) + 1, Task: testTask(n + 1000), Run: 1, Outcome: job.EndDone}
+	}
+	list := func(clock time.Duration, ends []job.End) job.Report {
+		now = now.Add(time.Second)
+		r, _ := s.nextRenewal()
+		s.applyRunList(r, job.RunList{Incarnation: 100, Clock: clock, Ended: ends}, now, now)
+		return s.report("agent", false, now)
+	}
+	is.Equal(len(list(2*time.Second, ends).Absent), 0)
+	is.Equal(len(list(3*time.Second, nil).Absent), 1)
+}
--- a/io/agent/state.go
+++ b/io/agent/state.go
@@ -554,7 +554,7 @@
 			// The owner may have started the task elsewhere: the start is revoked.
 		case listed[k]:
 			delete(s.runs, k)
-		case r.state == runClosed && r.decidedAt.Before(requestedAt) && !r.absent:
+		case r.state == runClosed && r.decidedAt.Before(requestedAt) && !r.absent && !job.MayOmitEnds(s.runList.Ended):
 			r.absent = true
 			found = true
 		}
