core/job: a successor knows the occurrences that its predecessor could not record

Cause: an owner that the store turns away goes on opening occurrences for about a second without recording it. Its successor handled reports of agents before its first tick opened them, and took their tasks for those of ended jobs: it forgot ends that were done and stopped the running ones, then opened the occurrences and started all their tasks. Loading the state opens the occurrences that are due now, before any report is handled. A listed task of a later occurrence opens it, too, if it is due within 5 s, as the predecessor's clock may have been ahead; no task of it starts before it is due here.

--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -159,9 +159,12 @@
 	return nil
 }
 
-// FinishLoaded completes the loaded occurrences and jobs whose tasks were all
-// done.
-func (c *Cell) FinishLoaded(now time.Time) { c.completeOccurrences(now) }
+// FinishLoaded completes the loaded occurrences and jobs whose tasks were all done, and opens
+// the occurrences that are due: an earlier owner may have started them without recording it.
+func (c *Cell) FinishLoaded(now time.Time) {
+	c.completeOccurrences(now)
+	c.openDueOccurrences(now)
+}
 
 // completeOccurrences completes the occurrences whose tasks are all done and of
 // which no task is assigned any more.
@@ -470,6 +473,25 @@
 	}
 }
 
+// maxClockLead is by how much the clock of an earlier owner may have been ahead.
+const maxClockLead = 5 * time.Second
+
+// openReportedOccurrence opens the occurrence of a task of j that a worker lists, and those
+// before it, if an earlier owner can have opened it without recording it.
+func (c *Cell) openReportedOccurrence(j *jobRow, task string, now time.Time) bool {
+	n, err := ParseTask(task)
+	if err != nil || j.acceptedThisEpoch || j.state.IsFinal() || n.Occurrence < j.nextOccurrence || n.Occurrence >= j.Schedule.Times ||
+		n.Occurrence-j.nextOccurrence >= maxOpenOccurrences || now.Add(maxClockLead).Before(j.Schedule.Due(n.Occurrence)) {
+		return false
+	}
+	for j.nextOccurrence <= n.Occurrence {
+		j.openOccurrence(j.nextOccurrence)
+		j.nextOccurrence++
+	}
+	j.dirty = true
+	return true
+}
+
 // maxReportAge is the age of the newest report above which a worker is not
 // considered for placement or moves; agents report every 500 ms.
 const maxReportAge = 1500 * time.Millisecond
--- a/core/job/faults_test.go
+++ b/core/job/faults_test.go
@@ -314,3 +314,43 @@
 	next.Tick(tc.now)
 	tc.is.Equal(next.jobs.Get(testJob(1).ID).state, Done)
 }
+
+// The predecessor opened occurrences that it could no longer record, and their tasks run or have
+// ended when the successor hears of them, before its first tick: it must neither stop and start
+// again the ones, nor forget the ends of the others.
+func TestSuccessorKnowsOccurrencesThatAreDue(t *testing.T) {
+	for _, fast := range []bool{false, true} { // whether the predecessor's clock was ahead
+		tc := newTestCluster(t, 1)
+		next := New(2, tc.now)
+		next.SetConfiguration(tc.cfg)
+		next.LoadAgent("agent-0")
+		j := testJob(1, step(2, 100))
+		j.Schedule = Schedule{Times: 1000, First: tc.now.Add(-2 * time.Second), Period: time.Second}
+		tc.is.NoErr(next.Load(j, Progress{Started: true, Next: 1}, tc.now))
+		newest := 2
+		if fast {
+			newest = 3
+		}
+		next.FinishLoaded(tc.now)
+		task := func(occurrence, index int) string {
+			return Task{Job: j.ID, Occurrence: occurrence, Index: index}.String()
+		}
+		r := tc.testWorkers["agent-0"].report
+		r.Epoch = 2
+		r.Running = []Run{{Task: task(newest, 0), Run: 1}}
+		r.Ended = []End{{Number: 1, Task: task(1, 0), Run: 1, Outcome: EndDone}, {Number: 2, Task: task(newest, 1), Run: 1, Outcome: EndDone}}
+		next.Receive(&r, tc.now)
+		next.BeginOwnershipCheck()
+		next.ConfirmOwnership(tc.now)
+		for range 20 {
+			next.Tick(tc.now)
+			tc.now = tc.now.Add(10 * time.Millisecond)
+		}
+		reply := next.Reply(&r, tc.now)
+		for _, o := range reply.Orders {
+			tc.is.True(o.Kind == OrderStart)
+			tc.is.True(o.Task != task(1, 0) && o.Task != task(newest, 0) && o.Task != task(newest, 1))
+		}
+		tc.is.True(len(reply.Orders) > 0) // the other task of occurrence 1
+	}
+}
--- a/core/job/place.go
+++ b/core/job/place.go
@@ -88,6 +88,9 @@
 	var forecast timeliness
 	var density float64
 	computed := false
+	if now.Before(o.due) {
+		return out
+	}
 	for i := range o.steps {
 		s := &o.steps[i]
 		if s.waiting == 0 || !o.isStepReady(i) {
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -274,7 +274,7 @@
 		return
 	}
 	w.processedEnds, w.lastProgress = e.Number, now
-	j, s, t := c.findTask(e.Task)
+	j, s, t := c.findReported(e.Task, now)
 	if t == nil {
 		w.pendingEnds = append(w.pendingEnds, pendingEnd{e.Number, "", now})
 		return
@@ -343,6 +343,15 @@
 	return j, s, t
 }
 
+// findReported returns the rows of a task that a worker lists. It opens the task's occurrence if
+// an earlier owner can have opened it.
+func (c *Cell) findReported(name string, now time.Time) (j *jobRow, s *stepRow, t *taskRow) {
+	if j, s, t = c.findTask(name); j != nil && t == nil && c.openReportedOccurrence(j, name, now) {
+		return c.findTask(name)
+	}
+	return j, s, t
+}
+
 func (c *Cell) finishTask(j *jobRow, s *stepRow, t *taskRow, now time.Time) {
 	if s.spec.LongRunning || t.isDone() {
 		return
@@ -443,7 +452,7 @@
 // receiveRunning processes a run that w lists as running. It adopts a run that an
 // earlier owner started, and stops a run that is unknown or unexpected.
 func (c *Cell) receiveRunning(w *workerRow, r *Run, now time.Time) {
-	j, s, t := c.findTask(r.Task)
+	j, s, t := c.findReported(r.Task, now)
 	if t == nil {
 		// The job has ended or is unknown, so the capacity that the run takes is
 		// unknown until the run has ended.
