io/agent, core/job: a stopping agent tells the owner when its worker's lease ends

Cause: the worker ends at 10.0 s without a departure and its agent is stopped at 12.5 s, before the lease of at most 5 s has ended. Nobody else knows that end, so the owner waited for the longest lease that an agent may grant without it, 11.3 s from the last report. A stopping agent that gets no answer from its worker now sends a last report with the time after which the lease has ended, in the query, as an earlier owner refuses unknown fields. The owner takes the worker's runs for ended then, unless another report of the agent arrives before: its next process grants no lease until the owner has answered it.

--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -502,7 +502,7 @@
 func (c *Cell) expireWorkers(now time.Time) {
 	var expired []string
 	for agent, w := range c.workers.All {
-		if now.Sub(w.lastReport) < AddClockDrift(maxLeaseExtension) {
+		if !w.hasLeaseEnded(now) {
 			continue
 		}
 		c.releaseWorkerTasks(w, "lease-ended", now)
@@ -522,6 +522,11 @@
 	}
 }
 
+// hasLeaseEnded reports whether the lease of a worker whose agent is silent has certainly ended.
+func (w *workerRow) hasLeaseEnded(now time.Time) bool {
+	return now.Sub(w.lastReport) >= AddClockDrift(maxLeaseExtension) || !w.leaseEndsBy.IsZero() && !now.Before(w.leaseEndsBy)
+}
+
 // releaseWorkerTasks releases all tasks of w, on which nothing runs any more.
 func (c *Cell) releaseWorkerTasks(w *workerRow, reason string, now time.Time) {
 	for _, t := range w.sortedTasks() {
--- a/core/job/lease_end_test.go
+++ b/core/job/lease_end_test.go
@@ -64,3 +64,36 @@
 	tc.deliverReports()
 	tc.is.Equal(len(second.report.Running), 1)
 }
+
+// An agent that stops beside a worker that does not answer says when the worker's lease ends. Its
+// tasks must start elsewhere then, and not only when the longest possible lease has ended. A report
+// of the agent's next process shows that the lease may have been renewed.
+func TestLastReportTellsEndOfLease(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		tc, first := newClusterWithRun(t, step(1, 100))
+		agent := first.report.Agent
+		r := first.report
+		r.Unreachable, r.LeaseLeft = 2*time.Second, 3*time.Second
+		tc.Receive(&r, tc.now)
+		delete(tc.testWorkers, agent)
+		pass := func(d time.Duration) int {
+			for end := tc.now.Add(d); tc.now.Before(end); {
+				tc.deliverReports()
+			}
+			n := 0
+			for _, w := range tc.testWorkers {
+				n += len(w.report.Running)
+			}
+			return n
+		}
+		tc.is.Equal(pass(2900*time.Millisecond), 0)
+		if restarted {
+			r := first.report
+			r.Process++
+			tc.Receive(&r, tc.now)
+			tc.is.Equal(pass(5*time.Second), 0)
+			continue
+		}
+		tc.is.Equal(pass(200*time.Millisecond), 1)
+	}
+}
--- a/core/job/message.go
+++ b/core/job/message.go
@@ -148,6 +148,11 @@
 	LeaseEnded bool `json:"lease-ended,omitempty"`
 	// Left is true once the worker has announced its departure.
 	Left bool `json:"left,omitempty"`
+	// LeaseLeft is positive in the last report of a process that stops while its worker does
+	// not answer: after this time, the worker's lease has certainly ended, unless a report of
+	// the agent's next process arrives before. It is not in the body, since an owner of an
+	// earlier build refuses unknown fields.
+	LeaseLeft time.Duration `json:"-"`
 	// ReceivedAt is when the owner received the report.
 	ReceivedAt time.Time `json:"-"`
 	// Delta is what the agent says about delta reports. It is not in the body, since an
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -48,7 +48,10 @@
 		return false
 	}
 	c.receiveCrashes(w, r, now)
-	w.lastReport = now
+	w.lastReport, w.leaseEndsBy = now, time.Time{}
+	if r.LeaseLeft > 0 {
+		w.leaseEndsBy = now.Add(r.LeaseLeft)
+	}
 	c.markChanged(w)
 	if r.Process != w.process {
 		w.process = r.Process
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -256,7 +256,10 @@
 	// fencing token of this owner.
 	listed     bool
 	lastReport time.Time
-	clock      time.Duration
+	// leaseEndsBy is when the lease has certainly ended, by the last report of the agent's
+	// process, or zero.
+	leaseEndsBy time.Time
+	clock       time.Duration
 	// unconfirmedClock is the clock reading before the ownership check in
 	// progress; confirmedClock is the reading before the newest check that
 	// succeeded.
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -176,11 +176,17 @@
 }
 
 // renewBeforeExit extends the worker's lease as far as possible, to cover the
-// time until the next process of the agent has started.
+// time until the next process of the agent has started. If the worker does not answer, it may
+// have been taken away with its VM, and the owner is told when its lease ends.
 func (a *Agent) renewBeforeExit() {
 	ctx, cancel := context.WithTimeout(context.Background(), workerCallTimeout)
 	defer cancel()
-	a.renew(ctx, 0)
+	if a.renew(ctx, 0) {
+		return
+	}
+	ctx, cancel = context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	a.ownerHealth.Observe(a.reportLeaseEnd(ctx))
 }
 
 // renewLoop keeps one renewal waiting at the worker.
--- a/io/agent/owner.go
+++ b/io/agent/owner.go
@@ -28,6 +28,9 @@
 	// ColdLeftParameter is the query parameter with the nanoseconds for which the
 	// agent's worker is still cold. It is absent if the worker is not cold.
 	ColdLeftParameter = "cold-left-ns"
+	// LeaseLeftParameter is the query parameter with the nanoseconds after which the lease
+	// of the agent's worker has ended, in the last report of a process.
+	LeaseLeftParameter = "lease-left-ns"
 	// OwnerPath returns the newest job.Ownership that the entry knows.
 	OwnerPath = "/v1/owner"
 )
@@ -257,6 +260,19 @@
 	return nil
 }
 
+// reportLeaseEnd sends the last report of this process, with the end of the worker's lease. It
+// ignores the reply, as no order can be carried out any more.
+func (a *Agent) reportLeaseEnd(ctx context.Context) error {
+	o, now := a.owner.current(), time.Now()
+	r := a.state.report(a.cfg.Name, false, now)
+	left, ok := a.state.leaseLeft(now)
+	if o.Epoch == 0 || r.Worker == nil || !ok {
+		return nil
+	}
+	path := ReportPath + "?" + LeaseLeftParameter + "=" + strconv.FormatInt(int64(max(1, left)), 10)
+	return a.reportClient.Call(ctx, http.MethodPost, o.Address, path, &r, nil)
+}
+
 // awaitDeparture removes this agent's key from the store once its worker has
 // left, since the VM may be gone before the next owner can ask the agent.
 func (a *Agent) awaitDeparture(ctx context.Context) error {
--- a/io/agent/state.go
+++ b/io/agent/state.go
@@ -298,8 +298,25 @@
 		return 0, false
 	}
 	unreachable = max(unreachable, time.Millisecond)
-	remaining := s.leaseDeadline - s.workerClock
-	return unreachable, unreachable > job.AddClockDrift(remaining)+leaseMargin
+	return unreachable, unreachable > s.leaseSinceAnswer()
+}
+
+// leaseSinceAnswer returns how long after the worker's newest answer its lease has certainly
+// ended. The caller holds s.mu.
+func (s *state) leaseSinceAnswer() time.Duration {
+	return job.AddClockDrift(s.leaseDeadline-s.workerClock) + leaseMargin
+}
+
+// leaseLeft returns after which time the lease of the worker has certainly ended if it is not
+// renewed. The result ok is false if this process has had no answer of the worker: the process
+// before it may have granted any lease.
+func (s *state) leaseLeft(now time.Time) (left time.Duration, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.answeredAt.IsZero() {
+		return 0, false
+	}
+	return s.leaseSinceAnswer() - now.Sub(s.answeredAt), true
 }
 
 // applyReply applies the owner's reply to a report that was sent at sentAt. It returns
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -250,6 +250,9 @@
 	if left, err := strconv.ParseInt(x.QueryParam(agent.ColdLeftParameter), 10, 64); err == nil && r.Worker != nil {
 		r.Worker.ColdLeft = time.Duration(left)
 	}
+	if left, err := strconv.ParseInt(x.QueryParam(agent.LeaseLeftParameter), 10, 64); err == nil {
+		r.LeaseLeft = time.Duration(left)
+	}
 	timeout := reportTimeout
 	if r.LongPoll {
 		timeout = longPollWait
