core/job: a task that only the urgent reserve keeps out starts after 1.5 s

Cause: 0.7 cores of each worker are kept for tasks of priority 0, however idle the workers are and however long the task has waited. If nothing of the job runs, it has waited for room for 1.5 s, the workers are not crowded, and no worker will have room beside the reserve whatever else ends, but one will without it, its tasks may use the reserve.

Tried and not kept: the same for tasks that last. A task that lasts that only the reserve keeps out still waits.

--- a/core/job/advice_request.go
+++ b/core/job/advice_request.go
@@ -202,7 +202,7 @@
 		most = min(most, s.MaxPerWorker-w.tasksOf(k.job.ID, k.occ.number, k.number))
 	}
 	n := 0
-	for n < most && left.fits(w, s, k.queue.Priority) && limit.allows(w, s) {
+	for n < most && left.fits(w, s, k.roomPriority()) && limit.allows(w, s) {
 		left = left.minus(roomFor(s))
 		n++
 	}
--- a/core/job/choose.go
+++ b/core/job/choose.go
@@ -32,8 +32,9 @@
 const maxBacklog = 1500 * time.Millisecond
 
 // setRoom sets how long the best-effort tasks of each candidate wait for a worker
-// without interference, and whether processors are scarce.
-func (c *Cell) setRoom(all []candidate) {
+// without interference, whether processors are scarce, and whether the candidate may use those
+// that are kept for urgent tasks.
+func (c *Cell) setRoom(all []candidate, now time.Time) {
 	free, capacity := c.freeProcessors()
 	crowded := isCrowded(free, capacity)
 	backlog := 0.0
@@ -49,9 +50,54 @@
 		if crowded || all[i].hasRunningTasks() {
 			all[i].interferenceWait = busyInterferenceWait
 		}
+		all[i].usesReserve = !crowded && all[i].lacksRoom(now) && c.isKeptOutByReserve(&all[i], now)
 	}
 }
 
+// reserveWait is how long a candidate of which nothing runs waits for room while the workers are
+// not crowded before it may use the processors that are kept for urgent tasks. Such a job must
+// make progress within 3 s.
+const reserveWait = 1500 * time.Millisecond
+
+// lacksRoom reports whether nothing of the candidate's occurrence runs, and it has waited for room
+// for reserveWait. Long-running tasks would take the reserve for good: in the load
+// feeds-on-most-workers, they cost the jobs beside them more than they gain.
+func (k *candidate) lacksRoom(now time.Time) bool {
+	w := &k.step.wait
+	return !k.step.spec.LongRunning && w.reason == waitRoom && now.Sub(w.since) >= reserveWait && !k.hasRunningTasks()
+}
+
+// isKeptOutByReserve reports whether, whatever else ends, a task of the candidate will have room
+// on a worker beside its long-running tasks, but on none beside the processors that are kept for
+// urgent tasks, too.
+func (c *Cell) isKeptOutByReserve(k *candidate, now time.Time) bool {
+	s, keptOut := k.step.spec, false
+	for _, w := range c.workers.All {
+		if !c.isUsable(w, k, now) {
+			continue
+		}
+		left := w.Capacity.Processors
+		for _, t := range w.tasks {
+			if t.spec.LongRunning && !t.spec.BestEffort {
+				left -= t.spec.Need.Processors
+			}
+		}
+		if left >= s.Need.Processors+urgentReserve(w, s, k.queue.Priority) {
+			return false
+		}
+		keptOut = keptOut || left >= s.Need.Processors
+	}
+	return keptOut
+}
+
+// roomPriority returns the priority by which the candidate is given room on a worker.
+func (k *candidate) roomPriority() int {
+	if k.usesReserve {
+		return 0
+	}
+	return k.queue.Priority
+}
+
 // freeProcessors returns the processors of the workers that may start tasks, and those that
 // their tasks are expected to leave unused.
 func (c *Cell) freeProcessors() (free, capacity int) {
@@ -101,7 +147,7 @@
 // is claimed or that it must not use yet.
 func (c *Cell) scoredWorkers(k *candidate, r *scorer, rack string, since int64) (out []scoredWorker, withheld bool) {
 	for _, w := range c.workers.All {
-		if w.version <= since || !w.hasRoom(k.step.spec, k.queue.Priority) || !c.isUsable(w, k, r.now) ||
+		if w.version <= since || !w.hasRoom(k.step.spec, k.roomPriority()) || !c.isUsable(w, k, r.now) ||
 			rack != "" && !slices.Contains(w.Labels, rack) {
 			continue
 		}
@@ -154,7 +200,7 @@
 // isEligible reports whether t may start on a scored worker now.
 func (r *scorer) isEligible(o *scoredWorker, k *candidate, t *taskRow) bool {
 	w, s := o.worker, k.step.spec
-	return k.hasTicket(w, r.now) && w.hasRoom(s, k.queue.Priority) && w.allowsAnother(s, t.name) && w.acceptsTasks(r.now) && (!o.limited || o.allowsAnother(s))
+	return k.hasTicket(w, r.now) && w.hasRoom(s, k.roomPriority()) && w.allowsAnother(s, t.name) && w.acceptsTasks(r.now) && (!o.limited || o.allowsAnother(s))
 }
 
 // choose returns the best worker that has room for t, or nil.
--- a/core/job/forecast_cell.go
+++ b/core/job/forecast_cell.go
@@ -194,7 +194,7 @@
 	}
 	b.ready = len(b.waiting)
 	if b.ready > 0 {
-		c.setRoom(b.waiting)
+		c.setRoom(b.waiting, now)
 		for i := range blocked {
 			blocked[i].scarce = b.waiting[0].scarce
 		}
--- a/core/job/isolation.go
+++ b/core/job/isolation.go
@@ -202,7 +202,7 @@
 	}
 	started := false
 	for _, t := range x.tasks {
-		if !w.hasRoom(x.step.spec, x.queue.Priority) || !w.allowsAnother(x.step.spec, t.name) || !w.acceptsTasks(now) {
+		if !w.hasRoom(x.step.spec, x.roomPriority()) || !w.allowsAnother(x.step.spec, t.name) || !w.acceptsTasks(now) {
 			break
 		}
 		c.startTask(x.job, x.step, t, w, now)
@@ -289,7 +289,7 @@
 	var best *workerRow
 	work := func(w *workerRow) int { return w.used.Processors + w.bestEffortProcessors }
 	for _, w := range c.workers.All {
-		if w.isolated || !c.mayIsolate(w, x, now) || !x.hasTicket(w, now) || !w.hasRoom(x.step.spec, x.queue.Priority) {
+		if w.isolated || !c.mayIsolate(w, x, now) || !x.hasTicket(w, now) || !w.hasRoom(x.step.spec, x.roomPriority()) {
 			continue
 		}
 		if best == nil || work(w) < work(best) {
--- a/core/job/place.go
+++ b/core/job/place.go
@@ -39,6 +39,8 @@
 	// scarce is true while processors are scarce on all workers together. With fair
 	// shares, it is true while they are scarce for tasks of the step's kind.
 	scarce bool
+	// usesReserve is true if its tasks may use the processors that are kept for urgent tasks.
+	usesReserve bool
 	// interferenceWait is how long the best-effort tasks of the step wait for
 	// a worker without interference.
 	interferenceWait time.Duration
@@ -59,7 +61,7 @@
 		}
 	}
 	if len(out) > 0 {
-		c.setRoom(out)
+		c.setRoom(out, now)
 	}
 	if c.shares != nil {
 		c.setScarcity(out, now)
--- a/core/job/placement_test.go
+++ b/core/job/placement_test.go
@@ -276,3 +276,32 @@
 	ratio := tc.runTimeRatios.byQueue[testQueue]
 	tc.is.True(ratio > 0.99 && ratio < 1.01)
 }
+
+// Most of the room is free, and a task of low priority needs more of a worker than is left beside
+// small tasks and the processors that are kept for urgent tasks. It must start all the same: these
+// would be kept from it for as long as the small tasks run.
+func TestLargeTaskBesideSmallOnes(t *testing.T) {
+	tc := newTestCluster(t, 4)
+	small := step(4, 1000)
+	small.LongRunning, small.MaxPerWorker = true, 1
+	tc.submit(Job{ID: testJob(1).ID, Queue: "host/urgent/", Steps: []Step{small}, Accepted: tc.now})
+	tc.Add(testJob(2, step(1, 14500)), tc.now)
+	started := func() bool {
+		for _, w := range tc.testWorkers {
+			for _, r := range w.report.Running {
+				if r.Task == (Task{Job: testJob(2).ID}).String() {
+					return true
+				}
+			}
+		}
+		return false
+	}
+	for range 50 { // 1 s
+		tc.deliverReports()
+	}
+	tc.is.True(!started())
+	for range 50 {
+		tc.deliverReports()
+	}
+	tc.is.True(started())
+}
--- a/core/job/rack_wait.go
+++ b/core/job/rack_wait.go
@@ -108,7 +108,7 @@
 		if latest.Before(r.now) {
 			continue
 		}
-		r.cell.roomTimes(w, r.step, k.queue.Priority, k.step.waiting, r.cell.claims[w], r.now, latest, func(at time.Time) {
+		r.cell.roomTimes(w, r.step, k.roomPriority(), k.step.waiting, r.cell.claims[w], r.now, latest, func(at time.Time) {
 			out.list = append(out.list, rackRoom{worker: w, end: at.Add(d)})
 		})
 	}
--- a/core/job/reservation.go
+++ b/core/job/reservation.go
@@ -78,7 +78,7 @@
 		if !ok {
 			i = len(out)
 			index[p.worker] = i
-			out = append(out, claim{p.worker, room{processors: urgentReserve(p.worker, k.step.spec, k.queue.Priority)}})
+			out = append(out, claim{p.worker, room{processors: urgentReserve(p.worker, k.step.spec, k.roomPriority())}})
 		}
 		out[i].room = out[i].room.plus(roomFor(k.step.spec))
 	}
@@ -176,7 +176,7 @@
 		o := scoredWorker{worker: w}
 		r.setScore(&o)
 		d := r.timeOn(w)
-		c.roomTimes(w, s, k.queue.Priority, perWorker, c.claims[w], r.now, r.now.Add(maxReleaseWait), func(at time.Time) {
+		c.roomTimes(w, s, k.roomPriority(), perWorker, c.claims[w], r.now, r.now.Add(maxReleaseWait), func(at time.Time) {
 			out = append(out, reservablePlace{w, at.Add(d), o.interferes || at.Sub(r.now) > maxReservedWait})
 		})
 	}
