io/standin/fleet: soak with heartbeats of another writer

TestSoakForeignHeartbeats sends, beside the faults of TestSoak, heartbeats in the name of the workers that differ in one field: start time, ID, number, capacity, service, zone, labels or clock.

--- a/io/standin/fleet/soak_test.go
+++ b/io/standin/fleet/soak_test.go
@@ -93,6 +93,7 @@
 	mixedFaults faultMix = iota
 	silentWorkers
 	evacuations
+	foreignHeartbeats
 )
 
 // runSeeds runs the chosen seeds and further ones.
@@ -181,6 +182,9 @@
 	if m == evacuations {
 		r.wg.Go(func() { r.evacuateZones(seed, stop) })
 	}
+	if m == foreignHeartbeats {
+		r.wg.Go(func() { r.sendForeignHeartbeats(seed, stop) })
+	}
 	for time.Since(start) < faultDuration {
 		if r.mix == silentWorkers && r.randIntN(2) == 0 {
 			r.silenceWorkers(time.Since(start))
--- a/io/standin/fleet/worker.go
+++ b/io/standin/fleet/worker.go
@@ -154,33 +154,54 @@
 func (w *Worker) heartbeat(ctx context.Context) {
 	w.mu.Lock()
 	w.heartbeatSeq++
-	h := job.Worker{ID: w.id, Incarnation: w.incarnationStart.UnixMilli(), Service: w.service, Address: w.address, Zone: w.zone,
-		Labels: []string{"a", "r1"}, Capacity: w.currentCapacity(), Draining: w.draining, Sequence: w.heartbeatSeq, Clock: w.clock()}
+	h := w.description()
 	unreachable, incarnationStart := w.unreachable || w.down, w.incarnationStart
 	w.mu.Unlock()
 	if unreachable {
 		return
 	}
+	code := w.send(ctx, h)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	// Since the heartbeat, the worker may have crashed or become ready again.
+	if h.Draining && w.draining && w.incarnationStart == incarnationStart && code == http.StatusOK {
+		w.ledger.RecordDraining(w.id)
+	}
+}
+
+// description returns the newest heartbeat. The caller holds mu.
+func (w *Worker) description() job.Worker {
+	return job.Worker{ID: w.id, Incarnation: w.incarnationStart.UnixMilli(), Service: w.service, Address: w.address, Zone: w.zone,
+		Labels: []string{"a", "r1"}, Capacity: w.currentCapacity(), Draining: w.draining, Sequence: w.heartbeatSeq, Clock: w.clock()}
+}
+
+// SendForeignHeartbeat sends a heartbeat in the name of the worker with the given change.
+func (w *Worker) SendForeignHeartbeat(ctx context.Context, change func(*job.Worker)) {
+	w.mu.Lock()
+	h := w.description()
+	w.mu.Unlock()
+	h.Sequence++
+	change(&h)
+	w.send(ctx, h)
+}
+
+// send sends a heartbeat and returns the status of the response, or 0.
+func (w *Worker) send(ctx context.Context, h job.Worker) int {
 	b, err := platformtest.EncodeHeartbeat(h)
 	if err != nil {
 		panic(err)
 	}
 	r, err := http.NewRequestWithContext(ctx, http.MethodPut,
-		"http://"+w.agent.String()+platformtest.HeartbeatPath(w.id), bytes.NewReader(b))
+		"http://"+w.agent.String()+platformtest.HeartbeatPath(h.ID), bytes.NewReader(b))
 	if err != nil {
 		panic(err)
 	}
 	response, err := w.client.Do(r)
 	if err != nil {
-		return
+		return 0
 	}
 	response.Body.Close()
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	// Since the heartbeat, the worker may have crashed or become ready again.
-	if h.Draining && w.draining && w.incarnationStart == incarnationStart && response.StatusCode == http.StatusOK {
-		w.ledger.RecordDraining(w.id)
-	}
+	return response.StatusCode
 }
 
 // clock returns the time on the worker's clock. The caller holds mu.
