--- a/core/event/job.go
+++ b/core/event/job.go
@@ -113,7 +113,7 @@
 	AdviceReceived = Event{7057, "advice-received", hclog.Info,
 		[]string{"step", "count", "allowed", "elapsed", "reason", "epoch"},
 		"The owner asked the advisor which of count workers may run a step, and allowed of them may. If a reason is given, the call failed.",
-		"If allowed stays 0, no worker that the step needs may run it: ask whoever sets the policy of its queue."}
+		"If allowed stays 0, the policy of the queue allows none of its workers: ask whoever sets it."}
 	TasksThrottled = Event{7033, "tasks-throttled", hclog.Info,
 		[]string{"worker", "count", "throttle"},
 		"Best-effort tasks were limited to a share of their processors, in percent.", "None."}
--- a/core/job/advice.go
+++ b/core/job/advice.go
@@ -28,6 +28,9 @@
 	// adviceRetryInterval is the time between a request that failed and the next one for
 	// the same step.
 	adviceRetryInterval = time.Second
+	// deniedInterval is how often a step that is denied everywhere is compared with all
+	// workers while no new one appears: an allowed one may have been silent.
+	deniedInterval = time.Second
 )
 
 // workerAdvice is the advisor's newest answer about a worker. It does not hold for a later
@@ -52,6 +55,10 @@
 	// deniedEverywhere is true if the advisor denied all workers that suited the step when
 	// they were last considered.
 	deniedEverywhere bool
+	// incarnations is how many incarnations of workers the cell had known at surveyedAt, when
+	// the workers were last considered.
+	incarnations int64
+	surveyedAt   time.Time
 	// retryAt is the earliest time of the next request after one that failed, or for which
 	// there was no worker to ask about.
 	retryAt time.Time
--- a/core/job/advice_request.go
+++ b/core/job/advice_request.go
@@ -39,9 +39,10 @@
 	for i := range wishes {
 		k := &wishes[i]
 		a := &k.step.advice
-		if a.open || now.Before(a.retryAt) {
+		if a.open || now.Before(a.retryAt) || a.deniedEverywhere && a.incarnations == c.incarnations && now.Sub(a.surveyedAt) < deniedInterval {
 			continue
 		}
+		a.incarnations, a.surveyedAt = c.incarnations, now
 		workers := c.workersToAsk(k, now)
 		if len(workers) == 0 {
 			a.retryAt = now.Add(blockedRetryInterval)
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -41,6 +41,7 @@
 	if w == nil {
 		w = c.workers.Put(r.Agent, workerRow{agent: r.Agent, Worker: *r.Worker, process: r.Process, lastReport: now,
 			sequence: lastSequence(r, c.epoch), tasks: map[Task]*taskRow{}, servingTasks: map[servingJob]int{}, bestEffortByImage: usage{}})
+		c.incarnations++
 		c.logEvent(EventWorker, nil, w, "joined", now)
 		delete(c.forecaster.missing, r.Agent)
 	}
@@ -189,6 +190,7 @@
 	w.recentStarts = nil
 	pendingStarts := c.releaseEndedRuns(w, late, now)
 	w.Worker = *r.Worker
+	c.incarnations++
 	w.listed, w.processedEnds, w.durableEnds, w.pendingEnds = false, 0, 0, nil
 	w.clock, w.unknownRuns, w.health, w.speed = r.Clock, 0, health{}, workerSpeed{}
 	w.coldSince, w.coldUntil = time.Time{}, time.Time{}
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -375,6 +375,8 @@
 	// adviceWishes are those of the current tick.
 	adviceWishes   []adviceWish
 	allowedWorkers allowedWorkers
+	// incarnations counts the incarnations of workers that have reported.
+	incarnations int64
 	// removedAgents are agents to delete from the stored roster.
 	removedAgents []string
 	// endedJobs are the jobs that ended in this epoch, so that late messages
