core/job: the wait of a start does not count as time that the run was executing

Cause: executed added the time from the order to the first list, so that a start that waits for over 250 ms exonerates its task. It counts from the first list alone.

Tried and not kept: the same at the agent, whose ages count from the first call for a start.

--- a/core/job/crash.go
+++ b/core/job/crash.go
@@ -118,12 +118,12 @@
 }
 
 // executed returns how long the current run of t had certainly been executing when its
-// worker last answered.
+// worker last answered: since it was first listed, as the order may have waited before.
 func (t *taskRow) executed() time.Duration {
 	if !t.running {
 		return 0
 	}
-	return max(0, t.firstListed.Sub(t.orderedAt)) + t.worker.clock - t.listedClock
+	return t.worker.clock - t.listedClock
 }
 
 // startingTime returns how long a run of t counts as starting.
--- a/core/job/crash_test.go
+++ b/core/job/crash_test.go
@@ -373,3 +373,28 @@
 	cc.advance(20 * time.Second)
 	is.Equal(cc.final[name.Job], Failed)
 }
+
+// The start of a run waits at a worker that answers late, and the worker crashes just after the
+// run began: the time before its first list must not count as executed, as the run would pass for
+// one that the crash is not due to.
+func TestWaitForStartIsNotExecuted(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	tc.Add(testJob(1, step(1, 100)), tc.now)
+	tc.deliverReports()
+	w := tc.testWorkers["agent-0"]
+	running := w.report.Running
+	w.report.Running = nil
+	for range 25 { // 0.5 s without a list of the run
+		w.report.Clock += 20 * time.Millisecond
+		tc.deliverReports()
+	}
+	w.report.Running = running
+	w.report.Clock += 20 * time.Millisecond
+	tc.deliverReports()
+	_, _, task := tc.findTask(running[0].Task)
+	tc.is.True(task.running)
+	tc.is.Equal(task.executed(), time.Duration(0))
+	w.report.Clock += 100 * time.Millisecond
+	tc.deliverReports()
+	tc.is.Equal(task.executed(), 100*time.Millisecond)
+}
