--- a/core/job/advice.go
+++ b/core/job/advice.go
@@ -8,10 +8,10 @@
 
 // Limits of requests to the advisor.
 const (
-	// MaxAdviceWorkers is the maximum number of workers in one request. minAdviceWorkers is
-	// the number in the first request for a step: each worker makes the call longer, and a
+	// maxAdviceWorkers is the maximum number of workers that the advisor takes in one
+	// request. minAdviceWorkers is the number in the first request for a step: each worker makes the call longer, and a
 	// step needs only a few. The number doubles with each answer after which no task starts.
-	MaxAdviceWorkers = 100
+	maxAdviceWorkers = 100
 	minAdviceWorkers = 12
 	// maxOpenAdvice is the maximum number of requests without an answer. The advisor serves
 	// one at a time, so further ones would wait while what they ask changes.
--- a/core/job/advice_request.go
+++ b/core/job/advice_request.go
@@ -28,14 +28,18 @@
 }
 
 // requestAdvice adds requests to the advisor for the wishes of this tick: first for the steps
-// with the fewest answers, since the others may be denied everywhere.
+// whose results have a value, and of these for those with the fewest answers, since the others
+// may be denied everywhere.
 func (c *Cell) requestAdvice(now time.Time) {
 	wishes := c.adviceWishes
 	c.adviceWishes = nil
 	if len(wishes) == 0 || c.openAdvice >= maxOpenAdvice {
 		return
 	}
-	slices.SortStableFunc(wishes, func(x, y adviceWish) int { return cmp.Compare(x.step.advice.answers, y.step.advice.answers) })
+	slices.SortStableFunc(wishes, func(x, y adviceWish) int {
+		return cmp.Or(cmp.Compare(boolRank(x.timeliness == tooLate), boolRank(y.timeliness == tooLate)),
+			cmp.Compare(x.step.advice.answers, y.step.advice.answers))
+	})
 	for i := range wishes {
 		k := &wishes[i]
 		a := &k.step.advice
@@ -188,9 +192,9 @@
 		longest = min(longest, t.TicketTTL/2)
 	}
 	if t.PerWorker <= 0 {
-		return MaxAdviceWorkers
+		return maxAdviceWorkers
 	}
-	return int(min(max(1, (longest-t.PerCall)/t.PerWorker), MaxAdviceWorkers))
+	return int(min(max(1, (longest-t.PerCall)/t.PerWorker), maxAdviceWorkers))
 }
 
 // fit returns how many further tasks of the candidate's step w has room for beside what is
