--- a/core/job/advice_request.go
+++ b/core/job/advice_request.go
@@ -73,7 +73,8 @@
 	len     int
 }
 
-// maxAllowedWorkers limits the entries of allowedWorkers, which take about 100 bytes each.
+// maxAllowedWorkers limits the entries of allowedWorkers: a deployment may have a thousand queues
+// and a thousand workers.
 const maxAllowedWorkers = 1 << 16
 
 // add adds a worker. If there is no room for it, all earlier ones are dropped.
