--- a/core/job/choose.go
+++ b/core/job/choose.go
@@ -60,8 +60,7 @@
 const reserveWait = 1500 * time.Millisecond
 
 // lacksRoom reports whether nothing of the candidate's occurrence runs, and it has waited for room
-// for reserveWait. Long-running tasks would take the reserve for good: in the load
-// feeds-on-most-workers, they cost the jobs beside them more than they gain.
+// for reserveWait. It is false for long-running tasks, which would take the reserve for good.
 func (k *candidate) lacksRoom(now time.Time) bool {
 	w := &k.step.wait
 	return !k.step.spec.LongRunning && w.reason == waitRoom && now.Sub(w.since) >= reserveWait && !k.hasRunningTasks()
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -186,7 +186,9 @@
 	}
 	ctx, cancel = context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
-	a.ownerHealth.Observe(a.reportLeaseEnd(ctx))
+	if err := a.reportLeaseEnd(ctx); err != nil {
+		a.ownerHealth.Observe(err)
+	}
 }
 
 // renewLoop keeps one renewal waiting at the worker.
