--- a/core/job/report.go
+++ b/core/job/report.go
@@ -348,15 +348,6 @@
 	return j, s, t
 }
 
-// findReported returns the rows of a task that a worker lists. It opens the task's occurrence if
-// an earlier owner can have opened it.
-func (c *Cell) findReported(name string, now time.Time) (j *jobRow, s *stepRow, t *taskRow) {
-	if j, s, t = c.findTask(name); j != nil && t == nil && c.openReportedOccurrence(j, name, now) {
-		return c.findTask(name)
-	}
-	return j, s, t
-}
-
 func (c *Cell) finishTask(j *jobRow, s *stepRow, t *taskRow, now time.Time) {
 	if s.spec.LongRunning || t.isDone() {
 		return
--- a/io/agent/heartbeat.go
+++ b/io/agent/heartbeat.go
@@ -100,6 +100,52 @@
 	return true, s.worker.ID == w.ID && s.worker.Incarnation == w.Incarnation && s.updateWorker(w, now)
 }
 
+// applyHeartbeat applies a heartbeat that the worker has confirmed. It reports whether it is
+// from another incarnation, and whether anything changed that the owner must know.
+func (s *state) applyHeartbeat(w job.Worker) (newIncarnation, changed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.worker
+	switch {
+	case old == nil:
+		s.beginIncarnation(w)
+		return true, true
+	case w.ID == old.ID && w.Incarnation == old.Incarnation:
+		return false, s.updateWorker(w, time.Now())
+	case w.Incarnation < old.Incarnation, w.ID != old.ID && w.Incarnation == old.Incarnation:
+		return false, false
+	}
+	s.beginIncarnation(w)
+	return true, true
+}
+
+// beginIncarnation makes w the worker, as its first heartbeat describes it. The caller holds
+// s.mu.
+func (s *state) beginIncarnation(w job.Worker) {
+	s.setWorker(w)
+	now := time.Now()
+	s.plausibility.record(&w, now)
+	s.coldUntil = now.Add(w.ColdLeft)
+}
+
+// updateWorker applies a heartbeat of the current incarnation. It reports whether anything
+// changed that the owner must know. The caller holds s.mu.
+func (s *state) updateWorker(w job.Worker, now time.Time) (changed bool) {
+	old := s.worker
+	if !s.plausibility.admit(&w, old, now) {
+		return false
+	}
+	// The owner ignores a description with a lower number than it has seen.
+	w.Sequence = max(w.Sequence, old.Sequence+1)
+	changed = w.Draining != old.Draining || w.Capacity != old.Capacity
+	if w.Zone != old.Zone {
+		s.zone = zoneKnowledge{}
+	}
+	s.worker = &w
+	s.coldUntil = now.Add(w.ColdLeft)
+	return changed
+}
+
 // addUnconfirmed keeps a heartbeat in place of an earlier one of the same incarnation. The
 // caller holds s.mu.
 func (s *state) addUnconfirmed(w job.Worker, now time.Time) {
