--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -13,5 +13,5 @@
 status=$?
 packages=$(sed -n 's/^test: *[A-Za-z0-9_]* *(\([^)]*\)).*/.\/\1/p' KNOWN-RED.txt | sort -u)
 # shellcheck disable=SC2086 # one word per package
-go test -count=1 -timeout 4m -run="^($names)\$" $packages && echo "known red: passed this time" || echo "known red: failed"
+go test -count=1 -timeout 8m -run="^($names)\$" $packages && echo "known red: passed this time" || echo "known red: failed"
 exit $status
