io/agent: one piece of code removes an unconfirmed heartbeat

addUnconfirmed and dropUnconfirmed had the same removal; one doc comment was missing, and one in core/job/advice.go was not wrapped. No change of behaviour; go test ./io/agent and the advice tests of ./core/job pass.

--- a/core/job/advice.go
+++ b/core/job/advice.go
@@ -9,8 +9,9 @@
 // Limits of requests to the advisor.
 const (
 	// maxAdviceWorkers is the maximum number of workers that the advisor takes in one
-	// request. minAdviceWorkers is the number in the first request for a step: each worker makes the call longer, and a
-	// step needs only a few. The number doubles with each answer after which no task starts.
+	// request. minAdviceWorkers is the number in the first request for a step: each worker
+	// makes the call longer, and a step needs only a few. The number doubles with each answer
+	// after which no task starts.
 	maxAdviceWorkers = 100
 	minAdviceWorkers = 12
 	// maxOpenAdvice is the maximum number of requests without an answer. The advisor serves
--- a/io/agent/heartbeat.go
+++ b/io/agent/heartbeat.go
@@ -149,7 +149,7 @@
 // addUnconfirmed keeps a heartbeat in place of an earlier one of the same incarnation. The
 // caller holds s.mu.
 func (s *state) addUnconfirmed(w job.Worker, now time.Time) {
-	s.unconfirmedHeartbeats = slices.DeleteFunc(s.unconfirmedHeartbeats, func(h unconfirmedHeartbeat) bool { return h.identifies(&w) })
+	s.removeUnconfirmed(&w)
 	if n := len(s.unconfirmedHeartbeats); n >= maxUnconfirmed {
 		s.unconfirmedHeartbeats = slices.Delete(s.unconfirmedHeartbeats, 0, n-maxUnconfirmed+1)
 	}
@@ -166,9 +166,16 @@
 	return slices.Clone(s.unconfirmedHeartbeats)
 }
 
+// dropUnconfirmed forgets the heartbeat of the same incarnation as w, which has been confirmed
+// or refused.
 func (s *state) dropUnconfirmed(w *job.Worker) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.removeUnconfirmed(w)
+}
+
+// removeUnconfirmed removes the heartbeat of the same incarnation as w. The caller holds s.mu.
+func (s *state) removeUnconfirmed(w *job.Worker) {
 	s.unconfirmedHeartbeats = slices.DeleteFunc(s.unconfirmedHeartbeats, func(h unconfirmedHeartbeat) bool { return h.identifies(w) })
 }
 
