--- /dev/null
+++ b/review/standin-2/store.go
@@ -0,0 +1,278 @@
+package main
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// item is a key of the store as the pages describe it.
+type item struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value"`
+	Revision int64  `json:"revision"`
+	Created  int64  `json:"created"`
+	Lease    int64  `json:"lease"`
+}
+
+// change is one entry of the history. A removed key has no value.
+type change struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision int64  `json:"revision"`
+	Created  int64  `json:"created,omitempty"`
+	Lease    int64  `json:"lease,omitempty"`
+	Removed  bool   `json:"removed,omitempty"`
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+// store is a stand-in of the platform's metadata store. It never fails by itself.
+type store struct {
+	mu       sync.Mutex
+	items    map[string]item
+	history  []change
+	revision int64
+	leases   map[int64]*lease
+	last     int64
+	changed  chan struct{}
+}
+
+const (
+	minTTL   = time.Second
+	pageSize = 500
+)
+
+func newStore() *store {
+	s := &store{items: map[string]item{}, revision: 1, leases: map[int64]*lease{}, changed: make(chan struct{})}
+	go func() {
+		for range time.Tick(20 * time.Millisecond) {
+			s.mu.Lock()
+			s.expire()
+			s.mu.Unlock()
+		}
+	}()
+	return s
+}
+
+func (s *store) expire() {
+	for id, l := range s.leases {
+		if time.Now().After(l.expires) {
+			s.endLease(id)
+		}
+	}
+}
+
+func (s *store) endLease(id int64) {
+	delete(s.leases, id)
+	for k, i := range s.items {
+		if i.Lease == id {
+			s.revision++
+			s.remove(k)
+		}
+	}
+	s.notify()
+}
+
+func (s *store) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) write(key string, value []byte, leaseID int64) {
+	i := item{key, value, s.revision, s.revision, leaseID}
+	if old, ok := s.items[key]; ok {
+		i.Created = old.Created
+	}
+	s.items[key] = i
+	s.history = append(s.history, change{key, value, i.Revision, i.Created, leaseID, false})
+}
+
+func (s *store) remove(key string) {
+	delete(s.items, key)
+	s.history = append(s.history, change{Key: key, Revision: s.revision, Removed: true})
+}
+
+// put writes a key as the operator does.
+func (s *store) put(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.write(key, value, 0)
+	s.notify()
+}
+
+func answer(w http.ResponseWriter, code int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+type none struct{}
+
+func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	switch {
+	case r.URL.Path == "/v1/kv-key":
+		s.mu.Lock()
+		i, ok := s.items[q.Get("key")]
+		rev := s.revision
+		s.mu.Unlock()
+		if !ok {
+			answer(w, http.StatusNotFound, map[string]int64{"as-of": rev})
+			return
+		}
+		answer(w, http.StatusOK, struct {
+			item
+			AsOf int64 `json:"as-of"`
+		}{i, rev})
+	case r.URL.Path == "/v1/kv-range":
+		s.list(w, q.Get("prefix"), q.Get("after"))
+	case r.URL.Path == "/v1/kv-watch":
+		after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
+		wait, _ := strconv.ParseInt(q.Get("wait-ms"), 10, 64)
+		s.watch(w, r, q.Get("prefix"), after, time.Duration(wait)*time.Millisecond)
+	case r.URL.Path == "/v1/kv-txn":
+		s.txn(w, r)
+	case r.URL.Path == "/v1/kv-lease":
+		var in struct {
+			TTL int64 `json:"ttl-ms"`
+		}
+		_ = json.NewDecoder(r.Body).Decode(&in)
+		s.mu.Lock()
+		s.last++
+		id := s.last
+		ttl := max(minTTL, time.Duration(in.TTL)*time.Millisecond)
+		s.leases[id] = &lease{ttl, time.Now().Add(ttl)}
+		s.mu.Unlock()
+		answer(w, http.StatusOK, map[string]int64{"lease": id, "ttl-ms": ttl.Milliseconds()})
+	case strings.HasPrefix(r.URL.Path, "/v1/kv-keep/"), strings.HasPrefix(r.URL.Path, "/v1/kv-lease-end/"):
+		parts := strings.Split(r.URL.Path, "/")
+		id, _ := strconv.ParseInt(parts[len(parts)-1], 10, 64)
+		s.mu.Lock()
+		s.expire()
+		l := s.leases[id]
+		if l != nil && r.Method == http.MethodDelete {
+			s.endLease(id)
+		} else if l != nil {
+			l.expires = time.Now().Add(l.ttl)
+		}
+		s.mu.Unlock()
+		if l == nil {
+			answer(w, http.StatusNotFound, none{})
+			return
+		}
+		answer(w, http.StatusOK, none{})
+	default:
+		answer(w, http.StatusNotFound, none{})
+	}
+}
+
+func (s *store) list(w http.ResponseWriter, prefix, after string) {
+	s.mu.Lock()
+	s.expire()
+	out := []item{}
+	var keys []string
+	for k := range s.items {
+		if strings.HasPrefix(k, prefix) && k > after {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	more := len(keys) > pageSize
+	for _, k := range keys[:min(len(keys), pageSize)] {
+		out = append(out, s.items[k])
+	}
+	rev := s.revision
+	s.mu.Unlock()
+	answer(w, http.StatusOK, map[string]any{"items": out, "has-more": more, "as-of": rev})
+}
+
+func (s *store) watch(w http.ResponseWriter, r *http.Request, prefix string, after int64, wait time.Duration) {
+	deadline := time.After(wait)
+	for {
+		s.mu.Lock()
+		out := []change{}
+		first := sort.Search(len(s.history), func(i int) bool { return s.history[i].Revision > after })
+		for _, c := range s.history[first:] {
+			if strings.HasPrefix(c.Key, prefix) {
+				out = append(out, c)
+			}
+		}
+		rev, changed := s.revision, s.changed
+		s.mu.Unlock()
+		if len(out) > 0 {
+			answer(w, http.StatusOK, map[string]any{"events": out, "as-of": rev})
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			answer(w, http.StatusOK, map[string]any{"events": out, "as-of": rev})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *store) txn(w http.ResponseWriter, r *http.Request) {
+	var in struct {
+		Conditions []struct {
+			Key      string `json:"key"`
+			Revision int64  `json:"revision"`
+		} `json:"precondition"`
+		Writes []struct {
+			Key   string `json:"key"`
+			Value []byte `json:"value"`
+			Lease int64  `json:"lease"`
+		} `json:"writes"`
+		Deletes []string `json:"deletes"`
+	}
+	if json.NewDecoder(r.Body).Decode(&in) != nil {
+		answer(w, http.StatusBadRequest, none{})
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	failed := false
+	current := []item{}
+	for _, c := range in.Conditions {
+		i, ok := s.items[c.Key]
+		if i.Revision != c.Revision {
+			failed = true
+		}
+		if ok {
+			current = append(current, i)
+		}
+	}
+	if failed {
+		answer(w, http.StatusPreconditionFailed, map[string]any{"items": current})
+		return
+	}
+	for _, x := range in.Writes {
+		if x.Lease != 0 && s.leases[x.Lease] == nil {
+			answer(w, http.StatusNotFound, none{})
+			return
+		}
+	}
+	s.revision++
+	for _, x := range in.Writes {
+		s.write(x.Key, x.Value, x.Lease)
+	}
+	for _, k := range in.Deletes {
+		if _, ok := s.items[k]; ok {
+			s.remove(k)
+		}
+	}
+	s.notify()
+	answer(w, http.StatusOK, map[string]int64{"revision": s.revision})
+}
