--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Builds the stand-in that the scripts of review/6 to review/10 start. The scripts also need the
-# program that the build line of deploy/system.toml makes.
+# Builds the stand-in that the scripts of review/6 to review/8 start. It needs Go alone. The
+# scripts also need the program that the build line of deploy/system.toml makes.
 set -eu
-cd "$(dirname "$0")/.."
-go build -o bin/standin-2 ./review/standin-2
+cd "$(dirname "$0")/standin-2"
+GOTOOLCHAIN=local GOFLAGS=-mod=mod GOWORK=off go build -o ../../bin/standin-2 .
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -56,9 +56,9 @@
 	Prefix      string  `json:"prefix"`
 	Service     string  `json:"service"`
 	Priority    int     `json:"priority"`
-	MaxAttempts int     `json:"max-attempts"`
+	MaxAttempts int     `json:"failure-limit"`
 	Stretch     float64 `json:"stretch"`
-	Target      int     `json:"target-duration-ms"`
+	Target      int     `json:"objective-ms"`
 }
 
 // deployment is what a case runs.
@@ -169,7 +169,7 @@
 	if err := serve(storeAddress, d.store); err != nil {
 		return err
 	}
-	config, _ := json.Marshal(map[string]any{"version": 3, "routes": queues,
+	config := encode(map[string]any{"version": 3, "routes": queues,
 		"services": []map[string]any{{"name": serviceName, "admission-check": false}},
 		"limits":   map[string]int{"max-body-bytes": 262144, "max-header-bytes": 16384}})
 	d.store.put("op/config", config)
@@ -387,7 +387,7 @@
 	r, _ := http.NewRequestWithContext(ctx, method, "http://"+front+path, bytes.NewReader(body))
 	r.Host = hostName
 	r.Header.Set("Content-Type", "application/json")
-	r.Header.Set("Request-Deadline", "3000")
+	r.Header.Set(header("timeout"), "3000")
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
 		if log {
@@ -408,7 +408,7 @@
 	d.fleet.mu.Lock()
 	d.fleet.jobs[id] = phases
 	d.fleet.mu.Unlock()
-	body, _ := json.Marshal(map[string]any{"spec": "job " + id, "phases": phases})
+	body := encode(map[string]any{"spec": "job " + id, "phases": phases})
 	for n := range 5 {
 		code, _ := d.request(d.fronts[n%len(d.fronts)], http.MethodPost, prefix+id, body, true)
 		if code/100 == 2 {
