--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-in that the scripts of review/6 to review/8 start. It needs Go alone. The
+# Builds the stand-in that the scripts of review/6 to review/9 start. It needs Go alone. The
 # scripts also need the program that the build line of deploy/system.toml makes.
 set -eu
 cd "$(dirname "$0")/standin-2"
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -72,6 +72,17 @@
 
 	mu        sync.Mutex
 	processes []*exec.Cmd
+	// named are the processes by the name of their machine, and exceeded counts by name how
+	// often the platform has killed one for its memory.
+	named    map[string]*process
+	exceeded map[string]int
+}
+
+// process is a process of the project.
+type process struct {
+	cmd            *exec.Cmd
+	role, settings string
+	env            []string
 }
 
 // errBroken is the error of a case whose rule was broken.
@@ -294,7 +305,7 @@
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(d.dir, name+".log"))
+	log, err := os.OpenFile(filepath.Join(d.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -306,10 +317,62 @@
 	}
 	d.mu.Lock()
 	d.processes = append(d.processes, c)
+	if d.named == nil {
+		d.named, d.exceeded = map[string]*process{}, map[string]int{}
+	}
+	d.named[name] = &process{c, role, settings, env}
 	d.mu.Unlock()
 	return nil
 }
 
+// restartPause is the delay before a process that ended is started again.
+const restartPause = time.Second
+
+// kill kills a process and starts it again after restartPause.
+func (d *deployment) kill(name string) error {
+	d.mu.Lock()
+	p := d.named[name]
+	d.mu.Unlock()
+	_ = p.cmd.Process.Kill()
+	_ = p.cmd.Wait()
+	if err := d.sleep(restartPause); err != nil {
+		return err
+	}
+	return d.launch(name, p.role, p.settings, p.env...)
+}
+
+// guardMemory does what the platform does: it kills a process that exceeds its memory, and starts
+// it again. The limit is in MiB.
+func (d *deployment) guardMemory(name string, limit int) {
+	for d.ctx.Err() == nil {
+		d.mu.Lock()
+		p := d.named[name]
+		d.mu.Unlock()
+		if used := residentMiB(p.cmd.Process.Pid); used > limit {
+			d.mu.Lock()
+			d.exceeded[name]++
+			d.mu.Unlock()
+			d.rec.add("%s uses %d MiB of %d and is killed by the platform", name, used, limit)
+			if d.kill(name) != nil {
+				return
+			}
+			d.rec.add("%s is started again", name)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// residentMiB returns the resident memory of a process.
+func residentMiB(pid int) int {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0
+	}
+	var size, resident int
+	_, _ = fmt.Sscan(string(b), &size, &resident)
+	return resident * os.Getpagesize() >> 20
+}
+
 // stop ends all processes and removes the temporary folder.
 func (d *deployment) stop() {
 	d.mu.Lock()
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -37,9 +38,11 @@
 type store struct {
 	mu       sync.Mutex
 	items    map[string]item
+	keys     []string // sorted
 	history  []change
 	revision int64
 	leases   map[int64]*lease
+	bound    map[int64][]string // the keys of each lease
 	last     int64
 	changed  chan struct{}
 }
@@ -50,7 +53,7 @@
 )
 
 func newStore() *store {
-	s := &store{items: map[string]item{}, revision: 1, leases: map[int64]*lease{}, changed: make(chan struct{})}
+	s := &store{items: map[string]item{}, revision: 1, leases: map[int64]*lease{}, bound: map[int64][]string{}, changed: make(chan struct{})}
 	go func() {
 		for range time.Tick(20 * time.Millisecond) {
 			s.mu.Lock()
@@ -71,12 +74,13 @@
 
 func (s *store) endLease(id int64) {
 	delete(s.leases, id)
-	for k, i := range s.items {
-		if i.Lease == id {
+	for _, k := range slices.Clone(s.bound[id]) {
+		if s.items[k].Lease == id {
 			s.revision++
 			s.remove(k)
 		}
 	}
+	delete(s.bound, id)
 	s.notify()
 }
 
@@ -89,13 +93,22 @@
 	i := item{key, value, s.revision, s.revision, leaseID}
 	if old, ok := s.items[key]; ok {
 		i.Created = old.Created
+	} else {
+		n, _ := slices.BinarySearch(s.keys, key)
+		s.keys = slices.Insert(s.keys, n, key)
 	}
 	s.items[key] = i
+	if leaseID != 0 {
+		s.bound[leaseID] = append(s.bound[leaseID], key)
+	}
 	s.history = append(s.history, change{key, value, i.Revision, i.Created, leaseID, false})
 }
 
 func (s *store) remove(key string) {
 	delete(s.items, key)
+	if n, ok := slices.BinarySearch(s.keys, key); ok {
+		s.keys = slices.Delete(s.keys, n, n+1)
+	}
 	s.history = append(s.history, change{Key: key, Revision: s.revision, Removed: true})
 }
 
@@ -178,16 +191,16 @@
 	s.mu.Lock()
 	s.expire()
 	out := []item{}
-	var keys []string
-	for k := range s.items {
-		if strings.HasPrefix(k, prefix) && k > after {
-			keys = append(keys, k)
+	n, _ := slices.BinarySearch(s.keys, max(prefix, after))
+	more := false
+	for ; n < len(s.keys) && strings.HasPrefix(s.keys[n], prefix); n++ {
+		if s.keys[n] == after {
+			continue
 		}
-	}
-	sort.Strings(keys)
-	more := len(keys) > pageSize
-	for _, k := range keys[:min(len(keys), pageSize)] {
-		out = append(out, s.items[k])
+		if more = len(out) == pageSize; more {
+			break
+		}
+		out = append(out, s.items[s.keys[n]])
 	}
 	rev := s.revision
 	s.mu.Unlock()
