io/agent: log ends that no owner received, misdirected acknowledgements and unordered lists

7058 ends-undelivered (and rosemarygap_undelivered_ends_total), 7059 acknowledgement-misdirected and 7060 ends-unordered do. No decision changes.

--- a/core/event/job.go
+++ b/core/event/job.go
@@ -114,6 +114,17 @@
 		[]string{"step", "count", "allowed", "elapsed", "reason", "epoch"},
 		"The owner asked the advisor which of count workers may run a step, and allowed of them may. If a reason is given, the call failed.",
 		"If allowed stays 0, the policy of the queue allows none of its workers: ask whoever sets it."}
+	EndsUndelivered = Event{7058, "ends-undelivered", hclog.Info,
+		[]string{"worker", "incarnation", "count", "reason"},
+		"The worker has announced its departure (`left`) or another incarnation has taken its place (`replaced`) while its newest list had ended runs that no owner had received; count is their number.",
+		"Look for 7010 `lost` of their tasks at the owner."}
+	AcknowledgementMisdirected = Event{7059, "acknowledgement-misdirected", hclog.Info,
+		[]string{"worker", "incarnation", "count"},
+		"A renewal that acknowledged ended runs of an earlier incarnation of the worker, up to the number count, reached this incarnation, or had no answer and may still reach it: the worker forgets those of its own ended runs that have no higher number.",
+		"Look for 7010 `stop` `vanished` of tasks on the worker at the owner."}
+	EndsUnordered = Event{7060, "ends-unordered", hclog.Info,
+		[]string{"worker", "incarnation", "count"},
+		"The worker listed its ended runs, count in all, in another order than that of their numbers.", "None."}
 	TasksThrottled = Event{7033, "tasks-throttled", hclog.Info,
 		[]string{"worker", "count", "throttle"},
 		"Best-effort tasks were limited to a share of their processors, in percent.", "None."}
@@ -138,4 +149,4 @@
 	TaskDecided, WorkerDecided, WorkerColdChanged, OwnershipTaken, OwnershipLost, OwnerEnded, WorkerCrashed, RunCrashed, JobGivenUp, IsolationChanged, DependencyLost, DependencyRegained,
 	ConfigurationInForce, SettingsReloaded, MessageRefused, LogLinesDropped, OrderCarriedOut, WorkerSeen, OwnerFollowed,
 	TasksThrottled, CancellationsRead, ZoneEvacuated, ZoneReopened, ForecastIgnored, RoomAfterRefusal, ScarcityBegan, ScarcityEnded,
-	CopyStarted, CopyEnded, StepWaited, AdviceReceived, RoomSampled, OutlookWorsened}
+	CopyStarted, CopyEnded, StepWaited, AdviceReceived, EndsUndelivered, AcknowledgementMisdirected, EndsUnordered, RoomSampled, OutlookWorsened}
--- a/core/metric/catalogue.go
+++ b/core/metric/catalogue.go
@@ -28,6 +28,7 @@
 	{"rosemarygap_order_wait_seconds", nil, "time from an order's arrival at the agent to the first call for it, as a histogram; alert if it is above 0.5 s, as the worker then does not answer"},
 	{"rosemarygap_waiting_orders", nil, "orders that the agent has received and not yet begun to execute"},
 	{"rosemarygap_lease_renewal_failures_total", nil, "lease renewals that failed; a renewal also fetches the worker's lists of tasks"},
+	{"rosemarygap_undelivered_ends_total", []string{"reason"}, "ended runs that the worker had listed and no owner had received when the worker left (`left`) or another incarnation took its place (`replaced`)"},
 	{"rosemarygap_throttle_orders_total", nil, "orders to best-effort tasks to change their share of the processors"},
 	{"rosemarygap_reports_total", []string{"form"}, "reports and long polls of agents at the owner: `whole`, `changes` (delta reports) and `refused` (malformed, late, or a delta whose base the owner does not hold; the agent then sends a whole report)"},
 	{"rosemarygap_takeovers_total", nil, "number of times that this entry became the owner and started to schedule"},
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -268,9 +268,14 @@
 	}
 	if err != nil {
 		renewFailures.Inc()
+		a.state.recordUnansweredAcknowledgement(r, time.Now())
 		process.Wake(a.wakeReport)
 		return false
 	}
+	a.logUnordered(r, runs.Ended)
+	if runs.Incarnation != r.incarnation {
+		a.logMisdirected(r, runs.Incarnation)
+	}
 	if a.state.applyRunList(r, runs, requestedAt, time.Now()) {
 		process.Wake(a.wakeReport)
 	}
--- a/io/agent/heartbeat.go
+++ b/io/agent/heartbeat.go
@@ -72,6 +72,8 @@
 		state = "draining"
 	}
 	event.WorkerSeen.Emit(a.log, event.Worker(w.ID), event.State(state), event.Incarnation(w.Incarnation))
+	a.logUndelivered()
+	a.logMisdirected(renewal{worker: w.ID, incarnation: w.Incarnation}, w.Incarnation)
 	process.Wake(a.wakeRenewal)
 	process.Wake(a.wakeReport)
 }
--- a/io/agent/server.go
+++ b/io/agent/server.go
@@ -24,6 +24,7 @@
 	id := x.Param("id")
 	if a.state.recordDeparture(id) {
 		event.WorkerSeen.Emit(a.log, event.Worker(id), event.State("left"), event.Incarnation(0))
+		a.logUndelivered()
 		process.Wake(a.wakeReport)
 		process.Wake(a.workerLeft)
 	}
--- a/io/agent/state.go
+++ b/io/agent/state.go
@@ -79,6 +79,13 @@
 	// acknowledged is the number up to which the owner has acknowledged ended
 	// runs.
 	acknowledged int64
+	// deliveredEnds is the number up to which the owner of this epoch has received the
+	// ends of the worker. undelivered are the ends that are still to be logged.
+	deliveredEnds int64
+	undelivered   []undeliveredEnds
+	// unansweredAcknowledgements are the renewals without an answer that acknowledged
+	// ends, oldest first.
+	unansweredAcknowledgements []sentAcknowledgement
 	// runList is the newest answer to a renewal, and runListEpoch the fencing
 	// token of that renewal.
 	runList      job.RunList
@@ -131,11 +138,12 @@
 	}
 	if s.worker != nil {
 		s.recordCrash(time.Now())
+		s.noteUndelivered(endsWorkerReplaced)
 	}
 	s.replaced, s.firstClock = s.worker != nil && s.worker.ID == w.ID, 0
 	s.worker, s.left, s.plausibility = &w, false, plausibility{}
 	s.runList, s.runListEpoch, s.workerClock, s.leaseDeadline = job.RunList{}, 0, 0, 0
-	s.grantedUntil, s.acknowledged, s.answeredAt = 0, 0, time.Time{}
+	s.grantedUntil, s.acknowledged, s.deliveredEnds, s.answeredAt = 0, 0, 0, time.Time{}
 	clear(s.runs)
 	clear(s.sentAt)
 	s.refusing = false
@@ -156,6 +164,7 @@
 		return false
 	}
 	s.left = true
+	s.noteUndelivered(endsWorkerLeft)
 	return true
 }
 
@@ -175,7 +184,7 @@
 	if epoch <= s.epoch {
 		return false
 	}
-	s.epoch, s.applied = epoch, 0
+	s.epoch, s.applied, s.deliveredEnds = epoch, 0, 0
 	s.freshness = freshness{}
 	for k, r := range s.runs {
 		if r.state == runClosed {
