--- /dev/null
+++ b/io/agent/ends_test.go
@@ -0,0 +1,150 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"rosemarygap/core/job"
+
+	"github.com/matryer/is"
+)
+
+// ownedRun is a cell with one job of one task, which runs on the worker of a state, and a
+// second worker with room for it.
+type ownedRun struct {
+	is    *is.I
+	state *state
+	cell  *job.Cell
+	now   time.Time
+	end   job.End
+	other job.Report
+}
+
+func newOwnedRun(t *testing.T) *ownedRun {
+	s, w, now := newTestState(t)
+	o := &ownedRun{is: is.New(t), state: s, now: now}
+	o.cell = newTestCell(1, now)
+	capacity := job.Resources{Processors: 1000, Memory: 1000}
+	w.Capacity, w.Sequence = capacity, 2
+	s.worker = &w
+	o.deliver(now)
+	o.cell.Add(testJob(), now)
+	orders := o.deliver(now)
+	o.is.Equal(len(orders), 1)
+	o.list(job.RunList{Running: []job.Run{{Task: orders[0].Task, Run: orders[0].Run}}})
+	o.deliver(o.now)
+	o.end = job.End{Number: 1, Task: orders[0].Task, Run: orders[0].Run, Outcome: job.EndDone}
+	o.other = job.Report{Agent: "other", Process: 1, Epoch: 1, Listed: true, Clock: time.Second,
+		Worker: &job.Worker{ID: "i-2", Incarnation: 1, Service: "svc", Capacity: capacity}}
+	o.poll()
+	return o
+}
+
+func newTestCell(epoch int64, now time.Time) *job.Cell {
+	c := job.New(epoch, now)
+	c.SetConfiguration(&job.Configuration{Version: 1, Queues: []job.Queue{{Host: "host", Prefix: "/", Service: "svc", MaxFailures: 2}}})
+	return c
+}
+
+func testJob() job.Job {
+	return job.Job{ID: "00000000000000aa", Queue: "host/", Steps: []job.Step{{Tasks: 1, Need: job.Resources{Processors: 100, Memory: 100}}}}
+}
+
+// exchange has the cell process a report and returns its reply.
+func (o *ownedRun) exchange(r job.Report) job.Reply {
+	o.cell.Receive(&r, o.now)
+	o.cell.BeginOwnershipCheck()
+	o.cell.ConfirmOwnership(o.now)
+	o.cell.Tick(o.now)
+	w := o.cell.PendingWrites(o.now, 30)
+	o.cell.Committed(&w)
+	return o.cell.Reply(&r, o.now)
+}
+
+// deliver sends a report of the state to the cell and returns the orders in the reply.
+func (o *ownedRun) deliver(now time.Time) []job.Order {
+	o.now = now
+	reply := o.exchange(o.state.report("agent", false, now))
+	orders, _ := o.state.applyReply(&reply, now, now)
+	return orders
+}
+
+// poll sends a report of the second worker, and returns the orders in the reply.
+func (o *ownedRun) poll() []job.Order { return o.exchange(o.other).Orders }
+
+// list has the worker answer a renewal with l, which the owner does not know yet.
+func (o *ownedRun) list(l job.RunList) {
+	r, ok := o.state.nextRenewal()
+	o.is.True(ok)
+	o.now = o.now.Add(100 * time.Millisecond)
+	l.Incarnation, l.Clock = 100, o.now.Sub(time.Unix(1000, 0))+time.Second
+	o.state.applyRunList(r, l, o.now, o.now)
+}
+
+// listEnd has the worker list the end of the run.
+func (o *ownedRun) listEnd() { o.list(job.RunList{Ended: []job.End{o.end}}) }
+
+// notStartedAgain checks that the owner does not start the task on the second worker after
+// the next reports.
+func (o *ownedRun) notStartedAgain() {
+	for range 5 {
+		o.deliver(o.now.Add(time.Second))
+		o.other.Clock += time.Second
+		o.is.Equal(len(o.poll()), 0)
+	}
+}
+
+// A worker that leaves lists the end of a run just before. The owner must learn of the end:
+// otherwise it starts the task again.
+func TestEndBeforeDepartureIsReported(t *testing.T) {
+	o := newOwnedRun(t)
+	o.listEnd()
+	o.is.True(o.state.recordDeparture("i-1"))
+	o.notStartedAgain()
+}
+
+// The same if the owner has changed since: the worker does not list anything for it.
+func TestEndBeforeDepartureIsReportedToNextOwner(t *testing.T) {
+	o := newOwnedRun(t)
+	o.listEnd()
+	o.is.True(o.state.recordDeparture("i-1"))
+	o.cell = newTestCell(2, o.now)
+	o.is.NoErr(o.cell.Load(testJob(), job.Progress{Started: true}, o.now))
+	o.cell.LoadAgent("agent")
+	o.is.True(o.state.enterEpoch(2))
+	o.other.Epoch = 2
+	o.notStartedAgain()
+}
+
+// A worker that has crashed comes back as its next incarnation before the owner has
+// received the last list of the one before.
+func TestEndBeforeNextIncarnationIsReported(t *testing.T) {
+	o := newOwnedRun(t)
+	o.listEnd()
+	next := *o.state.worker
+	next.Incarnation, next.Sequence, next.Draining = 200, 1, true
+	o.state.applyHeartbeat(next)
+	o.notStartedAgain()
+}
+
+// The end is known although the worker has been silent since, so that its lease has ended.
+func TestEndBeforeSilenceIsReported(t *testing.T) {
+	o := newOwnedRun(t)
+	o.listEnd()
+	o.now = o.now.Add(2 * testMaxLease)
+	o.is.True(o.state.report("agent", false, o.now).LeaseEnded)
+	o.notStartedAgain()
+}
+
+// The numbers of ended runs begin anew with each incarnation, and a call may reach the next
+// one. So a renewal may acknowledge only what the current incarnation has listed.
+func TestRenewalAcknowledgesListedEndsOnly(t *testing.T) {
+	o := newOwnedRun(t)
+	o.listEnd()
+	o.deliver(o.now)
+	r, _ := o.state.nextRenewal()
+	o.is.Equal(r.acknowledged, int64(1))
+	o.list(job.RunList{}) // the worker has forgotten the end
+	r, _ = o.state.nextRenewal()
+	o.is.Equal(r.acknowledged, int64(0))
+}
