core/job: ends of runs count in whatever order a worker lists them

Callers could see a task run again: an end whose number was lower than that of the one before it in a list was skipped as processed, and acknowledged with the higher number, so that the worker forgot it. Nothing on the platform's page promises an order.

The owner and the agent sort each list by the numbers. go test ./core/job -run TestEndsInAnyOrderCount: failed before, passes.

--- a/core/job/report.go
+++ b/core/job/report.go
@@ -227,6 +227,7 @@
 // worker.
 func (c *Cell) receiveLists(w *workerRow, r *Report, now time.Time) {
 	w.listed = true
+	SortEnds(r.Ended)
 	for i := range r.Ended {
 		c.receiveEnd(w, &r.Ended[i], now)
 	}
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"rosemarygap/core/event"
+	"rosemarygap/core/job"
 	"rosemarygap/core/status"
 	"rosemarygap/io/httpjson"
 	"rosemarygap/io/process"
@@ -273,6 +274,7 @@
 		return false
 	}
 	a.logUnordered(r, runs.Ended)
+	job.SortEnds(runs.Ended)
 	if runs.Incarnation != r.incarnation {
 		a.logMisdirected(r, runs.Incarnation)
 	}
