io/agent: an acknowledgement reaches no other incarnation of the worker

Class: an identifier that is valid in one incarnation is used in another.

A renewal acknowledges only ends that the present incarnation lists, and nothing while an acknowledgement has no answer. Until that can no longer be carried out, a later incarnation under the same ID counts as draining, at most 15 s.

go test ./io/agent -run 'TestRenewalAck|TestNextIncarnationWaits|TestAcknowledging': TestRenewalAcknowledgesListedEndsOnly failed before; all pass.

--- a/core/event/job.go
+++ b/core/event/job.go
@@ -117,11 +117,11 @@
 	EndsUndelivered = Event{7058, "ends-undelivered", hclog.Info,
 		[]string{"worker", "incarnation", "count", "reason"},
 		"The worker has announced its departure (`left`) or another incarnation has taken its place (`replaced`) while its newest list had ended runs that no owner had received; count is their number.",
-		"Look for 7010 `lost` of their tasks at the owner."}
+		"None: the agent reports them to the next owner."}
 	AcknowledgementMisdirected = Event{7059, "acknowledgement-misdirected", hclog.Info,
 		[]string{"worker", "incarnation", "count"},
-		"A renewal that acknowledged ended runs of an earlier incarnation of the worker, up to the number count, reached this incarnation, or had no answer and may still reach it: the worker forgets those of its own ended runs that have no higher number.",
-		"Look for 7010 `stop` `vanished` of tasks on the worker at the owner."}
+		"A renewal that acknowledged ended runs of an earlier incarnation of the worker, up to the number count, had no answer and may still reach this incarnation, which would forget those of its own ended runs that have no higher number. It gets no tasks for up to 15 s.",
+		"If the event repeats, look for why the worker answers no renewals: 7022 `worker` of the agent."}
 	EndsUnordered = Event{7060, "ends-unordered", hclog.Info,
 		[]string{"worker", "incarnation", "count"},
 		"The worker listed its ended runs, count in all, in another order than that of their numbers.", "None."}
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -273,18 +273,18 @@
 	}
 	if err != nil {
 		renewFailures.Inc()
-		a.state.recordUnansweredAcknowledgement(r, time.Now())
+		a.state.recordRenewalFailure(r, err, time.Now())
 		process.Wake(a.wakeReport)
 		return false
 	}
 	a.logUnordered(r, runs.Ended)
 	job.SortEnds(runs.Ended)
-	if runs.Incarnation != r.incarnation {
-		a.logMisdirected(r, runs.Incarnation)
-	}
 	if a.state.applyRunList(r, runs, requestedAt, time.Now()) {
 		process.Wake(a.wakeReport)
 	}
+	if a.state.resumeAcknowledging() {
+		process.Wake(a.wakeRenewal)
+	}
 	process.Wake(a.wakeDeparture)
 	if len(a.state.startsToCancel(r, time.Now())) > 0 {
 		process.Wake(a.wakeCancel)
--- a/io/agent/ends_test.go
+++ b/io/agent/ends_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 )
 
 // ownedRun is a cell with one job of one task, which runs on the worker of a state, and a
@@ -158,6 +159,51 @@
 	o.is.Equal(r.acknowledged, int64(0))
 }
 
+// A renewal without an answer can be carried out seconds later, also by the next incarnation,
+// which would forget ends that it has not listed. Nothing may start there until then.
+func TestNextIncarnationWaitsForUnansweredAcknowledgement(t *testing.T) {
+	for name, tc := range map[string]struct {
+		err   error
+		waits bool
+	}{
+		"no answer": {platform.ErrUnknownOutcome, true},
+		"refused":   {platform.ErrNoEffect, false},
+		"not sent":  {errors.WithMessage(platform.ErrNotSent, "no connection"), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := newOwnedRun(t)
+			o.listEnd()
+			o.deliver(o.now)
+			r, _ := o.state.nextRenewal()
+			o.is.Equal(r.acknowledged, int64(1))
+			o.state.recordRenewalFailure(r, tc.err, o.now)
+			if tc.waits {
+				r, _ = o.state.nextRenewal()
+				o.is.Equal(r.acknowledged, int64(0)) // a second one would be at risk, too
+			}
+			next := *o.state.worker
+			next.Incarnation, next.Sequence = 200, 1
+			o.state.applyHeartbeat(next)
+			o.is.Equal(o.state.report("agent", false, o.now).Worker.Draining, tc.waits)
+			o.is.True(!o.state.report("agent", false, o.now.Add(acknowledgementTTL+time.Second)).Worker.Draining)
+		})
+	}
+}
+
+// The worker has answered again, so that the ends are acknowledged after all.
+func TestAcknowledgingResumes(t *testing.T) {
+	o := newOwnedRun(t)
+	o.listEnd()
+	o.deliver(o.now)
+	r, _ := o.state.nextRenewal()
+	o.state.recordRenewalFailure(r, platform.ErrUnknownOutcome, o.now)
+	o.listEnd()
+	o.is.True(o.state.resumeAcknowledging())
+	r, _ = o.state.nextRenewal()
+	o.is.Equal(r.acknowledged, int64(1))
+	o.is.True(!o.state.resumeAcknowledging())
+}
+
 // departingWorker lists the end of a run until it is acknowledged.
 type departingWorker struct {
 	platformtest.Worker
--- a/io/agent/heartbeat.go
+++ b/io/agent/heartbeat.go
@@ -73,7 +73,7 @@
 	}
 	event.WorkerSeen.Emit(a.log, event.Worker(w.ID), event.State(state), event.Incarnation(w.Incarnation))
 	a.logUndelivered()
-	a.logMisdirected(renewal{worker: w.ID, incarnation: w.Incarnation}, w.Incarnation)
+	a.logMisdirected()
 	process.Wake(a.wakeRenewal)
 	process.Wake(a.wakeReport)
 }
--- a/io/agent/state.go
+++ b/io/agent/state.go
@@ -87,8 +87,10 @@
 	goneEnds      []goneEnd
 	undelivered   []undeliveredEnds
 	// unansweredAcknowledgements are the renewals without an answer that acknowledged
-	// ends, oldest first.
+	// ends, oldest first. acknowledgementUnanswered is true if there is one and the worker
+	// has answered no renewal since.
 	unansweredAcknowledgements []sentAcknowledgement
+	acknowledgementUnanswered  bool
 	// runList is the newest answer to a renewal, and runListEpoch the fencing
 	// token of that renewal.
 	// The renewal began at listRequestedAt.
@@ -147,6 +149,7 @@
 	}
 	s.replaced, s.firstClock = s.worker != nil && s.worker.ID == w.ID, 0
 	s.worker, s.left, s.departing, s.plausibility = &w, false, false, plausibility{}
+	s.acknowledgementUnanswered = false
 	s.runList, s.runListEpoch, s.workerClock, s.leaseDeadline = job.RunList{}, 0, 0, 0
 	s.grantedUntil, s.acknowledged, s.deliveredEnds, s.answeredAt = 0, 0, 0, time.Time{}
 	clear(s.runs)
@@ -228,13 +231,14 @@
 }
 
 // describeWorker returns the worker as its agent reports it. It counts as draining while it
-// departs. The caller holds s.mu.
+// departs, and while a renewal may make it forget ends that it has not listed yet. The caller
+// holds s.mu.
 func (s *state) describeWorker(now time.Time) *job.Worker {
 	w := *s.worker
 	if w.ColdLeft > 0 {
 		w.ColdLeft = max(0, s.coldUntil.Sub(now))
 	}
-	w.Draining = w.Draining || s.departing
+	w.Draining = w.Draining || s.departing || s.misdirectedAcknowledgement(now) > 0
 	return &w
 }
 
@@ -439,7 +443,7 @@
 		return renewal{}, false
 	}
 	r = renewal{worker: s.worker.ID, incarnation: s.worker.Incarnation, epoch: s.epoch,
-		acknowledged: s.acknowledged, busy: len(s.runList.Running) > 0 || len(s.runs) > 0,
+		acknowledged: s.nextAcknowledgement(), busy: len(s.runList.Running) > 0 || len(s.runs) > 0,
 		sharing: s.throttle.sharing}
 	r.leaseUntil = s.nextLease()
 	for _, e := range s.runList.Ended {
