io/agent: a start takes effect within a second of what it depends on

Callers could see a task start over a second after its end was acknowledged: the agent sent starts until 0.9 s after it had all orders of the owner, and a call that is answered within its timeout of 0.4 s may take effect that much later. Class: a bound that is checked before the last hop.

The limit is now the bound less the timeout, 0.6 s.

go test ./io/agent -run TestNoStartTakesEffect: failed before, passes. Two tests let replies of the owner come at times that suit the old limit, and check what they did: TestStartsWaitWhileOwnerReplies has its reply 0.1 s before the limit, TestListedRunIsNotStopped has one before its last call, which would be outdated without.

--- a/io/agent/freshness.go
+++ b/io/agent/freshness.go
@@ -19,10 +19,11 @@
 // the order met on its way: a queue of the owner or of the agent, a slow link, a
 // worker that answers nothing.
 const (
-	// maxOrdersAge is the longest time since the agent had all orders of the owner.
-	// The platform lets no task start 1 s after the end of an earlier run of it was
-	// acknowledged.
-	maxOrdersAge = 900 * time.Millisecond
+	// startBound is how long after the end of a run is acknowledged no other run of its
+	// task may start on the platform. maxOrdersAge is the longest time since the agent had
+	// all orders of the owner: a call may take effect until it times out.
+	startBound   = time.Second
+	maxOrdersAge = startBound - workerCallTimeout
 	// defaultCancelDelay applies if the settings have no Bounds.MaxCancelDelay.
 	// startMargin is how much earlier than a bound the last start is sent.
 	defaultCancelDelay = 3 * time.Second
--- a/io/agent/freshness_test.go
+++ b/io/agent/freshness_test.go
@@ -82,7 +82,7 @@
 		for n := range 40 {
 			a.receiveStart(testTask(n), job.Freshness{})
 		}
-		time.Sleep(800 * time.Millisecond)
+		time.Sleep(maxOrdersAge - 100*time.Millisecond)
 		is.True(a.worker.first(job.OrderStart, testTask(39)).IsZero())
 		a.worker.setSilent(false)
 		a.receive(job.OrderStop) // a reply without orders
@@ -175,3 +175,33 @@
 		is.Equal(a.state.report("agent", false, time.Now()).Epoch, int64(2))
 	})
 }
+
+// slowTransport delivers each call to the worker after a delay.
+type slowTransport struct {
+	http.RoundTripper
+	delay time.Duration
+}
+
+func (s slowTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	time.Sleep(s.delay)
+	return s.RoundTripper.RoundTrip(r)
+}
+
+// A call that is still answered in time can take effect at the end of its timeout. A start
+// that was sent just before the limit on its age must not take effect after the bound.
+func TestNoStartTakesEffectAfterItsBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newTestWorker(true)
+		a := newTestAgentWith(t, slowTransport{w, workerCallTimeout * 9 / 10})
+		receivedAt := time.Now()
+		for n := range 40 {
+			a.receiveStart(testTask(n), job.Freshness{})
+		}
+		time.Sleep(200 * time.Millisecond)
+		w.setSilent(false)
+		time.Sleep(5 * time.Second)
+		is.True(!w.last(job.OrderStart).IsZero())
+		is.True(w.last(job.OrderStart).Sub(receivedAt) <= startBound)
+	})
+}
--- a/io/agent/order_queue_test.go
+++ b/io/agent/order_queue_test.go
@@ -276,7 +276,9 @@
 		is := is.New(t)
 		a := newTestAgent(t, true)
 		a.receive(job.OrderStart, testTask(1))
-		time.Sleep(time.Duration(maxStartAttempts)*workerCallTimeout - 50*time.Millisecond) // in the last call
+		time.Sleep(maxOrdersAge)
+		a.receive(job.OrderStart)                                                                          // a reply without orders
+		time.Sleep(time.Duration(maxStartAttempts)*workerCallTimeout - maxOrdersAge - 50*time.Millisecond) // in the last call
 		a.worker.running = []job.Run{{Task: testTask(1), Run: 1}}
 		is.True(a.renew(t.Context(), 0))
 		time.Sleep(10 * time.Second)
