io/agent: a planned stop delivers the ends that the agent alone knows

An agent that is stopped as planned while the owner changes exited, right after the renewal of the lease, with ends of a worker that has left, and the next owner started their tasks again: the same cause as for a departure. The agent now reports them before it exits, for at most 2 s.

go test ./io/agent -run TestStoppingAgentDeliversEnds passes. It calls what is new here, so that it does not build without the change.

--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -176,6 +176,7 @@
 	event.ProcessStarted.Emit(l, event.Entry(cfg.Name), event.Address(cfg.ControlListen))
 	err = g.Run()
 	a.renewBeforeExit()
+	a.deliverBeforeExit()
 	event.ProcessStopped.Emit(l, event.Entry(cfg.Name), event.Reason(process.StopReason(err)))
 	return err
 }
--- a/io/agent/ends.go
+++ b/io/agent/ends.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"time"
@@ -8,6 +9,7 @@
 	"rosemarygap/core/event"
 	"rosemarygap/core/job"
 	"rosemarygap/core/status"
+	"rosemarygap/io/process"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -22,6 +24,10 @@
 // has received them: it may be replaced before they are durable.
 const goneEndTTL = 15 * time.Second
 
+// deliveryTimeout is how long a planned stop waits at most for an owner that receives the ends
+// of workers that are gone.
+const deliveryTimeout = 2 * time.Second
+
 // maxGoneEnds is the maximum number of ends of workers that are gone.
 const maxGoneEnds = 4 * job.MaxListedEnds
 
@@ -108,6 +114,28 @@
 	}
 }
 
+// hasUndelivered reports whether there are ends of workers that are gone and that no owner has
+// received.
+func (s *state) hasUndelivered() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.goneEnds, func(e goneEnd) bool { return e.deliveredAt.IsZero() })
+}
+
+// deliverBeforeExit reports the ends of workers that are gone to the owner, or to the next
+// one if there is none: the agent's next process does not know them.
+func (a *Agent) deliverBeforeExit() {
+	ctx, cancel := context.WithTimeout(context.Background(), deliveryTimeout)
+	defer cancel()
+	for ctx.Err() == nil && a.state.hasUndelivered() {
+		if err := a.report(ctx, false); err != nil {
+			a.ownerHealth.Observe(err)
+			a.findOwner(ctx)
+			process.Pause(ctx, reportRetryPause, nil)
+		}
+	}
+}
+
 // takeUndelivered returns what recordGoneEnds has recorded for the log since the last call.
 func (s *state) takeUndelivered() []undeliveredEnds {
 	s.mu.Lock()
--- a/io/agent/ends_test.go
+++ b/io/agent/ends_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -265,3 +267,34 @@
 		is.Equal(len(a.state.report("agent", false, time.Now()).Absent) == 0, durable)
 	}
 }
+
+// An agent that is stopped as planned while the owner changes must not exit with ends that it
+// alone knows.
+func TestStoppingAgentDeliversEnds(t *testing.T) {
+	o := newOwnedRun(t)
+	o.listEnd()
+	o.is.True(o.state.recordDeparture("i-1"))
+	var calls atomic.Int64
+	received := make(chan job.Report, 1)
+	owner := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) == 1 {
+			w.WriteHeader(http.StatusServiceUnavailable) // not the owner yet
+			return
+		}
+		var report job.Report
+		if json.NewDecoder(r.Body).Decode(&report) == nil {
+			received <- report
+		}
+		w.Write([]byte(`{"epoch":1}`))
+	}))
+	t.Cleanup(owner.Close)
+	a := New(platform.Settings{Name: "agent"}, hclog.NewNullLogger())
+	a.state = o.state
+	o.is.True(a.owner.update(job.Ownership{Epoch: 1, Address: netip.MustParseAddrPort(strings.TrimPrefix(owner.URL, "http://"))}))
+	a.deliverBeforeExit()
+	o.is.Equal((<-received).Absent, []job.AbsentRun{absentEnd(o.end)})
+	o.is.True(!a.state.hasUndelivered())
+	calls.Store(1)
+	a.deliverBeforeExit() // nothing is left
+	o.is.Equal(calls.Load(), int64(1))
+}
