core/job: the end of a long-running task on a gone worker is applied once

A long-running task has no state that tells that its end was applied, so each report logged it again, at an owner that had not adopted the run, too. It now counts only while its run is assigned.

--- a/core/job/ends.go
+++ b/core/job/ends.go
@@ -76,7 +76,8 @@
 		if t == nil || t.isDone() || slices.Contains(t.failedRuns, a.Run) {
 			continue
 		}
-		if run := t.runOn(w, a.Run); run != nil || outcome == EndDone || outcome == EndFailed {
+		counts := !s.spec.LongRunning && (outcome == EndDone || outcome == EndFailed)
+		if counts || t.runOn(w, a.Run) != nil {
 			c.applyEnd(w, j, s, t, &End{Task: a.Task, Run: a.Run, Outcome: outcome}, now)
 		}
 	}
--- a/core/job/ends_test.go
+++ b/core/job/ends_test.go
@@ -119,3 +119,31 @@
 	tc.Receive(&r, tc.now)
 	tc.is.Equal(tc.commitWrites().RemovedAgents, []string{first.report.Agent})
 }
+
+// Reports repeat the ends of a worker that is gone. That of a long-running task is applied
+// once, and not again to a later run.
+func TestRepeatedEndOfLongRunningTask(t *testing.T) {
+	tc := newTestCluster(t, 2)
+	j := testJob(1, step(1, 100))
+	j.Steps[0].LongRunning = true
+	tc.submit(j)
+	first, second := tc.testWorkers["agent-0"], tc.testWorkers["agent-1"]
+	if len(first.report.Running) == 0 {
+		first, second = second, first
+	}
+	run := first.report.Running[0]
+	first.report.Running, first.report.Left, first.report.Listed = nil, true, false
+	first.report.Absent = []AbsentRun{{Task: run.Task, Run: run.Run, Reason: EndedReason(EndDone)}}
+	ends := 0
+	for range 10 {
+		tc.deliverReports()
+		for _, e := range tc.Events() {
+			if e.Kind == EventEnd {
+				ends++
+			}
+		}
+	}
+	tc.is.Equal(ends, 1)
+	tc.is.Equal(len(second.report.Running), 1)
+	tc.is.Equal(len(second.orders), 1)
+}
