io/agent: an acknowledgement on its way counts as one without an answer

While a renewal that acknowledges ends is neither answered nor failed, for up to 0.4 s, it may reach the worker's next incarnation, which counted as usable meanwhile. It is now recorded before it is sent.

--- a/io/agent/acknowledgement.go
+++ b/io/agent/acknowledgement.go
@@ -14,12 +14,13 @@
 // acknowledgementTTL is how long a renewal without an answer may still be carried out.
 const acknowledgementTTL = job.LateStartWindow
 
-// sentAcknowledgement is a renewal without an answer that acknowledged ended runs. It may
-// still be carried out, also by a later incarnation under the same ID, whose ends have the
-// same numbers.
+// sentAcknowledgement is a renewal that acknowledged ended runs and has no answer. It may still
+// be carried out, also by a later incarnation under the same ID, whose ends have the same
+// numbers.
 type sentAcknowledgement struct {
-	renewal
-	at time.Time
+	worker                    string
+	incarnation, acknowledged int64
+	at                        time.Time
 }
 
 // nextAcknowledgement returns the number up to which the next renewal acknowledges ended
@@ -53,16 +54,34 @@
 	return unanswered && s.listedAcknowledged() > 0
 }
 
-// recordRenewalFailure records that a renewal failed, after which it may still be carried out
-// unless the worker refused it or was not reached.
-func (s *state) recordRenewalFailure(r renewal, err error, now time.Time) {
-	if r.acknowledged == 0 || !errors.Is(err, platform.ErrUnknownOutcome) || errors.Is(err, platform.ErrNotSent) {
+// recordAcknowledgement records that r is about to be sent.
+func (s *state) recordAcknowledgement(r renewal, now time.Time) {
+	if r.acknowledged == 0 {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.acknowledgementUnanswered = true
-	s.unansweredAcknowledgements = append(s.recentAcknowledgements(now), sentAcknowledgement{r, now})
+	s.unansweredAcknowledgements = append(s.recentAcknowledgements(now), sentAcknowledgement{r.worker, r.incarnation, r.acknowledged, now})
+}
+
+// recordRenewalResult records the outcome of r. Without an answer it may still be carried out,
+// unless the worker was not reached.
+func (s *state) recordRenewalResult(r renewal, err error) {
+	if r.acknowledged == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if errors.Is(err, platform.ErrUnknownOutcome) && !errors.Is(err, platform.ErrNotSent) {
+		s.acknowledgementUnanswered = true
+		return
+	}
+	i := slices.IndexFunc(s.unansweredAcknowledgements, func(a sentAcknowledgement) bool {
+		return a.worker == r.worker && a.incarnation == r.incarnation && a.acknowledged == r.acknowledged
+	})
+	if i >= 0 {
+		s.unansweredAcknowledgements = slices.Delete(s.unansweredAcknowledgements, i, i+1)
+	}
 }
 
 // recentAcknowledgements returns the renewals without an answer that may still be carried
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -263,8 +263,10 @@
 	callCtx, cancel := context.WithTimeout(ctx, wait+workerCallTimeout)
 	defer cancel()
 	requestedAt := time.Now()
+	a.state.recordAcknowledgement(r, requestedAt)
 	runs, err := a.worker.Renew(callCtx, platform.RenewRequest{Worker: r.worker, LeaseUntil: r.leaseUntil,
 		Token: r.epoch, Acknowledged: r.acknowledged, Wait: wait})
+	a.state.recordRenewalResult(r, err)
 	if ctx.Err() != nil {
 		return false
 	}
@@ -274,7 +276,6 @@
 	}
 	if err != nil {
 		renewFailures.Inc()
-		a.state.recordRenewalFailure(r, err, time.Now())
 		process.Wake(a.wakeReport)
 		return false
 	}
--- a/io/agent/ends_test.go
+++ b/io/agent/ends_test.go
@@ -178,7 +178,8 @@
 			o.deliver(o.now)
 			r, _ := o.state.nextRenewal()
 			o.is.Equal(r.acknowledged, int64(1))
-			o.state.recordRenewalFailure(r, tc.err, o.now)
+			o.state.recordAcknowledgement(r, o.now)
+			o.state.recordRenewalResult(r, tc.err)
 			if tc.waits {
 				r, _ = o.state.nextRenewal()
 				o.is.Equal(r.acknowledged, int64(0)) // a second one would be at risk, too
@@ -192,13 +193,30 @@
 	}
 }
 
+// An acknowledgement that is on its way when the next incarnation reports may reach it.
+func TestNextIncarnationWaitsForAcknowledgementInFlight(t *testing.T) {
+	o := newOwnedRun(t)
+	o.listEnd()
+	o.deliver(o.now)
+	r, _ := o.state.nextRenewal()
+	o.is.Equal(r.acknowledged, int64(1))
+	o.state.recordAcknowledgement(r, o.now) // neither answered nor failed
+	next := *o.state.worker
+	next.Incarnation, next.Sequence = 200, 1
+	o.state.applyHeartbeat(next)
+	o.is.True(o.state.report("agent", false, o.now).Worker.Draining)
+	o.state.recordRenewalResult(r, nil)
+	o.is.True(!o.state.report("agent", false, o.now).Worker.Draining)
+}
+
 // The worker has answered again, so that the ends are acknowledged after all.
 func TestAcknowledgingResumes(t *testing.T) {
 	o := newOwnedRun(t)
 	o.listEnd()
 	o.deliver(o.now)
 	r, _ := o.state.nextRenewal()
-	o.state.recordRenewalFailure(r, platform.ErrUnknownOutcome, o.now)
+	o.state.recordAcknowledgement(r, o.now)
+	o.state.recordRenewalResult(r, platform.ErrUnknownOutcome)
 	o.listEnd()
 	o.is.True(o.state.resumeAcknowledging())
 	r, _ = o.state.nextRenewal()
