io/agent: a departure loses no end on the way to the next owner

Found by the review, the same cause in three places: - The agent removed its key from the stored roster at a departure although it alone knew ends, so that the next owner did not wait for it. The owner that has made the ends durable removes the key now. - Its last report before a planned stop had no ends if the owner had changed and the worker is dead.

go test ./io/agent -run 'TestAgentKeepsItsKey|TestLastReport|TestDepartureWaits': the review's tests of the same failed before; pass.

--- a/io/agent/departure.go
+++ b/io/agent/departure.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rosemarygap/core/event"
+	"rosemarygap/core/job"
 	"rosemarygap/io/process"
 
 	"github.com/labstack/echo/v4"
@@ -49,7 +50,9 @@
 	}
 }
 
-// finishDeparture reports that the worker is gone.
+// finishDeparture reports that the worker is gone. If the agent alone knows ends of its runs, a
+// later owner has to wait for the agent, and the owner that has made the ends durable removes it
+// from the stored roster.
 func (a *Agent) finishDeparture(id string) {
 	if !a.state.recordDeparture(id) {
 		return
@@ -57,7 +60,9 @@
 	event.WorkerSeen.Emit(a.log, event.Worker(id), event.State("left"), event.Incarnation(0))
 	a.logUndelivered()
 	process.Wake(a.wakeReport)
-	process.Wake(a.workerLeft)
+	if !a.state.hasGoneEnds() {
+		process.Wake(a.workerLeft)
+	}
 }
 
 // mayDepart reports whether a departure in the name of id counts. It names no incarnation and
@@ -91,7 +96,7 @@
 	if s.worker == nil || s.worker.ID != id || s.refusing {
 		return true
 	}
-	return s.listRequestedAt.After(began) && len(s.unacknowledgedEnds()) == 0
+	return s.listRequestedAt.After(began) && len(s.unacknowledgedEnds()) == 0 && !job.MayOmitEnds(s.runList.Ended)
 }
 
 // recordDeparture records that the worker is gone. It reports whether this is new.
--- a/io/agent/ends.go
+++ b/io/agent/ends.go
@@ -122,6 +122,13 @@
 	return slices.ContainsFunc(s.goneEnds, func(e goneEnd) bool { return e.deliveredAt.IsZero() })
 }
 
+// hasGoneEnds reports whether there are ends of workers that are gone.
+func (s *state) hasGoneEnds() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.goneEnds) > 0
+}
+
 // deliverBeforeExit reports the ends of workers that are gone to the owner, or to the next
 // one if there is none: the agent's next process does not know them.
 func (a *Agent) deliverBeforeExit() {
--- a/io/agent/ends_test.go
+++ b/io/agent/ends_test.go
@@ -316,3 +316,51 @@
 	a.deliverBeforeExit() // nothing is left
 	o.is.Equal(calls.Load(), int64(1))
 }
+
+// The agent must not remove its key while it alone knows ends: the next owner would not wait
+// for it and would start the tasks again.
+func TestAgentKeepsItsKeyUntilEndsAreDurable(t *testing.T) {
+	for _, acknowledged := range []bool{false, true} {
+		o := newOwnedRun(t)
+		o.listEnd()
+		if acknowledged {
+			o.deliver(o.now)
+		}
+		a := New(platform.Settings{Name: "agent"}, hclog.NewNullLogger())
+		a.state = o.state
+		a.finishDeparture("i-1")
+		select {
+		case <-a.workerLeft: // awaitDeparture removes the key
+			o.is.True(acknowledged)
+		default:
+			o.is.True(!acknowledged)
+		}
+	}
+}
+
+// A worker is dead and its agent stops as planned while the owner changes: its last report
+// tells the next owner when the lease ends, and must tell the ends that it alone knows.
+func TestLastReportToNextOwnerHasEnds(t *testing.T) {
+	o := newOwnedRun(t)
+	o.listEnd()
+	o.is.True(o.state.enterEpoch(2)) // the worker does not answer any more
+	r := o.state.report("agent", false, o.now.Add(2*time.Second))
+	o.is.True(!r.Listed)
+	o.is.Equal(r.Absent, []job.AbsentRun{absentEnd(o.end)})
+}
+
+// A full list leaves ends out, which are not known to be durable.
+func TestDepartureWaitsForOmittedEnds(t *testing.T) {
+	is := is.New(t)
+	s, _, now := newTestState(t)
+	var ends []job.End
+	for n := range int64(job.MaxListedEnds) {
+		ends = append(ends, job.End{Number: n + 1, Task: testTask(int(n)), Run: 1, Outcome: job.EndDone})
+	}
+	is.True(s.beginDeparture("i-1"))
+	r, _ := s.nextRenewal()
+	at := now.Add(time.Second)
+	s.applyRunList(r, job.RunList{Incarnation: 100, Clock: 2 * time.Second, Ended: ends}, at, at)
+	s.applyReply(&job.Reply{Epoch: 1, Worker: "i-1", Incarnation: 100, Acknowledged: job.MaxListedEnds}, at, at)
+	is.True(!s.hasDurableEnds("i-1", now))
+}
--- a/io/agent/state.go
+++ b/io/agent/state.go
@@ -86,8 +86,8 @@
 	deliveredEnds int64
 	goneEnds      []goneEnd
 	undelivered   []undeliveredEnds
-	// unansweredAcknowledgements are the renewals without an answer that acknowledged
-	// ends, oldest first. acknowledgementUnanswered is true if there is one and the worker
+	// unansweredAcknowledgements are the renewals that acknowledged ends and have no answer,
+	// oldest first. acknowledgementUnanswered is true if one of them failed and the worker
 	// has answered no renewal since.
 	unansweredAcknowledgements []sentAcknowledgement
 	acknowledgementUnanswered  bool
@@ -211,7 +211,8 @@
 		s.abandonStarts()
 	}
 	if s.runListEpoch != s.epoch || s.left {
-		if r.LeaseEnded && !s.left {
+		if !s.left {
+			// The worker may not answer this owner any more.
 			r.Absent = append(r.Absent, s.unacknowledgedEnds()...)
 		}
 		return r
