io/agent: an incarnation whose start time is earlier is not taken for a former one

Found by the review (an identifier that is valid in one incarnation used in another): if the clock of a VM was set back before its worker started again under the same ID, the agent ignored the worker's lists, reported its lease as ended by the clock of the incarnation before, and went on renewing it, so that tasks could run twice. An answer to a call that was made after an answer of the present incarnation shows a later one, whatever its start time says.

go test ./io/agent -run TestIncarnationWithEarlierStartTime: the review's test of the same failed before; passes.

--- a/io/agent/state.go
+++ b/io/agent/state.go
@@ -101,6 +101,8 @@
 	// the time of the answer that had it.
 	workerClock time.Duration
 	answeredAt  time.Time
+	// switchedAt is when an answer showed that the present incarnation had begun.
+	switchedAt time.Time
 	// leaseDeadline is on the worker's clock.
 	leaseDeadline time.Duration
 	runs          map[runKey]*localRun
@@ -475,7 +477,7 @@
 		return false
 	}
 	if runs.Incarnation != 0 && runs.Incarnation != s.worker.Incarnation {
-		return s.setIncarnation(runs)
+		return s.setIncarnation(runs, requestedAt, now)
 	}
 	if s.answeredAt.IsZero() {
 		// An earlier process of the agent may have granted a lease of the maximum
@@ -498,16 +500,20 @@
 }
 
 // setIncarnation switches to an incarnation that answered before its first
-// heartbeat, and reports whether it is a later one. The capacity and the state
+// heartbeat, and reports whether it is a later one. That is so even if it began earlier
+// by its clock, which may have been set back, if the call was made after an answer of the
+// current incarnation. The capacity and the state
 // of the new incarnation are not known yet, so it counts as draining and gets no
 // work until the heartbeat. The caller holds s.mu.
-func (s *state) setIncarnation(runs job.RunList) bool {
-	if runs.Incarnation < s.worker.Incarnation {
+func (s *state) setIncarnation(runs job.RunList, requestedAt, now time.Time) bool {
+	last := job.Later(s.answeredAt, s.switchedAt)
+	if runs.Incarnation < s.worker.Incarnation && (last.IsZero() || !requestedAt.After(last)) {
 		return false
 	}
 	w := *s.worker
 	w.Incarnation, w.Sequence, w.Draining, w.ColdLeft = runs.Incarnation, 0, true, 0
 	s.setWorker(w)
+	s.switchedAt = now
 	return true
 }
 
--- a/io/agent/state_test.go
+++ b/io/agent/state_test.go
@@ -207,3 +207,32 @@
 		})
 	}
 }
+
+// The clock of the VM was set back before the worker started again under the same ID. The
+// agent must not take the answers for those of an earlier incarnation: it would report the
+// lease as ended by the clock of the one before while its renewals extend it.
+func TestIncarnationWithEarlierStartTime(t *testing.T) {
+	is := is.New(t)
+	s, w, now := newTestState(t)
+	r, _ := s.nextRenewal()
+	earlier := job.RunList{Incarnation: 50, Clock: time.Second}
+	is.True(!s.applyRunList(r, earlier, now.Add(-time.Second), now)) // the call may have been answered before
+	is.Equal(s.worker.Incarnation, int64(100))
+	later := now.Add(time.Second)
+	is.True(s.applyRunList(r, earlier, later, later))
+	is.Equal(s.worker.Incarnation, int64(50))
+	is.True(s.worker.Draining)
+	r, ok := s.nextRenewal()
+	is.True(ok)
+	is.Equal(r.leaseUntil, time.Duration(0)) // no lease of the incarnation before
+
+	// An answer of the one before is processed late.
+	s.applyRunList(r, job.RunList{Incarnation: 100, Clock: time.Minute}, now, later)
+	later = later.Add(time.Second)
+	s.applyRunList(r, earlier, later, later)
+	is.Equal(s.worker.Incarnation, int64(50))
+	w.Incarnation = 50
+	confirmed, _ := s.receiveHeartbeat(w, later)
+	is.True(confirmed)
+	is.True(!s.worker.Draining)
+}
