io/agent, core/job: ends of a gone worker are reported until they are durable

Found by the review: that an owner had received such ends counted as enough after 15 s, so that a late successor of an owner that could not write, as in an outage of the store, started the tasks again. A reply of an owner that is no longer the newest counted, too. And a planned stop forgot the ends of a worker whose departure was not answered yet.

The owner tells in its replies that the ends are durable, and the agent reports them until then; the field is optional, so that builds can be mixed.

go test ./io/agent -run 'TestGoneEnds|TestStoppingAgentDelivers' passes; the review's tests of the same failed before.

--- a/core/job/ends.go
+++ b/core/job/ends.go
@@ -83,7 +83,7 @@
 	}
 }
 
-// hasDurableEnds reports whether the ends that a report of w tells are durable.
+// hasDurableEnds reports whether the ends that w has listed, and those of r, are durable.
 func (c *Cell) hasDurableEnds(w *workerRow, r *Report) bool {
 	c.acknowledgeEnds(w)
 	return len(w.pendingEnds) == 0 && !slices.ContainsFunc(r.Absent, func(a AbsentRun) bool {
@@ -93,6 +93,38 @@
 	})
 }
 
+// hasDurableGoneEnds reports whether r has ends of workers that are gone, all of which were
+// applied and are durable.
+func (c *Cell) hasDurableGoneEnds(r *Report) bool {
+	found := false
+	for i := range r.Absent {
+		a := &r.Absent[i]
+		outcome, ok := a.end()
+		if !ok {
+			continue
+		}
+		found = true
+		if !c.keepsEnd(a, outcome) {
+			return false
+		}
+	}
+	return found
+}
+
+// keepsEnd reports whether the end of a run is durable, or means nothing. That of a job which
+// is not known, as it may be known later, does not count as durable.
+func (c *Cell) keepsEnd(a *AbsentRun, o Outcome) bool {
+	j, s, t := c.findTask(a.Task)
+	if j == nil {
+		n, err := ParseTask(a.Task)
+		return err == nil && c.endedJobs[n.Job]
+	}
+	if t == nil || j.dirty || j.writing {
+		return false
+	}
+	return t.isDone() || slices.Contains(t.failedRuns, a.Run) || s.spec.LongRunning || o != EndDone && o != EndFailed
+}
+
 // applyEnd applies the end e of a run of t on w.
 func (c *Cell) applyEnd(w *workerRow, j *jobRow, s *stepRow, t *taskRow, e *End, now time.Time) {
 	j.markStarted()
--- a/core/job/message.go
+++ b/core/job/message.go
@@ -298,6 +298,9 @@
 	Traits map[string]TaskTraits `json:"traits,omitempty"`
 	// Freshness is nil in a reply of an owner of an earlier build.
 	Freshness *Freshness `json:"freshness,omitempty"`
+	// EndsDurable is true if the report has ends of workers that are gone, and these are
+	// durable. An owner of an earlier build does not tell.
+	EndsDurable bool `json:"ends-durable,omitempty"`
 	// Base is the number of the report if the owner holds it as the base of delta
 	// reports.
 	Base int64 `json:"base,omitempty"`
--- a/core/job/reply.go
+++ b/core/job/reply.go
@@ -12,7 +12,7 @@
 
 // Reply returns the reply to a report of an agent.
 func (c *Cell) Reply(r *Report, now time.Time) Reply {
-	out := Reply{Epoch: c.epoch, Base: r.Delta.Number}
+	out := Reply{Epoch: c.epoch, Base: r.Delta.Number, EndsDurable: c.hasDurableGoneEnds(r)}
 	w := c.workers.Get(r.Agent)
 	if w == nil {
 		return out
--- a/io/agent/departure.go
+++ b/io/agent/departure.go
@@ -110,3 +110,14 @@
 	s.recordGoneEnds(endsWorkerLeft)
 	return true
 }
+
+// endDeparture records that a worker that departs is gone, as this process can answer nothing
+// any more.
+func (s *state) endDeparture() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.departing && !s.left {
+		s.left = true
+		s.recordGoneEnds(endsWorkerLeft)
+	}
+}
--- a/io/agent/ends.go
+++ b/io/agent/ends.go
@@ -21,13 +21,17 @@
 )
 
 // goneEndTTL is how long the ends of a worker that is gone are still reported once an owner
-// has received them: it may be replaced before they are durable.
-const goneEndTTL = 15 * time.Second
+// has received them and does not tell that they are durable. It covers an outage of the store
+// in which the owner is replaced.
+const goneEndTTL = time.Minute
 
-// deliveryTimeout is how long a planned stop waits at most for an owner that receives the ends
-// of workers that are gone.
+// deliveryTimeout is how long a planned stop waits at most until the ends of workers that are
+// gone are durable.
 const deliveryTimeout = 2 * time.Second
 
+// deliveryPause is the pause between two of these reports.
+const deliveryPause = 50 * time.Millisecond
+
 // maxGoneEnds is the maximum number of ends of workers that are gone.
 const maxGoneEnds = 4 * job.MaxListedEnds
 
@@ -35,7 +39,7 @@
 // worker left or its next incarnation took its place. No list shows it any more.
 type goneEnd struct {
 	job.AbsentRun
-	// deliveredAt is when an owner has received it first.
+	// deliveredAt is when an owner has received it first, or zero.
 	deliveredAt time.Time
 }
 
@@ -97,16 +101,22 @@
 	return out
 }
 
-// recordDelivered records that the owner of an epoch has received a report.
-func (s *state) recordDelivered(r *job.Report, epoch int64, now time.Time) {
+// recordDelivered records that the current owner has answered a report.
+func (s *state) recordDelivered(r *job.Report, reply *job.Reply, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if reply.Epoch != s.epoch || reply.Worker == "" {
+		return
+	}
+	if reply.EndsDurable {
+		s.goneEnds = slices.DeleteFunc(s.goneEnds, func(e goneEnd) bool { return slices.Contains(r.Absent, e.AbsentRun) })
+	}
 	for i := range s.goneEnds {
 		if e := &s.goneEnds[i]; e.deliveredAt.IsZero() && slices.Contains(r.Absent, e.AbsentRun) {
 			e.deliveredAt = now
 		}
 	}
-	if r.Worker == nil || s.worker == nil || r.Worker.ID != s.worker.ID || r.Worker.Incarnation != s.worker.Incarnation || epoch != s.epoch {
+	if r.Worker == nil || s.worker == nil || r.Worker.ID != s.worker.ID || r.Worker.Incarnation != s.worker.Incarnation {
 		return
 	}
 	for _, e := range r.Ended {
@@ -114,14 +124,6 @@
 	}
 }
 
-// hasUndelivered reports whether there are ends of workers that are gone and that no owner has
-// received.
-func (s *state) hasUndelivered() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.ContainsFunc(s.goneEnds, func(e goneEnd) bool { return e.deliveredAt.IsZero() })
-}
-
 // hasGoneEnds reports whether there are ends of workers that are gone.
 func (s *state) hasGoneEnds() bool {
 	s.mu.Lock()
@@ -129,17 +131,18 @@
 	return len(s.goneEnds) > 0
 }
 
-// deliverBeforeExit reports the ends of workers that are gone to the owner, or to the next
-// one if there is none: the agent's next process does not know them.
+// deliverBeforeExit reports the ends of workers that are gone, or that wait for the answer to
+// their departure, until they are durable: the agent's next process does not know them.
 func (a *Agent) deliverBeforeExit() {
+	a.state.endDeparture()
 	ctx, cancel := context.WithTimeout(context.Background(), deliveryTimeout)
 	defer cancel()
-	for ctx.Err() == nil && a.state.hasUndelivered() {
+	for ctx.Err() == nil && a.state.hasGoneEnds() {
 		if err := a.report(ctx, false); err != nil {
 			a.ownerHealth.Observe(err)
 			a.findOwner(ctx)
-			process.Pause(ctx, reportRetryPause, nil)
 		}
+		process.Pause(ctx, deliveryPause, nil)
 	}
 }
 
--- a/io/agent/ends_test.go
+++ b/io/agent/ends_test.go
@@ -291,7 +291,7 @@
 func TestStoppingAgentDeliversEnds(t *testing.T) {
 	o := newOwnedRun(t)
 	o.listEnd()
-	o.is.True(o.state.recordDeparture("i-1"))
+	o.is.True(o.state.beginDeparture("i-1")) // not answered yet
 	var calls atomic.Int64
 	received := make(chan job.Report, 1)
 	owner := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -303,7 +303,10 @@
 		if json.NewDecoder(r.Body).Decode(&report) == nil {
 			received <- report
 		}
-		w.Write([]byte(`{"epoch":1}`))
+		reply, err := json.Marshal(o.exchange(report))
+		if err == nil {
+			w.Write(reply)
+		}
 	}))
 	t.Cleanup(owner.Close)
 	a := New(platform.Settings{Name: "agent"}, hclog.NewNullLogger())
@@ -311,7 +314,7 @@
 	o.is.True(a.owner.update(job.Ownership{Epoch: 1, Address: netip.MustParseAddrPort(strings.TrimPrefix(owner.URL, "http://"))}))
 	a.deliverBeforeExit()
 	o.is.Equal((<-received).Absent, []job.AbsentRun{absentEnd(o.end)})
-	o.is.True(!a.state.hasUndelivered())
+	o.is.True(!a.state.hasGoneEnds())
 	calls.Store(1)
 	a.deliverBeforeExit() // nothing is left
 	o.is.Equal(calls.Load(), int64(1))
@@ -364,3 +367,28 @@
 	s.applyReply(&job.Reply{Epoch: 1, Worker: "i-1", Incarnation: 100, Acknowledged: job.MaxListedEnds}, at, at)
 	is.True(!s.hasDurableEnds("i-1", now))
 }
+
+// The owner has received the ends of a worker that is gone and is replaced before they are
+// durable. Its successor must receive them, however late it comes.
+func TestGoneEndsAreReportedUntilDurable(t *testing.T) {
+	o := newOwnedRun(t)
+	o.listEnd()
+	o.is.True(o.state.recordDeparture("i-1"))
+	r := o.state.report("agent", false, o.now)
+	o.cell.Receive(&r, o.now)
+	reply := o.cell.Reply(&r, o.now) // nothing is written
+	o.is.True(!reply.EndsDurable)
+	o.state.recordDelivered(&r, &reply, o.now)
+	o.now = o.now.Add(20 * time.Second)
+	o.cell = newTestCell(2, o.now)
+	o.is.NoErr(o.cell.Load(testJob(), job.Progress{Started: true}, o.now))
+	o.cell.LoadAgent("agent")
+	o.is.True(o.state.enterEpoch(2))
+	r = o.state.report("agent", false, o.now)
+	o.is.Equal(r.Absent, []job.AbsentRun{absentEnd(o.end)})
+	o.exchange(r)
+	reply = o.exchange(r)
+	o.is.True(reply.EndsDurable)
+	o.state.recordDelivered(&r, &reply, o.now)
+	o.is.True(!o.state.hasGoneEnds())
+}
--- a/io/agent/owner.go
+++ b/io/agent/owner.go
@@ -252,7 +252,7 @@
 		return nil
 	}
 	a.state.removeReported(r.Absent, reply.Epoch)
-	a.state.recordDelivered(&r, reply.Epoch, time.Now())
+	a.state.recordDelivered(&r, &reply, time.Now())
 	orders, acknowledged := a.state.applyReply(&reply, sentAt, time.Now())
 	if acknowledged {
 		process.Wake(a.wakeRenewal)
