core/job: a silent agent stays in the stored roster until its ends are durable

A successor would not wait for the agent, and start the tasks again. Its tasks are released as before; the agent is removed once the ends are durable.

--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -445,8 +445,8 @@
 // considered for placement or moves; agents report every 500 ms.
 const maxReportAge = 1500 * time.Millisecond
 
-// expireWorkers removes the workers whose leases have certainly expired and
-// releases their tasks. It also removes the agents of the stored roster that
+// expireWorkers releases the tasks of the workers whose leases have certainly expired, and
+// removes these workers and their agents once the ends that they have listed are durable. It also removes the agents of the stored roster that
 // never reported, once all runs on their workers have certainly ended.
 func (c *Cell) expireWorkers(now time.Time) {
 	var expired []string
@@ -454,8 +454,13 @@
 		if !w.hasLeaseEnded(now) {
 			continue
 		}
-		c.releaseWorkerTasks(w, "lease-ended", now)
-		expired = append(expired, agent)
+		if !w.expired {
+			w.expired = true
+			c.releaseWorkerTasks(w, "lease-ended", now)
+		}
+		if c.acknowledgeEnds(w); len(w.pendingEnds) == 0 {
+			expired = append(expired, agent)
+		}
 	}
 	for _, agent := range expired {
 		if w := c.workers.Get(agent); w != nil && !w.left {
--- a/core/job/ends_test.go
+++ b/core/job/ends_test.go
@@ -147,3 +147,26 @@
 	tc.is.Equal(len(second.report.Running), 1)
 	tc.is.Equal(len(second.orders), 1)
 }
+
+// The key of an agent that is silent must stay in the stored roster until the ends that its
+// worker has listed are durable.
+func TestSilentAgentStaysInRosterUntilEndsAreDurable(t *testing.T) {
+	tc, first, second := endsBeforeLoss(t)
+	r := first.report
+	tc.Receive(&r, tc.now) // nothing is written, as in an outage of the store
+	for range 30 {
+		tc.now = tc.now.Add(500 * time.Millisecond)
+		second.report.Clock += 500 * time.Millisecond
+		o := second.report
+		tc.Receive(&o, tc.now)
+		tc.Tick(tc.now)
+	}
+	writes := tc.PendingWrites(tc.now, 30)
+	tc.is.Equal(len(writes.RemovedAgents), 0)
+	tc.is.Equal(len(writes.Finals), 1)
+	tc.Committed(&writes)
+	tc.now = tc.now.Add(sweepInterval)
+	tc.Tick(tc.now)
+	tc.is.Equal(tc.commitWrites().RemovedAgents, []string{first.report.Agent})
+	tc.is.Equal(tc.workers.Get(first.report.Agent), (*workerRow)(nil))
+}
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -50,7 +50,7 @@
 	}
 	c.receiveGoneEnds(w, r, now)
 	c.receiveCrashes(w, r, now)
-	w.lastReport, w.leaseEndsBy = now, time.Time{}
+	w.lastReport, w.leaseEndsBy, w.expired = now, time.Time{}, false
 	if r.LeaseLeft > 0 {
 		w.leaseEndsBy = now.Add(r.LeaseLeft)
 	}
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -271,8 +271,9 @@
 	delivery    delivery
 	unreachable time.Duration
 	// left is true once the worker has announced its departure; ended is true
-	// once all its runs have certainly ended.
-	left, ended bool
+	// once all its runs have certainly ended. expired is true if that is so because its agent
+	// is silent.
+	left, ended, expired bool
 	// checkStarts is true from the first report of a new process of the agent
 	// until the start orders to the former process are compared with a list of
 	// the worker.
