--- a/io/scheduler/control.go
+++ b/io/scheduler/control.go
@@ -37,6 +37,9 @@
 // check is a linearizable read of the owner's key in the store, which succeeds if
 // this entry is still the owner.
 type (
+	// barrier is sent after a message that must have been handled. The control goroutine
+	// closes its channel once it reaches the barrier.
+	barrier struct{ reached chan struct{} }
 	// ownershipCheckStarted is sent before an ownership check. The control
 	// goroutine closes its channel once it has handled the message.
 	ownershipCheckStarted struct{ handled chan struct{} }
@@ -342,6 +345,8 @@
 	switch x := x.(type) {
 	case *ownerSession:
 		c.session, c.earlyChanges, c.earlyEvacuations = x, nil, nil
+	case barrier:
+		close(x.reached)
 	case ownershipCheckStarted:
 		if c.cell != nil {
 			c.cell.BeginOwnershipCheck()
--- a/io/scheduler/election.go
+++ b/io/scheduler/election.go
@@ -305,8 +305,19 @@
 }
 
 // loadState reads all items of the scheduler and sends them to the control
-// goroutine. It retries until the ownership ends.
+// goroutine. It retries until the ownership ends. It begins once the control goroutine
+// knows the session: until then, that goroutine ignores changes of the store, which the
+// items must have.
 func (s *Scheduler) loadState(ctx context.Context, session *ownerSession) error {
+	reached := make(chan struct{})
+	s.sendToControl(ctx, barrier{reached})
+	select {
+	case <-reached:
+	case <-session.done:
+		return errSuperseded
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	for ctx.Err() == nil {
 		began := time.Now()
 		items, revision, err := listAll(ctx, s.store, job.KeyRoot)
