core/worker: a done attempt counts although its worker has restarted since

If the next incarnation of the worker reported before, as in an outage of the store, its report replaced the one with the end, and the job ran again. The last report of the incarnation before is kept.

go test ./core/worker -run TestDoneAttempt: failed before, passes.

--- a/core/worker/cell.go
+++ b/core/worker/cell.go
@@ -42,8 +42,10 @@
 	tasks    map[string]bool
 
 	// report is the newest report of this epoch, and lastReceived its time
-	// of arrival.
+	// of arrival. formerReport is the last one of the incarnation before: attempts
+	// that it lists as ended may not have been planned yet.
 	report       *Report
+	formerReport *Report
 	lastReceived time.Time
 	// verifiedStamp is the newest stamp received before the latest successful
 	// verification of ownership began, and pendingStamp the newest one before
--- a/core/worker/faults_test.go
+++ b/core/worker/faults_test.go
@@ -41,3 +41,26 @@
 		is.True(!c.leasesExpired(c.workers.Get("worker-1"), now.Add(time.Second)))
 	}
 }
+
+// The owner has received that an attempt is done while a journal write is in progress, as in an
+// outage of the store. The next incarnation of the worker reports before the next plan. The job
+// must not run again.
+func TestDoneAttemptCountsAlthoughWorkerRestarts(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	c := NewCell(1, Timings{Grant: 4 * time.Second, Hold: 4 * time.Second})
+	c.Open(1, now)
+	c.Apply(Record{Kind: KindSubmitted, At: now, Job: &Job{ID: "j"}})
+	c.Apply(Record{Kind: KindStarted, At: now, ID: "j", Attempt: 1, Worker: "w", Incarnation: 1})
+	cmd := Command{Worker: "w", Lease: Lease{Epoch: 1}}
+	done := &Report{Worker: "w", Epoch: 1, Stamp: Stamp{Incarnation: 1, Time: 1}, Tasks: []TaskReport{{Job: "j", Attempt: 1, State: TaskDone}}}
+	is.True(c.Receive(cmd, done, now))
+	c.Receive(cmd, &Report{Worker: "w", Epoch: 1, Stamp: Stamp{Incarnation: 2, Time: 1}}, now) // no plan between the two
+	var kinds []Kind
+	for _, r := range c.Plan(now) {
+		if r.ID == "j" {
+			kinds = append(kinds, r.Kind)
+		}
+	}
+	is.Equal(kinds, []Kind{KindFinished})
+}
--- a/core/worker/lease.go
+++ b/core/worker/lease.go
@@ -202,6 +202,9 @@
 		w.priorLeaseBound = w.leaseBound
 		w.leaseBound = now.Add(withDrift(r.LeaseLeft.Std()))
 	}
+	if !first && w.report.Stamp.Incarnation != r.Stamp.Incarnation {
+		w.formerReport = w.report
+	}
 	w.report = r
 	w.unanswered = 0
 	w.lastReceived = now
--- a/core/worker/plan.go
+++ b/core/worker/plan.go
@@ -70,6 +70,9 @@
 func (c *Cell) endRecord(j *JobRow, w *workerRow, now time.Time) (Record, bool) {
 	r := Record{At: now, ID: j.ID, Attempt: j.Attempt, Worker: w.id}
 	if w.report != nil && w.report.Stamp.Incarnation != j.Incarnation {
+		if t := w.formerReport.endOf(j); t != nil {
+			return withCancellation(withTaskState(r, t), j), true
+		}
 		// A VM runs one incarnation of a worker at a time. The incarnation that
 		// ran the attempt has therefore ended if it was on the VM that the newest
 		// report came from. On another VM, it may run until priorLeaseBound.
@@ -117,6 +120,16 @@
 	return r
 }
 
+// endOf returns the report that the current attempt of j has ended on the incarnation that ran
+// it, or nil. The receiver may be nil.
+func (r *Report) endOf(j *JobRow) *TaskReport {
+	t := r.task(j.ID, j.Attempt)
+	if t == nil || t.State == TaskRunning || r.Stamp.Incarnation != j.Incarnation {
+		return nil
+	}
+	return t
+}
+
 // task returns the report of an attempt, or nil if there is none. The receiver may
 // be nil.
 func (r *Report) task(job string, attempt int) *TaskReport {
