io/standin/fleet: a soak with workers that leave, late renewals and unordered lists

Workers drain, send their departure when their last task has ended (or up to 0.3 s later), end with its answer or after 2 s, and others take their place. Renewals can take effect 2 s late, also on the next incarnation. Lists can be in any order. Schedulers are restarted around that. The ledger takes note of an end that was listed 100 ms ago without a fault near, which a planned restart or a departure is not, unless the lease ended before, and reports a start by an agent in touch over a second later. The other checks are unchanged.

--- a/io/standin/fleet/evacuation_test.go
+++ b/io/standin/fleet/evacuation_test.go
@@ -64,22 +64,30 @@
 	}
 }
 
-// ownerProcess returns the process of the scheduler that is the owner.
-func (r *testRun) ownerProcess() *process {
+// findOwner returns the process of the scheduler that is the owner, or was last, or nil.
+func (r *testRun) findOwner() *process {
 	i, _, err := r.store.Get(job.KeyOwner)
 	var o job.Ownership
 	if err != nil || json.Unmarshal(i.Value, &o) != nil {
-		r.t.Fatalf("no owner: %v", err)
+		return nil
 	}
 	for _, p := range r.schedulers {
 		if p.name == o.Holder {
 			return p
 		}
 	}
-	r.t.Fatalf("unknown owner %q", o.Holder)
 	return nil
 }
 
+// ownerProcess is findOwner, and fails the test if there is none.
+func (r *testRun) ownerProcess() *process {
+	p := r.findOwner()
+	if p == nil {
+		r.t.Fatal("no scheduler is the owner")
+	}
+	return p
+}
+
 // TestEvacuationUnderLoad checks that a zone stays evacuated while the owner is killed in
 // the middle of the evacuation under load, that the other zone goes on, and that tasks
 // start in the zone again once it is reopened.
--- a/io/standin/fleet/harness_test.go
+++ b/io/standin/fleet/harness_test.go
@@ -160,11 +160,14 @@
 	d.serve(addrPort(d.vmIP(1), storePort), platformtest.StoreHandler(d.store))
 	d.putConfiguration(1)
 	var seeds []netip.AddrPort
+	var names []string
 	for i := range schedulers {
+		names = append(names, fmt.Sprintf("scheduler-%d", i))
 		seeds = append(seeds, addrPort(d.vmIP(11+i), controlPort))
 	}
+	d.ledger.SetSchedulers(names...)
 	for i := range schedulers {
-		p := &process{name: fmt.Sprintf("scheduler-%d", i), role: "scheduler", ip: d.vmIP(11 + i)}
+		p := &process{name: names[i], role: "scheduler", ip: d.vmIP(11 + i)}
 		d.launch(p, platform.Settings{CallerListen: addrPort(p.ip, callerPort), ReadinessListen: addrPort(p.ip, readyPort),
 			ControlListen: addrPort(p.ip, controlPort), Seeds: seeds})
 		d.schedulers = append(d.schedulers, p)
@@ -234,7 +237,10 @@
 }
 
 // start starts the process of p unless it is running.
-func (d *deployment) start(p *process) {
+func (d *deployment) start(p *process) { d.startAs(p, d.ledger.Disturb) }
+
+// startAs is start with the method of the ledger that records the start.
+func (d *deployment) startAs(p *process, record func(names ...string) (end func())) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.cmd != nil || d.ctx.Err() != nil {
@@ -261,7 +267,7 @@
 	}
 	p.cmd = cmd
 	p.starts++
-	d.ledger.Disturb(p.name)()
+	record(p.name)()
 	p.ended.Go(func() {
 		_ = cmd.Wait()
 		f.Close()
@@ -303,6 +309,13 @@
 	}
 }
 
+// running reports whether the process of p is running.
+func (p *process) running() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd != nil
+}
+
 // startCount returns how often p was started.
 func (p *process) startCount() int {
 	p.mu.Lock()
--- a/io/standin/fleet/ledger.go
+++ b/io/standin/fleet/ledger.go
@@ -31,7 +31,8 @@
 	// no run reaches is noticed.
 	judged map[string]int
 
-	disturbances disturbances
+	// faults are the disturbances that are not planned.
+	disturbances, faults disturbances
 	// drainingSince is when an agent acknowledged the first heartbeat that says that a
 	// worker is draining, by worker.
 	drainingSince map[string]time.Time
@@ -41,6 +42,7 @@
 	// writtenAt is when the versions of the configuration were written.
 	writtenAt map[int64]time.Time
 	copies    copyRecords
+	ends      endRecords
 }
 
 // jobRecord is what callers know of a job.
@@ -64,7 +66,7 @@
 func NewLedger() *Ledger {
 	return &Ledger{jobs: map[string]*jobRecord{}, active: map[string]int{}, done: map[string]bool{}, lostEnds: map[string]bool{}, zones: newZoneRecords(),
 		failures: newFailureRecords(), judged: map[string]int{},
-		disturbances: newDisturbances(), drainingSince: map[string]time.Time{}, orders: newOwnerRecords(),
+		disturbances: newDisturbances(), faults: newDisturbances(), ends: newEndRecords(), drainingSince: map[string]time.Time{}, orders: newOwnerRecords(),
 		lasting: map[string]*lastingTask{}, writtenAt: map[int64]time.Time{}, copies: newCopyRecords()}
 }
 
--- a/io/standin/fleet/ledger_disturbance.go
+++ b/io/standin/fleet/ledger_disturbance.go
@@ -27,17 +27,34 @@
 // Disturb records that a fault is about to be injected at each named process, its links or
 // worker, or at the store. The caller calls end when the fault has ended.
 func (l *Ledger) Disturb(names ...string) (end func()) {
+	return l.record(names, &l.disturbances, &l.faults)
+}
+
+// Plan records that each named process is about to be restarted as planned. The caller
+// calls end when it has started again.
+func (l *Ledger) Plan(names ...string) (end func()) { return l.record(names, &l.disturbances) }
+
+// RecordFault records a fault of a worker that no test injects.
+func (l *Ledger) RecordFault(agent string) { l.record([]string{agent}, &l.faults)() }
+
+// record records the beginning of a disturbance of the named processes in the given
+// tables, and its end when end is called.
+func (l *Ledger) record(names []string, tables ...*disturbances) (end func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, n := range names {
-		l.disturbances.open[n]++
+	for _, d := range tables {
+		for _, n := range names {
+			d.open[n]++
+		}
 	}
 	return func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		for _, n := range names {
-			l.disturbances.open[n]--
-			l.disturbances.endedAt[n] = time.Now()
+		for _, d := range tables {
+			for _, n := range names {
+				d.open[n]--
+				d.endedAt[n] = time.Now()
+			}
 		}
 	}
 }
@@ -52,8 +69,13 @@
 // inTouch reports whether neither the named processes, nor the store or the machine, were
 // disturbed in the contactTime before at, or since. The caller holds mu.
 func (l *Ledger) inTouch(at time.Time, names ...string) bool {
+	return l.disturbances.calm(at, names...)
+}
+
+// calm reports the same for the disturbances in d.
+func (d *disturbances) calm(at time.Time, names ...string) bool {
 	for _, n := range append([]string{storeName, machineName}, names...) {
-		if l.disturbances.open[n] > 0 || at.Sub(l.disturbances.endedAt[n]) < contactTime {
+		if d.open[n] > 0 || at.Sub(d.endedAt[n]) < contactTime {
 			return false
 		}
 	}
--- a/io/standin/fleet/soak_loads_test.go
+++ b/io/standin/fleet/soak_loads_test.go
@@ -18,6 +18,7 @@
 	wideJobs
 	deadlyJobs
 	reductions
+	shuffles
 )
 
 // sendFailingJobs starts callers for jobs of which each run of a task fails, or the first
--- a/io/standin/fleet/soak_test.go
+++ b/io/standin/fleet/soak_test.go
@@ -94,6 +94,7 @@
 	silentWorkers
 	evacuations
 	foreignHeartbeats
+	departures
 )
 
 // runSeeds runs the chosen seeds and further ones.
@@ -170,12 +171,14 @@
 	r.wg.Go(func() { r.sendJobs(seed, stop) })
 	r.wg.Go(func() { r.sendFailingJobs(seed, stop) })
 	r.wg.Go(func() { r.updateConfigurations(stop) })
-	r.wg.Go(func() { r.drainWorkers(seed, stop) })
+	if m != departures {
+		r.wg.Go(func() { r.drainWorkers(seed, stop) })
+	}
 	r.wg.Go(func() { r.runLastingJobs(seed, stop) })
 	if admission {
 		r.wg.Go(func() { r.sendWideJobs(seed, stop) })
 	}
-	if seed%deadlySeeds == 2 {
+	if seed%deadlySeeds == 2 && m != departures {
 		r.wg.Go(func() { r.sendDeadlyJobs(seed, stop) })
 		r.wg.Go(func() { r.reduceCapacities(seed, stop) })
 	}
@@ -185,10 +188,16 @@
 	if m == foreignHeartbeats {
 		r.wg.Go(func() { r.sendForeignHeartbeats(seed, stop) })
 	}
+	if m == departures {
+		r.shuffleEnds(seed)
+	}
 	for time.Since(start) < faultDuration {
-		if r.mix == silentWorkers && r.randIntN(2) == 0 {
+		switch {
+		case r.mix == departures:
+			r.loseEnds(seed, start)
+		case r.mix == silentWorkers && r.randIntN(2) == 0:
 			r.silenceWorkers(time.Since(start))
-		} else {
+		default:
 			r.injectFault(time.Since(start))
 		}
 		time.Sleep(time.Duration(200+r.randIntN(900)) * time.Millisecond)
@@ -237,6 +246,10 @@
 			allowCopies(&j, n)
 		}
 		toAll, cancel := r.randIntN(8) == 0, r.randIntN(10) == 0
+		if r.mix == departures && n%2 == 0 {
+			// Workers that drain have tasks until they leave.
+			j.Payload, j.Steps[0].Need.Processors = fmt.Sprintf("ms=%d", 1000+r.randIntN(2000)), 200
+		}
 		if r.mix == silentWorkers {
 			cancel = cancel || r.randIntN(3) == 0
 			if r.randIntN(4) == 0 {
@@ -401,6 +414,7 @@
 		if p.worker != nil {
 			p.worker.SetFaults(false, 0)
 			p.worker.SetSilent(false)
+			p.worker.SetLateRenewals(0)
 			p.toWorker.ResetConnections()
 		}
 		r.start(p)
--- a/io/standin/fleet/worker.go
+++ b/io/standin/fleet/worker.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -24,6 +25,8 @@
 	tickPeriod       = 10 * time.Millisecond
 	// maxLease is the maximum duration of a lease, counted from its renewal.
 	maxLease = 10 * time.Second
+	// lateDelay is how much later a call without an answer may take effect.
+	lateDelay = 2 * time.Second
 )
 
 // Worker is a fake worker. It only simulates tasks: the payload "ms=50" makes a
@@ -57,6 +60,15 @@
 	// responding when orderCount is divisible by dropEvery. When orderCount is also
 	// divisible by 2*dropEvery, and dropEvery is not 1, a start takes effect late.
 	dropEvery, orderCount int
+	// renewalCount counts the renewals that passed checkCall and did not wait. If lateEvery
+	// is greater than 0, one that is divisible by it gets no answer and takes effect late.
+	lateEvery, renewalCount int
+	// order shuffles the ended runs of each list, unless it is nil.
+	order *rand.Rand
+	// departures counts the workers that have left before this one, and departing is true
+	// while this one is about to leave.
+	departures int
+	departing  bool
 	// down is true while the worker has crashed and is not back.
 	down bool
 	// silent is true while the worker answers no orders, although it executes them.
@@ -214,7 +226,7 @@
 	defer w.mu.Unlock()
 	w.excludeStalledTime()
 	if w.clock() > w.leaseEnd {
-		w.loseEnds()
+		w.lapse()
 	}
 	for _, name := range slices.Sorted(maps.Keys(w.running)) {
 		t := w.running[name]
@@ -243,6 +255,13 @@
 	}
 }
 
+// lapse records that the lease has ended before the listed ends were acknowledged. The
+// caller holds mu.
+func (w *Worker) lapse() {
+	w.ledger.RecordLapse(w.ended)
+	w.loseEnds()
+}
+
 // excludeStalledTime delays the start times of the running tasks by the time in
 // which they were stalled, so that the progress of a task depends on its start time
 // alone. The caller holds mu.
@@ -280,6 +299,12 @@
 
 // crash implements Crash. The caller holds mu.
 func (w *Worker) crash() {
+	w.ledger.RecordFault(w.agentName)
+	w.end()
+}
+
+// end discards the state of the worker, and begins a new incarnation. The caller holds mu.
+func (w *Worker) end() {
 	for name := range w.running {
 		w.ledger.RecordEnd(name, job.EndLapsed, false)
 	}
@@ -408,10 +433,10 @@
 		return w.clock(), err
 	}
 	if w.dropsResponse() {
-		// Every second order without a response takes effect 2 s later, unless all
+		// Every second order without a response takes effect late, unless all
 		// responses are dropped.
 		if w.dropEvery > 1 && w.orderCount%(2*w.dropEvery) == 0 {
-			time.AfterFunc(2*time.Second, func() {
+			time.AfterFunc(lateDelay, func() {
 				w.mu.Lock()
 				defer w.mu.Unlock()
 				if w.checkCall(s.Worker, s.Token) == nil {
@@ -443,6 +468,7 @@
 	w.extendLease(s.LeaseUntil)
 	w.ledger.RecordZoneOfStart(w.zone, w.id, s.Task, arrived)
 	w.ledger.CheckDraining(w.id, w.agentName, s.Task, arrived)
+	w.ledger.CheckListedEnd(w.id, w.agentName, s.Task, arrived)
 	need := w.ledger.RecordStart(w.id, s, arrived)
 	used := need
 	for _, t := range w.running {
@@ -507,7 +533,12 @@
 	w.mu.Lock()
 	incarnationStart := w.incarnationStart
 	w.recordToken(r.Worker, r.Token)
+	late := w.delaysRenewal(r)
 	w.mu.Unlock()
+	if late {
+		time.AfterFunc(lateDelay, func() { w.renewLate(r) })
+		return job.RunList{}, platformtest.ErrDropConnection
+	}
 	for {
 		w.mu.Lock()
 		if w.incarnationStart != incarnationStart {
@@ -518,14 +549,9 @@
 			defer w.mu.Unlock()
 			return job.RunList{Clock: w.clock()}, err
 		}
-		if r.LeaseUntil > 0 {
-			w.extendLease(r.LeaseUntil)
-		}
-		for len(w.ended) > 0 && w.ended[0].Number <= r.Acknowledged {
-			w.ledger.RecordAcknowledgement(w.ended[0])
-			w.ended = w.ended[1:]
-		}
+		w.applyRenewal(r)
 		out := w.runList()
+		w.ledger.RecordListed(w.agentName, out.Ended)
 		changed := w.changed
 		w.mu.Unlock()
 		if r.Wait == 0 || len(out.Ended) > 0 {
@@ -539,11 +565,60 @@
 	}
 }
 
+// applyRenewal extends the lease and forgets the acknowledged ends. The caller holds mu.
+func (w *Worker) applyRenewal(r platform.RenewRequest) {
+	if r.LeaseUntil > 0 {
+		w.extendLease(r.LeaseUntil)
+	}
+	for len(w.ended) > 0 && w.ended[0].Number <= r.Acknowledged {
+		w.ledger.RecordAcknowledgement(w.ended[0])
+		w.ended = w.ended[1:]
+	}
+}
+
+// delaysRenewal counts a renewal and reports whether it gets no answer and takes effect
+// late. The caller holds mu.
+func (w *Worker) delaysRenewal(r platform.RenewRequest) bool {
+	if r.Wait > 0 || w.checkCall(r.Worker, r.Token) != nil {
+		return false
+	}
+	w.renewalCount++
+	return w.lateEvery > 0 && w.renewalCount%w.lateEvery == 0
+}
+
+// renewLate carries out a renewal that got no answer, also if the worker has begun another
+// incarnation since.
+func (w *Worker) renewLate(r platform.RenewRequest) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.checkCall(r.Worker, r.Token) == nil {
+		w.applyRenewal(r)
+	}
+}
+
+// SetLateRenewals lets one of every given number of renewals take effect late, or none if
+// it is 0.
+func (w *Worker) SetLateRenewals(every int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lateEvery = every
+}
+
+// ShuffleEnds lets the worker list its ended runs in an order that rng determines.
+func (w *Worker) ShuffleEnds(rng *rand.Rand) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.order = rng
+}
+
 // runList returns the running runs and the ends that are not acknowledged. The
 // caller holds mu.
 func (w *Worker) runList() job.RunList {
 	w.excludeStalledTime()
 	out := job.RunList{Incarnation: w.incarnationStart.UnixMilli(), Clock: w.clock(), Ended: slices.Clone(w.ended)}
+	if w.order != nil {
+		w.order.Shuffle(len(out.Ended), func(i, j int) { out.Ended[i], out.Ended[j] = out.Ended[j], out.Ended[i] })
+	}
 	for _, name := range slices.Sorted(maps.Keys(w.running)) {
 		t := w.running[name]
 		percent := min(int(100*time.Since(t.started)/max(t.runTime, 1)), 99)
