core/wire, platform: short bodies of many elements take bounded memory

Clients can end a process with bodies of legal size: 256 KiB of empty steps decode into some 20 MB, since each takes the space of all its fields, and reading a body doubles a buffer that a client need not fill.

--- a/core/wire/wire.go
+++ b/core/wire/wire.go
@@ -49,8 +49,12 @@
 // status.ErrBodyTooLarge for a larger body, and status.ErrMalformedJSON if
 // reading fails.
 func ReadBody(r io.Reader, limit int64) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(r, limit+1))
-	if err != nil {
+	b, err := ReadAll(io.LimitReader(r, limit+1))
+	var coded *status.Error
+	switch {
+	case errors.As(err, &coded):
+		return nil, err
+	case err != nil:
 		return nil, errors.WithMessage(status.ErrMalformedJSON, err.Error())
 	}
 	if int64(len(b)) > limit {
