io/httpjson, io/process: bound what client connections hold together

Clients that do not behave ended a process, which ran out of memory: each connection could hold a header of up to 256 KiB and a body of legal size without end, and nothing limited the number of connections, the sum of their buffers or how long they took.

A Limiter, one for all listeners of a process, follows the stage of each connection and reserves bytes before they are buffered, for headers, bodies, decoding, metrics and the responses of endpoints. Without room it closes the connections that core/connection names. A request whose body has not arrived is refused with the code overloaded; one whose header has not been read, and a submission, get no response, since a refusal would say that a job never runs that an earlier attempt may have stored.

The budget is a quarter of the memory limit, and half of the descriptors that are not for files are for clients: handling a request may take one for another process.

--- a/core/connection/table.go
+++ b/core/connection/table.go
@@ -21,11 +21,12 @@
 // Stage is what a connection is doing.
 type Stage int
 
-// Stages of a connection. A new connection is Idle until its first byte arrives.
+// Stages of a connection.
 const (
-	// Idle means that no request has begun.
+	// Idle means that a request has been answered and no other has begun.
 	Idle Stage = iota
-	// Header means that a part of a request's header has arrived.
+	// Header means that the connection is new, or that a part of a request's header has
+	// arrived. A new connection is not idle: its client is about to send.
 	Header
 	// Body means that the header has arrived and the body has not arrived completely.
 	Body
@@ -194,7 +195,7 @@
 		return 0, verdict, victims
 	}
 	t.lastID++
-	c := &connection{listener: listener, progressAt: now}
+	c := &connection{listener: listener, stage: Header, progressAt: now}
 	t.connections[t.lastID] = c
 	t.charge(c, need)
 	t.enqueue(t.lastID, c)
--- a/core/event/fields.go
+++ b/core/event/fields.go
@@ -141,3 +141,12 @@
 // Incarnation returns the field with the incarnation number of a worker, which
 // rises with each start of the worker.
 func Incarnation(n int64) Field { return Field{"incarnation", n} }
+
+// Listener returns the field with the name of a listener.
+func Listener(name string) Field { return Field{"listener", name} }
+
+// Closed returns the field with the number of connections that were closed.
+func Closed(n int) Field { return Field{"closed", n} }
+
+// Refused returns the field with the number of requests and connections that were refused.
+func Refused(n int) Field { return Field{"refused", n} }
--- a/core/event/process.go
+++ b/core/event/process.go
@@ -11,6 +11,10 @@
 	ProcessStopped = Event{6003, "process-stopped", hclog.Info,
 		[]string{"entry", "reason"}, "The process stopped.",
 		"If a reason is given, look it up in docs/INTERFACES.md."}
+	ConnectionsClosed = Event{6004, "connections-closed", hclog.Warn,
+		[]string{"listener", "closed", "refused", "count"},
+		"In the last second, connections of clients were closed and requests refused to bound what all connections hold, or because they made no progress. The listener is the one with the most, which has this number of connections.",
+		"See \"Clients that do not behave\" in docs/OPERATIONS.md."}
 )
 
-var processEvents = []Event{ProcessStarted, ProcessStopping, ProcessStopped}
+var processEvents = []Event{ProcessStarted, ProcessStopping, ProcessStopped, ConnectionsClosed}
--- a/core/metric/catalogue.go
+++ b/core/metric/catalogue.go
@@ -11,6 +11,14 @@
 	{"rosemarygap_latency_p99_seconds", []string{"service"}, "99th percentile latency that callers of this entry saw in the last 10 s with at least 50 responses; alert if it is above the target"},
 }
 
+// clientMetrics are the metrics of the connections of clients, which all processes have.
+var clientMetrics = []Metric{
+	{"rosemarygap_client_connections", []string{"listener"}, "connections of clients that are open"},
+	{"rosemarygap_client_bytes", []string{"listener"}, "memory that the connections of clients hold, as it is counted against what all of them may hold"},
+	{"rosemarygap_client_connections_closed_total", []string{"listener", "stage", "reason"}, "connections that were closed to make room (`room`) or because a body or response made no progress (`stalled`), by what they were doing: `idle`, `header`, `body` or `response`; alert if it rises for minutes"},
+	{"rosemarygap_client_refusals_total", []string{"listener"}, "new connections and requests that were refused with the code `overloaded` or `body-too-large` because there was no room; alert if it rises for minutes"},
+}
+
 var platformMetrics = []Metric{
 	{"rosemarygap_submissions_total", []string{"outcome"}, "jobs submitted to this entry: `accepted` or the error code; `deadline-exceeded` means that the job may have been stored, `no-room` and `cannot-be-placed` that it was refused by forecast"},
 	{"rosemarygap_submission_seconds", nil, "time from a submission's arrival to its response, as a histogram"},
--- a/core/metric/metric.go
+++ b/core/metric/metric.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -17,10 +18,10 @@
 }
 
 // EntryMetrics returns the metrics of the entry process.
-func EntryMetrics() []Metric { return entryMetrics }
+func EntryMetrics() []Metric { return append(slices.Clone(entryMetrics), clientMetrics...) }
 
 // PlatformMetrics returns the metrics of the processes on the users' platform.
-func PlatformMetrics() []Metric { return platformMetrics }
+func PlatformMetrics() []Metric { return append(slices.Clone(platformMetrics), clientMetrics...) }
 
 // Page returns the Markdown page docs/METRICS.md, which lists all metrics.
 func Page() []byte {
@@ -29,10 +30,10 @@
 	b.WriteString("`GET /metrics` at an entry's admin address returns these in the Prometheus text format, and the\n")
 	b.WriteString("standard ones of the Go runtime and the process. This page is generated from the catalogue by\n")
 	b.WriteString("`make generate`; a test compares it with the code.\n\n")
-	writeTable(&b, entryMetrics)
+	writeTable(&b, EntryMetrics())
 	b.WriteString("\nOn the users' platform each process serves its metrics on port 9464 at `/metrics`; deploy/system.toml\n")
 	b.WriteString("sets the port.\n\n")
-	writeTable(&b, platformMetrics)
+	writeTable(&b, PlatformMetrics())
 	return []byte(b.String())
 }
 
--- a/core/status/codes.go
+++ b/core/status/codes.go
@@ -21,6 +21,7 @@
 	ErrMethodNotServed = &Error{"method-not-allowed", http.StatusMethodNotAllowed}
 	ErrWrongType       = &Error{"wrong-type", http.StatusBadRequest}
 	ErrDuplicateKey    = &Error{"duplicate-key", http.StatusBadRequest}
+	ErrOverloaded      = &Error{"overloaded", http.StatusServiceUnavailable}
 )
 
 // Errors of the request path. docs/INTERFACES.md lists their outcomes. 499 is the
@@ -93,6 +94,6 @@
 		ErrConfigInvalid, ErrCellsFixed, ErrNoConfiguration, ErrUnauthorized,
 		ErrWrongType, ErrDuplicateKey, ErrContradiction, ErrAboveCapacity,
 		ErrChangeIDReused, ErrCrossOrigin, ErrJobNotFinished, ErrConfigUnusable,
-		ErrNoRoom, ErrCannotBePlaced,
+		ErrNoRoom, ErrCannotBePlaced, ErrOverloaded,
 	}
 }
--- a/io/agent/agent.go
+++ b/io/agent/agent.go
@@ -76,6 +76,15 @@
 	shutdownTimeout = 500 * time.Millisecond
 )
 
+// Names of the listeners.
+const (
+	listenerControl = "control"
+	listenerMetrics = "metrics"
+)
+
+// shares are what the listeners are guaranteed of the room for connections.
+var shares = []httpjson.Share{{Listener: listenerControl, Percent: 50}, {Listener: listenerMetrics, Percent: 10}}
+
 // Agent is the process that runs next to a worker.
 type Agent struct {
 	cfg platform.Settings
@@ -151,11 +160,13 @@
 		return status.At(status.ErrBadSetting, "app, listen.control", cfg.WorkerAddress.String()+", "+cfg.ControlListen.String())
 	}
 	a := New(cfg, l, options...)
-	controlListener, err := httpjson.Listen(cfg.ControlListen, a.Handler())
+	limiter := process.NewLimiter(cfg.MemoryLimitMiB, cfg.DescriptorLimit, l, shares...)
+	controlListener, err := httpjson.Listen(cfg.ControlListen, a.Handler(), httpjson.WithLimiter(limiter, listenerControl))
 	if err != nil {
 		return err
 	}
-	metricsListener, err := httpjson.Listen(netip.AddrPortFrom(cfg.IP, process.MetricsPort), process.MetricsHandler())
+	metricsListener, err := httpjson.Listen(netip.AddrPortFrom(cfg.IP, process.MetricsPort), process.MetricsHandler(),
+		httpjson.WithLimiter(limiter, listenerMetrics))
 	if err != nil {
 		return err
 	}
@@ -163,7 +174,7 @@
 	process.AddSignals(&g)
 	process.AddListener(&g, controlListener, shutdownTimeout)
 	process.AddListener(&g, metricsListener, shutdownTimeout)
-	for _, f := range append(actors, a.awaitDeparture, a.renewLoop, a.immediateRenewLoop, a.reportLoop, a.pollLoop, a.watchOwner, a.confirmLoop,
+	for _, f := range append(actors, limiter.Run, a.awaitDeparture, a.renewLoop, a.immediateRenewLoop, a.reportLoop, a.pollLoop, a.watchOwner, a.confirmLoop,
 		a.cancelLoop, a.identifyLoop) {
 		process.AddActor(&g, f)
 	}
--- a/io/agent/heartbeat.go
+++ b/io/agent/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"slices"
 	"sync"
@@ -11,6 +12,7 @@
 	"rosemarygap/core/job"
 	"rosemarygap/core/status"
 	"rosemarygap/core/wire"
+	"rosemarygap/io/httpjson"
 	"rosemarygap/io/process"
 	"rosemarygap/platform"
 
@@ -36,6 +38,9 @@
 	if err != nil {
 		return err
 	}
+	if err := httpjson.Reserve(x.Request().Context(), wire.DecodedBytes(b, math.MaxInt)); err != nil {
+		return err
+	}
 	w, ignored, err := platform.DecodeHeartbeat(x.Param("id"), b)
 	switch {
 	case err != nil:
--- a/io/caller/parse.go
+++ b/io/caller/parse.go
@@ -9,6 +9,7 @@
 	"rosemarygap/core/caller"
 	"rosemarygap/core/operator"
 	"rosemarygap/core/status"
+	"rosemarygap/core/wire"
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
@@ -114,7 +115,10 @@
 
 // readBody reads a body of at most limit bytes.
 func readBody(r *http.Request, limit int64) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	b, err := wire.ReadAll(io.LimitReader(r.Body, limit+1))
+	if errors.Is(err, status.ErrOverloaded) || errors.Is(err, status.ErrBodyTooLarge) {
+		return nil, err
+	}
 	var timeoutErr interface{ Timeout() bool }
 	if errors.As(err, &timeoutErr) && timeoutErr.Timeout() {
 		return nil, status.ErrDeadlineExceeded
--- a/io/caller/request.go
+++ b/io/caller/request.go
@@ -13,6 +13,7 @@
 	"rosemarygap/io/endpoint"
 
 	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
 )
 
 // exchange is the state of one request while this entry handles it.
@@ -95,6 +96,9 @@
 	rc := http.NewResponseController(x.c.Response())
 	_ = rc.SetReadDeadline(x.req.Deadline)
 	b, err := readBody(r, svc.MaxBodyBytes)
+	if errors.Is(err, status.ErrOverloaded) {
+		x.markMaybeRepeated()
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/io/commandline/entry.go
+++ b/io/commandline/entry.go
@@ -4,6 +4,7 @@
 	"io"
 
 	"rosemarygap/io/entry"
+	"rosemarygap/io/process"
 )
 
 // EntryCommand runs the entry process on an entry VM.
@@ -17,5 +18,6 @@
 	if err != nil {
 		return err
 	}
+	process.LimitMemory(c.MemoryLimit)
 	return e.Run()
 }
--- a/io/commandline/guard.go
+++ b/io/commandline/guard.go
@@ -15,5 +15,6 @@
 
 // Run runs the guard until it gets a stop signal. It logs to the standard error.
 func (c *GuardCommand) Run(io.Writer) error {
+	process.LimitMemory(c.MemoryLimit)
 	return guard.Run(c.Options, process.NewLogger("guard", c.LogLevel, os.Stderr))
 }
--- a/io/endpoint/response.go
+++ b/io/endpoint/response.go
@@ -7,6 +7,8 @@
 
 	"rosemarygap/core/caller"
 	"rosemarygap/core/status"
+	"rosemarygap/core/wire"
+	"rosemarygap/io/httpjson"
 
 	"github.com/pkg/errors"
 )
@@ -40,17 +42,46 @@
 		httpResp.StatusCode == http.StatusNoContent || httpResp.StatusCode == http.StatusNotModified
 }
 
+// responseCopies is the number of copies of a response, as wire.ReadAll reads it: in pieces
+// and whole.
+const responseCopies = 2
+
+// reservingReader reserves room for what its reader keeps of a response. It ends where there
+// is no room.
+type reservingReader struct {
+	io.Reader
+	ctx context.Context
+	// left is the number of bytes of the room that is reserved.
+	left int
+	full bool
+}
+
+// Read implements io.Reader.
+func (r *reservingReader) Read(b []byte) (int, error) {
+	if r.left == 0 {
+		if httpjson.Reserve(r.ctx, int64(len(b))*responseCopies) != nil {
+			r.full = true
+			return 0, io.EOF
+		}
+		r.left = len(b)
+	}
+	n, err := r.Reader.Read(b[:min(len(b), r.left)])
+	r.left -= n
+	return n, err
+}
+
 // readResponse reads the complete response, or as much of it as fits into the
-// buffer.
+// buffer and the room for the caller's connection.
 func (c *Client) readResponse(ctx context.Context, httpResp *http.Response) (*Response, caller.Result, error) {
 	resp := &Response{Status: httpResp.StatusCode, Header: httpResp.Header}
-	b, err := io.ReadAll(io.LimitReader(httpResp.Body, c.bufferBytes))
+	limited := &reservingReader{Reader: httpResp.Body, ctx: ctx}
+	b, err := wire.ReadAll(io.LimitReader(limited, c.bufferBytes))
 	if err != nil {
 		httpResp.Body.Close()
 		return nil, caller.Indeterminate, dispatchError(ctx, err)
 	}
 	resp.Body = b
-	if int64(len(b)) == c.bufferBytes {
+	if limited.full || int64(len(b)) == c.bufferBytes {
 		resp.Rest = httpResp.Body
 		return resp, caller.Indeterminate, nil
 	}
--- a/io/entry/admin.go
+++ b/io/entry/admin.go
@@ -18,10 +18,10 @@
 }
 
 // bindAll binds the addresses of all listeners before any of them serves requests.
-func bindAll(specs []listenerSpec) ([]*httpjson.Listener, error) {
+func bindAll(specs []listenerSpec, limiter *httpjson.Limiter) ([]*httpjson.Listener, error) {
 	var bound []*httpjson.Listener
 	for _, s := range specs {
-		l, err := httpjson.Listen(s.address, s.handler)
+		l, err := httpjson.Listen(s.address, s.handler, httpjson.WithLimiter(limiter, s.name))
 		if err != nil {
 			return nil, err
 		}
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -10,6 +10,7 @@
 	"rosemarygap/core/event"
 	iocaller "rosemarygap/io/caller"
 	"rosemarygap/io/endpoint"
+	"rosemarygap/io/httpjson"
 	"rosemarygap/io/operator"
 	iopeer "rosemarygap/io/peer"
 	"rosemarygap/io/platform"
@@ -29,6 +30,15 @@
 // another availability zone until the endpoint's latency is known.
 const crossZonePenalty = 2 * time.Millisecond
 
+// shares are what the listeners, by the names in addActors, are guaranteed of the room for
+// connections.
+var shares = []httpjson.Share{
+	{Listener: "caller", Percent: 30},
+	{Listener: "operator", Percent: 10},
+	{Listener: "peer", Percent: 15},
+	{Listener: "admin", Percent: 5},
+}
+
 // Entry is the entry process, which runs on an entry VM.
 type Entry struct {
 	opts         Options
@@ -103,7 +113,8 @@
 		{"peer", e.opts.PeerListen, iopeer.NewHandler(e.control, e.control.claims)},
 		{"admin", e.opts.AdminListen, newAdminHandler(e.control)},
 	}
-	bound, err := bindAll(listeners)
+	limiter := process.NewLimiter(e.opts.MemoryLimit, e.opts.DescriptorLimit, e.log, shares...)
+	bound, err := bindAll(listeners, limiter)
 	if err != nil {
 		return err
 	}
@@ -114,6 +125,7 @@
 	addWaitingActor(g, e.control.run)
 	process.AddListener(g, bound[2], e.opts.StopLimit)
 	process.AddListener(g, bound[3], e.opts.StopLimit)
+	process.AddActor(g, limiter.Run)
 	return nil
 }
 
--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -12,6 +12,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"rosemarygap/core/endpoint"
@@ -37,16 +38,18 @@
 // Options are the settings of a guard. docs/SETTINGS.md is generated from the
 // tags.
 type Options struct {
-	ID          string           `arg:"--id,required,env:ROSEMARYGAP_ID" help:"name of the endpoint, unique among endpoints"`
-	Service     string           `arg:"--service,required,env:ROSEMARYGAP_SERVICE" help:"service that the endpoint belongs to"`
-	Zone        string           `arg:"--zone,required,env:ROSEMARYGAP_ZONE" help:"availability zone of this VM"`
-	Listen      netip.AddrPort   `arg:"--listen,required,env:ROSEMARYGAP_LISTEN" help:"address at which the guard accepts requests, announced to entries, IP:PORT"`
-	Endpoint    netip.AddrPort   `arg:"--endpoint,required,env:ROSEMARYGAP_ENDPOINT" help:"address of the endpoint to which the guard forwards requests, IP:PORT"`
-	Entry       []netip.AddrPort `arg:"--entry,required,env:ROSEMARYGAP_ENTRIES" help:"caller addresses of the entries, or of their load balancer, to which the guard announces the endpoint"`
-	Slots       int              `arg:"--slots,env:ROSEMARYGAP_SLOTS" default:"8" help:"maximum number of concurrent requests; 1 to 4096"`
-	Connections int              `arg:"--connections,env:ROSEMARYGAP_CONNECTIONS" default:"64" help:"maximum number of concurrent connections to the endpoint; 1 to 65536"`
-	StopLimit   time.Duration    `arg:"--stop-limit,env:ROSEMARYGAP_STOP_LIMIT" default:"60s" help:"maximum time that a graceful shutdown waits for requests in progress; 1s to 10m"`
-	LogLevel    string           `arg:"--log-level,env:ROSEMARYGAP_LOG_LEVEL" default:"info" help:"minimum level of log lines: trace, debug, info, warn or error"`
+	ID              string           `arg:"--id,required,env:ROSEMARYGAP_ID" help:"name of the endpoint, unique among endpoints"`
+	Service         string           `arg:"--service,required,env:ROSEMARYGAP_SERVICE" help:"service that the endpoint belongs to"`
+	Zone            string           `arg:"--zone,required,env:ROSEMARYGAP_ZONE" help:"availability zone of this VM"`
+	Listen          netip.AddrPort   `arg:"--listen,required,env:ROSEMARYGAP_LISTEN" help:"address at which the guard accepts requests, announced to entries, IP:PORT"`
+	Endpoint        netip.AddrPort   `arg:"--endpoint,required,env:ROSEMARYGAP_ENDPOINT" help:"address of the endpoint to which the guard forwards requests, IP:PORT"`
+	Entry           []netip.AddrPort `arg:"--entry,required,env:ROSEMARYGAP_ENTRIES" help:"caller addresses of the entries, or of their load balancer, to which the guard announces the endpoint"`
+	Slots           int              `arg:"--slots,env:ROSEMARYGAP_SLOTS" default:"8" help:"maximum number of concurrent requests; 1 to 4096"`
+	Connections     int              `arg:"--connections,env:ROSEMARYGAP_CONNECTIONS" default:"64" help:"maximum number of concurrent connections to the endpoint; 1 to 65536"`
+	StopLimit       time.Duration    `arg:"--stop-limit,env:ROSEMARYGAP_STOP_LIMIT" default:"60s" help:"maximum time that a graceful shutdown waits for requests in progress; 1s to 10m"`
+	MemoryLimit     int64            `arg:"--memory-limit,env:ROSEMARYGAP_MEMORY_LIMIT" default:"0" help:"memory limit of the process in MiB; a quarter of it is for the connections of clients; 0 means no limit, and 1 GiB for these connections"`
+	DescriptorLimit int              `arg:"--descriptor-limit,env:ROSEMARYGAP_DESCRIPTOR_LIMIT" default:"0" help:"maximum number of file descriptors of the process; about half of it is for the connections of clients; 0 means the limit of the operating system"`
+	LogLevel        string           `arg:"--log-level,env:ROSEMARYGAP_LOG_LEVEL" default:"info" help:"minimum level of log lines: trace, debug, info, warn or error"`
 }
 
 // Bounds of the settings.
@@ -66,6 +69,10 @@
 		return status.At(status.ErrBadSetting, "--zone", o.Zone)
 	case hclog.LevelFromString(o.LogLevel) == hclog.NoLevel:
 		return status.At(status.ErrBadSetting, "--log-level", o.LogLevel)
+	case o.MemoryLimit < 0:
+		return status.At(status.ErrBadSetting, "--memory-limit", strconv.FormatInt(o.MemoryLimit, 10))
+	case o.DescriptorLimit < 0:
+		return status.At(status.ErrBadSetting, "--descriptor-limit", strconv.Itoa(o.DescriptorLimit))
 	case o.StopLimit < minStopLimit || o.StopLimit > maxStopLimit:
 		return status.At(status.ErrBadSetting, "--stop-limit", o.StopLimit.String())
 	}
@@ -91,7 +98,8 @@
 	}
 	s := NewServer(o, l)
 	defer s.client.Close()
-	listener, err := httpjson.Listen(o.Listen, s.Handler())
+	limiter := process.NewLimiter(o.MemoryLimit, o.DescriptorLimit, l, httpjson.Share{Listener: "guard", Percent: 100})
+	listener, err := httpjson.Listen(o.Listen, s.Handler(), httpjson.WithLimiter(limiter, "guard"))
 	if err != nil {
 		return err
 	}
@@ -99,6 +107,7 @@
 	process.AddSignals(&g)
 	addAnnouncer(&g, s)
 	process.AddListener(&g, listener, o.StopLimit)
+	process.AddActor(&g, limiter.Run)
 	event.GuardStarted.Emit(l, event.Endpoint(o.ID), event.Address(o.Listen))
 	err = g.Run()
 	event.GuardStopped.Emit(l, event.Endpoint(o.ID))
--- a/io/guard/server.go
+++ b/io/guard/server.go
@@ -12,6 +12,7 @@
 	"rosemarygap/core/event"
 	"rosemarygap/core/operator"
 	"rosemarygap/core/status"
+	"rosemarygap/core/wire"
 	"rosemarygap/io/endpoint"
 	"rosemarygap/io/httpjson"
 
@@ -113,7 +114,10 @@
 
 // readRequest reads a request from an entry.
 func readRequest(r *http.Request) (*endpoint.Request, error) {
-	b, err := io.ReadAll(io.LimitReader(r.Body, operator.MaxBodyBytes+1))
+	b, err := wire.ReadAll(io.LimitReader(r.Body, operator.MaxBodyBytes+1))
+	if errors.Is(err, status.ErrOverloaded) || errors.Is(err, status.ErrBodyTooLarge) {
+		return nil, err
+	}
 	if err != nil {
 		return nil, errors.WithMessage(status.ErrCallerCancelled, err.Error())
 	}
--- a/io/httpjson/httpjson.go
+++ b/io/httpjson/httpjson.go
@@ -161,10 +161,17 @@
 	return &ResponseError{e.Err(), b}
 }
 
-// Decode decodes the JSON body of a request into v with wire.Decode, up to
+// Decode decodes the JSON body of a request into v as wire.Decode does, up to
 // wire.MaxControlBody bytes.
 func Decode(c echo.Context, v any) error {
-	return wire.Decode(c.Request().Body, wire.MaxControlBody, v)
+	b, err := wire.ReadBody(c.Request().Body, wire.MaxControlBody)
+	if err != nil {
+		return err
+	}
+	if err := Reserve(c.Request().Context(), wire.DecodedBytes(b, math.MaxInt)); err != nil {
+		return err
+	}
+	return wire.Unmarshal(b, v)
 }
 
 // WriteError responds to a request with the HTTP status and error body of err.
--- a/io/httpjson/listener.go
+++ b/io/httpjson/listener.go
@@ -14,18 +14,30 @@
 const (
 	readHeaderTimeout    = 5 * time.Second
 	idleTimeout          = 60 * time.Second
-	serverMaxHeaderBytes = 256 << 10
+	serverMaxHeaderBytes = 64 << 10
 )
 
+// ListenOption configures a Listener.
+type ListenOption func(*Listener)
+
+// WithLimiter makes m bound what the connections hold. The name is that of one of its shares.
+func WithLimiter(m *Limiter, name string) ListenOption {
+	return func(l *Listener) { l.limiter, l.limiterNumber = m, m.listeners[name] }
+}
+
 // Listener is an HTTP server with a bound address. It accepts connections once
 // Serve is called.
 type Listener struct {
 	listener net.Listener
 	server   *http.Server
+	// limiter is nil if connections are not bounded. limiterNumber is the number of this
+	// listener there.
+	limiter       *Limiter
+	limiterNumber int
 }
 
 // Listen binds address a and returns a Listener that serves requests with h.
-func Listen(a netip.AddrPort, h http.Handler) (*Listener, error) {
+func Listen(a netip.AddrPort, h http.Handler, opts ...ListenOption) (*Listener, error) {
 	l, err := net.Listen("tcp", a.String())
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
@@ -36,12 +48,29 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    serverMaxHeaderBytes,
 	}
-	return &Listener{listener: l, server: s}, nil
+	out := &Listener{listener: l, server: s}
+	for _, o := range opts {
+		o(out)
+	}
+	if out.limiter != nil {
+		out.listener = limitedListener{l, out.limiter, out.limiterNumber}
+		s.Handler = limitedHandler{h}
+		s.ConnContext = withConn
+		s.ConnState = recordIdle
+	}
+	return out, nil
 }
 
 // SetMeter makes m count the bytes of the connections. It must be called before
 // Serve.
-func (l *Listener) SetMeter(m *Meter) { l.listener = meteredListener{l.listener, m} }
+func (l *Listener) SetMeter(m *Meter) {
+	if limited, ok := l.listener.(limitedListener); ok {
+		limited.Listener = meteredListener{limited.Listener, m}
+		l.listener = limited
+		return
+	}
+	l.listener = meteredListener{l.listener, m}
+}
 
 // Address returns the address that the listener is bound to.
 func (l *Listener) Address() netip.AddrPort {
--- a/io/httpjson/meter.go
+++ b/io/httpjson/meter.go
@@ -42,6 +42,9 @@
 	return n, err
 }
 
+// CloseWrite closes the sending side.
+func (c meteredConn) CloseWrite() error { return closeWrite(c.Conn) }
+
 // meteredListener is a net.Listener that counts the bytes of every connection
 // that it accepts.
 type meteredListener struct {
--- a/io/process/metrics.go
+++ b/io/process/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 
 	"rosemarygap/core/status"
 	"rosemarygap/io/httpjson"
@@ -22,9 +23,19 @@
 	return e
 }
 
+// metricsBytes is the size of the largest response of ServeMetrics, whose buffer grows to
+// bufferGrowth times its content.
+var metricsBytes atomic.Int64
+
+const bufferGrowth = 2
+
 // ServeMetrics responds with the metrics of the process as text.
 func ServeMetrics(x echo.Context) error {
+	if err := httpjson.Reserve(x.Request().Context(), metricsBytes.Load()*bufferGrowth); err != nil {
+		return err
+	}
 	metrics.WritePrometheus(x.Response(), true)
+	metricsBytes.Store(max(metricsBytes.Load(), x.Response().Size))
 	return nil
 }
 
--- a/io/scheduler/caller.go
+++ b/io/scheduler/caller.go
@@ -116,6 +116,11 @@
 		countSubmission(string(status.CodeOf(callerError(err))), time.Since(r.receivedAt))
 		event.SubmissionRefused.Emit(s.log, event.Job(r.id), event.Queue(r.queue.ID()),
 			event.Elapsed(time.Since(r.receivedAt)), event.Reason(status.Code(err.Error())))
+		if errors.Is(err, status.ErrOverloaded) {
+			// A refusal would say that the job never runs. An earlier attempt with the same
+			// ID may have stored it.
+			panic(http.ErrAbortHandler)
+		}
 		return callerError(err)
 	}
 	countSubmission("accepted", time.Since(r.receivedAt))
@@ -157,6 +162,9 @@
 	if err != nil {
 		return job.Job{}, err
 	}
+	if err := httpjson.Reserve(r.ctx, wire.DecodedBytes(b, platform.MaxDecodedSteps)); err != nil {
+		return job.Job{}, err
+	}
 	j, err := platform.DecodeJob(b)
 	if err != nil {
 		return job.Job{}, errors.WithMessage(status.ErrMalformedJSON, err.Error())
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -46,6 +46,25 @@
 	reportTimeout = 400 * time.Millisecond
 )
 
+// Names of the listeners.
+const (
+	listenerFront     = "front"
+	listenerReadiness = "readiness"
+	listenerPeer      = "peer"
+	listenerControl   = "control"
+	listenerMetrics   = "metrics"
+)
+
+// shares are what the listeners are guaranteed of the room for connections. The reports of
+// all agents arrive at the owner's peer listener.
+var shares = []httpjson.Share{
+	{Listener: listenerFront, Percent: 25},
+	{Listener: listenerReadiness, Percent: 5},
+	{Listener: listenerPeer, Percent: 30},
+	{Listener: listenerControl, Percent: 5},
+	{Listener: listenerMetrics, Percent: 5},
+}
+
 // Scheduler is the scheduler process on an entry VM.
 type Scheduler struct {
 	cfg    platform.Settings
@@ -133,29 +152,31 @@
 		return status.At(status.ErrBadSetting, "listen.front, listen.readiness", cfg.CallerListen.String()+", "+cfg.ReadinessListen.String())
 	}
 	s := New(cfg, l, options...)
+	limiter := process.NewLimiter(cfg.MemoryLimitMiB, cfg.DescriptorLimit, l, shares...)
 	var g run.Group
 	process.AddActor(&g, s.awaitStop)
 	for _, server := range []struct {
+		name    string
 		address netip.AddrPort
 		handler http.Handler
 	}{
-		{cfg.CallerListen, s.callerHandler()},
-		{cfg.ReadinessListen, s.readinessHandler()},
-		{s.peerAddress(), s.peerHandler()},
-		{cfg.ControlListen, s.peerHandler()},
-		{netip.AddrPortFrom(cfg.IP, process.MetricsPort), process.MetricsHandler()},
+		{listenerFront, cfg.CallerListen, s.callerHandler()},
+		{listenerReadiness, cfg.ReadinessListen, s.readinessHandler()},
+		{listenerPeer, s.peerAddress(), s.peerHandler()},
+		{listenerControl, cfg.ControlListen, s.peerHandler()},
+		{listenerMetrics, netip.AddrPortFrom(cfg.IP, process.MetricsPort), process.MetricsHandler()},
 	} {
 		if !server.address.IsValid() {
 			continue
 		}
-		listener, err := httpjson.Listen(server.address, server.handler)
+		listener, err := httpjson.Listen(server.address, server.handler, httpjson.WithLimiter(limiter, server.name))
 		if err != nil {
 			return err
 		}
 		process.AddListener(&g, listener, shutdownTimeout)
 	}
 	c := newControl(s)
-	for _, f := range append(actors, c.run, s.mirror.follow, s.mirror.followOwnerLease, s.mirror.followConfiguration,
+	for _, f := range append(actors, limiter.Run, c.run, s.mirror.follow, s.mirror.followOwnerLease, s.mirror.followConfiguration,
 		s.campaign, s.watchOwnerProcess, s.serveAdvisorRequests) {
 		process.AddActor(&g, f)
 	}
