io/httpjson: headers above the limit and connections not yet accepted hold less

The http.Server answers a header above its limit without a code and keeps the connection for half a second, so that a crowd of such clients filled the room for that long and the others waited unaccepted, with up to 60 MiB unread in the kernel.

go test ./io/standin/crowd, one run before and after: TestFrontLargeHeaders 11.5 s with 60,166 KiB unread, then 1.8 s with 44 KiB.

--- a/io/httpjson/conn.go
+++ b/io/httpjson/conn.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -10,7 +12,9 @@
 
 	"rosemarygap/core/connection"
 	"rosemarygap/core/status"
+	"rosemarygap/core/wire"
 
+	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 )
 
@@ -108,7 +112,8 @@
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		if limitErr := c.received(n); limitErr != nil {
-			return 0, limitErr
+			// The server responds to errors of other types itself.
+			return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: limitErr}
 		}
 	}
 	return n, err
@@ -133,14 +138,34 @@
 	case connection.Body:
 		c.limiter.table.Progress(c.id, time.Now())
 	}
-	reserve := c.stage == connection.Header && c.headerBytes > freeBytes
+	size := 0
+	if c.stage == connection.Header {
+		size = c.headerBytes
+	}
 	c.limiter.mu.Unlock()
-	if !reserve {
+	switch {
+	case size <= freeBytes:
 		return nil
+	case size > serverMaxHeaderBytes:
+		c.abandon()
+		_, _ = c.Conn.Write(headerTooLarge)
+		return status.ErrHeaderTooLarge
 	}
 	return c.reserve(int64(n) * headerCopies)
 }
 
+// headerTooLarge is the response to a header above serverMaxHeaderBytes. That of the
+// http.Server has no code, and its connection stays for a while.
+var headerTooLarge = func() []byte {
+	body, err := json.Marshal(wire.ErrorBodyOf(status.ErrHeaderTooLarge))
+	if err != nil {
+		panic(errors.Wrap(err, "encode error body"))
+	}
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s",
+		http.StatusRequestHeaderFieldsTooLarge, http.StatusText(http.StatusRequestHeaderFieldsTooLarge),
+		echo.MIMEApplicationJSON, len(body), body)
+}()
+
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
 	c.limiter.mu.Lock()
--- a/io/httpjson/limiter.go
+++ b/io/httpjson/limiter.go
@@ -228,9 +228,6 @@
 		if err != nil {
 			return nil, err
 		}
-		if tcp, ok := inner.(interface{ SetReadBuffer(int) error }); ok {
-			_ = tcp.SetReadBuffer(receiveBufferBytes)
-		}
 		c, err := l.limiter.open(l.number, inner)
 		if err == nil {
 			return c, nil
--- a/io/httpjson/listener.go
+++ b/io/httpjson/listener.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -38,7 +39,15 @@
 
 // Listen binds address a and returns a Listener that serves requests with h.
 func Listen(a netip.AddrPort, h http.Handler, opts ...ListenOption) (*Listener, error) {
-	l, err := net.Listen("tcp", a.String())
+	out := &Listener{}
+	for _, o := range opts {
+		o(out)
+	}
+	var cfg net.ListenConfig
+	if out.limiter != nil {
+		cfg.Control = limitReceiveBuffer
+	}
+	l, err := cfg.Listen(context.Background(), "tcp", a.String())
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
@@ -48,10 +57,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    serverMaxHeaderBytes,
 	}
-	out := &Listener{listener: l, server: s}
-	for _, o := range opts {
-		o(out)
-	}
+	out.listener, out.server = l, s
 	if out.limiter != nil {
 		out.listener = limitedListener{l, out.limiter, out.limiterNumber}
 		s.Handler = limitedHandler{h}
@@ -61,6 +67,14 @@
 	return out, nil
 }
 
+// limitReceiveBuffer sets the size of the receive buffers of accepted connections, those
+// that wait to be accepted included. Without it they only have other sizes.
+func limitReceiveBuffer(_, _ string, c syscall.RawConn) error {
+	return c.Control(func(fd uintptr) {
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferBytes)
+	})
+}
+
 // SetMeter makes m count the bytes of the connections. It must be called before
 // Serve.
 func (l *Listener) SetMeter(m *Meter) {
