io/httpjson: connections that wait to be accepted are bounded

What they have sent is unread in the kernel, which counts as memory of the process on the users' platform. A quarter of the connections that fit may wait, at least 128.

--- a/io/httpjson/limiter.go
+++ b/io/httpjson/limiter.go
@@ -27,6 +27,11 @@
 	// closed and the client may not get the refusal.
 	refusalTimeout = time.Second
 	lingerTimeout  = 250 * time.Millisecond
+	// minBacklog and maxBacklog bound the number of connections that wait to be accepted.
+	minBacklog = 128
+	maxBacklog = 4096
+	// backlogDivisor is the part of all connections that may wait to be accepted.
+	backlogDivisor = 4
 	// maxLingering is the maximum number of refused requests whose rest is read.
 	maxLingering = 16
 	// sweepInterval is the time between two checks for connections without progress.
@@ -50,6 +55,9 @@
 	log       hclog.Logger
 	listeners map[string]int
 	names     []string
+	// backlog is the number of connections that may wait to be accepted at a listener. What
+	// they have sent is unread in the kernel.
+	backlog int
 
 	mu          sync.Mutex
 	table       *connection.Table
@@ -66,6 +74,7 @@
 func NewLimiter(limits connection.Limits, l hclog.Logger, shares ...Share) *Limiter {
 	out := &Limiter{log: l, listeners: map[string]int{}, connections: map[connection.ID]*conn{},
 		released: make(chan struct{}), closed: make([]int, len(shares)), refused: make([]int, len(shares))}
+	out.backlog = min(maxBacklog, max(minBacklog, min(limits.Connections, int(limits.Bytes/limits.ConnectionBytes))/backlogDivisor))
 	var percents []int
 	for i, s := range shares {
 		out.listeners[s.Listener] = i
--- a/io/httpjson/limiter_test.go
+++ b/io/httpjson/limiter_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime"
 	"strconv"
 	"strings"
 	"testing"
@@ -32,7 +33,7 @@
 // testServer is a server with a Limiter. POST /body responds with the length of the body,
 // GET /held once release is closed, and GET /large with largeBytes.
 type testServer struct {
-	t       *testing.T
+	t       testing.TB
 	limiter *Limiter
 	address netip.AddrPort
 	held    chan struct{}
@@ -41,10 +42,10 @@
 
 const largeBytes = 32 << 20
 
-func startTestServer(t *testing.T, limits connection.Limits) *testServer {
+func startTestServer(t testing.TB, limits connection.Limits) *testServer {
 	t.Helper()
 	s := &testServer{t: t, limiter: NewLimiter(limits, hclog.NewNullLogger(), Share{"test", 80}, Share{"other", 20}),
-		held: make(chan struct{}, 10), release: make(chan struct{})}
+		held: make(chan struct{}, 1000), release: make(chan struct{})}
 	e := NewServer()
 	e.POST("/body", func(c echo.Context) error {
 		b, err := wire.ReadBody(c.Request().Body, wire.MaxControlBody)
@@ -92,7 +93,7 @@
 // testConn is a connection of a client.
 type testConn struct {
 	net.Conn
-	t *testing.T
+	t testing.TB
 	r *bufio.Reader
 }
 
@@ -418,3 +419,34 @@
 		benchmarkSmallRequests(b, WithLimiter(NewLimiter(limits, hclog.NewNullLogger(), Share{"test", 100}), "test"))
 	})
 }
+
+// BenchmarkConnection reports what a connection takes by itself, of the heap and of stacks,
+// on both sides.
+func BenchmarkConnection(b *testing.B) {
+	const connections = 1000
+	for name, request := range map[string]string{
+		"new": "", "header": "GET /", "body": post("/body", 3000)[:3000], "idle": post("/body", 3000), "handled": getHeld,
+	} {
+		b.Run(name, func(b *testing.B) {
+			limits := connection.Limits{Connections: 2 * connections, Bytes: 1 << 30, ConnectionBytes: 64 << 10, BodyTimeout: testTimeout, ResponseTimeout: testTimeout}
+			for b.Loop() {
+				s := startTestServer(b, limits)
+				before := memoryInUse()
+				for range connections {
+					s.dial().send(request)
+				}
+				time.Sleep(500 * time.Millisecond)
+				b.ReportMetric(float64(memoryInUse()-before)/connections, "B/connection")
+				close(s.release)
+			}
+		})
+	}
+}
+
+// memoryInUse returns the memory of the heap and of stacks after a garbage collection.
+func memoryInUse() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse + m.StackInuse)
+}
--- a/io/httpjson/listener.go
+++ b/io/httpjson/listener.go
@@ -59,6 +59,9 @@
 	}
 	out.listener, out.server = l, s
 	if out.limiter != nil {
+		if err := limitBacklog(l, out.limiter.backlog); err != nil {
+			return nil, err
+		}
 		out.listener = limitedListener{l, out.limiter, out.limiterNumber}
 		s.Handler = limitedHandler{h}
 		s.ConnContext = withConn
@@ -75,6 +78,16 @@
 	})
 }
 
+// limitBacklog sets the number of connections that may wait to be accepted.
+func limitBacklog(l net.Listener, n int) error {
+	c, err := l.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		return errors.Wrap(err, "limit backlog")
+	}
+	// A platform that doesn't allow the change keeps its own limit.
+	return errors.Wrap(c.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), n) }), "limit backlog")
+}
+
 // SetMeter makes m count the bytes of the connections. It must be called before
 // Serve.
 func (l *Listener) SetMeter(m *Meter) {
