io/httpjson, core/connection: long polls of a large fleet fit into the room

At 300 VMs the owner had 645 connections (docs/CAPACITY.md). With 64 KiB for each, the peer listener of a process with 184 MiB had room for 441 of them, and the decoded reports of long polls took more.

A connection counts 32 KiB: 13 to 22 KiB were measured. A full receive buffer is outside the heap and has room beside the soft memory limit. What decoding takes is released afterwards but for a quarter, an element counts 512 bytes (the largest of a report's lists has 64), and connections get 30% of the memory limit. The peer listener of that process then has room for 1,060 connections.

--- a/core/connection/table.go
+++ b/core/connection/table.go
@@ -203,7 +203,7 @@
 }
 
 // Reserve adds n bytes to what a connection holds if there is room for them. The bytes are
-// held until the connection becomes idle or ends.
+// held until they are released or the connection becomes idle or ends.
 func (t *Table) Reserve(id ID, n int64, now time.Time) (Verdict, []Victim) {
 	c := t.connections[id]
 	if c == nil || c.evicted {
@@ -219,6 +219,13 @@
 	return verdict, victims
 }
 
+// Release ends the reservation of n bytes.
+func (t *Table) Release(id ID, n int64) {
+	if c := t.connections[id]; c != nil {
+		t.charge(c, use{0, -min(n, c.bytes-t.limits.ConnectionBytes)})
+	}
+}
+
 // SetStage records the stage of a connection. It reports false, and changes nothing, if the
 // connection is to be closed.
 func (t *Table) SetStage(id ID, s Stage, now time.Time) bool {
--- a/core/connection/table_test.go
+++ b/core/connection/table_test.go
@@ -211,6 +211,13 @@
 					m.evict(t, []Victim{{id, m.stages[id]}})
 				}
 			},
+			"release": func(t *rapid.T) {
+				id := pick(t)
+				m.x.Release(id, rapid.Int64Range(0, 900).Draw(t, "bytes"))
+				if m.x.connections[id].bytes < testLimits.ConnectionBytes {
+					t.Fatalf("connection %d holds %d bytes", id, m.x.connections[id].bytes)
+				}
+			},
 			"stage": func(t *rapid.T) {
 				id := pick(t)
 				s := rapid.SampledFrom(Stages()).Draw(t, "stage")
--- a/core/wire/read.go
+++ b/core/wire/read.go
@@ -38,7 +38,7 @@
 // Costs of a decoded JSON value, in bytes. A list that grows is copied, and holds at most
 // two and a quarter times its size meanwhile.
 const (
-	objectCost = 1 << 10
+	objectCost = 512
 	valueCost  = 56
 )
 
--- a/io/agent/heartbeat.go
+++ b/io/agent/heartbeat.go
@@ -38,9 +38,11 @@
 	if err != nil {
 		return err
 	}
-	if err := httpjson.Reserve(x.Request().Context(), wire.DecodedBytes(b, math.MaxInt)); err != nil {
+	done, err := httpjson.ReserveDecoding(x.Request().Context(), wire.DecodedBytes(b, math.MaxInt))
+	if err != nil {
 		return err
 	}
+	defer done()
 	w, ignored, err := platform.DecodeHeartbeat(x.Param("id"), b)
 	switch {
 	case err != nil:
--- a/io/entry/options.go
+++ b/io/entry/options.go
@@ -33,7 +33,7 @@
 	LeaseTTL        time.Duration    `arg:"--lease-ttl,env:ROSEMARYGAP_LEASE_TTL" default:"5s" help:"time after which this entry's registration expires if it is not renewed; 1s to 30s"`
 	StopDelay       time.Duration    `arg:"--stop-delay,env:ROSEMARYGAP_STOP_DELAY" default:"2s" help:"how long a graceful shutdown keeps accepting requests, so that the load balancer can notice it; 0s to 60s"`
 	StopLimit       time.Duration    `arg:"--stop-limit,env:ROSEMARYGAP_STOP_LIMIT" default:"60s" help:"maximum time that a graceful shutdown waits for requests in progress; 1s to 10m"`
-	MemoryLimit     int64            `arg:"--memory-limit,env:ROSEMARYGAP_MEMORY_LIMIT" default:"0" help:"memory limit of the process in MiB; a quarter of it is for the connections of clients; 0 means no limit, and 1 GiB for these connections"`
+	MemoryLimit     int64            `arg:"--memory-limit,env:ROSEMARYGAP_MEMORY_LIMIT" default:"0" help:"memory limit of the process in MiB; three tenths of it are for the connections of clients; 0 means no limit, and 1 GiB for these connections"`
 	DescriptorLimit int              `arg:"--descriptor-limit,env:ROSEMARYGAP_DESCRIPTOR_LIMIT" default:"0" help:"maximum number of file descriptors of the process; about half of it is for the connections of clients; 0 means the limit of the operating system"`
 	LogLevel        string           `arg:"--log-level,env:ROSEMARYGAP_LOG_LEVEL" default:"info" help:"minimum level of log lines: trace, debug, info, warn or error"`
 	OperatorToken   string           `arg:"--operator-token,env:ROSEMARYGAP_OPERATOR_TOKEN" help:"bearer token that operators need for changes; may be empty only if --operator-listen is a loopback address"`
--- a/io/guard/guard.go
+++ b/io/guard/guard.go
@@ -47,7 +47,7 @@
 	Slots           int              `arg:"--slots,env:ROSEMARYGAP_SLOTS" default:"8" help:"maximum number of concurrent requests; 1 to 4096"`
 	Connections     int              `arg:"--connections,env:ROSEMARYGAP_CONNECTIONS" default:"64" help:"maximum number of concurrent connections to the endpoint; 1 to 65536"`
 	StopLimit       time.Duration    `arg:"--stop-limit,env:ROSEMARYGAP_STOP_LIMIT" default:"60s" help:"maximum time that a graceful shutdown waits for requests in progress; 1s to 10m"`
-	MemoryLimit     int64            `arg:"--memory-limit,env:ROSEMARYGAP_MEMORY_LIMIT" default:"0" help:"memory limit of the process in MiB; a quarter of it is for the connections of clients; 0 means no limit, and 1 GiB for these connections"`
+	MemoryLimit     int64            `arg:"--memory-limit,env:ROSEMARYGAP_MEMORY_LIMIT" default:"0" help:"memory limit of the process in MiB; three tenths of it are for the connections of clients; 0 means no limit, and 1 GiB for these connections"`
 	DescriptorLimit int              `arg:"--descriptor-limit,env:ROSEMARYGAP_DESCRIPTOR_LIMIT" default:"0" help:"maximum number of file descriptors of the process; about half of it is for the connections of clients; 0 means the limit of the operating system"`
 	LogLevel        string           `arg:"--log-level,env:ROSEMARYGAP_LOG_LEVEL" default:"info" help:"minimum level of log lines: trace, debug, info, warn or error"`
 }
--- a/io/httpjson/conn.go
+++ b/io/httpjson/conn.go
@@ -69,6 +69,9 @@
 		return false
 	}
 	c.stage = s
+	if s == connection.Idle {
+		c.limiter.wakeWaiters()
+	}
 	return true
 }
 
@@ -79,6 +82,14 @@
 	})
 }
 
+// release ends the reservation of n bytes.
+func (c *conn) release(n int64) {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.limiter.table.Release(c.id, n)
+	c.limiter.wakeWaiters()
+}
+
 // interrupt ends what an evicted connection waits for. A request whose body is arriving gets
 // a refusal from its handler, all others get no response.
 func (c *conn) interrupt() {
@@ -220,8 +231,7 @@
 	defer l.mu.Unlock()
 	delete(l.connections, c.id)
 	l.table.Close(c.id)
-	close(l.released)
-	l.released = make(chan struct{})
+	l.wakeWaiters()
 	if !interrupted || l.lingering == maxLingering {
 		return false
 	}
@@ -289,6 +299,23 @@
 	return c.reserve(n)
 }
 
+// keptShare is the part, one in keptShare, of the memory for decoding that the decoded
+// message keeps: lists no longer grow then, and most elements are smaller than the largest.
+const keptShare = 4
+
+// ReserveDecoding is Reserve for n bytes that decoding takes. The function done, which is
+// called after it, ends the reservation of what the decoded message doesn't keep.
+func ReserveDecoding(ctx context.Context, n int64) (done func(), err error) {
+	c, _ := ctx.Value(connKey{}).(*conn)
+	if c == nil || n <= freeBytes {
+		return func() {}, nil
+	}
+	if err := c.reserve(n); err != nil {
+		return nil, err
+	}
+	return func() { c.release(n - n/keptShare) }, nil
+}
+
 // limitedHandler tracks the stages of requests. A request is handled only as long as its
 // connection is not being closed.
 type limitedHandler struct{ http.Handler }
--- a/io/httpjson/httpjson.go
+++ b/io/httpjson/httpjson.go
@@ -168,9 +168,11 @@
 	if err != nil {
 		return err
 	}
-	if err := Reserve(c.Request().Context(), wire.DecodedBytes(b, math.MaxInt)); err != nil {
+	done, err := ReserveDecoding(c.Request().Context(), wire.DecodedBytes(b, math.MaxInt))
+	if err != nil {
 		return err
 	}
+	defer done()
 	return wire.Unmarshal(b, v)
 }
 
--- a/io/httpjson/limiter.go
+++ b/io/httpjson/limiter.go
@@ -64,8 +64,9 @@
 	connections map[connection.ID]*conn
 	// lingering is the number of connections that no longer count and whose rest is read.
 	lingering int
-	// released is closed when an ended connection has released room.
+	// released is closed when room is released, if waiting says that someone waits for it.
 	released chan struct{}
+	waiting  bool
 	// closed and refused count since the last log line, by listener.
 	closed, refused []int
 }
@@ -177,6 +178,7 @@
 		verdict, victims := ask(time.Now())
 		evicted := l.evict(victims, reasonRoom)
 		released := l.released
+		l.waiting = l.waiting || verdict == connection.Wait
 		if verdict == connection.Refused || verdict == connection.Exceeds {
 			l.countRefused(listener)
 		}
@@ -206,6 +208,14 @@
 	}
 }
 
+// wakeWaiters wakes those who wait for room. The caller holds l.mu.
+func (l *Limiter) wakeWaiters() {
+	if l.waiting {
+		close(l.released)
+		l.released, l.waiting = make(chan struct{}), false
+	}
+}
+
 // open admits a new connection of a listener.
 func (l *Limiter) open(listener int, inner net.Conn) (*conn, error) {
 	c := &conn{Conn: inner, limiter: l, listener: listener, stage: connection.Header}
--- a/io/process/limiter.go
+++ b/io/process/limiter.go
@@ -14,13 +14,14 @@
 	// connectionsPercent is the percentage of the memory limit of the process that the
 	// connections of clients may hold. Together with the state of the process it stays
 	// below memoryLimitPercent.
-	connectionsPercent = 25
+	connectionsPercent = 30
 	// defaultConnectionBytes is what the connections of clients may hold together if the
 	// process has no memory limit.
 	defaultConnectionBytes = 1 << 30
 	// connectionBytes is what a connection holds by itself: its goroutines, buffers and
-	// structures, a small request, and a full receive buffer of the kernel.
-	connectionBytes = 64 << 10
+	// structures, and a small request. A full receive buffer of the kernel is as large, and
+	// has room beside the soft memory limit.
+	connectionBytes = 32 << 10
 	// fileDescriptors is the number of descriptors that are for files.
 	fileDescriptors = 200
 	// descriptorsPerConnection is the number of descriptors for each connection of a
--- a/io/scheduler/caller.go
+++ b/io/scheduler/caller.go
@@ -162,9 +162,11 @@
 	if err != nil {
 		return job.Job{}, err
 	}
-	if err := httpjson.Reserve(r.ctx, wire.DecodedBytes(b, platform.MaxDecodedSteps)); err != nil {
+	done, err := httpjson.ReserveDecoding(r.ctx, wire.DecodedBytes(b, platform.MaxDecodedSteps))
+	if err != nil {
 		return job.Job{}, err
 	}
+	defer done()
 	j, err := platform.DecodeJob(b)
 	if err != nil {
 		return job.Job{}, errors.WithMessage(status.ErrMalformedJSON, err.Error())
