--- a/io/commandline/settings.go
+++ b/io/commandline/settings.go
@@ -22,9 +22,34 @@
 		b.WriteString("| flag | environment | default | meaning |\n| --- | --- | --- | --- |\n")
 		writeSettings(&b, f.Type.Elem())
 	}
+	b.WriteString(limitsPage)
 	return []byte(b.String())
 }
 
+// limitsPage describes the limits that the platform's settings file has.
+const limitsPage = `
+## Limits in the platform's settings file
+
+` + "`scheduler` and `agent`" + ` read these from the table ` + "`limits`" + ` of the file of ` + "`--settings`" + `; ` + "`entry` and `guard`" + `
+have the flags ` + "`--memory-limit` and `--descriptor-limit`" + ` for them. docs/design/clients.md says how they are used.
+
+| field | default | meaning |
+| --- | --- | --- |
+| ` + "`memory-mb`" + ` | none | memory limit of the process in MiB: 60% is the soft limit of the runtime, 30% the most that all connections of clients hold; without it they hold at most 1 GiB |
+| ` + "`max-fds`" + ` | that of the operating system | descriptors of the process: 200 are for files, half of the others the most connections of clients |
+
+These limits have no setting. Clients inside the limits of the users' pages do not meet them.
+
+| limit | value |
+| --- | --- |
+| header of a request | 32 KiB; 5 s to arrive |
+| body of a submission | ` + "`max-body-bytes`" + ` of the configuration, 256 KiB without one |
+| body of other requests of scheduler and agent | 1 MiB; of a heartbeat 64 KiB |
+| body or response without any progress | 10 s |
+| idle connection | 60 s, less when room is needed |
+| steps of a job | 64 |
+`
+
 func subcommandName(f reflect.StructField) string {
 	return strings.TrimPrefix(f.Tag.Get("arg"), "subcommand:")
 }
--- a/io/process/limiter.go
+++ b/io/process/limiter.go
@@ -39,6 +39,10 @@
 // limits of memory, in MiB, and of descriptors. A memory limit of 0 means none, and a
 // descriptor limit of 0 that of the operating system.
 func NewLimiter(memoryMiB int64, descriptors int, l hclog.Logger, shares ...httpjson.Share) *httpjson.Limiter {
+	return httpjson.NewLimiter(limitsOf(memoryMiB, descriptors), l, shares...)
+}
+
+func limitsOf(memoryMiB int64, descriptors int) connection.Limits {
 	limits := connection.Limits{
 		Connections:     maxConnections(descriptors),
 		Bytes:           defaultConnectionBytes,
@@ -49,7 +53,7 @@
 	if memoryMiB > 0 {
 		limits.Bytes = memoryMiB << 20 * connectionsPercent / 100
 	}
-	return httpjson.NewLimiter(limits, l, shares...)
+	return limits
 }
 
 // maxConnections returns the maximum of connections of clients. Small limits leave less than
