io/httpjson: large responses count, and slow readers make visible progress

A response of more than 4 KiB, such as a list of jobs, was held in memory uncounted while its client did not read it; now stalled ones make room for it. Room is released when the handler returns, not only when the connection becomes idle: net/http keeps a connection whose body was too large for half a second. Writes of 16 KiB in place of 64 let a client that reads 2 kB/s make progress within the 10 s of a response.

--- a/core/connection/table.go
+++ b/core/connection/table.go
@@ -219,7 +219,15 @@
 	return verdict, victims
 }
 
-// Release ends the reservation of n bytes.
+// Reserved returns the bytes that a connection holds beyond those from its start.
+func (t *Table) Reserved(id ID) int64 {
+	if c := t.connections[id]; c != nil {
+		return c.bytes - t.limits.ConnectionBytes
+	}
+	return 0
+}
+
+// Release ends the reservation of n bytes, or of all that are reserved if these are fewer.
 func (t *Table) Release(id ID, n int64) {
 	if c := t.connections[id]; c != nil {
 		t.charge(c, use{0, -min(n, c.bytes-t.limits.ConnectionBytes)})
--- a/io/httpjson/conn.go
+++ b/io/httpjson/conn.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -30,9 +31,11 @@
 	bodyCopies = 2
 	// maxReserveStep is the most that is reserved of a body in advance.
 	maxReserveStep = 64 << 10
-	// maxWriteBytes is the most that one call of the kernel writes. A response that is read
-	// slowly makes progress with each.
-	maxWriteBytes = 64 << 10
+	// maxWriteBytes is the most that is written at once. A response that is read slowly makes
+	// progress with each write.
+	maxWriteBytes = 16 << 10
+	// responseCopies is the number of copies of a response, in a buffer that has grown.
+	responseCopies = 2
 	// maxLingerBytes is the most that is read of the rest of a refused request.
 	maxLingerBytes = 1 << 20
 	// receiveBufferBytes is the size of the kernel's receive buffer of a connection.
@@ -179,6 +182,9 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
+	if len(b) > freeBytes {
+		c.reserveResponse(len(b))
+	}
 	c.limiter.mu.Lock()
 	handled := c.stage == connection.Handled
 	if handled {
@@ -201,6 +207,18 @@
 	}
 }
 
+// reserveResponse reserves room for a part of a response with n bytes, which has been
+// written to a buffer already: other responses that nobody reads make room for it. If there is
+// none, it is sent all the same, since its request has been handled.
+func (c *conn) reserveResponse(n int) {
+	c.limiter.mu.Lock()
+	missing := int64(n)*responseCopies - c.limiter.table.Reserved(c.id)
+	c.limiter.mu.Unlock()
+	if missing > 0 {
+		_ = c.reserve(missing)
+	}
+}
+
 // CloseWrite closes the sending side, so that the client can read a response before the
 // connection ends.
 func (c *conn) CloseWrite() error { return closeWrite(c.Conn) }
@@ -338,6 +356,7 @@
 	if !c.setStage(stage) {
 		panic(http.ErrAbortHandler)
 	}
+	defer c.release(math.MaxInt64)
 	h.Handler.ServeHTTP(w, r)
 }
 
