io/standin/crowd: clients that do not behave at the other listeners, red

The same crowds at the other listeners of a scheduler (readiness, control, peer, metrics), and at those of an agent, an entry and a guard.

Besides memory and descriptors, TestGuardIncompleteBody shows that 8 requests without their last byte keep a guard from answering anyone: it takes a slot of the endpoint before it reads the body.

--- a/io/standin/crowd/manners_test.go
+++ b/io/standin/crowd/manners_test.go
@@ -114,6 +114,14 @@
 	return c.sendShort(b, len(b))
 }
 
+// incompleteBody sends a body of the largest legal size at once that stops short of its end.
+// No client completes it.
+func incompleteBody(c *client) error {
+	c.read()
+	b := c.largest()
+	return c.send(b[:len(b)-1])
+}
+
 // bodyInPieces sends a body of the largest legal size piece by piece that stops short of
 // its end.
 func bodyInPieces(c *client) error {
@@ -140,14 +148,27 @@
 // pipelinedUnread sends requests and reads no response.
 func pipelinedUnread(c *client) error {
 	one := fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", c.l.query, c.l.host)
-	if tcp, ok := c.conn.(*net.TCPConn); ok {
-		_ = tcp.SetReadBuffer(unreadBufferBytes)
-	}
+	c.shrinkReadBuffer()
 	// The write ends with a timeout once the process reads nothing more.
 	_ = c.send(bytes.Repeat(one, pipelinedRequests))
 	return nil
 }
 
+// unreadResponse sends a request for path and does not read the response.
+func unreadResponse(path string) func(*client) error {
+	return func(c *client) error {
+		c.shrinkReadBuffer()
+		return c.send(fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, c.l.host))
+	}
+}
+
+// shrinkReadBuffer lets the kernel take little of what the client does not read.
+func (c *client) shrinkReadBuffer() {
+	if tcp, ok := c.conn.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(unreadBufferBytes)
+	}
+}
+
 // idleAfterRequest sends a complete request and keeps the connection open.
 func idleAfterRequest(c *client) error {
 	c.read()
