io/guard: an incomplete request takes no slot of the endpoint

The guard took one of the endpoint's slots, 8 by default, before it read the body. Eight clients that never ended theirs kept all others out until they left or their bodies made no progress for 10 s. The body is read first.

go test ./io/standin/crowd -run 'TestGuardIncompleteBody$', one run each: 11.03 s before, 0.59 s after.

--- a/io/guard/server.go
+++ b/io/guard/server.go
@@ -55,14 +55,14 @@
 	if s.leaving.Load() {
 		return s.respondNotRun(c, status.ErrStopping)
 	}
-	if !s.load.Acquire() {
-		return s.respondNotRun(c, status.ErrQueueFull)
-	}
-	defer s.load.Release()
 	req, err := readRequest(r)
 	if err != nil {
 		return s.respondNotRun(c, err)
 	}
+	if !s.load.Acquire() {
+		return s.respondNotRun(c, status.ErrQueueFull)
+	}
+	defer s.load.Release()
 	claim := caller.Claim{Service: s.options.Service, ID: id, Token: uuid.NewString()}
 	if !req.Idempotent && id != "" && s.recordClaim(claim) == caller.Repeated {
 		event.RepeatDropped.Emit(s.log, event.Request(id), event.Endpoint(s.options.ID))
