io/httpjson, io/scheduler: held answers make room for ordinary requests

An entry that watches the owner's process gets an answer that is held for 20 s, and anybody who can reach the peer listener can ask for one. A crowd of them filled the listener's room, so that reports of agents were turned away for 20 s. A held answer has no effect and may be given at any time: it is given early when there is no other room.

--- a/core/connection/table.go
+++ b/core/connection/table.go
@@ -34,15 +34,18 @@
 	Handled
 	// Response means that a part of the response is being written.
 	Response
+	// Held means that a complete request waits for something to tell its client. It has no
+	// effect and may be answered at any time.
+	Held
 )
 
 // String returns the name of the stage in metrics.
 func (s Stage) String() string {
-	return [...]string{"idle", "header", "body", "handled", "response"}[s]
+	return [...]string{"idle", "header", "body", "handled", "response", "held"}[s]
 }
 
 // Stages returns all stages.
-func Stages() []Stage { return []Stage{Idle, Header, Body, Handled, Response} }
+func Stages() []Stage { return []Stage{Idle, Header, Body, Handled, Response, Held} }
 
 // class is a kind of victims. Those of a lower class are closed first.
 type class int
@@ -51,6 +54,7 @@
 	classIdle class = iota
 	classResponse
 	classIncomplete
+	classHeld
 	numClasses
 	classNone class = -1
 )
@@ -63,6 +67,8 @@
 		return classResponse
 	case Header, Body:
 		return classIncomplete
+	case Held:
+		return classHeld
 	default:
 		return classNone
 	}
--- a/core/connection/table_test.go
+++ b/core/connection/table_test.go
@@ -31,19 +31,19 @@
 	return id
 }
 
-// The victims are, in this order, idle connections, unread responses and incomplete requests,
-// the oldest of each first. A request that is handled is none.
+// The victims are, in this order, idle connections, unread responses, incomplete requests and
+// held answers, the oldest of each first. A request that is handled is none.
 func TestVictimsByStageAndAge(t *testing.T) {
 	is := is.New(t)
-	x := NewTable(Limits{Connections: 7, Bytes: 1000, ConnectionBytes: 1}, 100)
+	x := NewTable(Limits{Connections: 8, Bytes: 1000, ConnectionBytes: 1}, 100)
 	var ids []ID
-	for i, s := range []Stage{Handled, Header, Body, Idle, Response, Idle, Response} {
+	for i, s := range []Stage{Handled, Held, Header, Body, Idle, Response, Idle, Response} {
 		now := start.Add(time.Duration(i) * time.Millisecond)
 		id := open(t, x, front, now)
 		is.True(x.SetStage(id, s, now))
 		ids = append(ids, id)
 	}
-	now := start.Add(StalledAfter + 5*time.Millisecond)
+	now := start.Add(StalledAfter + 6*time.Millisecond)
 	var got []Victim
 	for {
 		_, verdict, victims := x.Open(front, now)
@@ -57,7 +57,7 @@
 		is.True(x.SetStage(id, Handled, now))
 	}
 	// The second response has made progress within StalledAfter.
-	is.Equal(got, []Victim{{ids[3], Idle}, {ids[5], Idle}, {ids[4], Response}, {ids[1], Header}, {ids[2], Body}})
+	is.Equal(got, []Victim{{ids[4], Idle}, {ids[6], Idle}, {ids[5], Response}, {ids[2], Header}, {ids[3], Body}, {ids[1], Held}})
 }
 
 // A connection that is the next victim itself is refused.
--- a/core/metric/catalogue.go
+++ b/core/metric/catalogue.go
@@ -15,7 +15,7 @@
 var clientMetrics = []Metric{
 	{"rosemarygap_client_connections", []string{"listener"}, "connections of clients that are open"},
 	{"rosemarygap_client_bytes", []string{"listener"}, "memory that the connections of clients hold, as it is counted against what all of them may hold"},
-	{"rosemarygap_client_connections_closed_total", []string{"listener", "stage", "reason"}, "connections that were closed to make room (`room`) or because a body or response made no progress (`stalled`), by what they were doing: `idle`, `header`, `body` or `response`; alert if it rises for minutes"},
+	{"rosemarygap_client_connections_closed_total", []string{"listener", "stage", "reason"}, "connections that were closed to make room (`room`) or because a body or response made no progress (`stalled`), by what they were doing: `idle`, `header`, `body`, `response` or `held` (a watch that was answered early); alert if it rises for minutes"},
 	{"rosemarygap_client_refusals_total", []string{"listener"}, "new connections and requests that were refused with the code `overloaded` or `body-too-large` because there was no room; alert if it rises for minutes"},
 }
 
--- a/io/httpjson/conn.go
+++ b/io/httpjson/conn.go
@@ -58,6 +58,8 @@
 	mu          sync.Mutex
 	interrupted bool
 	closeOnce   sync.Once
+	// answerHeld ends the wait of a held request; nil if there is none. mu guards it.
+	answerHeld context.CancelFunc
 }
 
 // setStage records a stage. It reports false if the connection is being closed.
@@ -98,12 +100,17 @@
 func (c *conn) interrupt() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.interrupted = true
-	if c.evictedIn != connection.Body {
-		_ = c.Conn.Close()
+	switch c.evictedIn {
+	case connection.Held:
+		// The server still needs deadlines for the response.
+		c.answerHeld()
 		return
+	case connection.Body:
+		c.endDeadlines()
+	default:
+		_ = c.Conn.Close()
 	}
-	c.endDeadlines()
+	c.interrupted = true
 }
 
 // abandon ends the reading of a request that was refused.
@@ -334,6 +341,27 @@
 	return func() { c.release(n - n/keptShare) }, nil
 }
 
+// Hold returns a context for the wait of a handler that holds an answer until there is
+// something to tell. It ends when the connection is needed for others. The handler then
+// answers at once, and the connection is closed. It calls done when it no longer waits.
+func Hold(c echo.Context) (ctx context.Context, done func()) {
+	ctx, cancel := context.WithCancel(c.Request().Context())
+	limited, _ := ctx.Value(connKey{}).(*conn)
+	if limited == nil {
+		return ctx, cancel
+	}
+	limited.mu.Lock()
+	limited.answerHeld = cancel
+	limited.mu.Unlock()
+	limited.setStage(connection.Held)
+	return ctx, func() {
+		cancel()
+		if !limited.setStage(connection.Handled) {
+			c.Response().Header().Set("Connection", "close")
+		}
+	}
+}
+
 // limitedHandler tracks the stages of requests. A request is handled only as long as its
 // connection is not being closed.
 type limitedHandler struct{ http.Handler }
--- a/io/httpjson/limiter_test.go
+++ b/io/httpjson/limiter_test.go
@@ -66,6 +66,12 @@
 		<-s.release
 		return c.JSON(http.StatusOK, "held")
 	})
+	e.GET("/watch", func(c echo.Context) error {
+		ctx, done := Hold(c)
+		<-ctx.Done()
+		done()
+		return c.JSON(http.StatusOK, "watched")
+	})
 	e.GET("/large", func(c echo.Context) error {
 		return c.Blob(http.StatusOK, "text/plain", make([]byte, largeBytes))
 	})
@@ -252,6 +258,19 @@
 	s.dial().send(post("/body", 1)).expect(http.StatusOK, "")
 }
 
+// Answers that are held must not keep ordinary callers out. They are given early.
+func TestHeldAnswersMakeRoom(t *testing.T) {
+	s := startTestServer(t, testLimits)
+	var held []*testConn
+	for i := range maxTestConnections {
+		held = append(held, s.dial().send("GET /watch HTTP/1.1\r\nHost: x\r\n\r\n"))
+		s.awaitStage(connection.Held, i+1)
+	}
+	s.dial().send(post("/body", 1)).expect(http.StatusOK, "")
+	held[0].expect(http.StatusOK, "")
+	held[0].expectEnd()
+}
+
 // Responses that nobody reads must not keep ordinary callers out.
 func TestUnreadResponsesMakeRoom(t *testing.T) {
 	s := startTestServer(t, testLimits)
--- a/io/scheduler/owner_watch.go
+++ b/io/scheduler/owner_watch.go
@@ -49,9 +49,9 @@
 // handleOwnerWatch answers which process this is.
 func (s *Scheduler) handleOwnerWatch(x echo.Context) error {
 	if s.mirror.isOwner.Load() && x.QueryParam(ownerWatchProcess) == strconv.FormatInt(s.processID, 10) {
-		ctx, cancel := context.WithTimeout(x.Request().Context(), ownerWatchWait)
-		defer cancel()
+		ctx, done := httpjson.Hold(x)
 		process.Pause(ctx, ownerWatchWait, s.stop)
+		done()
 	}
 	return x.JSON(http.StatusOK, processAnswer{s.processID})
 }
