--- a/io/guard/server.go
+++ b/io/guard/server.go
@@ -12,6 +12,7 @@
 	"rosemarygap/core/event"
 	"rosemarygap/core/operator"
 	"rosemarygap/core/status"
+	"rosemarygap/core/wire"
 	"rosemarygap/io/endpoint"
 	"rosemarygap/io/httpjson"
 
@@ -54,14 +55,14 @@
 	if s.leaving.Load() {
 		return s.respondNotRun(c, status.ErrStopping)
 	}
-	if !s.load.Acquire() {
-		return s.respondNotRun(c, status.ErrQueueFull)
-	}
-	defer s.load.Release()
 	req, err := readRequest(r)
 	if err != nil {
 		return s.respondNotRun(c, err)
 	}
+	if !s.load.Acquire() {
+		return s.respondNotRun(c, status.ErrQueueFull)
+	}
+	defer s.load.Release()
 	claim := caller.Claim{Service: s.options.Service, ID: id, Token: uuid.NewString()}
 	if !req.Idempotent && id != "" && s.recordClaim(claim) == caller.Repeated {
 		event.RepeatDropped.Emit(s.log, event.Request(id), event.Endpoint(s.options.ID))
@@ -113,7 +114,10 @@
 
 // readRequest reads a request from an entry.
 func readRequest(r *http.Request) (*endpoint.Request, error) {
-	b, err := io.ReadAll(io.LimitReader(r.Body, operator.MaxBodyBytes+1))
+	b, err := wire.ReadAll(io.LimitReader(r.Body, operator.MaxBodyBytes+1))
+	if errors.Is(err, status.ErrOverloaded) || errors.Is(err, status.ErrBodyTooLarge) {
+		return nil, err
+	}
 	if err != nil {
 		return nil, errors.WithMessage(status.ErrCallerCancelled, err.Error())
 	}
