io/scheduler: a submission that is cut off for lack of room gets a coded refusal

A submission for which clients leave no room was closed without a response: 503 would promise that the job never runs, but an earlier attempt with the same ID may have stored it.

go test ./io/scheduler -run TestOverload fails without the change (EOF) and passes; go test ./io/standin/crowd: all pass in 137 s beside other load.

--- a/io/scheduler/caller.go
+++ b/io/scheduler/caller.go
@@ -117,9 +117,7 @@
 		event.SubmissionRefused.Emit(s.log, event.Job(r.id), event.Queue(r.queue.ID()),
 			event.Elapsed(time.Since(r.receivedAt)), event.Reason(status.Code(err.Error())))
 		if errors.Is(err, status.ErrOverloaded) {
-			// A refusal would say that the job never runs. An earlier attempt with the same
-			// ID may have stored it.
-			panic(http.ErrAbortHandler)
+			return refuseOverloaded(r, err)
 		}
 		return callerError(err)
 	}
@@ -129,6 +127,16 @@
 	return r.JSONBlob(http.StatusOK, platform.EncodeState(job.Queued))
 }
 
+// refuseOverloaded responds to a submission for which there is no room. A status of 503 would
+// say that the job never runs, but an earlier attempt with the same ID may have stored it; 504
+// says that the client should submit it again.
+func refuseOverloaded(r *request, err error) error {
+	h := r.Response().Header()
+	h.Set("Connection", "close")
+	httpjson.SetRetryAfter(h, retryAfter)
+	return r.JSON(http.StatusGatewayTimeout, wire.ErrorBodyOf(err))
+}
+
 // jobZone returns the zone of the jobs that this entry accepts. It is empty without fair
 // shares: the stored form of a job is then that of earlier builds.
 func (s *Scheduler) jobZone() string {
--- a/io/scheduler/caller_test.go
+++ b/io/scheduler/caller_test.go
@@ -1,7 +1,11 @@
 package scheduler
 
 import (
+	"bufio"
 	"context"
+	"encoding/json"
+	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -10,7 +14,11 @@
 	"testing"
 	"time"
 
+	"rosemarygap/core/connection"
 	"rosemarygap/core/job"
+	"rosemarygap/core/status"
+	"rosemarygap/core/wire"
+	"rosemarygap/io/httpjson"
 	"rosemarygap/io/standin/fleet"
 	"rosemarygap/platform"
 	"rosemarygap/platform/platformtest"
@@ -231,3 +239,39 @@
 	store.Put(job.FinalKey(testID), mustJSON(job.Final{ID: testID, State: job.Done}))
 	is.Equal(send(h, http.MethodGet, "/jobs/"+testID, "").Body.String(), `{"state":"done"}`)
 }
+
+// A submission for which there is no room may repeat one that was stored. Its refusal must
+// not say that the job never runs, and tells when to come back.
+func TestOverloadRefusesSubmissionWithoutPromise(t *testing.T) {
+	is := is.New(t)
+	s, _ := newTestScheduler(t, platformtest.StoreHandler(fleet.NewStore()))
+	limits := connection.Limits{Connections: 8, Bytes: 64 << 10, ConnectionBytes: 8 << 10, BodyTimeout: time.Minute, ResponseTimeout: time.Minute}
+	l, err := httpjson.Listen(netip.MustParseAddrPort("127.0.0.1:0"), s.callerHandler(),
+		httpjson.WithLimiter(httpjson.NewLimiter(limits, hclog.NewNullLogger(), httpjson.Share{Listener: "front", Percent: 100}), "front"))
+	is.NoErr(err)
+	served := make(chan error, 1)
+	go func() { served <- l.Serve() }()
+	t.Cleanup(func() {
+		_ = l.Stop(context.Background())
+		is.NoErr(<-served)
+	})
+	// The oldest incomplete request pays for the others.
+	var conns []net.Conn
+	for n := range 4 {
+		c, err := net.Dial("tcp", l.Address().String())
+		is.NoErr(err)
+		defer c.Close()
+		fmt.Fprintf(c, "POST /jobs/%016x HTTP/1.1\r\nHost: jobs.example\r\nContent-Length: 30000\r\n\r\n%s", n, strings.Repeat(" ", 12_000))
+		conns = append(conns, c)
+		time.Sleep(50 * time.Millisecond)
+	}
+	is.NoErr(conns[0].SetReadDeadline(time.Now().Add(10 * time.Second)))
+	r, err := http.ReadResponse(bufio.NewReader(conns[0]), nil)
+	is.NoErr(err)
+	defer r.Body.Close()
+	var e wire.ErrorBody
+	is.NoErr(json.NewDecoder(r.Body).Decode(&e))
+	is.Equal(r.StatusCode, http.StatusGatewayTimeout)
+	is.Equal(e.Code, status.ErrOverloaded.Code())
+	is.True(r.Header.Get("Retry-After") != "")
+}
