io/operator: the validation of a document takes bounded memory

Twelve documents of 1 MiB with empty services took 9,520 MiB: each fault has a description, about 2.3 KiB for two bytes of text. Validation reserves 3 KiB for each object of a document first.

--- a/io/operator/config.go
+++ b/io/operator/config.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -67,6 +68,10 @@
 	return c.JSON(status.HTTPStatusOf(errResp.Err()), errResp)
 }
 
+// validationCost is the memory for the validation of one object of a document whose objects
+// are all faulty, in bytes. Each fault has a description of its place and cause.
+const validationCost = 3 << 10
+
 // applyChange validates and applies a configuration change. All changes use it:
 // those of the forms, the command line and drains. Exactly one of its results is
 // not nil.
@@ -77,6 +82,11 @@
 	if len(req.ChangeID) > maxChangeIDBytes {
 		return nil, s.rejectChange(status.At(status.ErrOutOfRange, "change-id", req.ChangeID[:maxChangeIDBytes]))
 	}
+	done, err := httpjson.ReserveDecoding(ctx, int64(bytes.Count(req.Document, []byte("{")))*validationCost)
+	if err != nil {
+		return nil, s.rejectChange(err)
+	}
+	defer done()
 	d, faults := core.Parse(req.Document)
 	if len(faults) > 0 {
 		r := s.rejectChange(status.ErrConfigInvalid)
