--- a/io/standin/crowd/crowd_test.go
+++ b/io/standin/crowd/crowd_test.go
@@ -32,6 +32,7 @@
 	scale       = flag.Int("crowd-scale", 1, "factor of the number of clients")
 	memoryMiB   = flag.Int("crowd-memory", 0, "memory limit in MiB instead of that of the tests")
 	descriptors = flag.Int("crowd-descriptors", 0, "descriptor limit instead of that of the tests")
+	returning   = flag.Bool("crowd-returning", false, "let clients whose connection was closed connect again until the crowd leaves")
 )
 
 // Time limits. They only keep a hung process from blocking the test.
@@ -133,6 +134,8 @@
 	number int
 	conn   net.Conn
 	once   sync.Once
+	// closed is closed when the process has closed the connection that the client reads.
+	closed chan struct{}
 	// answered is closed when a response has arrived or the connection is closed.
 	answered     chan struct{}
 	answeredOnce sync.Once
@@ -174,12 +177,27 @@
 		c.failed++
 		c.mu.Unlock()
 	}
+	for *returning && c.awaitClose() {
+		_ = c.attempt(act)
+	}
 	<-c.leave
 	if c.conn != nil {
 		c.conn.Close()
 	}
 }
 
+// awaitClose waits until the process has closed the connection, or until the crowd leaves,
+// and reports whether the client should connect again.
+func (c *client) awaitClose() bool {
+	select {
+	case <-c.closed:
+		time.Sleep(pollInterval)
+		return true
+	case <-c.leave:
+		return false
+	}
+}
+
 func (c *client) attempt(act func(*client) error) error {
 	if c.conn != nil {
 		c.conn.Close()
@@ -227,8 +245,10 @@
 
 // read records the responses on the connection until it is closed.
 func (c *client) read() {
-	conn := c.conn
+	conn, closed := c.conn, make(chan struct{})
+	c.closed = closed
 	c.left.Go(func() {
+		defer close(closed)
 		defer c.isAnswered()
 		r := bufio.NewReader(conn)
 		for {
