io/scheduler: the peer listener may take seven tenths of the room for connections

The owner of 1,200 workers has 2,400 connections of agents, and 2,400 was the most for the peer listener at 8,192 descriptors, without those of other entries. The shares that are guaranteed to the others are smaller, so that it is 2,800.

go test ./io/standin/crowd -count=1 -p 1: all 47 pass in 126 s.

--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -56,13 +56,13 @@
 )
 
 // shares are what the listeners are guaranteed of the room for connections. The reports of
-// all agents arrive at the owner's peer listener.
+// all agents arrive at the owner's peer listener, which may use all that is not guaranteed to others.
 var shares = []httpjson.Share{
-	{Listener: listenerFront, Percent: 25},
-	{Listener: listenerReadiness, Percent: 5},
+	{Listener: listenerFront, Percent: 20},
+	{Listener: listenerReadiness, Percent: 3},
 	{Listener: listenerPeer, Percent: 30},
-	{Listener: listenerControl, Percent: 5},
-	{Listener: listenerMetrics, Percent: 5},
+	{Listener: listenerControl, Percent: 3},
+	{Listener: listenerMetrics, Percent: 4},
 }
 
 // Scheduler is the scheduler process on an entry VM.
