--- a/io/agent/ends.go
+++ b/io/agent/ends.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -165,7 +166,7 @@
 
 // logUnordered logs a list in which the ended runs are not in the order of their numbers.
 func (a *Agent) logUnordered(r renewal, ended []job.End) {
-	if slices.IsSortedFunc(ended, func(a, b job.End) int { return int(a.Number - b.Number) }) {
+	if slices.IsSortedFunc(ended, func(a, b job.End) int { return cmp.Compare(a.Number, b.Number) }) {
 		return
 	}
 	event.EndsUnordered.Emit(a.log, event.Worker(r.worker), event.Incarnation(r.incarnation), event.Count(len(ended)))
--- a/io/agent/ends_test.go
+++ b/io/agent/ends_test.go
@@ -392,3 +392,19 @@
 	o.state.recordDelivered(&r, &reply, o.now)
 	o.is.True(!o.state.hasGoneEnds())
 }
+
+// The ends of a worker that has left are durable when the next worker comes: they are neither
+// reported nor counted again.
+func TestDurableEndsOfDepartedWorkerAreNotRecordedAgain(t *testing.T) {
+	o := newOwnedRun(t)
+	o.listEnd()
+	o.is.True(o.state.recordDeparture("i-1"))
+	o.is.Equal(len(o.state.takeUndelivered()), 1)
+	r := o.state.report("agent", false, o.now)
+	reply := o.exchange(r)
+	o.state.recordDelivered(&r, &reply, o.now)
+	o.is.True(!o.state.hasGoneEnds())
+	o.state.applyHeartbeat(job.Worker{ID: "i-3", Incarnation: 300, Service: "svc", Sequence: 1})
+	o.is.True(!o.state.hasGoneEnds())
+	o.is.Equal(len(o.state.takeUndelivered()), 0)
+}
--- a/io/agent/state.go
+++ b/io/agent/state.go
@@ -147,7 +147,9 @@
 	}
 	if s.worker != nil {
 		s.recordCrash(time.Now())
-		s.recordGoneEnds(endsWorkerReplaced)
+		if !s.left {
+			s.recordGoneEnds(endsWorkerReplaced)
+		}
 	}
 	s.replaced, s.firstClock = s.worker != nil && s.worker.ID == w.ID, 0
 	s.worker, s.left, s.departing, s.plausibility = &w, false, false, plausibility{}
