core/job: changes become durable in the order in which they were made

An end that is not durable holds back the acknowledgement of all later ends of its worker. The jobs that have waited longest are written first.

--- a/core/job/durable.go
+++ b/core/job/durable.go
@@ -74,10 +74,7 @@
 }
 
 func (c *Cell) addJobWrites(w *Writes, entries *int, now time.Time, urgent bool) {
-	for id, j := range c.jobs.All {
-		if !j.dirty || j.writing || j.urgent != urgent {
-			continue
-		}
+	for _, j := range c.unwrittenJobs(now, urgent) {
 		need := progressEntries
 		if j.state.IsFinal() {
 			need = finalEntries
@@ -87,12 +84,31 @@
 		}
 		*entries -= need
 		if j.state.IsFinal() {
-			w.Finals = append(w.Finals, Final{ID: id, Queue: j.Queue, State: j.state, Ended: now})
+			w.Finals = append(w.Finals, Final{ID: j.ID, Queue: j.Queue, State: j.state, Ended: now})
 		} else {
-			w.Progress[id] = j.durableProgress()
+			w.Progress[j.ID] = j.durableProgress()
+		}
+		j.dirty, j.urgent, j.writing, j.dirtySince = false, false, true, time.Time{}
+	}
+}
+
+// unwrittenJobs returns the jobs with changes to write, those that have waited longest first.
+// An end that is not durable holds back the acknowledgement of all later ends of its worker.
+func (c *Cell) unwrittenJobs(now time.Time, urgent bool) []*jobRow {
+	var out []*jobRow
+	for _, j := range c.jobs.All {
+		if !j.dirty || j.urgent != urgent {
+			continue
+		}
+		if j.dirtySince.IsZero() {
+			j.dirtySince = now
+		}
+		if !j.writing {
+			out = append(out, j)
 		}
-		j.dirty, j.urgent, j.writing = false, false, true
 	}
+	slices.SortStableFunc(out, func(a, b *jobRow) int { return a.dirtySince.Compare(b.dirtySince) })
+	return out
 }
 
 // Committed records that w is durable.
--- a/core/job/ends_test.go
+++ b/core/job/ends_test.go
@@ -170,3 +170,27 @@
 	tc.is.Equal(tc.commitWrites().RemovedAgents, []string{first.report.Agent})
 	tc.is.Equal(tc.workers.Get(first.report.Agent), (*workerRow)(nil))
 }
+
+// Under overload more jobs change than a commit has entries for. The changes of each must become
+// durable in turn: an end that is not holds back the acknowledgement of all later ends of its
+// worker, which lists no more than 500.
+func TestOldestChangesAreWrittenFirst(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	const jobs, entries = 12, 4
+	for n := range jobs {
+		tc.Add(testJob(n+1, step(1, 100)), tc.now)
+	}
+	written := map[string]bool{}
+	for range jobs/entries + 1 {
+		for _, j := range tc.jobs.All {
+			j.dirty, j.urgent = true, true // the others change all the time
+		}
+		tc.now = tc.now.Add(20 * time.Millisecond)
+		w := tc.PendingWrites(tc.now, entries)
+		for id := range w.Progress {
+			written[id] = true
+		}
+		tc.Committed(&w)
+	}
+	tc.is.Equal(len(written), jobs)
+}
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -175,6 +175,8 @@
 	// urgent is true if the progress must become durable without delay, as
 	// acknowledgements wait for it.
 	urgent bool
+	// dirtySince is about when the oldest of these changes was made, or zero.
+	dirtySince time.Time
 	// writing is true while the progress is being written; finalDurable is
 	// true once the final state is durable.
 	writing, finalDurable bool
