--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -446,7 +446,8 @@
 const maxReportAge = 1500 * time.Millisecond
 
 // expireWorkers releases the tasks of the workers whose leases have certainly expired, and
-// removes these workers and their agents once the ends that they have listed are durable. It also removes the agents of the stored roster that
+// removes these workers and their agents once the ends that they have listed are durable. It
+// also removes the agents of the stored roster that
 // never reported, once all runs on their workers have certainly ended.
 func (c *Cell) expireWorkers(now time.Time) {
 	var expired []string
