io/standin/fleet: a test of addresses waits until the agent listens

That is the control address of agent-0: the test waits until the schedulers answer, and connects to the agent, which is started last, without waiting for it.

--- a/io/standin/fleet/cleanup_test.go
+++ b/io/standin/fleet/cleanup_test.go
@@ -26,7 +26,7 @@
 		used = append(used, addrPort(r.vmIP(1), storePort), addrPort(r.schedulers[0].ip, callerPort),
 			addrPort(a.ip, workerPort), addrPort(a.ip, appPort))
 		for _, u := range used {
-			c, err := net.DialTimeout("tcp", u.String(), 5*time.Second)
+			c, err := dialStarting(u)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -43,6 +43,16 @@
 	}
 }
 
+// dialStarting connects to a process that may not listen yet.
+func dialStarting(a netip.AddrPort) (c net.Conn, err error) {
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if c, err = net.DialTimeout("tcp", a.String(), time.Second); err == nil {
+			return c, nil
+		}
+	}
+	return nil, err
+}
+
 // TestDeploymentsHaveDistinctNetworks checks that two deployments of an execution, such as
 // those of the same seed in two soak tests, never have the same addresses.
 func TestDeploymentsHaveDistinctNetworks(t *testing.T) {
