io/agent, core/job: what marks a departure and which ends count stands once

recordDeparture and endDeparture marked a worker as gone each in its own lines, and the ends that change what is durable were told apart in two places. No behaviour changes: markLeft and Step.countsEnd serve both.

--- a/core/job/ends.go
+++ b/core/job/ends.go
@@ -30,6 +30,10 @@
 	return crashed || ended
 }
 
+// countsEnd reports whether an end with outcome o changes what is durable of a task, whoever
+// ran it. A long-running task is started again however it ends.
+func (s *Step) countsEnd(o Outcome) bool { return !s.LongRunning && (o == EndDone || o == EndFailed) }
+
 // SortEnds sorts ended runs by their numbers. A worker may list them in any order.
 func SortEnds(ends []End) {
 	slices.SortFunc(ends, func(a, b End) int { return cmp.Compare(a.Number, b.Number) })
@@ -76,8 +80,7 @@
 		if t == nil || t.isDone() || slices.Contains(t.failedRuns, a.Run) {
 			continue
 		}
-		counts := !s.spec.LongRunning && (outcome == EndDone || outcome == EndFailed)
-		if counts || t.runOn(w, a.Run) != nil {
+		if s.spec.countsEnd(outcome) || t.runOn(w, a.Run) != nil {
 			c.applyEnd(w, j, s, t, &End{Task: a.Task, Run: a.Run, Outcome: outcome}, now)
 		}
 	}
@@ -122,7 +125,7 @@
 	if t == nil || j.dirty || j.writing {
 		return false
 	}
-	return t.isDone() || slices.Contains(t.failedRuns, a.Run) || s.spec.LongRunning || o != EndDone && o != EndFailed
+	return t.isDone() || slices.Contains(t.failedRuns, a.Run) || !s.spec.countsEnd(o)
 }
 
 // applyEnd applies the end e of a run of t on w.
--- a/io/agent/departure.go
+++ b/io/agent/departure.go
@@ -106,9 +106,15 @@
 	if !s.mayDepart(id) {
 		return false
 	}
+	s.markLeft()
+	return true
+}
+
+// markLeft records that the worker is gone, and keeps the ends that only its list has. The
+// caller holds s.mu.
+func (s *state) markLeft() {
 	s.departing, s.left = true, true
 	s.recordGoneEnds(endsWorkerLeft)
-	return true
 }
 
 // endDeparture records that a worker that departs is gone, as this process can answer nothing
@@ -117,7 +123,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.departing && !s.left {
-		s.left = true
-		s.recordGoneEnds(endsWorkerLeft)
+		s.markLeft()
 	}
 }
--- a/io/agent/state.go
+++ b/io/agent/state.go
@@ -504,9 +504,8 @@
 // setIncarnation switches to an incarnation that answered before its first
 // heartbeat, and reports whether it is a later one. That is so even if it began earlier
 // by its clock, which may have been set back, if the call was made after an answer of the
-// current incarnation. The capacity and the state
-// of the new incarnation are not known yet, so it counts as draining and gets no
-// work until the heartbeat. The caller holds s.mu.
+// current incarnation. The capacity and the state of the new incarnation are not known
+// yet, so it counts as draining and gets no work until the heartbeat. The caller holds s.mu.
 func (s *state) setIncarnation(runs job.RunList, requestedAt, now time.Time) bool {
 	last := job.Later(s.answeredAt, s.switchedAt)
 	if runs.Incarnation < s.worker.Incarnation && (last.IsZero() || !requestedAt.After(last)) {
