review/11: a task runs on two workers after a departure without an ack

Cause: the agent counts its worker as gone 50 ms after it has answered the departure, also if nobody waits for the answer any more and the worker goes on for seconds (io/agent/departure.go).

Done: a script that stops the agent's process for 3 s around the departure.

--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"syscall"
 	"time"
 
 	"rosemarygap/core/job"
@@ -15,12 +16,12 @@
 // playGang lets a worker crash while the members of a gang with checkpoints work. The members
 // that start again must carry one checkpoint, as otherwise they can't work together.
 func playGang(dir, program string, trouble bool) int {
-	w, err := begin(dir, program, 3, 8, nil)
+	w, err := begin(dir, program, 3, 11, nil)
 	if err != nil {
 		return fail(w, err)
 	}
 	const id = "5c0e7a21d94b0001"
-	if !w.submit(0, id, 9*time.Second, " gang=0:4",
+	if !w.submit(0, id, 9*time.Second, " saves gang=0:4",
 		`[{"count":4,"cpu":500,"mem-mb":256,"estimate-ms":9000,"gang":true,"checkpointing":true,"max-per-server":1}]`) {
 		return w.finish(failed, "the job was not accepted")
 	}
@@ -92,7 +93,7 @@
 func playCancel(dir, program string, trouble bool) int {
 	const id = "5c0e7a21d94b0003"
 	lose := make(chan struct{}, 1)
-	w, err := begin(dir, program, 3, 8, func(w *world) { w.handler = loseWrite(w, w.handler, "rosemarygap/job/"+id, lose) })
+	w, err := begin(dir, program, 3, 11, func(w *world) { w.handler = loseWrite(w, w.handler, "rosemarygap/job/"+id, lose) })
 	if err != nil {
 		return fail(w, err)
 	}
@@ -122,3 +123,56 @@
 	}
 	return w.finish(held, "nothing started later than cancel_ms after the cancellation")
 }
+
+// Times of playLeave: how long the agent's process stands still, and how long before its worker
+// announces its departure that begins.
+const (
+	freezeTime = 3 * time.Second
+	freezeLead = 300 * time.Millisecond
+)
+
+// playLeave freezes the process of an agent while its worker announces its departure, so that the
+// worker has no ack and ends some seconds later.
+func playLeave(dir, program string, trouble bool) int {
+	w, err := begin(dir, program, 3, 11, nil)
+	if err != nil {
+		return fail(w, err)
+	}
+	const id = "5c0e7a21d94b0004"
+	if !w.submit(0, id, 12*time.Second, "", `[{"count":1,"cpu":500,"mem-mb":256,"estimate-ms":12000}]`) {
+		return w.finish(failed, "the job was not accepted")
+	}
+	x := w.awaitWorking(id, time.Second)
+	if x == nil {
+		return w.finish(failed, "the task does not run")
+	}
+	x.leave(func() {
+		if !trouble {
+			return
+		}
+		agent := w.agents[x.number].cmd.Process
+		if err := agent.Signal(syscall.SIGSTOP); err != nil {
+			w.record("stop: %v", err)
+		}
+		w.record("the process of side-%d stands still", x.number)
+		time.AfterFunc(freezeTime, func() {
+			w.record("the process of side-%d goes on", x.number)
+			if err := agent.Signal(syscall.SIGCONT); err != nil {
+				w.record("continue: %v", err)
+			}
+		})
+		time.Sleep(freezeLead)
+	})
+	for deadline := time.Now().Add(40 * time.Second); time.Now().Before(deadline); time.Sleep(200 * time.Millisecond) {
+		if w.state(1, id) == string(job.Done) {
+			break
+		}
+	}
+	w.mu.Lock()
+	n := w.twice
+	w.mu.Unlock()
+	if n > 0 {
+		return w.finish(broken, "TWICE: %d starts of a task that ran on another worker", n)
+	}
+	return w.finish(held, "no task ran twice at a time")
+}
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"net"
@@ -38,6 +39,7 @@
 	task       string
 	number     int64
 	gang       string
+	saves      bool
 	startedAt  time.Time
 	checkpoint string
 	// done is the work that the checkpoint stands for. beganAt is when the run began to
@@ -50,7 +52,8 @@
 }
 
 // worker is a stand-in for a worker of the platform and its machine. Its spec is
-// "ms=N gang=STEP:COUNT", where the part on the gang may be absent.
+// "ms=N saves gang=STEP:COUNT"; the task has checkpoints only with "saves", and is a member of a gang
+// only with the last part.
 type worker struct {
 	w      *world
 	number int
@@ -61,6 +64,7 @@
 	life     int
 	born     time.Time
 	down     bool
+	draining bool
 	sequence int64
 	token    int64
 	leaseEnd time.Duration
@@ -69,6 +73,8 @@
 	ended    []job.End
 	lastEnd  int64
 	server   *http.Server
+	// runs are the tasks that run here. The lock of the world guards it.
+	runs map[string]bool
 }
 
 func (x *worker) id() string { return fmt.Sprintf("i-%d-%d", x.number, x.life) }
@@ -80,7 +86,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.life++
-	x.born, x.down = time.Now(), false
+	x.born, x.down, x.draining = time.Now(), false, false
 	x.sequence, x.token, x.leaseEnd, x.lastEnd = 0, 0, 0, 0
 	x.running, x.highest, x.ended = map[string]*run{}, map[string]int64{}, nil
 	l, err := net.Listen("tcp", x.app.String())
@@ -92,17 +98,19 @@
 	return nil
 }
 
-// crash ends the present life: nothing listens any more and all runs are gone.
+// crash ends the present life, by a crash or after a departure: nothing listens any more and all
+// runs are gone.
 func (x *worker) crash() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.down = true
 	x.server.Close()
-	x.w.record("worker %d crashes with %d runs", x.number, len(x.running))
+	x.w.record("worker %d ends with %d runs", x.number, len(x.running))
 	for _, r := range x.running {
 		x.w.breakGang(r.gang, x)
 	}
 	x.running = map[string]*run{}
+	x.w.forgetRuns(x)
 }
 
 // live sends heartbeats and advances the runs until ctx ends.
@@ -129,7 +137,7 @@
 	x.mu.Lock()
 	x.sequence++
 	h := job.Worker{ID: x.id(), Incarnation: x.born.UnixMilli(), Service: "svc", Address: x.app, Zone: "zone-a", VM: fmt.Sprintf("machine-%d", x.number),
-		Labels: []string{"a", fmt.Sprintf("r%d", x.number/3)}, Capacity: job.Resources{Processors: 16000, Memory: 62500}, Sequence: x.sequence, Clock: x.clock()}
+		Labels: []string{"a", fmt.Sprintf("r%d", x.number/3)}, Capacity: job.Resources{Processors: 16000, Memory: 62500}, Sequence: x.sequence, Clock: x.clock(), Draining: x.draining}
 	x.mu.Unlock()
 	b, err := platformtest.EncodeHeartbeat(h)
 	if err != nil {
@@ -150,6 +158,55 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// Periods of a departure: drain-ms and a little longer, how long a worker waits for the ack of its
+// departure, and how much later it ends without one.
+const (
+	drainTime      = 2500 * time.Millisecond
+	departureWait  = time.Second
+	unackedEndTime = 3 * time.Second
+)
+
+// leave drains the worker, announces its departure and ends it. It calls before a moment before
+// the announcement.
+func (x *worker) leave(before func()) {
+	x.mu.Lock()
+	x.draining = true
+	x.mu.Unlock()
+	for !x.heartbeat() {
+		time.Sleep(100 * time.Millisecond)
+	}
+	x.w.record("worker %d is draining, and has the ack", x.number)
+	time.Sleep(drainTime)
+	before()
+	if err := x.announceDeparture(); err != nil {
+		x.w.record("worker %d has no ack of its departure (%v), and ends %v later", x.number, err, unackedEndTime)
+		time.Sleep(unackedEndTime)
+	} else {
+		x.w.record("worker %d has the ack of its departure", x.number)
+	}
+	x.crash()
+}
+
+// announceDeparture sends DELETE and waits for the ack.
+func (x *worker) announceDeparture() error {
+	x.w.record("worker %d: DELETE %s", x.number, x.id())
+	ctx, cancel := context.WithTimeout(context.Background(), departureWait)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+x.agent.String()+platformtest.HeartbeatPath(x.id()), nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	resp.Body.Close()
+	if resp.StatusCode/100 != 2 {
+		return errors.New(resp.Status)
+	}
+	return nil
+}
+
 // advance ends the runs that are over. The caller holds mu.
 func (x *worker) advance() {
 	now := time.Now()
@@ -164,7 +221,7 @@
 			if d := now.Sub(r.beganAt); d > 0 {
 				worked += d
 			}
-			if n := worked / checkpointPeriod; n > 0 {
+			if n := worked / checkpointPeriod; n > 0 && r.saves {
 				r.saved = max(r.saved, encodeCheckpoint(n*checkpointPeriod))
 			}
 		}
@@ -172,7 +229,9 @@
 		case lapsed:
 			x.end(r, job.EndLapsed)
 		case !r.stopAt.IsZero() && !now.Before(r.stopAt):
-			r.saved = max(r.saved, encodeCheckpoint(worked))
+			if r.saves {
+				r.saved = max(r.saved, encodeCheckpoint(worked))
+			}
 			x.end(r, job.EndStopped)
 		case worked >= x.w.workOf(task):
 			x.end(r, job.EndDone)
@@ -240,7 +299,7 @@
 	case s.LeaseUntil <= x.clock():
 		return x.clock(), &platform.OrderRefusedError{Reason: "late"}
 	}
-	r := &run{task: s.Task, number: s.Run, startedAt: time.Now(), checkpoint: s.Checkpoint, saved: s.Checkpoint}
+	r := &run{task: s.Task, number: s.Run, startedAt: time.Now(), checkpoint: s.Checkpoint, saved: s.Checkpoint, saves: strings.Contains(s.Payload, " saves")}
 	if ms, err := strconv.ParseInt(s.Checkpoint, 16, 64); err == nil {
 		r.done = time.Duration(ms) * time.Millisecond
 	}
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -88,7 +88,9 @@
 	work   map[string]time.Duration
 	gangs  map[string]*gangState
 	starts []startRecord
-	ends   []endRecord
+	// twice counts the starts of tasks that ran on another worker.
+	twice int
+	ends  []endRecord
 	// accepted are the jobs that were answered with success.
 	accepted map[string]time.Time
 }
@@ -109,6 +111,13 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.recordLocked("worker %d: start %s run %d checkpoint %q token %d", x.number, r.task, r.number, r.checkpoint, s.Token)
+	for _, o := range w.workers {
+		if o != x && o.runs[r.task] {
+			w.recordLocked("TWICE: %s runs on worker %d, too", r.task, o.number)
+			w.twice++
+		}
+	}
+	x.runs[r.task] = true
 	w.starts = append(w.starts, startRecord{time.Now(), x.number, r.task, r.number, r.gang, r.checkpoint})
 	if r.gang == "" {
 		return
@@ -138,10 +147,18 @@
 	w.recordLocked("gang %s: all members are present and begin to work", r.gang)
 }
 
+// forgetRuns records that nothing runs on x any more.
+func (w *world) forgetRuns(x *worker) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	clear(x.runs)
+}
+
 func (w *world) recordEnd(x *worker, r *run, how job.Outcome) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.recordLocked("worker %d: end %s run %d: %s, saved %q", x.number, r.task, r.number, how, r.saved)
+	delete(x.runs, r.task)
 	w.ends = append(w.ends, endRecord{time.Now(), r.task, r.number, how})
 }
 
@@ -246,7 +263,7 @@
 	for i := range workers {
 		p := &process{name: fmt.Sprintf("side-%d", i), role: "agent", ip: w.ip(21 + i)}
 		w.agents = append(w.agents, p)
-		x := &worker{w: w, number: i, app: netip.AddrPortFrom(p.ip, appPort), agent: netip.AddrPortFrom(p.ip, controlPort)}
+		x := &worker{w: w, runs: map[string]bool{}, number: i, app: netip.AddrPortFrom(p.ip, appPort), agent: netip.AddrPortFrom(p.ip, controlPort)}
 		w.workers = append(w.workers, x)
 		if err := w.writeSettings(p, seeds, x.app.String()); err != nil {
 			return w, err
