review/14: hopeless lasting jobs keep all workers from ordinary jobs

Cause: the first failures of their tasks put every worker on probation, which gives it one task at a time, and the lasting tasks, which never are late, come first (core/job/health.go, policy.go).

--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -30,16 +30,20 @@
 	// checkpointPeriod is checkpoint-interval-s, and restoreTime is restore-ms.
 	checkpointPeriod = time.Second
 	restoreTime      = 250 * time.Millisecond
+	// maxListedEnds is how many ends are listed at a time.
+	maxListedEnds = 500
 	// stopTime is how long a stop takes, at most stop-ms.
 	stopTime = 100 * time.Millisecond
 )
 
 // run is one run of a task on a worker.
 type run struct {
-	task       string
-	number     int64
-	gang       string
-	saves      bool
+	task   string
+	number int64
+	gang   string
+	saves  bool
+	// failsAfter is after how much work the run fails, or 0.
+	failsAfter time.Duration
 	startedAt  time.Time
 	checkpoint string
 	// done is the work that the checkpoint stands for. beganAt is when the run began to
@@ -233,6 +237,8 @@
 				r.saved = max(r.saved, encodeCheckpoint(worked))
 			}
 			x.end(r, job.EndStopped)
+		case r.failsAfter > 0 && worked >= r.failsAfter:
+			x.end(r, job.EndFailed)
 		case worked >= x.w.workOf(task):
 			x.end(r, job.EndDone)
 		case r.gang != "" && x.w.isBroken(r.gang):
@@ -306,6 +312,11 @@
 	if _, gang, ok := strings.Cut(s.Payload, "gang="); ok {
 		r.gang = gangOf(s.Task, s.Run, gang)
 	}
+	if _, after, ok := strings.Cut(s.Payload, "fails="); ok {
+		if ms, err := strconv.Atoi(after); err == nil {
+			r.failsAfter = time.Duration(ms) * time.Millisecond
+		}
+	}
 	x.running[s.Task] = r
 	x.w.recordStart(x, r, s)
 	if r.gang == "" {
@@ -374,7 +385,7 @@
 			return job.RunList{}, platformtest.ErrDropConnection
 		}
 	}
-	out := job.RunList{Incarnation: x.born.UnixMilli(), Clock: x.clock(), Ended: slices.Clone(x.ended)}
+	out := job.RunList{Incarnation: x.born.UnixMilli(), Clock: x.clock(), Ended: slices.Clone(x.ended[:min(maxListedEnds, len(x.ended))])}
 	for _, task := range slices.Sorted(maps.Keys(x.running)) {
 		r := x.running[task]
 		worked := r.done
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -90,6 +90,8 @@
 	starts []startRecord
 	// twice counts the starts of tasks that ran on another worker.
 	twice int
+	// quiet is true if starts and ends are not recorded one by one.
+	quiet bool
 	ends  []endRecord
 	// accepted are the jobs that were answered with success.
 	accepted map[string]time.Time
@@ -110,7 +112,9 @@
 func (w *world) recordStart(x *worker, r *run, s platform.StartRequest) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.recordLocked("worker %d: start %s run %d checkpoint %q token %d", x.number, r.task, r.number, r.checkpoint, s.Token)
+	if !w.quiet {
+		w.recordLocked("worker %d: start %s run %d checkpoint %q token %d", x.number, r.task, r.number, r.checkpoint, s.Token)
+	}
 	for _, o := range w.workers {
 		if o != x && o.runs[r.task] {
 			w.recordLocked("TWICE: %s runs on worker %d, too", r.task, o.number)
@@ -157,7 +161,9 @@
 func (w *world) recordEnd(x *worker, r *run, how job.Outcome) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.recordLocked("worker %d: end %s run %d: %s, saved %q", x.number, r.task, r.number, how, r.saved)
+	if !w.quiet {
+		w.recordLocked("worker %d: end %s run %d: %s, saved %q", x.number, r.task, r.number, how, r.saved)
+	}
 	delete(x.runs, r.task)
 	w.ends = append(w.ends, endRecord{time.Now(), r.task, r.number, how})
 }
