--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -146,6 +146,8 @@
 	pause         = 1200 * time.Millisecond
 	laterJobs     = 6
 	laterInterval = 3 * time.Second
+	// lastingWork stands for a task that does not end.
+	lastingWork = 1000 * time.Hour
 	// finishTime is finish_s.
 	finishTime = 14 * time.Second
 )
@@ -168,7 +170,7 @@
 		id := fmt.Sprintf("5c0e7a21d94b5%03d", sent)
 		sent++
 		if isLasting {
-			return w.submit(sent%3, id, 1000*time.Hour, spec, lasting)
+			return w.submit(sent%3, id, lastingWork, spec, lasting)
 		}
 		ids = append(ids, id)
 		return w.submit(sent%3, id, 200*time.Millisecond, "", ordinary)
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -32,6 +32,8 @@
 	restoreTime      = 250 * time.Millisecond
 	// maxListedEnds is how many ends are listed at a time.
 	maxListedEnds = 500
+	// startupTime is after how long a lasting task is at work.
+	startupTime = 320 * time.Millisecond
 	// stopTime is how long a stop takes, at most stop-ms.
 	stopTime = 100 * time.Millisecond
 )
@@ -392,8 +394,15 @@
 		if !r.beganAt.IsZero() {
 			worked += max(0, time.Since(r.beganAt))
 		}
-		percent := int(100 * worked / max(x.w.workOf(task), 1))
-		out.Running = append(out.Running, job.Run{Task: task, Run: r.number, Checkpoint: r.saved, Percent: min(percent, 99), Load: 500})
+		out.Running = append(out.Running, job.Run{Task: task, Run: r.number, Checkpoint: r.saved, Percent: percentOf(worked, x.w.workOf(task)), Load: 500})
 	}
 	return out, nil
 }
+
+// percentOf returns how much of a task is done, or of the startup of a lasting task.
+func percentOf(worked, work time.Duration) int {
+	if work >= lastingWork {
+		return int(min(100*worked/startupTime, 100))
+	}
+	return int(min(100*worked/max(work, 1), 99))
+}
