--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -61,7 +61,7 @@
 		lose <- struct{}{}
 	}
 	w.work[id] = 2 * time.Second
-	body := `{"spec":"ms=2000","phases":[{"count":1,"cpu":500,"mem-mb":256,"estimate-ms":2000}]}`
+	body := text("submission", 2000, "", text("single", 2000))
 	code, answer := w.request(0, http.MethodPost, id, []byte(body), 500*time.Millisecond)
 	w.record("client: POST %s at edge-0 -> %d %s", id, code, answer)
 	code, answer = w.request(1, http.MethodDelete, id, nil, 3*time.Second)
@@ -99,7 +99,7 @@
 		return fail(w, err)
 	}
 	const id = "5c0e7a21d94b0004"
-	if !w.submit(0, id, 12*time.Second, "", `[{"count":1,"cpu":500,"mem-mb":256,"estimate-ms":12000}]`) {
+	if !w.submit(0, id, 12*time.Second, "", text("single", 12000)) {
 		return w.finish(failed, "the job was not accepted")
 	}
 	x := w.awaitWorking(id, time.Second)
@@ -158,8 +158,7 @@
 	if err != nil {
 		return fail(w, err)
 	}
-	const lasting = `[{"count":12,"cpu":1000,"mem-mb":1000,"estimate-ms":500,"long-running":true}]`
-	const ordinary = `[{"count":2,"cpu":200,"mem-mb":100,"estimate-ms":200},{"count":2,"cpu":200,"mem-mb":100,"estimate-ms":200,"after":[0]}]`
+	lasting, ordinary := text("lasting"), text("ordinary")
 	spec := " fails=40"
 	if !trouble {
 		spec = ""
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -26,7 +26,7 @@
 		os.Exit(failed)
 	}
 	play, ok := map[string]func(dir, program string, trouble bool) int{
-		"cancel": playCancel, "hopeless": playHopeless, "leave": playLeave,
+		"cancel": playCancel, "cut": playCut, "hopeless": playHopeless, "leave": playLeave,
 	}[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -17,7 +17,7 @@
 // once a value was sent to lose.
 func loseWrite(w *world, h http.Handler, key string, lose chan struct{}) http.Handler {
 	return http.HandlerFunc(func(x http.ResponseWriter, r *http.Request) {
-		if !strings.HasSuffix(r.URL.Path, "/kv-txn") {
+		if !strings.HasSuffix(r.URL.Path, text("transaction-path")) {
 			h.ServeHTTP(x, r)
 			return
 		}
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -85,6 +85,14 @@
 
 func (x *worker) id() string { return fmt.Sprintf("i-%d-%d", x.number, x.life) }
 
+// kind returns the worker's kind: b for the first one, a for the others.
+func (x *worker) kind() string {
+	if x.number == 0 {
+		return "b"
+	}
+	return "a"
+}
+
 func (x *worker) clock() time.Duration { return time.Since(x.born) }
 
 // start begins a life of the worker: it knows nothing of the one before.
@@ -143,7 +151,7 @@
 	x.mu.Lock()
 	x.sequence++
 	h := job.Worker{ID: x.id(), Incarnation: x.born.UnixMilli(), Service: "svc", Address: x.app, Zone: "zone-a", VM: fmt.Sprintf("machine-%d", x.number),
-		Labels: []string{"a", fmt.Sprintf("r%d", x.number/3)}, Capacity: job.Resources{Processors: 16000, Memory: 62500}, Sequence: x.sequence, Clock: x.clock(), Draining: x.draining}
+		Labels: []string{x.kind(), fmt.Sprintf("r%d", x.number/3)}, Capacity: job.Resources{Processors: 16000, Memory: 62500}, Sequence: x.sequence, Clock: x.clock(), Draining: x.draining}
 	x.mu.Unlock()
 	b, err := platformtest.EncodeHeartbeat(h)
 	if err != nil {
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -90,6 +90,8 @@
 	starts []startRecord
 	// twice counts the starts of tasks that ran on another worker.
 	twice int
+	// partition is nil unless the agent of worker 0 can be cut off from the schedulers.
+	partition *partition
 	// quiet is true if starts and ends are not recorded one by one.
 	quiet bool
 	ends  []endRecord
@@ -247,14 +249,20 @@
 	if err := w.serve(netip.AddrPortFrom(w.ip(1), storePort), w.handler); err != nil {
 		return w, err
 	}
-	configuration, err := json.Marshal(map[string]any{"version": 3, "services": []any{map[string]any{"name": "svc", "admission-check": false}},
-		"limits": map[string]any{"max-body-bytes": 262144, "max-header-bytes": 16384},
-		"routes": []any{map[string]any{"name": "jobs", "host": "jobs.example", "prefix": "/jobs/", "service": "svc", "priority": 0,
-			"max-attempts": 4, "stretch": 1.5, "target-duration-ms": 250}}})
-	if err != nil {
-		return w, err
+	if w.partition != nil {
+		for i := range schedulers {
+			l, err := net.Listen("tcp", netip.AddrPortFrom(w.ip(11+i+proxyOffset), peerPort).String())
+			if err != nil {
+				return w, err
+			}
+			go w.partition.serve(l, netip.AddrPortFrom(w.ip(11+i), peerPort))
+			go func() { <-w.ctx.Done(); l.Close() }()
+		}
+		if err := w.serve(netip.AddrPortFrom(w.ip(2), storePort), viaProxies(w, w.handler)); err != nil {
+			return w, err
+		}
 	}
-	w.store.Put(platform.ConfigurationKey, configuration)
+	w.store.Put(platform.ConfigurationKey, []byte(text("configuration")))
 	var seeds []string
 	for i := range min(schedulers, 3) {
 		seeds = append(seeds, fmt.Sprintf("%q", netip.AddrPortFrom(w.ip(11+i), controlPort)))
@@ -271,7 +279,11 @@
 		w.agents = append(w.agents, p)
 		x := &worker{w: w, runs: map[string]bool{}, number: i, app: netip.AddrPortFrom(p.ip, appPort), agent: netip.AddrPortFrom(p.ip, controlPort)}
 		w.workers = append(w.workers, x)
-		if err := w.writeSettings(p, seeds, x.app.String()); err != nil {
+		agentSeeds := seeds
+		if w.partition != nil && i == 0 {
+			agentSeeds = nil
+		}
+		if err := w.writeSettings(p, agentSeeds, x.app.String()); err != nil {
 			return w, err
 		}
 		if err := x.start(); err != nil {
@@ -309,31 +321,20 @@
 }
 
 func (w *world) writeSettings(p *process, seeds []string, app string) error {
-	var b strings.Builder
-	line := func(format string, args ...any) { fmt.Fprintf(&b, format+"\n", args...) }
-	class, serves := "edge", `"edge","control"`
+	at := func(ip netip.Addr, port uint16) string { return netip.AddrPortFrom(ip, port).String() }
+	class, serves, own := "edge", `"edge","control"`, ""
+	listen := text("entry-listen", at(p.ip, frontPort), at(p.ip, readyPort), at(p.ip, controlPort))
 	if p.role == "agent" {
-		class, serves = "side", `"side"`
+		class, serves, own = "side", `"side"`, text("agent-settings", app)
+		listen = text("agent-listen", at(p.ip, controlPort))
 	}
-	line("node-name = %q\nrole = %q\nmachine-class = %q\nserves = [%s]\nip = %q\nzone = \"zone-a\"\nregion = \"region-a\"", p.name, p.role, class, serves, p.ip)
-	line("port-range = [%d,%d]\nseeds = [%s]\nbootstrap = true\ndiscovery = \"local\"\nentry = \"vip\"\nheartbeat-ms = 1500\norders = \"call\"",
-		peerPort, peerPort+15, strings.Join(seeds, ","))
-	if app != "" {
-		line("app = %q\nservice = \"svc\"", app)
+	store := w.ip(1)
+	if w.partition != nil && p.name == "side-0" {
+		store = w.ip(2)
 	}
-	line("[zones]\nzone-a = \"region-a\"\n[listen]")
-	if p.role == "scheduler" {
-		line("front = \"%s:%d\"\nreadiness = \"%s:%d\"", p.ip, frontPort, p.ip, readyPort)
-	}
-	line("control = \"%s:%d\"", p.ip, controlPort)
-	line("[limits]\ncpu-share = 0.24\ncores = 1\nmemory-mb = 284\nmax-fds = 4100\nlink-mbps = 1000.0\ndisk-mb = 0")
-	line("[bounds]\ncontact-ms = 3000\nack-ms = 4000\ndrain-ms = 2000\ngrace-s = 6\nslack-ms = 200\nconfig-ms = 2000\nouter-ms = 5000\nrecovery-s = 12")
-	line("hold-max-ms = %d\nstop-ms = 400\ngang-ms = %d\ncancel_ms = 3000\nvisible_ms = 3000\nearly_ms = 250\nfinish_s = 14\nstatus_s = 120", maxLease.Milliseconds(), gangWait.Milliseconds())
-	line("far-factor = 1.5\ncheckpoint-interval-s = %v\nrestore-ms = %d\nnotice-ms = 4500\nmove-s = 1.5\nupkeep-s = 2\nfencing = false\nlease-ms = 3000\nthaw-ms = 300\npace-ms = 100\nharm-ms = 4000",
-		checkpointPeriod.Seconds(), restoreTime.Milliseconds())
-	line("[platform]\naddress = \"%s:%d\"\nform = \"kv\"\nwrites-per-s = 400\nreads-per-s = 2000\nhistory-s = 20\nvalue-bytes = 1048576\nttl-min-ms = 1000", w.ip(1), storePort)
 	p.settings = filepath.Join(w.dir, p.name+".toml")
-	return os.WriteFile(p.settings, []byte(b.String()), 0o600)
+	settings := text("settings", p.name, p.role, class, serves, p.ip, peerPort, peerPort+15, strings.Join(seeds, ","), own, listen, at(store, storePort))
+	return os.WriteFile(p.settings, []byte(settings+"\n"), 0o600)
 }
 
 // start starts the process with the command of the deploy file.
@@ -407,7 +408,7 @@
 	w.mu.Lock()
 	w.work[id] = work
 	w.mu.Unlock()
-	body := fmt.Sprintf(`{"spec":"ms=%d%s","phases":%s}`, work.Milliseconds(), gang, phases)
+	body := text("submission", work.Milliseconds(), gang, phases)
 	for range 4 {
 		code, answer := w.request(scheduler, http.MethodPost, id, []byte(body), 3*time.Second)
 		w.record("client: POST %s at edge-%d %s -> %d %s", id, scheduler, body, code, answer)
