core/job, io/agent: what an owner knows of an agent outlives the worker's row

Cause, by the logs of the processes (docs/incidents/review-held-reports.md): after 11.5 s of silence the owner deleted the worker's row (7011 lease-ended). The first message after that, a long poll that an earlier cut had held up, made it anew (7011 joined) and gave it the number of its newest order: 5, where the agent had received 45. The agent ignored the next 40 orders, and the owner dropped them as received (7010 vanished, no 7030).

The class: a row, a number or a fence is made anew from a report that may be old. Besides the number of the orders these were the process of the agent (a report of a former process counted a second after the last one), the incarnation of the worker once the row was gone, the fence of the stored roster (a lease-ended report of an earlier epoch, to an entry that owns again, removed the agent), and the long poll that is answered.

Change: order numbers are kept with the agent for the whole epoch. What the owner knows of an agent has a generation, which replies have and reports echo in the query; a report that contradicts it counts only with the present generation, and is otherwise answered with it (7061 report-outdated). A report of an earlier epoch makes no row. A long poll made before the parked one does not replace it.

Tests: TestOrderNumbersOutliveRow fails before ("not true: started[testJob(3).ID]"). With the check switched off, TestHeldReportMakesNoRow, TestHeldReportOfFormerProcess, TestClockOfVMIsSetBack and TestHeldReportOfFormerEpochResolvesNothing fail. In simulated time, TestHistoriesWithHeldReports: with the numbers of before "job never ends" after 902 histories, 3,000 pass now.

TestWholeReportIsUnchanged expected the query of earlier builds; it expects the generation besides, which an owner of an earlier build ignores. In the histories, a worker that restarts under the order of a start shortens the lease to its maximum, as the platform's page says: with a silence of 12 s a trace showed a lease of 52.7 s on a clock that had just begun at 0.

--- a/core/event/job.go
+++ b/core/event/job.go
@@ -125,6 +125,10 @@
 	EndsUnordered = Event{7060, "ends-unordered", hclog.Info,
 		[]string{"worker", "incarnation", "count"},
 		"The worker listed its ended runs, count in all, in another order than that of their numbers.", "None."}
+	ReportOutdated = Event{7061, "report-outdated", hclog.Info,
+		[]string{"worker", "incarnation", "process", "generation", "epoch"},
+		"The owner ignored a report that tells of another process of the agent or another incarnation of the worker than it knows, or of a worker that it has removed, and that may have been made before it knew. The fields are those of the report. An agent that is right about itself reports again at once, with the generation in the reply.",
+		"One for each restart of an agent is normal. If the event repeats for one worker, look for two VMs with the same name."}
 	TasksThrottled = Event{7033, "tasks-throttled", hclog.Info,
 		[]string{"worker", "count", "throttle"},
 		"Best-effort tasks were limited to a share of their processors, in percent.", "None."}
@@ -149,4 +153,4 @@
 	TaskDecided, WorkerDecided, WorkerColdChanged, OwnershipTaken, OwnershipLost, OwnerEnded, WorkerCrashed, RunCrashed, JobGivenUp, IsolationChanged, DependencyLost, DependencyRegained,
 	ConfigurationInForce, SettingsReloaded, MessageRefused, LogLinesDropped, OrderCarriedOut, WorkerSeen, OwnerFollowed,
 	TasksThrottled, CancellationsRead, ZoneEvacuated, ZoneReopened, ForecastIgnored, RoomAfterRefusal, ScarcityBegan, ScarcityEnded,
-	CopyStarted, CopyEnded, StepWaited, AdviceReceived, EndsUndelivered, AcknowledgementMisdirected, EndsUnordered, RoomSampled, OutlookWorsened}
+	CopyStarted, CopyEnded, StepWaited, AdviceReceived, EndsUndelivered, AcknowledgementMisdirected, EndsUnordered, ReportOutdated, RoomSampled, OutlookWorsened}
--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -412,8 +412,8 @@
 
 // enqueueOrder appends o to the pending orders of the worker's agent.
 func (w *workerRow) enqueueOrder(o Order) {
-	w.sequence++
-	o.Sequence = w.sequence
+	w.record.sequence++
+	o.Sequence = w.record.sequence
 	o.Worker, o.Incarnation = w.ID, w.Incarnation
 	w.pending = append(w.pending, o)
 }
@@ -468,6 +468,7 @@
 			c.forecaster.missing[agent] = true
 		}
 		c.workers.Delete(agent)
+		c.advanceGeneration(c.agents[agent])
 		c.removeAgent(agent)
 	}
 	for agent, r := range c.roster {
--- a/core/job/cell_test.go
+++ b/core/job/cell_test.go
@@ -15,12 +15,15 @@
 	is          *is.I
 	now         time.Time
 	testWorkers map[string]*testWorker
+	// echoing is true if the agents echo the generation.
+	echoing bool
 }
 
 // testWorker is a simulated worker with its agent.
 type testWorker struct {
 	report       Report
 	acknowledged int64
+	generation   int64
 	orders       []Order
 	lastEnd      int64
 }
@@ -54,7 +57,12 @@
 // the reply.
 func (tc *testCluster) deliverReport(agent string) {
 	w := tc.testWorkers[agent]
+	w.report.Generation, w.report.EchoesGeneration = w.generation, tc.echoing
 	r := w.report
+	if tc.IsOutdated(&r) {
+		w.generation = tc.OutdatedReply(&r).Generation
+		return
+	}
 	tc.is.True(!tc.Receive(&r, tc.now))
 	tc.BeginOwnershipCheck()
 	tc.ConfirmOwnership(tc.now)
@@ -68,7 +76,7 @@
 			w.apply(o)
 		}
 	}
-	w.acknowledged = reply.Acknowledged
+	w.acknowledged, w.generation = reply.Acknowledged, reply.Generation
 }
 
 // apply starts or stops a run as a worker does.
--- a/core/job/history_test.go
+++ b/core/job/history_test.go
@@ -43,6 +43,10 @@
 	evacuated map[string]bool
 	// copies is true if the tasks of some jobs may have copies.
 	copies bool
+	// holdsReports is true if the network may deliver reports again, long after later ones.
+	// heldReports are the newest ones.
+	holdsReports bool
+	heldReports  []heldReport
 	// doneAcknowledged is when the end of a task as done was first acknowledged, or its job
 	// was shown as done. failuresAcknowledged counts the acknowledged failures.
 	doneAcknowledged     map[string]time.Time
@@ -83,6 +87,8 @@
 	// process the number of the agent's process.
 	applied int64
 	process int64
+	// generation is the newest one in a reply to the agent's process in its epoch.
+	generation int64
 	// granted is the latest end of the lease that an owner has granted, lease
 	// the end of the lease to which the agent has extended it.
 	granted time.Duration
@@ -101,6 +107,8 @@
 const (
 	historyTick  = 100 * time.Millisecond
 	historyLease = 5 * time.Second
+	// historyMaxLease is the longest lease of a worker, which shortens longer ones.
+	historyMaxLease = 10 * time.Second
 )
 
 func (h *history) agent(i int) string { return fmt.Sprintf("agent-%d", i) }
@@ -222,7 +230,7 @@
 	}
 	s.fence = o.Epoch()
 	if o.Epoch() > s.epoch {
-		s.epoch, s.applied, s.absent = o.Epoch(), 0, nil
+		s.epoch, s.applied, s.generation, s.absent = o.Epoch(), 0, 0, nil
 	}
 	r := Report{Agent: h.agent(s.number), Process: s.process, Epoch: s.epoch, Applied: s.applied,
 		Clock: s.clock, Listed: true, Ended: slices.Clone(s.ended), Absent: slices.Clone(s.absent),
@@ -239,12 +247,21 @@
 	if received == nil {
 		return
 	}
+	if h.holdsReports {
+		received.Generation, received.EchoesGeneration = s.generation, true
+		h.hold(o, received)
+		if o.IsOutdated(received) {
+			s.generation = max(s.generation, o.OutdatedReply(received).Generation)
+			return
+		}
+	}
 	o.Receive(received, h.now)
 	o.Tick(h.now)
 	reply := o.Reply(received, h.now)
 	if lost {
 		return
 	}
+	s.generation = max(s.generation, reply.Generation)
 	if reply.Base > 0 {
 		s.numbering.Confirm(&r, reply.Base, o.Epoch())
 	}
@@ -261,7 +278,8 @@
 	crash := len(reply.Orders) > 0 && rapid.IntRange(0, 15).Draw(h.t, "restart") == 0
 	if crash {
 		h.restart(s)
-		s.granted = reply.LeaseUntil
+		// The calls for the starts name a time on the clock of the former incarnation.
+		s.granted = min(reply.LeaseUntil, historyMaxLease)
 	}
 	for _, order := range reply.Orders {
 		if order.Sequence > s.applied {
@@ -542,7 +560,7 @@
 	case 6: // the agent restarts
 		s.process++
 		s.numbering = ReportNumbering{}
-		s.epoch, s.applied, s.absent = 0, 0, nil
+		s.epoch, s.applied, s.generation, s.absent = 0, 0, 0, nil
 	case 8: // the worker restarts
 		h.restart(s)
 	case 7:
--- a/core/job/message.go
+++ b/core/job/message.go
@@ -155,6 +155,11 @@
 	LeaseLeft time.Duration `json:"-"`
 	// ReceivedAt is when the owner received the report.
 	ReceivedAt time.Time `json:"-"`
+	// Generation is the newest Reply.Generation of Epoch that the agent has received, if
+	// EchoesGeneration is true: an agent of an earlier build echoes none. They are not in the
+	// body, since an owner of an earlier build refuses unknown fields.
+	Generation       int64 `json:"-"`
+	EchoesGeneration bool  `json:"-"`
 	// Delta is what the agent says about delta reports. It is not in the body, since an
 	// owner of an earlier build refuses unknown fields.
 	Delta DeltaContext `json:"-"`
@@ -271,6 +276,9 @@
 // Reply is the owner's answer to a report.
 type Reply struct {
 	Epoch int64 `json:"epoch"`
+	// Generation is the number of what the owner knows of the agent, which the agent's
+	// reports echo. It rises within an epoch, and is 0 from an owner of an earlier build.
+	Generation int64 `json:"generation,omitempty"`
 	// Worker and Incarnation identify the worker that Acknowledged and
 	// LeaseUntil are for.
 	Worker      string `json:"worker,omitempty"`
@@ -305,7 +313,7 @@
 	// reports.
 	Base int64 `json:"base,omitempty"`
 	// Whole is true if the report was not applied and the agent must send a whole one at
-	// once. All other fields but Epoch are then empty.
+	// once. All other fields but Epoch and Generation are then empty.
 	Whole bool `json:"whole,omitempty"`
 }
 
--- a/core/job/reply.go
+++ b/core/job/reply.go
@@ -12,7 +12,7 @@
 
 // Reply returns the reply to a report of an agent.
 func (c *Cell) Reply(r *Report, now time.Time) Reply {
-	out := Reply{Epoch: c.epoch, Base: r.Delta.Number, EndsDurable: c.hasDurableGoneEnds(r)}
+	out := Reply{Epoch: c.epoch, Generation: c.generationOf(r.Agent), Base: r.Delta.Number, EndsDurable: c.hasDurableGoneEnds(r)}
 	w := c.workers.Get(r.Agent)
 	if w == nil {
 		return out
@@ -33,7 +33,7 @@
 	}
 	out.LeaseUntil = w.confirmedClock.clock + maxLeaseExtension
 	if c.roster[r.Agent].durable && len(w.pending) > 0 && !w.delivery.excludes(r.LongPoll, now) {
-		w.delivery = delivery{w.sequence, r.LongPoll, now}
+		w.delivery = delivery{w.record.sequence, r.LongPoll, now}
 		out.addOrders(w.pending, r.SharedPayloads)
 		out.Freshness.Partial = false
 	}
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -5,49 +5,26 @@
 	"time"
 )
 
-// supersedes reports whether r is of an earlier incarnation of the worker or
-// older than a report that was already processed. Reports on different
-// connections may arrive out of order, and the incarnations of a worker number
-// their ends independently, so an outdated report must be ignored.
-func (w *workerRow) supersedes(r *Report) bool {
-	if r.Worker.Incarnation != w.Incarnation {
-		return r.Worker.Incarnation < w.Incarnation
-	}
-	return r.Worker.ID == w.ID && r.Clock < w.clock
-}
-
-// precedesDeparture reports whether r may have been sent before the departure that w
-// announced: the worker has answered nothing since then.
-func (w *workerRow) precedesDeparture(r *Report) bool {
-	return w.left && !r.Left && r.Worker.ID == w.ID && r.Worker.Incarnation == w.Incarnation && r.Clock <= w.clock
-}
-
-// formerProcessWindow is how long a report of an agent's former process may be
-// in transit. After that, a lower process number belongs to a new process that
-// started while the clock of its VM was set back.
-const formerProcessWindow = time.Second
-
-// Receive processes a report of an agent. It reports whether the agent knows a
-// later epoch, so that this ownership is superseded.
+// Receive processes a report of an agent, unless it is outdated. It reports whether the
+// agent knows a later epoch, so that this ownership is superseded.
 func (c *Cell) Receive(r *Report, now time.Time) (superseded bool) {
 	if r.Epoch > c.epoch {
 		return true
 	}
 	c.shares.setTime(now)
-	w := c.workers.Get(r.Agent)
-	if r.Worker == nil {
+	if r.Worker == nil || c.IsOutdated(r) {
 		return false
 	}
+	w := c.workers.Get(r.Agent)
 	if w == nil {
-		w = c.workers.Put(r.Agent, workerRow{agent: r.Agent, Worker: *r.Worker, process: r.Process, lastReport: now,
-			sequence: lastSequence(r, c.epoch), tasks: map[Task]*taskRow{}, servingTasks: map[servingJob]int{}, bestEffortByImage: usage{}})
-		c.incarnations++
-		c.logEvent(EventWorker, nil, w, "joined", now)
-		delete(c.forecaster.missing, r.Agent)
+		w = c.addWorker(r, now)
 	}
-	if r.Process < w.process && now.Sub(w.lastReport) < formerProcessWindow || w.supersedes(r) || w.precedesDeparture(r) {
+	if w.supersedes(r, now) {
 		return false
 	}
+	if !w.describes(r) {
+		c.advanceGeneration(w.record)
+	}
 	c.receiveGoneEnds(w, r, now)
 	c.receiveCrashes(w, r, now)
 	w.lastReport, w.leaseEndsBy, w.expired = now, time.Time{}, false
@@ -85,6 +62,22 @@
 	return false
 }
 
+// addWorker adds the row of the worker that r describes.
+func (c *Cell) addWorker(r *Report, now time.Time) *workerRow {
+	record := c.agents[r.Agent]
+	if record == nil {
+		record = &agentRecord{}
+		c.agents[r.Agent] = record
+	}
+	c.advanceGeneration(record)
+	w := c.workers.Put(r.Agent, workerRow{agent: r.Agent, Worker: *r.Worker, process: r.Process, lastReport: now, record: record,
+		tasks: map[Task]*taskRow{}, servingTasks: map[servingJob]int{}, bestEffortByImage: usage{}})
+	c.incarnations++
+	c.logEvent(EventWorker, nil, w, "joined", now)
+	delete(c.forecaster.missing, r.Agent)
+	return w
+}
+
 // endWorker releases the tasks of a worker whose runs have certainly ended, and
 // removes its agent from the stored roster once the ends of the runs that did not end with
 // the worker are durable: a later owner that does not wait for the agent learns of them from
@@ -106,7 +99,7 @@
 	w.ended = true
 	received := r.Applied
 	if r.Left {
-		received = w.sequence
+		received = w.record.sequence
 	} else if r.Epoch != c.epoch {
 		received = 0
 	}
@@ -124,16 +117,6 @@
 	c.logEvent(EventWorker, nil, w, "worker-ended", now)
 }
 
-// lastSequence returns the number of the newest order that the agent has received
-// in the epoch. A row that is created anew continues from it, since the agent
-// ignores orders with lower numbers.
-func lastSequence(r *Report, epoch int64) int64 {
-	if r.Epoch != epoch {
-		return 0
-	}
-	return r.Applied
-}
-
 // resolveAgent records that no unknown run can be executing on the agent's
 // worker.
 func (c *Cell) resolveAgent(agent string) {
@@ -282,7 +265,7 @@
 	w.recordSentStart(t, now)
 	w.enqueueOrder(Order{Kind: OrderStart, Task: t.name.String(), Run: t.run, Payload: j.Payload,
 		Checkpoint: t.checkpoint, Ticket: t.ticket, Traits: s.spec.traits()})
-	t.orderSequence = w.sequence
+	t.orderSequence = w.record.sequence
 }
 
 // vanishLimit is how long a run may be missing from the worker's lists before it
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -266,9 +266,9 @@
 	// progress; confirmedClock is the reading before the newest check that
 	// succeeded.
 	unconfirmedClock, confirmedClock clockReading
-	// sequence is the number of the newest order; pending are the orders that
-	// the agent has not received.
-	sequence    int64
+	// record is that of the agent, which outlives the row. pending are the orders that the
+	// agent has not received.
+	record      *agentRecord
 	pending     []Order
 	delivery    delivery
 	unreachable time.Duration
@@ -350,13 +350,17 @@
 
 // Cell is the scheduling state of the owner of one epoch.
 type Cell struct {
-	epoch                int64
-	ownedSince           time.Time
-	cfg                  *Configuration
-	queues               map[string]*Queue
-	jobs                 *table.Table[string, jobRow]
-	workers              *table.Table[string, workerRow]
-	roster               map[string]rosterRow
+	epoch      int64
+	ownedSince time.Time
+	cfg        *Configuration
+	queues     map[string]*Queue
+	jobs       *table.Table[string, jobRow]
+	workers    *table.Table[string, workerRow]
+	roster     map[string]rosterRow
+	// agents has each agent of which there was a row in this epoch.
+	agents map[string]*agentRecord
+	// generations is the last generation of any agent.
+	generations          int64
 	ownershipConfirmedAt time.Time
 	// cancellationsKnownAt is a time at which the cell knew all acknowledged
 	// cancellations of its jobs.
@@ -438,7 +442,7 @@
 func New(epoch int64, now time.Time, options ...Option) *Cell {
 	c := &Cell{epoch: epoch, ownedSince: now, queues: map[string]*Queue{},
 		jobs: table.New[string, jobRow](), workers: table.New[string, workerRow](),
-		roster: map[string]rosterRow{}, endedJobs: map[string]bool{}, earlyCancellations: map[string]bool{},
+		roster: map[string]rosterRow{}, agents: map[string]*agentRecord{}, endedJobs: map[string]bool{}, earlyCancellations: map[string]bool{},
 		claims: map[*workerRow]room{}, runTimeRatios: newRunTimeRatios(), meanWork: meanWork{},
 		interference: newInterferenceModel(), forecaster: newForecaster(),
 		isolation: isolation{crashed: map[string]bool{}},
--- a/io/agent/owner.go
+++ b/io/agent/owner.go
@@ -31,6 +31,9 @@
 	// LeaseLeftParameter is the query parameter with the nanoseconds after which the lease
 	// of the agent's worker has ended, in the last report of a process.
 	LeaseLeftParameter = "lease-left-ns"
+	// GenerationParameter is the query parameter with the newest job.Reply.Generation that
+	// the agent has received in the epoch of the report, or 0.
+	GenerationParameter = "generation"
 	// OwnerPath returns the newest job.Ownership that the entry knows.
 	OwnerPath = "/v1/owner"
 )
@@ -231,7 +234,7 @@
 		client = a.pollClient
 	}
 	var reply job.Reply
-	path := ReportPath + "?" + SharedPayloadsParameter + "=1"
+	path := reportPath(&r) + "&" + SharedPayloadsParameter + "=1"
 	if left := r.Worker.ColdLeft; left > 0 {
 		path += "&" + ColdLeftParameter + "=" + strconv.FormatInt(int64(left), 10)
 	}
@@ -241,16 +244,17 @@
 	if err != nil {
 		return err
 	}
-	if reply.Whole {
-		process.Wake(a.wakeReport)
-		return nil
-	}
 	if reply.Epoch > o.Epoch {
 		// The process at this address has a later ownership.
 		o.Epoch = reply.Epoch
 		a.setOwner(o)
 		return nil
 	}
+	a.state.recordGeneration(&reply)
+	if reply.Whole {
+		process.Wake(a.wakeReport)
+		return nil
+	}
 	a.state.removeReported(r.Absent, reply.Epoch)
 	a.state.recordDelivered(&r, &reply, time.Now())
 	orders, acknowledged := a.state.applyReply(&reply, sentAt, time.Now())
@@ -261,6 +265,11 @@
 	return nil
 }
 
+// reportPath returns the path of a report with the parameter that all reports have.
+func reportPath(r *job.Report) string {
+	return ReportPath + "?" + GenerationParameter + "=" + strconv.FormatInt(r.Generation, 10)
+}
+
 // reportLeaseEnd sends the last report of this process, with the end of the worker's lease. It
 // ignores the reply, as no order can be carried out any more.
 func (a *Agent) reportLeaseEnd(ctx context.Context) error {
@@ -270,7 +279,7 @@
 	if o.Epoch == 0 || r.Worker == nil || !ok {
 		return nil
 	}
-	path := ReportPath + "?" + LeaseLeftParameter + "=" + strconv.FormatInt(int64(max(1, left)), 10)
+	path := reportPath(&r) + "&" + LeaseLeftParameter + "=" + strconv.FormatInt(int64(max(1, left)), 10)
 	return a.reportClient.Call(ctx, http.MethodPost, o.Address, path, &r, nil)
 }
 
--- a/io/agent/report_changes_test.go
+++ b/io/agent/report_changes_test.go
@@ -50,14 +50,15 @@
 
 func (f *fakeOwner) gotDelta() bool { return strings.Contains(f.query, DeltaParameter+"=1") }
 
-// Without the option, an agent must send the requests of earlier builds.
+// Without the option, an agent must send the requests of earlier builds, with the generation
+// in the query besides, which an owner of an earlier build ignores.
 func TestWholeReportIsUnchanged(t *testing.T) {
 	is := is.New(t)
 	a, f := newDeltaAgent(t)
 	for range 2 {
 		f.reply.Base = 1
 		is.NoErr(a.report(t.Context(), false))
-		is.Equal(f.query, SharedPayloadsParameter+"=1")
+		is.Equal(f.query, GenerationParameter+"=0&"+SharedPayloadsParameter+"=1")
 		r := a.state.report("agent", false, a.startedAt)
 		var got job.Report
 		is.NoErr(json.Unmarshal([]byte(f.body), &got))
--- a/io/agent/state.go
+++ b/io/agent/state.go
@@ -74,6 +74,8 @@
 	// the last order received in it.
 	epoch   int64
 	applied int64
+	// generation is the highest one in a reply of that epoch.
+	generation int64
 	// grantedUntil is the latest end of a lease that the owner allows, on the
 	// worker's clock.
 	grantedUntil time.Duration
@@ -178,7 +180,7 @@
 	if epoch <= s.epoch {
 		return false
 	}
-	s.epoch, s.applied, s.deliveredEnds = epoch, 0, 0
+	s.epoch, s.applied, s.generation, s.deliveredEnds = epoch, 0, 0, 0
 	s.freshness = freshness{}
 	for k, r := range s.runs {
 		if r.state == runClosed {
@@ -195,7 +197,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := job.Report{Agent: name, Process: s.processID, Epoch: s.epoch, LongPoll: longPoll, Applied: s.applied,
-		Worker: s.worker, Clock: s.workerClock, Left: s.left}
+		Generation: s.generation, EchoesGeneration: true, Worker: s.worker, Clock: s.workerClock, Left: s.left}
 	if s.worker != nil && len(s.startsInTransit(s.worker.ID, s.worker.Incarnation, now)) > 0 {
 		// The owner would start the tasks of the earlier incarnation elsewhere, and
 		// others here.
@@ -288,6 +290,15 @@
 	return s.leaseSinceAnswer() - now.Sub(s.answeredAt), true
 }
 
+// recordGeneration records the generation of a reply, which the next reports echo.
+func (s *state) recordGeneration(r *job.Reply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.Epoch == s.epoch {
+		s.generation = max(s.generation, r.Generation)
+	}
+}
+
 // applyReply applies the owner's reply to a report that was sent at sentAt. It returns
 // the orders to execute, and whether more ended runs were acknowledged.
 func (s *state) applyReply(r *job.Reply, sentAt, now time.Time) (orders []job.Order, acknowledged bool) {
--- a/io/scheduler/control.go
+++ b/io/scheduler/control.go
@@ -326,6 +326,13 @@
 		x.reply <- reportResult{reply: job.Reply{Epoch: c.cell.Epoch(), Whole: true}}
 		return
 	}
+	if c.cell.IsOutdated(x.report) {
+		countReport(reportRefused)
+		event.ReportOutdated.Emit(c.log, event.Worker(x.report.Worker.ID), event.Incarnation(x.report.Worker.Incarnation),
+			event.Process(x.report.Process), event.Generation(x.report.Generation), event.Epoch(x.report.Epoch))
+		x.reply <- reportResult{reply: c.cell.OutdatedReply(x.report)}
+		return
+	}
 	if c.cell.Receive(x.report, time.Now()) {
 		x.reply <- reportResult{err: status.ErrStaleEpoch}
 		c.s.questionOwnership()
@@ -333,13 +340,30 @@
 	}
 	countReport(reportForm(x.report))
 	if x.report.LongPoll {
-		c.longPolls[x.report.Agent] = x
+		c.parkLongPoll(x)
 		return
 	}
 	c.s.reportBases.keep(x.report, time.Now())
 	c.pendingReports = append(c.pendingReports, x)
 }
 
+// parkLongPoll keeps a long poll until there are orders for its agent. An earlier one of the
+// agent is abandoned. It answers x at once if the present one was made later: nobody may read
+// the reply to x.
+func (c *control) parkLongPoll(x agentReport) {
+	if parked, ok := c.longPolls[x.report.Agent]; ok && isEarlier(x.report, parked.report) {
+		x.reply <- reportResult{reply: c.cell.OutdatedReply(x.report)}
+		return
+	}
+	c.longPolls[x.report.Agent] = x
+}
+
+// isEarlier reports whether a was made before b, by the clock of the worker that both are about.
+func isEarlier(a, b *job.Report) bool {
+	return a.Worker != nil && b.Worker != nil && a.Process == b.Process && a.Worker.ID == b.Worker.ID &&
+		a.Worker.Incarnation == b.Worker.Incarnation && a.Clock < b.Clock
+}
+
 // handleMessage handles a message from another goroutine of this process.
 func (c *control) handleMessage(x any) {
 	switch x := x.(type) {
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -271,6 +271,9 @@
 	if left, err := strconv.ParseInt(x.QueryParam(agent.ColdLeftParameter), 10, 64); err == nil && r.Worker != nil {
 		r.Worker.ColdLeft = time.Duration(left)
 	}
+	if n, err := strconv.ParseInt(x.QueryParam(agent.GenerationParameter), 10, 64); err == nil {
+		r.Generation, r.EchoesGeneration = n, true
+	}
 	if left, err := strconv.ParseInt(x.QueryParam(agent.LeaseLeftParameter), 10, 64); err == nil {
 		r.LeaseLeft = time.Duration(left)
 	}
