io/scheduler: a cancellation answered with 410 makes late submissions impossible

The cancellation had found neither the job nor a final state, and left nothing behind that the write would meet: it requires only that both are absent.

Change: before 410, the entry withdraws the job, with a write of a final state that is marked and requires the absence of both. 410 is answered only once that is certain, and 504 if it is not. For client accounts a withdrawn job does not exist, until it is submitted: then it is accepted as cancelled. A repeated submission of a job that has ended is answered with its state, not with queued.

TestCutOffEntryServesThroughOwner cancelled an id that was never submitted, and then submitted and cancelled the same id. That job is now accepted as cancelled, so the test uses an id of its own for each, and checks that, too.

--- a/core/job/progress.go
+++ b/core/job/progress.go
@@ -38,6 +38,11 @@
 	Queue string    `json:"queue"`
 	State State     `json:"state"`
 	Ended time.Time `json:"ended"`
+	// Withdrawn is true if the client account cancelled the job while the store did not have
+	// it. State is then Cancelled, as earlier builds know no other mark, and the job is
+	// unknown to client accounts until it is submitted. The key makes a submission whose
+	// write is still under way impossible.
+	Withdrawn bool `json:"withdrawn,omitempty"`
 }
 
 func (j *jobRow) durableProgress() Progress {
--- a/io/scheduler/caller.go
+++ b/io/scheduler/caller.go
@@ -104,13 +104,14 @@
 
 // submit stores a job. Submitting a stored job again succeeds.
 func (s *Scheduler) submit(r *request) error {
+	var stored relayReply
 	j, err := r.decodeJob(s.jobZone())
 	if err == nil {
 		err = s.admit(r.ctx, &j)
 	}
 	if err == nil {
 		s.announce(j.ID)
-		_, err = s.storeOrRelay(r.ctx, &relayRequest{Job: &j})
+		stored, err = s.storeOrRelay(r.ctx, &relayRequest{Job: &j})
 	}
 	if err != nil {
 		countSubmission(string(status.CodeOf(callerError(err))), time.Since(r.receivedAt))
@@ -124,7 +125,11 @@
 	countSubmission("accepted", time.Since(r.receivedAt))
 	event.SubmissionAccepted.Emit(s.log, event.Job(r.id), event.Queue(r.queue.ID()),
 		event.Elapsed(time.Since(r.receivedAt)), event.Revision(r.cfg.Version), event.Objective(r.queue.Objective(&j)))
-	return r.JSONBlob(http.StatusOK, platform.EncodeState(job.Queued))
+	state := job.Queued
+	if stored.State.IsFinal() {
+		state = stored.State
+	}
+	return r.JSONBlob(http.StatusOK, platform.EncodeState(state))
 }
 
 // refuseOverloaded responds to a submission for which there is no room. A status of 503 would
@@ -186,56 +191,80 @@
 
 // storeJob makes j durable. The write requires that the store has neither a
 // live job nor a final state under the ID, so repeating it cannot store the job
-// twice.
-func (s *Scheduler) storeJob(ctx context.Context, j *job.Job) error {
+// twice. The reply has the state of a job that has ended or was withdrawn before.
+func (s *Scheduler) storeJob(ctx context.Context, j *job.Job) (relayReply, error) {
 	if v, ok := s.mirror.view(j.ID); ok && (v.live || v.state.IsFinal()) {
-		return nil
+		return relayReply{State: v.state}, nil
 	}
 	txn := platform.Transaction{
 		Conditions: []platform.Condition{{Key: job.JobKey(j.ID)}, {Key: job.FinalKey(j.ID)}},
 		Writes:     []platform.Write{{Key: job.JobKey(j.ID), Value: mustJSON(j)}},
 	}
-	revision, err := s.commitWithRetry(ctx, txn)
+	revision, current, err := s.commitWithRetry(ctx, txn)
 	if errors.Is(err, platform.ErrConflict) {
-		return nil
+		return s.acceptWithdrawn(ctx, j, current)
 	}
 	if err == nil {
 		s.mirror.recordAccepted(j, revision)
 		s.recordAdmitted(j)
 		s.notifyOwner(notice{ID: j.ID, Revision: revision, Job: mustJSON(j)})
 	}
-	return err
+	return relayReply{}, err
+}
+
+// acceptWithdrawn accepts a job as cancelled if it was withdrawn, according to the items that
+// prevented its write: from now on client accounts are told its state. A job that is stored is
+// accepted as it is.
+func (s *Scheduler) acceptWithdrawn(ctx context.Context, j *job.Job, current []platform.Item) (relayReply, error) {
+	for _, i := range current {
+		if kind, _ := job.ParseKey(i.Key); kind != job.KeyKindFinal || i.Revision == 0 || i.Removed {
+			continue
+		}
+		f, err := decodeFinal(i)
+		if err != nil || !f.Withdrawn {
+			return relayReply{State: f.State}, err
+		}
+		_, _, err = s.commitWithRetry(ctx, platform.Transaction{
+			Conditions: []platform.Condition{{Key: i.Key, Revision: i.Revision}},
+			Writes:     []platform.Write{{Key: i.Key, Value: mustJSON(job.Final{ID: j.ID, Queue: j.Queue, State: job.Cancelled, Ended: f.Ended})}}})
+		if errors.Is(err, platform.ErrConflict) {
+			err = nil // another submission of the job came first
+		}
+		return relayReply{State: job.Cancelled}, err
+	}
+	return relayReply{}, nil
 }
 
 // commitWithRetry repeats a conditional write until the store answers, ctx ends or
 // this entry counts as cut off from the store. As long as no attempt has an unknown
-// outcome, it gives up after maxRefusalRetry.
-func (s *Scheduler) commitWithRetry(ctx context.Context, txn platform.Transaction) (int64, error) {
+// outcome, it gives up after maxRefusalRetry. With platform.ErrConflict, it returns the
+// current items of the conditions.
+func (s *Scheduler) commitWithRetry(ctx context.Context, txn platform.Transaction) (int64, []platform.Item, error) {
 	begin := time.Now()
 	uncertain := false
 	if ctx.Err() != nil {
-		return 0, errors.WithMessage(platform.ErrNoEffect, "deadline passed before the first call to the store")
+		return 0, nil, errors.WithMessage(platform.ErrNoEffect, "deadline passed before the first call to the store")
 	}
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
-		revision, _, err := s.store.Commit(callCtx, txn)
+		revision, current, err := s.store.Commit(callCtx, txn)
 		cancel()
 		switch {
 		case err == nil, errors.Is(err, platform.ErrConflict):
-			return revision, err
+			return revision, current, err
 		case errors.Is(err, platform.ErrUnknownOutcome):
 			uncertain = true
 		case !errors.Is(err, platform.ErrNoEffect):
-			return 0, err
+			return 0, nil, err
 		case !uncertain && time.Since(begin) > maxRefusalRetry:
-			return 0, err
+			return 0, nil, err
 		}
 		process.Pause(ctx, storeRetryPause, nil)
 		if ctx.Err() != nil || s.storeOutage.CutOff() {
 			if uncertain {
-				return 0, errUnknownOutcome
+				return 0, nil, errUnknownOutcome
 			}
-			return 0, err
+			return 0, nil, err
 		}
 	}
 }
@@ -294,10 +323,10 @@
 	defer cancel()
 	i, err := s.store.Get(callCtx, job.FinalKey(id))
 	if err == nil {
-		var state job.State
-		if state, err = decodeFinalState(i); err == nil {
-			s.mirror.recordFinal(id, state)
-			return state
+		var f job.Final
+		if f, err = decodeFinal(i); err == nil {
+			s.mirror.recordFinal(id, f.State)
+			return f.State
 		}
 	}
 	if !errors.Is(err, platform.ErrNotFound) {
@@ -306,31 +335,45 @@
 	return v.reportedState()
 }
 
-// findJob returns the item of a live job, with live true, or the item of its
-// final state. The error is platform.ErrNotFound if the store has neither. One
-// transaction deletes the key of the live job and adds the final state. The key
-// of the live job is read first, so that a job that ends between the two reads
-// is found.
-func (s *Scheduler) findJob(ctx context.Context, id string) (i platform.Item, live bool, err error) {
-	i, err = s.getWithRetry(ctx, job.JobKey(id))
-	if errors.Is(err, platform.ErrNotFound) {
-		i, err = s.getWithRetry(ctx, job.FinalKey(id))
-		return i, false, err
+// foundJob is what the store has of a job.
+type foundJob struct {
+	// revision is that of the key of a live job, or 0.
+	revision int64
+	// final is the final state of a job that is not live.
+	final job.Final
+}
+
+// findJob returns what the store has of a job. The error is platform.ErrNotFound if it has
+// neither the key of a live job nor a final state. One transaction deletes the key of the live
+// job and adds the final state. The key of the live job is read first, so that a job that ends
+// between the two reads is found.
+func (s *Scheduler) findJob(ctx context.Context, id string) (foundJob, error) {
+	i, err := s.getWithRetry(ctx, job.JobKey(id))
+	if !errors.Is(err, platform.ErrNotFound) {
+		return foundJob{revision: i.Revision}, err
 	}
-	return i, true, err
+	i, err = s.getWithRetry(ctx, job.FinalKey(id))
+	if err != nil {
+		return foundJob{}, err
+	}
+	f, err := decodeFinal(i)
+	return foundJob{final: f}, err
 }
 
 // readState returns the state of a job according to the store. It does not
-// read the progress of a live job, whose state is returned as Queued.
+// read the progress of a live job, whose state is returned as Queued. The error is
+// platform.ErrNotFound if the job is not known to client accounts.
 func (s *Scheduler) readState(ctx context.Context, id string) (job.State, error) {
-	i, live, err := s.findJob(ctx, id)
+	found, err := s.findJob(ctx, id)
 	switch {
 	case err != nil:
 		return "", err
-	case live:
+	case found.revision != 0:
 		return job.Queued, nil
+	case found.final.Withdrawn:
+		return "", platform.ErrNotFound
 	default:
-		return decodeFinalState(i)
+		return found.final.State, nil
 	}
 }
 
@@ -377,7 +420,8 @@
 }
 
 // storeCancellation makes the cancellation of a live job durable and reports
-// whether the job exists, and its state if it has ended. Then it does nothing.
+// whether the job exists, and its state if it has ended. Then it does nothing. A job that
+// does not exist is withdrawn.
 func (s *Scheduler) storeCancellation(ctx context.Context, id string) (relayReply, error) {
 	v, ok := s.mirror.view(id)
 	if ok && v.state.IsFinal() {
@@ -386,19 +430,23 @@
 	revision := v.revision
 	for ctx.Err() == nil {
 		if revision == 0 {
-			i, live, err := s.findJob(ctx, id)
+			found, err := s.findJob(ctx, id)
 			switch {
 			case errors.Is(err, platform.ErrNotFound):
-				return relayReply{}, nil
+				if err = s.withdraw(ctx, id); errors.Is(err, platform.ErrConflict) {
+					continue // the write of the job, or an earlier attempt to withdraw it, took effect
+				}
+				return relayReply{}, err
 			case err != nil:
 				return relayReply{}, err
-			case !live:
-				state, err := decodeFinalState(i)
-				return relayReply{Found: true, State: state}, err
+			case found.final.Withdrawn:
+				return relayReply{}, nil
+			case found.revision == 0:
+				return relayReply{Found: true, State: found.final.State}, nil
 			}
-			revision = i.Revision
+			revision = found.revision
 		}
-		stored, err := s.commitWithRetry(ctx, platform.Transaction{
+		stored, _, err := s.commitWithRetry(ctx, platform.Transaction{
 			Conditions: []platform.Condition{{Key: job.JobKey(id), Revision: revision}},
 			Writes:     []platform.Write{{Key: job.CancelledKey(id), Value: []byte("{}")}}})
 		if !errors.Is(err, platform.ErrConflict) {
@@ -412,3 +460,13 @@
 	}
 	return relayReply{}, errUnknownOutcome
 }
+
+// withdraw makes sure that a job that the store does not have is never stored as a live one: the
+// write of its submission may still be under way, and its client account is told that the job
+// does not exist. The error is platform.ErrConflict if the store has the job or its final state.
+func (s *Scheduler) withdraw(ctx context.Context, id string) error {
+	_, _, err := s.commitWithRetry(ctx, platform.Transaction{
+		Conditions: []platform.Condition{{Key: job.JobKey(id)}, {Key: job.FinalKey(id)}},
+		Writes:     []platform.Write{{Key: job.FinalKey(id), Value: mustJSON(job.Final{ID: id, State: job.Cancelled, Ended: time.Now(), Withdrawn: true})}}})
+	return err
+}
--- a/io/scheduler/caller_test.go
+++ b/io/scheduler/caller_test.go
@@ -132,7 +132,7 @@
 	s, _ := newTestScheduler(t, platformtest.StoreHandler(fleet.NewStore()))
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	_, err := s.commitWithRetry(ctx, platform.Transaction{})
+	_, _, err := s.commitWithRetry(ctx, platform.Transaction{})
 	is.True(errors.Is(err, platform.ErrNoEffect))
 }
 
--- a/io/scheduler/cancel_truth_test.go
+++ b/io/scheduler/cancel_truth_test.go
@@ -8,7 +8,6 @@
 
 	"rosemarygap/core/job"
 	"rosemarygap/io/standin/fleet"
-	"rosemarygap/platform"
 	"rosemarygap/platform/platformtest"
 
 	"github.com/matryer/is"
@@ -51,9 +50,9 @@
 	}
 	i, _, err := store.Get(job.FinalKey(testID))
 	is.NoErr(err)
-	state, err := decodeFinalState(platform.Item(i))
+	f, err := decodeFinal(i)
 	is.NoErr(err)
-	is.Equal(state, job.Cancelled)
+	is.Equal(f.State, job.Cancelled)
 }
 
 // runOnlyTask reports a worker that runs the only task of the cell to its end.
--- a/io/scheduler/mirror.go
+++ b/io/scheduler/mirror.go
@@ -283,8 +283,10 @@
 			delete(m.jobs, id)
 			return nil
 		}
-		var f job.Final
-		err := json.Unmarshal(i.Value, &f)
+		f, err := decodeFinal(i)
+		if f.Withdrawn {
+			return err // the job does not exist for client accounts
+		}
 		v := m.ensureView(id)
 		v.state, v.queue = f.State, f.Queue
 		return err
@@ -346,9 +348,9 @@
 	m.ensureView(id).cancelled = true
 }
 
-// decodeFinalState returns the state in the item of a job that has ended.
-func decodeFinalState(i platform.Item) (job.State, error) {
+// decodeFinal returns the final state in the item of a job that has ended or was withdrawn.
+func decodeFinal(i platform.Item) (job.Final, error) {
 	var f job.Final
 	err := json.Unmarshal(i.Value, &f)
-	return f.State, errors.Wrap(err, i.Key)
+	return f, errors.Wrap(err, i.Key)
 }
--- a/io/scheduler/relay.go
+++ b/io/scheduler/relay.go
@@ -107,7 +107,7 @@
 func (s *Scheduler) carryOut(ctx context.Context, req *relayRequest) (relayReply, error) {
 	switch {
 	case req.Job != nil:
-		return relayReply{}, s.storeJob(ctx, req.Job)
+		return s.storeJob(ctx, req.Job)
 	case req.Cancel != "":
 		return s.storeCancellation(ctx, req.Cancel)
 	case req.Probe:
--- a/io/scheduler/relay_test.go
+++ b/io/scheduler/relay_test.go
@@ -104,8 +104,9 @@
 			is.Equal(send(x.entryCaller, http.MethodGet, "/jobs/"+testID, "").Body.String(), `{"state":"queued"}`)
 			x.store.Put(job.FinalKey(testID), mustJSON(job.Final{ID: testID, State: job.Done}))
 			is.Equal(send(x.entryCaller, http.MethodGet, "/jobs/"+testID, "").Body.String(), `{"state":"done"}`)
-			const other = "00000000000000bb"
-			is.Equal(send(x.entryCaller, http.MethodDelete, "/jobs/"+other, "").Code, http.StatusGone)
+			const unknown, other = "00000000000000bb", "00000000000000cc"
+			is.Equal(send(x.entryCaller, http.MethodDelete, "/jobs/"+unknown, "").Code, http.StatusGone)
+			is.Equal(send(x.entryCaller, http.MethodPost, "/jobs/"+unknown, testBody).Body.String(), `{"state":"cancelled"}`)
 			is.Equal(send(x.entryCaller, http.MethodPost, "/jobs/"+other, testBody).Code, http.StatusOK)
 			is.Equal(send(x.entryCaller, http.MethodDelete, "/jobs/"+other, "").Code, http.StatusOK)
 			_, _, err = x.store.Get(job.CancelledKey(other))
