io/scheduler: no 503 for a job whose earlier submission may still be stored

503 says that a job never runs.

Cause: an attempt knew only its own calls. Change: an entry remembers for a minute the jobs whose submission it has tried with an unknown outcome, and answers 504 for them. The set is the one that admission by forecast has used for its refusals, moved to begun_writes.go.

Test: TestRefusalAfterUnknownOutcome failed before (503 in place of 504).

--- a/io/scheduler/admission.go
+++ b/io/scheduler/admission.go
@@ -28,12 +28,6 @@
 	// inquiryTimeout is the timeout of an inquiry before a refusal. An entry on a
 	// tenth of a processor answers within its next share of 100 ms.
 	inquiryTimeout = 250 * time.Millisecond
-	// knownPeriod is how long an owner remembers the jobs that it has heard of. All
-	// mirrors have the job by then, and its caller has made its four attempts.
-	knownPeriod = time.Minute
-	// maxKnown limits the jobs that an owner remembers, to about 2 MB. Beyond it,
-	// the owner confirms no refusal for knownPeriod.
-	maxKnown = 16384
 	// askingPeriod is how long an entry counts among those that ask for forecasts.
 	askingPeriod = 10 * time.Second
 	// ignoredLogInterval is the least time between two events of ignored forecasts.
@@ -52,13 +46,11 @@
 // admission is the state of an entry that refuses jobs by forecast. It is used by
 // several goroutines.
 type admission struct {
+	// known are the jobs of whose writes this entry has heard.
+	known     begunWrites
 	mu        sync.Mutex
 	decisions *job.Admission
 	ignoredAt time.Time
-	// known are the jobs whose writes began, by the time at which this entry heard of
-	// it. Until unsureUntil, others may have been forgotten.
-	known       map[string]time.Time
-	unsureUntil time.Time
 	// newest is the newest forecast of this entry's cell, made at madeAt, or nil while
 	// this entry is not the owner.
 	newest *job.Forecast
@@ -68,29 +60,7 @@
 }
 
 func newAdmission() *admission {
-	return &admission{decisions: job.NewAdmission(), known: map[string]time.Time{}, asking: map[netip.Addr]time.Time{}}
-}
-
-// record records that a write of the job began.
-func (a *admission) record(id string, now time.Time) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if len(a.known) >= maxKnown {
-		maps.DeleteFunc(a.known, func(_ string, at time.Time) bool { return job.Age(at, now) > knownPeriod })
-	}
-	if len(a.known) >= maxKnown {
-		clear(a.known)
-		a.unsureUntil = now.Add(knownPeriod)
-	}
-	a.known[id] = now
-}
-
-// mayBeStored reports whether a write of the job may have begun.
-func (a *admission) mayBeStored(id string, now time.Time) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	at, ok := a.known[id]
-	return now.Before(a.unsureUntil) || ok && job.Age(at, now) <= knownPeriod
+	return &admission{decisions: job.NewAdmission(), asking: map[netip.Addr]time.Time{}}
 }
 
 // publish makes f the forecast of this entry's cell.
@@ -158,7 +128,7 @@
 	if a == nil {
 		return nil
 	}
-	if v, ok := s.mirror.view(j.ID); ok && (v.live || v.cancelled || v.state.IsFinal()) || a.mayBeStored(j.ID, time.Now()) {
+	if v, ok := s.mirror.view(j.ID); ok && (v.live || v.cancelled || v.state.IsFinal()) || a.known.mayBeStored(j.ID, time.Now()) {
 		return nil
 	}
 	o, _ := s.mirror.ownership()
@@ -194,7 +164,7 @@
 		return noticeReply{}
 	}
 	_, ok := s.mirror.view(id)
-	return noticeReply{Epoch: f.Epoch, Known: ok || s.admission.mayBeStored(id, now)}
+	return noticeReply{Epoch: f.Epoch, Known: ok || s.admission.known.mayBeStored(id, now)}
 }
 
 // answerNotice returns the reply of this entry, the owner, to a notice of another
@@ -205,7 +175,7 @@
 	if inquiry {
 		reply = s.answerInquiry(n.ID)
 	} else {
-		s.admission.record(n.ID, now)
+		s.admission.known.record(n.ID, now)
 	}
 	if forecast {
 		reply.Forecast = s.admission.forecast(now)
@@ -221,7 +191,7 @@
 	if s.admission == nil {
 		return
 	}
-	s.admission.record(id, time.Now())
+	s.admission.known.record(id, time.Now())
 	if !s.mirror.isOwner.Load() {
 		s.notifyOwner(notice{ID: id})
 	}
@@ -259,7 +229,7 @@
 	for _, i := range x.items {
 		switch kind, id := job.ParseKey(i.Key); kind {
 		case job.KeyKindJob, job.KeyKindFinal:
-			a.record(id, now)
+			a.known.record(id, now)
 		}
 	}
 }
--- a/io/scheduler/admission_test.go
+++ b/io/scheduler/admission_test.go
@@ -155,11 +155,11 @@
 			x.owner.admission.recordLoaded(loadedState{items: []platform.Item{{Key: job.JobKey(testID)}}}, time.Now())
 		},
 		"this entry does not know the outcome": func(t *testing.T, x *admissionTest) {
-			x.entry.admission.record(testID, time.Now())
+			x.entry.admission.known.record(testID, time.Now())
 		},
 		"the owner has forgotten jobs": func(t *testing.T, x *admissionTest) {
-			for i := range maxKnown + 1 {
-				x.owner.admission.record(strconv.Itoa(i), time.Now())
+			for i := range maxBegunWrites + 1 {
+				x.owner.admission.known.record(strconv.Itoa(i), time.Now())
 			}
 		},
 	} {
@@ -176,7 +176,7 @@
 
 // awaitKnown waits until the owner has the announcement of the job.
 func (x *admissionTest) awaitKnown(t *testing.T) {
-	for !x.owner.admission.mayBeStored(testID, time.Now()) {
+	for !x.owner.admission.known.mayBeStored(testID, time.Now()) {
 		if t.Context().Err() != nil {
 			return
 		}
--- a/io/scheduler/caller.go
+++ b/io/scheduler/caller.go
@@ -120,6 +120,9 @@
 		if errors.Is(err, status.ErrOverloaded) {
 			return refuseOverloaded(r, err)
 		}
+		if errors.Is(err, platform.ErrNoEffect) && s.unresolved.mayBeStored(r.id, time.Now()) {
+			err = errUnknownOutcome // this attempt had no effect, but an earlier one may have
+		}
 		return callerError(err)
 	}
 	countSubmission("accepted", time.Since(r.receivedAt))
@@ -201,6 +204,9 @@
 		Writes:     []platform.Write{{Key: job.JobKey(j.ID), Value: mustJSON(j)}},
 	}
 	revision, current, err := s.commitWithRetry(ctx, txn)
+	if errors.Is(err, errUnknownOutcome) {
+		s.unresolved.record(j.ID, time.Now())
+	}
 	if errors.Is(err, platform.ErrConflict) {
 		return s.acceptWithdrawn(ctx, j, current)
 	}
--- a/io/scheduler/relay.go
+++ b/io/scheduler/relay.go
@@ -75,6 +75,9 @@
 		switch {
 		case errors.Is(err, errUnknownOutcome):
 			uncertain = true
+			if req.Job != nil {
+				s.unresolved.record(req.Job.ID, time.Now())
+			}
 		case !errors.Is(err, platform.ErrNoEffect), !uncertain:
 			return reply, err
 		}
--- a/io/scheduler/scheduler.go
+++ b/io/scheduler/scheduler.go
@@ -103,6 +103,8 @@
 	noticeHealth *process.Dependency
 	// evacuationsHealth logs when the evacuated zones cannot be read.
 	evacuationsHealth *process.Dependency
+	// unresolved are the jobs whose submission this entry has tried with an unknown outcome.
+	unresolved begunWrites
 	// admission is nil unless jobs are refused by forecast.
 	admission *admission
 	// fairShares is true if jobs get the zone of this entry. cellOptions are the
--- a/io/scheduler/withdrawal_test.go
+++ b/io/scheduler/withdrawal_test.go
@@ -202,3 +202,29 @@
 		})
 	})
 }
+
+// A submission of which an earlier attempt may still be stored must not be refused with 503, which
+// says that the job never runs, although the present attempt had no effect.
+func TestRefusalAfterUnknownOutcome(t *testing.T) {
+	is := is.New(t)
+	store := &refusingStore{lateStore: lateStore{Store: fleet.NewStore(), loses: writesKey(job.JobKey(testID))}}
+	_, h := newTestScheduler(t, platformtest.StoreHandler(store))
+	is.Equal(send(h, http.MethodPost, "/jobs/"+testID, testBody).Code, http.StatusGatewayTimeout)
+	store.refuses = true
+	is.Equal(send(h, http.MethodPost, "/jobs/"+testID, testBody).Code, http.StatusGatewayTimeout)
+	is.Equal(send(h, http.MethodPost, "/jobs/00000000000000bb", testBody).Code, http.StatusServiceUnavailable)
+	is.Equal(store.carryOutLate(), 1) // the job of the first attempt runs
+}
+
+// refusingStore is a lateStore that may refuse all calls without effect.
+type refusingStore struct {
+	lateStore
+	refuses bool
+}
+
+func (s *refusingStore) Commit(c platform.Transaction) (int64, []platform.Item, error) {
+	if s.refuses {
+		return 0, nil, platform.ErrNoEffect
+	}
+	return s.lateStore.Commit(c)
+}
