io/agent, core/job: a late removal of an agent's key does not hit its next worker

An agent whose worker has left deletes its key in the store, without a condition. Carried out late, the deletion removed the key that the owner relies on for the agent's next worker: an owner that takes over in that moment does not wait for the agent, and may start the tasks of that worker twice.

Change: the deletion requires the revision of the key. The owner writes the key anew before it gives an order to the worker after one that has left, so that a deletion under way fails.

--- a/core/job/outdated_test.go
+++ b/core/job/outdated_test.go
@@ -132,3 +132,30 @@
 	writes := later.PendingWrites(tc.now, 30)
 	tc.is.Equal(len(writes.RemovedAgents), 0)
 }
+
+// The removal of an agent from the stored roster, which the agent writes itself when its worker has
+// left, may still be under way when its next worker reports: the owner must store the agent anew
+// before that worker gets an order.
+func TestNextWorkerAfterDepartureIsStoredAnew(t *testing.T) {
+	tc := newEchoingCluster(t, 1)
+	w := tc.testWorkers["agent-0"]
+	tc.submit(testJob(1, step(2, 100)))
+	w.report.Left = true
+	held := testJob(2, step(2, 100))
+	r := w.report
+	tc.Receive(&r, tc.now)
+	next := *w.report.Worker
+	next.Incarnation++
+	w.report.Left, w.report.Worker, w.report.Running = false, &next, nil
+	tc.roster["agent-0"] = rosterRow{durable: true, resolved: true} // its key is still in the store
+	tc.Add(held, tc.now)
+	r = w.report
+	r.Generation, r.EchoesGeneration = tc.generationOf("agent-0"), true
+	tc.Receive(&r, tc.now)
+	tc.BeginOwnershipCheck()
+	tc.ConfirmOwnership(tc.now)
+	tc.Tick(tc.now)
+	tc.is.Equal(len(tc.Reply(&r, tc.now).Orders), 0)
+	tc.is.Equal(tc.commitWrites().AddedAgents, []string{"agent-0"})
+	tc.is.True(len(tc.Reply(&r, tc.now).Orders) > 0)
+}
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -144,6 +144,11 @@
 		delete(c.roster, agent)
 		return
 	}
+	c.storeAgentAgain(agent)
+}
+
+// storeAgentAgain has an agent of the stored roster written once more before its next order.
+func (c *Cell) storeAgentAgain(agent string) {
 	if r, ok := c.roster[agent]; ok {
 		r.durable = false
 		c.roster[agent] = r
@@ -185,6 +190,11 @@
 		late = w.startsOfFormerProcesses(now)
 	}
 	w.recentStarts = nil
+	if w.left {
+		// The agent may have removed itself from the roster for the worker that has left, and
+		// its write may still be under way. The agent is stored anew before it gets an order.
+		c.storeAgentAgain(w.agent)
+	}
 	pendingStarts := c.releaseEndedRuns(w, late, now)
 	w.Worker = *r.Worker
 	c.incarnations++
--- a/io/agent/owner.go
+++ b/io/agent/owner.go
@@ -292,10 +292,7 @@
 	case <-a.workerLeft:
 	}
 	for ctx.Err() == nil && a.state.hasLeft() {
-		callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
-		_, _, err := a.store.Commit(callCtx, platform.Transaction{Deletes: []string{job.AgentKey(a.cfg.Name)}})
-		cancel()
-		if err == nil {
+		if err := a.removeKey(ctx); err == nil {
 			return waitForShutdown(ctx)
 		}
 		process.Pause(ctx, retryPause, nil)
@@ -303,6 +300,25 @@
 	return waitForShutdown(ctx)
 }
 
+// removeKey deletes this agent's key from the store, if it has one. The deletion requires the
+// revision of the key, since one without an answer may be carried out after the owner has
+// written the key again for the agent's next worker.
+func (a *Agent) removeKey(ctx context.Context) error {
+	callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	key := job.AgentKey(a.cfg.Name)
+	i, err := a.store.Get(callCtx, key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	_, _, err = a.store.Commit(callCtx, platform.Transaction{
+		Conditions: []platform.Condition{{Key: key, Revision: i.Revision}}, Deletes: []string{key}})
+	return err
+}
+
 // waitForShutdown waits until ctx ends. An actor that has completed its work
 // calls it because the first actor that returns ends the process.
 func waitForShutdown(ctx context.Context) error {
