--- a/core/event/fields.go
+++ b/core/event/fields.go
@@ -108,6 +108,9 @@
 // Free returns the field with processors that are not in use, in thousandths.
 func Free(milli int) Field { return Field{"free", milli} }
 
+// Reserved returns the field with processors that tasks reserve, in thousandths.
+func Reserved(milli int) Field { return Field{"reserved", milli} }
+
 // Team returns the field with the name of a team.
 func Team(name string) Field { return Field{"team", name} }
 
--- a/core/event/job.go
+++ b/core/event/job.go
@@ -104,8 +104,8 @@
 		"Tasks of a step that was ready waited for the elapsed time up to now; count is their number at the begin. The reason is `no-room`, `reserved` (the only room is kept for others, or its worker has just restarted), `interference` (with serving tasks), `rack`, `isolation`, `ticket` or `retry`. A wait of over 5 s is logged in parts, one of under 0.1 s is not.",
 		"`rosemarygap delays` adds them up."}
 	RoomSampled = Event{7055, "room-sampled", hclog.Info,
-		[]string{"capacity", "free", "count", "epoch"},
-		"Tasks wait, count in all; capacity are the processors of all workers and free those that their tasks are expected to leave unused, in thousandths. At most once a second.", "None."}
+		[]string{"capacity", "free", "reserved", "count", "epoch"},
+		"Tasks wait, count in all; capacity are the processors of all workers, free those that their tasks are expected to leave unused, and reserved those that their tasks reserve, in thousandths. Best-effort tasks use what is free, and reserve none. At most once a second.", "None."}
 	OutlookWorsened = Event{7056, "outlook-worsened", hclog.Info,
 		[]string{"job", "reason", "epoch"},
 		"By the estimates of its remaining steps, a job can no longer meet its latency objective (`late`) or end while its result has a value (`too-late`).",
--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -63,8 +63,9 @@
 	// the name of the step, Count the number of its waiting tasks at the begin, Elapsed the
 	// length of the span and Reason why they waited.
 	EventStepWaited EventKind = "step-waited"
-	// EventRoomSampled is the room while tasks wait: Capacity and Free are processors of
-	// all workers in thousandths, and Count is the number of waiting tasks.
+	// EventRoomSampled is the room while tasks wait: Capacity, Free and Reserved are processors
+	// of all workers in thousandths, and Count is the number of waiting tasks. Best-effort tasks
+	// leave less free and reserve none.
 	EventRoomSampled EventKind = "room-sampled"
 	// EventOutlookWorsened means that a job can no longer meet its latency objective, or
 	// no longer end while its result has a value; Reason is which.
@@ -115,8 +116,8 @@
 	// expected to end, for EventCopyStarted.
 	OtherWorker string
 	Gain        time.Duration
-	// Capacity and Free are processors in thousandths, for EventRoomSampled.
-	Capacity, Free int
+	// Capacity, Free and Reserved are processors in thousandths, for EventRoomSampled.
+	Capacity, Free, Reserved int
 }
 
 // sinceAcceptance returns the time from the acceptance of a job to now. It is
--- a/core/job/wait.go
+++ b/core/job/wait.go
@@ -116,6 +116,7 @@
 		e.Capacity += w.Capacity.Processors
 		if c.evacuations.allowsStarts(w.Zone) {
 			e.Free += max(0, w.freeProcessors())
+			e.Reserved += w.used.Processors
 		}
 	}
 	c.events = append(c.events, e)
--- a/core/job/wait_test.go
+++ b/core/job/wait_test.go
@@ -89,3 +89,25 @@
 	tc.is.Equal(outlooks, []string{testJob(2).ID + " late", testJob(2).ID + " too-late"})
 	tc.is.True(samples >= 9 && samples <= 11)
 }
+
+// The log tells the processors that tasks reserve apart from those that best-effort tasks use:
+// these do not count as in use on the platform.
+func TestSampledRoomTellsReservedProcessors(t *testing.T) {
+	tc := newTestCluster(t, 1)
+	serving, filling := step(1, 4000), step(8, 3000)
+	filling.BestEffort = true
+	tc.submit(testJob(1, serving))
+	tc.submit(testJob(2, filling))
+	samples := 0
+	for range 100 { // 2 s
+		tc.deliverReports()
+		for _, e := range tc.Events() {
+			if e.Kind == EventRoomSampled {
+				samples++
+				tc.is.Equal(e.Reserved, 4000)
+				tc.is.Equal(e.Free, 0)
+			}
+		}
+	}
+	tc.is.True(samples > 0)
+}
--- a/io/scheduler/control.go
+++ b/io/scheduler/control.go
@@ -237,7 +237,7 @@
 		event.StepWaited.Emit(c.log, event.Step(e.Task), event.Reason(status.Code(e.Reason)), event.Count(e.Count),
 			event.Elapsed(e.Elapsed), event.Epoch(c.cell.Epoch()))
 	case job.EventRoomSampled:
-		event.RoomSampled.Emit(c.log, event.Capacity(e.Capacity), event.Free(e.Free), event.Count(e.Count), event.Epoch(c.cell.Epoch()))
+		event.RoomSampled.Emit(c.log, event.Capacity(e.Capacity), event.Free(e.Free), event.Reserved(e.Reserved), event.Count(e.Count), event.Epoch(c.cell.Epoch()))
 	case job.EventOutlookWorsened:
 		event.OutlookWorsened.Emit(c.log, event.Job(e.Task), event.Reason(status.Code(e.Reason)), event.Epoch(c.cell.Epoch()))
 	default:
