core/job: idle best-effort jobs share processors once no more of them come

A job that is late comes after those that are on time and after the tasks of jobs already at work, and nothing ended its wait (7054 no-room, interference and reserved in turn for 55 s; 7055 free 2%, reserved 39%).

Change: once no job with best-effort tasks has come for 8 s, a job of which nothing has run for 1.5 s starts one task beside those that use all processors, where there is memory and while under 60% of the processors are reserved (7010 placed-shared). It works because such tasks share what the others leave.

--- a/core/event/job.go
+++ b/core/event/job.go
@@ -22,7 +22,7 @@
 		"If the event lasts, check the network between this entry and the store."}
 	TaskDecided = Event{7010, "task-decided", hclog.Info,
 		[]string{"task", "attempt", "worker", "decision", "reason", "age", "elapsed", "epoch"},
-		"The owner, which is the entry that schedules, made a decision about a task; age is the age of the worker's newest report; elapsed is the time from the job's acceptance to its first start or its end, and 0 for other decisions. The reason of a start is `placed`, or `placed-in-rack`, `placed-off-rack` or `placed-cold` where placement depends on the rack of the data or a cold worker, or `isolated` for a task under which workers have crashed.", "None."}
+		"The owner, which is the entry that schedules, made a decision about a task; age is the age of the worker's newest report; elapsed is the time from the job's acceptance to its first start or its end, and 0 for other decisions. The reason of a start is `placed`, or `placed-in-rack`, `placed-off-rack` or `placed-cold` where placement depends on the rack of the data or a cold worker, `placed-shared` for a best-effort task of a job that was idle, beside others that use all processors, or `isolated` for a task under which workers have crashed.", "None."}
 	WorkerDecided = Event{7011, "worker-decided", hclog.Info,
 		[]string{"worker", "decision", "reason", "age", "epoch"},
 		"The owner, which is the entry that schedules, changed its view of a worker's state.",
--- a/core/job/cell.go
+++ b/core/job/cell.go
@@ -190,6 +190,9 @@
 	}
 	row := c.add(j)
 	row.acceptedThisEpoch = true
+	if slices.ContainsFunc(j.Steps, func(s Step) bool { return s.BestEffort }) {
+		c.bestEffortAt = now
+	}
 	c.expectEnd(row, now)
 	c.observeInflow(row, now)
 	if c.earlyCancellations[j.ID] {
@@ -284,6 +287,7 @@
 // startTask reserves capacity for a new run of t on w and orders its start.
 func (c *Cell) startTask(j *jobRow, s *stepRow, t *taskRow, w *workerRow, now time.Time) {
 	t.starts++
+	j.occurrence(t.name.Occurrence).idleSince = time.Time{}
 	t.ticket = s.advice.ticket(w, now)
 	s.advice.answers = 0
 	c.recordRun(s, t, w, c.runNumber(t.starts), now)
@@ -305,6 +309,8 @@
 	ReasonPlacedRemote = "placed-off-rack"
 	// ReasonIsolated is given for a suspect of crashes.
 	ReasonIsolated = "isolated"
+	// ReasonPlacedShared is given for a task of an idle job that shares the processors.
+	ReasonPlacedShared = "placed-shared"
 	// ReasonPlacedCold is given for a start on a cold worker that is not remote.
 	ReasonPlacedCold = "placed-cold"
 )
--- a/core/job/choose.go
+++ b/core/job/choose.go
@@ -43,9 +43,11 @@
 			backlog += k.backlog()
 		}
 	}
+	share := c.mayShareProcessors(now)
 	scarce := backlog > maxBacklog.Seconds()*float64(capacity)/processorUnit
 	for i := range all {
 		all[i].scarce = scarce
+		all[i].idle = all[i].observeIdle(now) && share
 		all[i].interferenceWait = idleInterferenceWait
 		if crowded || all[i].hasRunningTasks() {
 			all[i].interferenceWait = busyInterferenceWait
@@ -134,9 +136,9 @@
 	tieScore int
 }
 
-// allowsAnother reports whether the limits on the worker allow one more task of s.
-func (o *scoredWorker) allowsAnother(s *Step) bool {
-	return o.ramp.allows(o.worker, s) && o.worker.fitsBeside(o.claimed, s)
+// allowsAnother reports whether the limits on the worker allow one more task of the candidate.
+func (o *scoredWorker) allowsAnother(k *candidate) bool {
+	return o.ramp.allows(o.worker, k.step.spec) && (k.sharesProcessors || o.worker.fitsBeside(o.claimed, k.step.spec))
 }
 
 // scoredWorkers returns the usable workers that have room for a task of the
@@ -146,14 +148,14 @@
 // is claimed or that it must not use yet.
 func (c *Cell) scoredWorkers(k *candidate, r *scorer, rack string, since int64) (out []scoredWorker, withheld bool) {
 	for _, w := range c.workers.All {
-		if w.version <= since || !w.hasRoom(k.step.spec, k.roomPriority()) || !c.isUsable(w, k, r.now) ||
+		if w.version <= since || !k.fits(w) || !c.isUsable(w, k, r.now) ||
 			rack != "" && !slices.Contains(w.Labels, rack) {
 			continue
 		}
 		o := scoredWorker{worker: w}
 		if !c.rampBegin(w).IsZero() || len(c.claims) > 0 {
 			o.limited, o.ramp, o.claimed = true, c.rampOf(w, r.now), c.claims[w]
-			if !o.allowsAnother(k.step.spec) {
+			if !o.allowsAnother(k) {
 				withheld = true
 				continue
 			}
@@ -199,7 +201,7 @@
 // isEligible reports whether t may start on a scored worker now.
 func (r *scorer) isEligible(o *scoredWorker, k *candidate, t *taskRow) bool {
 	w, s := o.worker, k.step.spec
-	return k.hasTicket(w, r.now) && w.hasRoom(s, k.roomPriority()) && w.allowsAnother(s, t.name) && w.acceptsTasks(r.now) && (!o.limited || o.allowsAnother(s))
+	return k.hasTicket(w, r.now) && k.fits(w) && w.allowsAnother(s, t.name) && w.acceptsTasks(r.now) && (!o.limited || o.allowsAnother(k))
 }
 
 // choose returns the best worker that has room for t, or nil.
--- a/core/job/place.go
+++ b/core/job/place.go
@@ -41,6 +41,10 @@
 	scarce bool
 	// usesReserve is true if its tasks may use the processors that are kept for urgent tasks.
 	usesReserve bool
+	// idle is true if nothing of its occurrence has run for idleLimit, and it may share the
+	// processors that best-effort tasks use. sharesProcessors is true while a task of it is placed beside
+	// best-effort tasks that already use all processors.
+	idle, sharesProcessors bool
 	// interferenceWait is how long the best-effort tasks of the step wait for
 	// a worker without interference.
 	interferenceWait time.Duration
@@ -169,6 +173,7 @@
 			reason = c.placeGang(k, now)
 		default:
 			reason = c.placeStep(k, now)
+			c.startIdle(k, now)
 		}
 		c.recordWait(k, reason, now)
 		if k.step.waiting > 0 {
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -123,6 +123,9 @@
 	number int
 	due    time.Time
 	steps  []stepRow
+	// idleSince is since when the occurrence has tasks that are ready and none that is assigned,
+	// or zero. comparedAt is when it was last compared with all workers to share processors.
+	idleSince, comparedAt time.Time
 }
 
 func (o *occurrenceRow) isComplete() bool {
@@ -400,6 +403,8 @@
 	policy        policy
 	evacuations   evacuations
 	forecaster    forecaster
+	// bestEffortAt is when the newest job with best-effort tasks came in this epoch, or zero.
+	bestEffortAt time.Time
 	// shares is nil unless shares are fair.
 	shares *shares
 	// coldUntil is when the last worker that was cold stops being cold, and
