core/job: recent starts outlive the worker's row

A start that is carried out late can reach the next incarnation of a worker under the same id. The owner stops it there if it knows of it, for 15 s. It forgot it with the worker's row, after 11.3 s of silence, so that a task could run there and, started again, elsewhere.

Change: the recent starts are kept with what the owner knows of the agent (agentRecord), with the id of their worker, and a row that is made anew stops those of former processes.

--- a/core/event/fields.go
+++ b/core/event/fields.go
@@ -43,10 +43,11 @@
 // scheduler.
 func Epoch(n int64) Field { return Field{"epoch", n} }
 
-// Process is the number of a process of an agent, its start time in nanoseconds.
+// Process returns the field with the number of a process of an agent, its start time in
+// nanoseconds.
 func Process(n int64) Field { return Field{"process", n} }
 
-// Generation is the number of what an owner knows of an agent.
+// Generation returns the field with the number of what an owner knows of an agent.
 func Generation(n int64) Field { return Field{"generation", n} }
 
 // Sequence returns the field with the sequence number of a journal record.
--- a/core/job/late_start.go
+++ b/core/job/late_start.go
@@ -14,8 +14,10 @@
 // makes starts without an answer impossible on a later incarnation of the worker before it
 // reports that incarnation, but its next process does not know them.
 type sentStart struct {
-	task    Task
-	run     int64
+	task Task
+	run  int64
+	// worker is the ID of the worker.
+	worker  string
 	process int64
 	at      time.Time
 }
@@ -24,18 +26,19 @@
 // by an earlier owner, and forgets the starts that can no longer take effect.
 func (w *workerRow) recordSentStart(t *taskRow, now time.Time) {
 	n := 0
-	for n < len(w.recentStarts) && now.Sub(w.recentStarts[n].at) > LateStartWindow {
+	starts := w.record.recentStarts
+	for n < len(starts) && now.Sub(starts[n].at) > LateStartWindow {
 		n++
 	}
-	w.recentStarts = append(w.recentStarts[n:], sentStart{t.name, t.run, w.process, now})
+	w.record.recentStarts = append(starts[n:], sentStart{t.name, t.run, w.ID, w.process, now})
 }
 
 // startsOfFormerProcesses returns the starts that an earlier process of the agent may have
 // sent and that may still take effect, also on a new incarnation of the worker.
 func (w *workerRow) startsOfFormerProcesses(now time.Time) []sentStart {
 	var out []sentStart
-	for _, s := range w.recentStarts {
-		if s.process != w.process && now.Sub(s.at) <= LateStartWindow {
+	for _, s := range w.record.recentStarts {
+		if s.worker == w.ID && s.process != w.process && now.Sub(s.at) <= LateStartWindow {
 			out = append(out, s)
 		}
 	}
--- a/core/job/outdated.go
+++ b/core/job/outdated.go
@@ -5,8 +5,8 @@
 // agentRecord is what an owner knows of an agent for as long as it is the owner, whether or
 // not there is a row for the agent's worker.
 //
-// Invariant: both numbers only rise, and neither is taken from a report. A report that a
-// network held up may arrive seconds after later ones, and after the row was removed.
+// Invariant: the numbers only rise, and nothing of it is taken from a report alone. A report that
+// a network held up may arrive seconds after later ones, and after the row was removed.
 type agentRecord struct {
 	// generation is the number of what the owner knows of the agent: which process it runs
 	// and which incarnation of which worker it reports, or that there is no row. Replies
@@ -15,6 +15,8 @@
 	generation int64
 	// sequence is the number of the newest order to the agent.
 	sequence int64
+	// recentStarts are the starts that were ordered within LateStartWindow, oldest first.
+	recentStarts []sentStart
 }
 
 // advanceGeneration gives r a generation that no agent had before.
--- a/core/job/outdated_test.go
+++ b/core/job/outdated_test.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -159,3 +160,25 @@
 	tc.is.Equal(tc.commitWrites().AddedAgents, []string{"agent-0"})
 	tc.is.True(len(tc.Reply(&r, tc.now).Orders) > 0)
 }
+
+// A start that is carried out late, on an incarnation that reports only after the row of the one
+// before was removed, must be stopped there: the task has started elsewhere.
+func TestLateStartOnWorkerOfRemovedRow(t *testing.T) {
+	tc := newEchoingCluster(t, 1)
+	w := tc.testWorkers["agent-0"]
+	tc.submit(testJob(1, step(1, 100)))
+	start := w.orders[0]
+	tc.silence(12 * time.Second)
+	tc.is.Equal(tc.workers.Get("agent-0"), nil)
+
+	next := *w.report.Worker
+	next.Incarnation++
+	w.report.Process, w.report.Worker, w.report.Running, w.generation = w.report.Process+1, &next, nil, 0
+	w.report.Applied = 0
+	tc.deliverReport("agent-0") // learns the generation
+	tc.deliverReport("agent-0")
+	tc.deliverReport("agent-0")
+	tc.is.True(slices.ContainsFunc(w.orders[1:], func(o Order) bool {
+		return o.Kind == OrderStop && o.Task == start.Task && o.Run == start.Run && o.Incarnation == next.Incarnation
+	}))
+}
--- a/core/job/report.go
+++ b/core/job/report.go
@@ -75,6 +75,7 @@
 	c.incarnations++
 	c.logEvent(EventWorker, nil, w, "joined", now)
 	delete(c.forecaster.missing, r.Agent)
+	w.stopLateStarts(w.startsOfFormerProcesses(now))
 	return w
 }
 
@@ -189,7 +190,7 @@
 	if r.Worker.ID == w.ID {
 		late = w.startsOfFormerProcesses(now)
 	}
-	w.recentStarts = nil
+	w.record.recentStarts = nil
 	if w.left {
 		// The agent may have removed itself from the roster for the worker that has left, and
 		// its write may still be under way. The agent is stored anew before it gets an order.
--- a/core/job/rows.go
+++ b/core/job/rows.go
@@ -322,8 +322,6 @@
 	version int64
 	// predicted must be reset when the tasks of the worker change.
 	predicted predictedInterference
-	// recentStarts are the starts that were ordered within LateStartWindow, oldest first.
-	recentStarts []sentStart
 	// releases must be reset when the tasks of the worker change.
 	releases expectedReleases
 	// isolated is true while only suspects of crashes start on the worker.
