--- a/core/job/outdated_test.go
+++ b/core/job/outdated_test.go
@@ -142,14 +142,13 @@
 	w := tc.testWorkers["agent-0"]
 	tc.submit(testJob(1, step(2, 100)))
 	w.report.Left = true
-	held := testJob(2, step(2, 100))
 	r := w.report
 	tc.Receive(&r, tc.now)
 	next := *w.report.Worker
 	next.Incarnation++
 	w.report.Left, w.report.Worker, w.report.Running = false, &next, nil
 	tc.roster["agent-0"] = rosterRow{durable: true, resolved: true} // its key is still in the store
-	tc.Add(held, tc.now)
+	tc.Add(testJob(2, step(2, 100)), tc.now)
 	r = w.report
 	r.Generation, r.EchoesGeneration = tc.generationOf("agent-0"), true
 	tc.Receive(&r, tc.now)
