core/job, io/scheduler: ask once per candidate what runs, one fake for late and refused writes

Each decision asked twice for each candidate whether a task of its occurrence runs. withdrawal_test.go had a second fake of the store for refusals.

--- a/core/job/choose.go
+++ b/core/job/choose.go
@@ -32,8 +32,8 @@
 const maxBacklog = 1500 * time.Millisecond
 
 // setRoom sets how long the best-effort tasks of each candidate wait for a worker
-// without interference, whether processors are scarce, and whether the candidate may use those
-// that are kept for urgent tasks.
+// without interference, whether processors are scarce, whether the candidate may use those
+// that are kept for urgent tasks, and whether it is idle.
 func (c *Cell) setRoom(all []candidate, now time.Time) {
 	free, capacity := c.freeProcessors()
 	crowded := isCrowded(free, capacity)
@@ -47,9 +47,10 @@
 	scarce := backlog > maxBacklog.Seconds()*float64(capacity)/processorUnit
 	for i := range all {
 		all[i].scarce = scarce
-		all[i].idle = all[i].observeIdle(now) && share
+		running := all[i].hasRunningTasks()
+		all[i].idle = all[i].observeIdle(running, now) && share
 		all[i].interferenceWait = idleInterferenceWait
-		if crowded || all[i].hasRunningTasks() {
+		if crowded || running {
 			all[i].interferenceWait = busyInterferenceWait
 		}
 		all[i].usesReserve = !crowded && all[i].lacksRoom(now) && c.isKeptOutByReserve(&all[i], now)
--- a/core/job/idle.go
+++ b/core/job/idle.go
@@ -31,10 +31,10 @@
 }
 
 // observeIdle records since when nothing of the candidate's occurrence has run, and reports
-// whether that is longer than idleLimit.
-func (k *candidate) observeIdle(now time.Time) bool {
+// whether that is longer than idleLimit. running is true while a task of it runs.
+func (k *candidate) observeIdle(running bool, now time.Time) bool {
 	o := k.occ
-	if k.hasRunningTasks() {
+	if running {
 		o.idleSince = time.Time{}
 		return false
 	}
--- a/io/scheduler/withdrawal_test.go
+++ b/io/scheduler/withdrawal_test.go
@@ -27,9 +27,14 @@
 	late []platform.Transaction
 	// loses reports whether the answer to a write is lost and the write is late.
 	loses func(platform.Transaction) bool
+	// refuses is true while the store refuses all writes without effect.
+	refuses bool
 }
 
 func (s *lateStore) Commit(c platform.Transaction) (int64, []platform.Item, error) {
+	if s.refuses {
+		return 0, nil, platform.ErrNoEffect
+	}
 	if s.loses != nil && s.loses(c) {
 		s.late = append(s.late, c)
 		return 0, nil, platformtest.ErrDropConnection
@@ -207,7 +212,7 @@
 // says that the job never runs, although the present attempt had no effect.
 func TestRefusalAfterUnknownOutcome(t *testing.T) {
 	is := is.New(t)
-	store := &refusingStore{lateStore: lateStore{Store: fleet.NewStore(), loses: writesKey(job.JobKey(testID))}}
+	store := &lateStore{Store: fleet.NewStore(), loses: writesKey(job.JobKey(testID))}
 	_, h := newTestScheduler(t, platformtest.StoreHandler(store))
 	is.Equal(send(h, http.MethodPost, "/jobs/"+testID, testBody).Code, http.StatusGatewayTimeout)
 	store.refuses = true
@@ -215,16 +220,3 @@
 	is.Equal(send(h, http.MethodPost, "/jobs/00000000000000bb", testBody).Code, http.StatusServiceUnavailable)
 	is.Equal(store.carryOutLate(), 1) // the job of the first attempt runs
 }
-
-// refusingStore is a lateStore that may refuse all calls without effect.
-type refusingStore struct {
-	lateStore
-	refuses bool
-}
-
-func (s *refusingStore) Commit(c platform.Transaction) (int64, []platform.Item, error) {
-	if s.refuses {
-		return 0, nil, platform.ErrNoEffect
-	}
-	return s.lateStore.Commit(c)
-}
